--- /dev/null
+++ b/src/wigeonpier/__init__.py
@@ -0,0 +1,1 @@
+"""Online and batch inference served on one fleet."""
--- /dev/null
+++ b/src/wigeonpier/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: files, chunks, journals, results."""
--- /dev/null
+++ b/src/wigeonpier/batch/chunk.py
@@ -0,0 +1,565 @@
+"""A chunk in the hands of its owner: claim, read, work, finish."""
+
+from __future__ import annotations
+
+import secrets
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from gevent.lock import BoundedSemaphore
+from result import Err, Ok, Result
+
+from wigeonpier.batch.claims import Claim, Segment, Tally
+from wigeonpier.batch.journal import JournalEnd, JournalEndedError, JournalWriter
+from wigeonpier.batch.models import Job, Line
+from wigeonpier.batch.records import (
+    Begin,
+    Failure,
+    Outcome,
+    Ready,
+    Release,
+    Status,
+    decode_records,
+)
+from wigeonpier.disk.client import DiskClient, DiskFailure, read_first
+from wigeonpier.invariants import Promise, check_promise
+from wigeonpier.platform.certain import swap_certainly
+from wigeonpier.platform.keys import name_chunk
+from wigeonpier.platform.port import Failure as PlatformFailure
+from wigeonpier.policy.attempts import (
+    Bounds,
+    Journal,
+    Ledger,
+    Step,
+    apply_record,
+    decide_item,
+    fold_segment,
+    note_loss,
+    write_snapshot,
+)
+from wigeonpier.policy.copies import Disk, choose_copies
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.batch.records import Record
+    from wigeonpier.platform.port import Platform
+
+TOKEN_BYTES = 8
+CLAIM_PATIENCE_SECONDS = 5.0
+MOVE_GAP_SECONDS = 0.5
+PAGE_HEAD = 'no copy of page'
+
+
+ItemRecord = Begin | Release | Failure | Outcome
+
+
+class ChunkProblemError(Exception):
+    """A chunk that cannot be worked on now; another try may succeed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Workshop:
+    """What owners of chunks use.
+
+    :param platform: port to the key-value service.
+    :param disks: reaches data folders.
+    :param list_disks: data folders that may be chosen.
+    :param is_gone: whether a folder is known never to come back.
+    :param owner: name of this VM.
+    :param copies: copies wanted.
+    :param least_copies: fewest copies.
+    :param bounds: how often an item is tried.
+    """
+
+    platform: Platform
+    disks: DiskClient
+    list_disks: Callable[[], list[Disk]]
+    is_gone: Callable[[str], bool]
+    owner: str
+    copies: int
+    least_copies: int
+    bounds: Bounds
+
+
+@dataclass(slots=True)
+class Item:
+    """One item of a chunk in work.
+
+    :param index: position in the chunk.
+    :param line: what to run.
+    :param is_idempotent: whether it may run more than once.
+    """
+
+    index: int
+    line: Line
+    is_idempotent: bool
+
+
+@dataclass(slots=True)
+class Chunk:
+    """A chunk that this process owns.
+
+    :param workshop: what owners use.
+    :param job: its job.
+    :param index: position in the job.
+    :param claim: the claim as written.
+    :param revision: revision of the claim's key.
+    :param journal: writes the segment of this owner.
+    :param items: its items.
+    :param ledgers: what is durably known of each.
+    :param ready: items to run, in order.
+    :param suspects: items to run alone, after the others.
+    :param is_lost: whether another process owns it now, or may.
+    :param moving: held while the journal goes on elsewhere.
+    """
+
+    workshop: Workshop
+    job: Job
+    index: int
+    claim: Claim
+    revision: int
+    journal: JournalWriter
+    items: list[Item]
+    ledgers: list[Ledger]
+    ready: deque[Item] = field(default_factory=deque)
+    suspects: deque[Item] = field(default_factory=deque)
+    is_lost: bool = False
+    moving: BoundedSemaphore = field(default_factory=BoundedSemaphore)
+
+    @property
+    def name(self) -> str:
+        """Name the chunk in logs."""
+        return f'{self.job.id}/{self.index}'
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether each item has its result."""
+        return all(ledger.outcome for ledger in self.ledgers)
+
+    def begin(self, item: Item, *, alone: bool) -> None:
+        """Note durably that an item may run; it may start only after this.
+
+        :param item: the item.
+        :param alone: whether nothing else of a job runs at the upstream.
+        """
+        ledger = self.ledgers[item.index]
+        check_promise(
+            item.is_idempotent or not (ledger.losses or ledger.is_open),
+            Promise.runs_at_most_once,
+            f'{self.name} item {item.index} begins again',
+        )
+        check_promise(
+            ledger.outcome is None,
+            Promise.exactly_one_result,
+            f'{self.name} item {item.index} has a result already',
+        )
+        self.write(Begin(item.index, alone))
+
+    def write(self, *records: ItemRecord) -> None:
+        """Write records; when this returns, they count.
+
+        Where a copy was lost, the journal goes on in other folders first.
+
+        :param records: what happened.
+        :raises JournalEndedError: when this process owns the chunk no more.
+        """
+        while True:
+            journal = self.journal
+            try:
+                journal.commit(records)
+            except JournalEndedError as error:
+                if error.end is not JournalEnd.copy_lost:
+                    raise
+                self._move_from(journal, error.lost)
+            else:
+                for record in records:
+                    apply_record(self.ledgers[record.item], record)
+                return
+
+    def plan(self, *items: Item) -> None:
+        """Put items that do not run where their ledgers say they belong.
+
+        :param items: the items; those that are past help get their results.
+        """
+        ended = [
+            outcome
+            for item in items
+            if (outcome := self._plan_item(item)) is not None
+        ]
+        if ended:
+            self.write(*ended)
+
+    def finish(self) -> Result[int, PlatformFailure]:
+        """Make the results readable: the chunk is done.
+
+        :returns: the claim's revision, or why it could not be written.
+        """
+        check_promise(
+            self.is_settled,
+            Promise.exactly_one_result,
+            f'{self.name} is finished with items open',
+        )
+        done = msgspec.structs.replace(
+            self.claim,
+            token=draw_token(),
+            segments=self.claim.segments[-1:],
+            is_done=True,
+            tally=count_outcomes(self.ledgers),
+        )
+        return self.write_claim(done)
+
+    def give_back(self) -> None:
+        """Let another owner go on at once; what runs is stopped before."""
+        released = msgspec.structs.replace(
+            self.claim,
+            owner='',
+            token=draw_token(),
+        )
+        self.write_claim(released)
+        self.journal.close()
+
+    def _plan_item(self, item: Item) -> Outcome | None:
+        ledger = self.ledgers[item.index]
+        step = decide_item(ledger, item.is_idempotent, self.workshop.bounds)
+        match step:
+            case Step.run:
+                self.ready.append(item)
+            case Step.run_alone:
+                log_event(Event.item_suspect, chunk=self.name, item=item.index)
+                self.suspects.append(item)
+            case Step.fail:
+                reason = ledger.last_reason or 'its worker was lost each time'
+                return make_error(item, Status.failed, reason)
+            case Step.settle_unknown:
+                return make_error(
+                    item,
+                    Status.outcome_unknown,
+                    'it may have run and no result is kept',
+                )
+        return None
+
+    def _move_from(
+        self,
+        journal: JournalWriter,
+        lost: frozenset[str],
+    ) -> None:
+        with self.moving:
+            while self.journal is journal and not self.is_lost:
+                try:
+                    move_journal(self, lost)
+                except ChunkProblemError as problem:
+                    log_event(
+                        Event.chunk_failed,
+                        chunk=self.name,
+                        problem=str(problem),
+                    )
+                    gevent.sleep(MOVE_GAP_SECONDS)
+        if self.is_lost:
+            raise JournalEndedError(JournalEnd.fenced, frozenset())
+
+    def write_claim(self, claim: Claim) -> Result[int, PlatformFailure]:
+        """Replace the claim and find out whether that stands.
+
+        :param claim: the new claim.
+        :returns: its revision.
+        """
+        wrote = write_claim(
+            self.workshop.platform,
+            self.job.id,
+            self.index,
+            claim,
+            self.revision,
+        )
+        if isinstance(wrote, Ok):
+            self.claim = claim
+            self.revision = wrote.ok_value
+        return wrote
+
+
+def write_claim(
+    platform: Platform,
+    job: str,
+    index: int,
+    claim: Claim,
+    revision: int,
+) -> Result[int, PlatformFailure]:
+    """Write a claim and find out whether it stands.
+
+    :param platform: the port.
+    :param job: id of the job.
+    :param index: index of the chunk.
+    :param claim: the claim.
+    :param revision: revision that it replaces, 0 to create.
+    :returns: its revision.
+    """
+    return swap_certainly(
+        platform,
+        name_chunk(job, index),
+        msgspec.json.encode(claim),
+        revision,
+        lambda entry: msgspec.json.decode(entry.value, type=Claim).token
+        == claim.token,
+        CLAIM_PATIENCE_SECONDS,
+    )
+
+
+def claim_chunk(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    previous: Claim | None,
+    revision: int,
+) -> tuple[Claim, int]:
+    """Become the owner of a chunk.
+
+    :param workshop: what owners use.
+    :param job: its job.
+    :param index: position in the job.
+    :param previous: the claim that is replaced.
+    :param revision: its revision, 0 where there is none.
+    :returns: the new claim and its revision.
+    :raises ChunkProblemError: when another owner was faster, or there are too
+        few data folders.
+    """
+    fence = previous.fence + 1 if previous else 1
+    chosen = choose_copies(
+        workshop.list_disks(),
+        f'{job.id}/{index}',
+        workshop.copies,
+    )
+    if len(chosen) < workshop.least_copies:
+        raise ChunkProblemError('too few data folders')
+    claim = Claim(
+        owner=workshop.owner,
+        token=draw_token(),
+        fence=fence,
+        segments=(
+            *(previous.segments if previous else ()),
+            Segment(fence, tuple(disk.incarnation for disk in chosen)),
+        ),
+    )
+    wrote = write_claim(workshop.platform, job.id, index, claim, revision)
+    if isinstance(wrote, Err):
+        raise ChunkProblemError(f'the claim was not written: {wrote.err_value}')
+    event = Event.chunk_taken_over if previous else Event.chunk_claimed
+    log_event(event, job=job.id, chunk=index, fence=fence)
+    return claim, wrote.ok_value
+
+
+def open_chunk(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    claim: Claim,
+    revision: int,
+) -> Chunk:
+    """Read what is known of a claimed chunk and begin its own segment.
+
+    :param workshop: what owners use.
+    :param job: its job.
+    :param index: position in the job.
+    :param claim: this process's claim.
+    :param revision: its revision.
+    :returns: the chunk, ready to run.
+    :raises ChunkProblemError: when something cannot be read now.
+    :raises JournalEndedError: when a newer owner was faster.
+    """
+    items = _read_items(workshop, job, index)
+    ledgers = _read_ledgers(workshop, job, index, claim, items)
+    segment = claim.segments[-1]
+    journal = JournalWriter(
+        workshop.disks,
+        (job.id, index, segment.fence),
+        segment.copies,
+    )
+    chunk = Chunk(
+        workshop,
+        job,
+        index,
+        claim,
+        revision,
+        journal,
+        items,
+        ledgers,
+    )
+    _write_snapshot(journal, ledgers)
+    chunk.plan(*items)
+    return chunk
+
+
+def move_journal(chunk: Chunk, lost: frozenset[str]) -> None:
+    """Go on in a new segment on other folders after a copy was lost.
+
+    :param chunk: the chunk; nothing of it runs meanwhile.
+    :param lost: copies that failed.
+    :raises ChunkProblemError: when that is not possible now.
+    """
+    workshop = chunk.workshop
+    log_event(Event.copy_lost, chunk=chunk.name, copies=sorted(lost))
+    fence = chunk.claim.fence + 1
+    chosen = choose_copies(
+        workshop.list_disks(),
+        f'{chunk.job.id}/{chunk.index}',
+        workshop.copies,
+        lost,
+    )
+    if len(chosen) < workshop.least_copies:
+        raise ChunkProblemError('too few data folders')
+    copies = tuple(disk.incarnation for disk in chosen)
+    claim = msgspec.structs.replace(
+        chunk.claim,
+        token=draw_token(),
+        fence=fence,
+        segments=(*chunk.claim.segments, Segment(fence, copies)),
+    )
+    wrote = chunk.write_claim(claim)
+    if isinstance(wrote, Err):
+        chunk.is_lost = wrote.err_value is PlatformFailure.conflict
+        raise ChunkProblemError(f'the claim was not written: {wrote.err_value}')
+    journal = JournalWriter(
+        workshop.disks,
+        (chunk.job.id, chunk.index, fence),
+        copies,
+    )
+    _write_snapshot(journal, chunk.ledgers)
+    chunk.journal = journal
+
+
+def make_error(item: Item, status: Status, reason: str) -> Outcome:
+    """Make a result that is an error.
+
+    :param item: the item.
+    :param status: how it ended.
+    :param reason: what is known.
+    :returns: the record.
+    """
+    body = msgspec.json.encode({'code': status.value, 'message': reason})
+    return Outcome(
+        item.index,
+        status,
+        item.line.custom_id,
+        0,
+        msgspec.Raw(body),
+    )
+
+
+def count_outcomes(ledgers: list[Ledger]) -> Tally:
+    """Add up the results of a chunk.
+
+    :param ledgers: ledgers with their outcomes.
+    :returns: the sum.
+    """
+    outcomes = [ledger.outcome for ledger in ledgers if ledger.outcome]
+    counts = {
+        status.value: sum(outcome.status is status for outcome in outcomes)
+        for status in Status
+    }
+    return Tally(
+        **counts,
+        prompt_tokens=sum(outcome.prompt_tokens for outcome in outcomes),
+        answer_tokens=sum(outcome.answer_tokens for outcome in outcomes),
+    )
+
+
+def draw_token() -> str:
+    """Draw the token of one write of a claim.
+
+    :returns: hexadecimal digits.
+    """
+    return secrets.token_hex(TOKEN_BYTES)
+
+
+def _write_snapshot(journal: JournalWriter, ledgers: list[Ledger]) -> None:
+    snapshot: list[Record] = []
+    for index, ledger in enumerate(ledgers):
+        snapshot += write_snapshot(index, ledger)
+    journal.commit([*snapshot, Ready(len(ledgers))])
+
+
+def _read_items(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+) -> list[Item]:
+    page = read_first(
+        job.copies,
+        lambda copy: workshop.disks.read_page(copy, job.file, index),
+    )
+    if page is None:
+        raise ChunkProblemError(f'{PAGE_HEAD} {job.file}/{index} answers')
+    lines = [
+        msgspec.json.decode(line, type=Line) for line in page.splitlines()
+    ]
+    return [
+        Item(
+            position,
+            line,
+            job.idempotent if line.idempotent is None else line.idempotent,
+        )
+        for position, line in enumerate(lines)
+    ]
+
+
+def _read_ledgers(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    claim: Claim,
+    items: list[Item],
+) -> list[Ledger]:
+    ledgers = [Ledger() for _ in items]
+    gone = 0
+    for segment in reversed(claim.segments[:-1]):
+        journal = _read_segment(workshop, job, index, claim, segment, items)
+        if journal is None:
+            gone += 1
+        elif journal.is_ready:
+            ledgers = journal.ledgers
+            break
+    for ledger in ledgers:
+        note_loss(ledger)
+        if ledger.outcome is None:
+            # Of a segment that is gone it is not known what ran.
+            ledger.losses += gone
+    return ledgers
+
+
+def _read_segment(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    claim: Claim,
+    segment: Segment,
+    items: list[Item],
+) -> Journal | None:
+    """Fence a segment and read the copy that has most.
+
+    All copies begin alike, and one that is fenced takes no more, so that the
+    longest of those that answer has all that counts.
+    """
+    contents: list[bytes] = []
+    for copy in segment.copies:
+        fenced = workshop.disks.fence(copy, job.id, index, claim.fence)
+        if isinstance(fenced, Err):
+            continue
+        name = (job.id, index, segment.fence)
+        read = workshop.disks.read_segment(copy, name)
+        if isinstance(read, Ok):
+            contents.append(read.ok_value)
+        elif read.err_value is DiskFailure.absent:
+            contents.append(b'')
+    if contents:
+        return fold_segment(
+            decode_records(max(contents, key=len)),
+            len(items),
+        )
+    if all(workshop.is_gone(copy) for copy in segment.copies):
+        return None
+    raise ChunkProblemError('no copy of an older segment answers')
+
--- /dev/null
+++ b/src/wigeonpier/batch/journal.py
@@ -0,0 +1,156 @@
+"""Writes one segment to all of its copies, many records at a time."""
+
+from __future__ import annotations
+
+import time
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.event import Event as Signal
+from result import Err, Ok, Result
+
+from wigeonpier.batch.records import encode_record
+from wigeonpier.disk.client import DiskFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wigeonpier.batch.records import Record
+    from wigeonpier.disk.client import DiskClient
+
+TOUCH_SECONDS = 1.0
+COPY_PATIENCE_SECONDS = 3.0
+RETRY_GAP_SECONDS = 0.1
+
+
+class JournalEnd(StrEnum):
+    """Why nothing more can be written to a segment."""
+
+    fenced = 'fenced'
+    copy_lost = 'copy_lost'
+    closed = 'closed'
+
+
+class JournalEndedError(Exception):
+    """A record that was not counted.
+
+    :param end: why.
+    :param lost: copies that could not be reached.
+    """
+
+    def __init__(self, end: JournalEnd, lost: frozenset[str]) -> None:
+        """Keep why."""
+        super().__init__(end.value)
+        self.end = end
+        self.lost = lost
+
+
+class JournalWriter:
+    """Appends records; a record counts when every copy has it.
+
+    While nothing is to be written an empty append once a second shows the
+    folders that the owner lives.
+    """
+
+    def __init__(
+        self,
+        disks: DiskClient,
+        name: tuple[str, int, int],
+        copies: tuple[str, ...],
+    ) -> None:
+        """Write the segment ``name`` to ``copies``."""
+        self.copies = copies
+        self.size = 0
+        self._disks = disks
+        self._name = name
+        self._lines: list[bytes] = []
+        self._waiter: AsyncResult = AsyncResult()
+        self._wake = Signal()
+        self._ended: JournalEndedError | None = None
+        self.on_end = Signal()
+        self._loop = gevent.spawn(self._run)
+
+    @property
+    def ended(self) -> JournalEndedError | None:
+        """Tell why nothing more can be written, ``None`` while it can."""
+        return self._ended
+
+    def commit(self, records: Iterable[Record]) -> None:
+        """Write records and wait until they count.
+
+        :param records: what happened, in order.
+        :raises JournalEndedError: when they do not count.
+        """
+        if self._ended:
+            raise self._ended
+        self._lines += [encode_record(record) for record in records]
+        waiter = self._waiter
+        self._wake.set()
+        waiter.get()
+
+    def close(self) -> None:
+        """Write nothing more."""
+        if self._ended is None:
+            self._end(JournalEndedError(JournalEnd.closed, frozenset()))
+        self._loop.kill(block=False)
+
+    def _run(self) -> None:
+        while self._ended is None:
+            self._wake.wait(TOUCH_SECONDS)
+            self._wake.clear()
+            lines, self._lines = b''.join(self._lines), []
+            waiter, self._waiter = self._waiter, AsyncResult()
+            failure = self._write(lines)
+            if failure is None:
+                self.size += len(lines)
+                waiter.set(None)
+            else:
+                waiter.set_exception(failure)
+                self._end(failure)
+
+    def _end(self, failure: JournalEndedError) -> None:
+        self._ended = failure
+        self._waiter.set_exception(failure)
+        self.on_end.set()
+
+    def _write(self, lines: bytes) -> JournalEndedError | None:
+        give_up = time.monotonic() + COPY_PATIENCE_SECONDS
+        missing = self.copies
+        while True:
+            answers = self._write_once(missing, lines)
+            if DiskFailure.fenced in answers.values():
+                return JournalEndedError(JournalEnd.fenced, frozenset())
+            missing = tuple(answers)
+            if not missing:
+                return None
+            gone = DiskFailure.other_folder in answers.values()
+            if gone or time.monotonic() > give_up:
+                return JournalEndedError(
+                    JournalEnd.copy_lost,
+                    frozenset(missing),
+                )
+            gevent.sleep(RETRY_GAP_SECONDS)
+
+    def _write_once(
+        self,
+        copies: tuple[str, ...],
+        lines: bytes,
+    ) -> dict[str, DiskFailure]:
+        workers = {
+            copy: gevent.spawn(self._append, copy, lines) for copy in copies
+        }
+        gevent.joinall(workers.values())
+        return {
+            copy: worker.value.err_value
+            for copy, worker in workers.items()
+            if isinstance(worker.value, Err)
+        }
+
+    def _append(self, copy: str, lines: bytes) -> Result[int, DiskFailure]:
+        appended = self._disks.append(copy, self._name, self.size, lines)
+        end = self.size + len(lines)
+        if isinstance(appended, Ok) and appended.ok_value < end:
+            return Err(DiskFailure.other_folder)
+        return appended
--- /dev/null
+++ b/src/wigeonpier/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments."""
--- /dev/null
+++ b/src/wigeonpier/bench/answers.py
@@ -0,0 +1,49 @@
+"""Answers that a stand-in engine gives: a function of the prompt alone."""
+
+from __future__ import annotations
+
+import random
+from functools import cache
+
+import xxhash
+
+SYLLABLES = ('ba', 'ko', 'ri', 'tu', 'ne', 'lo', 'sa', 'mi', 'da', 'gu')
+DEFAULT_LENGTH = 16
+SEED_BITS = 64
+
+
+def make_token(model: str, prompt: str, index: int) -> str:
+    """Make one token of an answer.
+
+    :param model: model that answers.
+    :param prompt: whole prompt.
+    :param index: position in the answer.
+    :returns: a short word with a blank before it, except for the first.
+    """
+    word = _pick_word(_hash_prompt(model, prompt), index)
+    return word if index == 0 else f' {word}'
+
+
+def make_answer(model: str, prompt: str, length: int) -> str:
+    """Make a whole answer.
+
+    :param model: model that answers.
+    :param prompt: whole prompt.
+    :param length: tokens.
+    :returns: the text.
+    """
+    return ''.join(make_token(model, prompt, index) for index in range(length))
+
+
+@cache
+def _hash_word(number: int) -> str:
+    draw = random.Random(number)
+    return ''.join(draw.choices(SYLLABLES, k=2))
+
+
+def _pick_word(seed: int, index: int) -> str:
+    return _hash_word((seed + index * 7919) % 1009)
+
+
+def _hash_prompt(model: str, prompt: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{model}\0{prompt}'.encode())
--- /dev/null
+++ b/src/wigeonpier/bench/batching.py
@@ -0,0 +1,184 @@
+"""Continuous batching of a stand-in engine, in real time."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event as Signal
+from gevent.queue import Queue
+
+from wigeonpier.bench.answers import make_token
+from wigeonpier.bench.prefixes import PrefixCache
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+END = None
+
+
+class EngineGoneError(ConnectionError):
+    """The engine crashed under a stream."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineShape:
+    """How fast an engine is.
+
+    :param step_seconds: time of a step with one stream.
+    :param step_per_stream: further time for each further stream, seconds.
+    :param prefill_per_token: time for each prompt token not cached, seconds.
+    :param most_streams: streams in one batch; more wait in their order.
+    :param cache_blocks: blocks of prompt starts that memory holds.
+    :param kept_streams: cancelled streams that memory holds.
+    """
+
+    step_seconds: float = 0.012
+    step_per_stream: float = 0.0005
+    prefill_per_token: float = 0.00004
+    most_streams: int = 64
+    cache_blocks: int = 4096
+    kept_streams: int = 64
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One stream of an engine.
+
+    :param identity: the caller's id.
+    :param model: model that answers.
+    :param prompt: whole prompt.
+    :param length: tokens of the answer.
+    :param produced: tokens made so far, an earlier part included.
+    :param tokens: tokens on their way to the caller, ``None`` at the end.
+    :param is_cancelled: whether no more tokens are wanted.
+    """
+
+    identity: str
+    model: str
+    prompt: str
+    length: int
+    produced: int = 0
+    tokens: Queue = field(default_factory=Queue)
+    is_cancelled: bool = False
+
+    def iterate_tokens(self) -> Iterator[str]:
+        """Wait for the tokens as they are made.
+
+        :yields: tokens in order.
+        :raises EngineGoneError: when the engine crashed.
+        """
+        while (token := self.tokens.get()) is not END:
+            if isinstance(token, EngineGoneError):
+                raise token
+            yield token
+
+
+class Batcher:
+    """Runs streams in one batch; knows no priorities."""
+
+    def __init__(self, shape: EngineShape) -> None:
+        """Start the loop with nothing to do."""
+        self.shape = shape
+        self.slowdown = 1.0
+        self.cache = PrefixCache(shape.cache_blocks)
+        self.running: list[Sequence] = []
+        self.waiting: deque[Sequence] = deque()
+        self.kept: OrderedDict[str, Sequence] = OrderedDict()
+        self.starts: list[tuple[str, str]] = []
+        self.tokens_made = 0
+        self._fresh = Signal()
+        self._loop = gevent.spawn(self._run)
+
+    def add(self, sequence: Sequence) -> None:
+        """Queue a stream, first come first served.
+
+        :param sequence: the stream.
+        """
+        self.starts.append((sequence.identity, sequence.prompt))
+        self.waiting.append(sequence)
+        self._fresh.set()
+
+    def cancel(self, sequence: Sequence) -> None:
+        """Stop a stream and keep its state while memory lasts.
+
+        :param sequence: the stream.
+        """
+        sequence.is_cancelled = True
+        if sequence in self.running:
+            self.running.remove(sequence)
+            self.kept[sequence.identity] = sequence
+        elif sequence in self.waiting:
+            self.waiting.remove(sequence)
+        while len(self.kept) > self.shape.kept_streams:
+            self.kept.popitem(last=False)
+        sequence.tokens.put(END)
+
+    def find(self, identity: str) -> Sequence | None:
+        """Find a stream that runs or waits.
+
+        :param identity: the caller's id.
+        :returns: the stream.
+        """
+        for sequence in (*self.running, *self.waiting):
+            if sequence.identity == identity:
+                return sequence
+        return None
+
+    def crash(self) -> None:
+        """Lose every stream and all memory."""
+        for sequence in (*self.running, *self.waiting):
+            sequence.tokens.put(EngineGoneError('the engine crashed'))
+        self.running.clear()
+        self.waiting.clear()
+        self.kept.clear()
+        self.cache = PrefixCache(self.shape.cache_blocks)
+
+    def stop(self) -> None:
+        """End the loop."""
+        self._loop.kill()
+
+    def _run(self) -> None:
+        due = time.monotonic()
+        while True:
+            if not self.running and not self.waiting:
+                self._fresh.clear()
+                self._fresh.wait()
+                due = time.monotonic()
+            due += self._take_in() + self._measure_step()
+            gevent.sleep(max(0, due - time.monotonic()))
+            self._make_tokens()
+
+    def _take_in(self) -> float:
+        uncached = 0
+        while self.waiting and len(self.running) < self.shape.most_streams:
+            sequence = self.waiting.popleft()
+            words = sequence.prompt.split()
+            known = self.cache.use(words) if sequence.identity not in (
+                self.kept
+            ) else len(words)
+            uncached += len(words) - known + sequence.produced
+            self.running.append(sequence)
+        return uncached * self.shape.prefill_per_token * self.slowdown
+
+    def _measure_step(self) -> float:
+        further = max(0, len(self.running) - 1) * self.shape.step_per_stream
+        return (self.shape.step_seconds + further) * self.slowdown
+
+    def _make_tokens(self) -> None:
+        for sequence in list(self.running):
+            sequence.tokens.put(
+                make_token(
+                    sequence.model,
+                    sequence.prompt,
+                    sequence.produced,
+                ),
+            )
+            sequence.produced += 1
+            self.tokens_made += 1
+            if sequence.produced >= sequence.length:
+                self.running.remove(sequence)
+                sequence.tokens.put(END)
--- /dev/null
+++ b/src/wigeonpier/bench/engine.py
@@ -0,0 +1,382 @@
+"""Stand-in model engine behind the published completion interface."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+
+from wigeonpier.bench.answers import DEFAULT_LENGTH
+from wigeonpier.bench.batching import (
+    Batcher,
+    EngineGoneError,
+    EngineShape,
+    Sequence,
+)
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.web import headers
+from wigeonpier.web.messages import (
+    EVENT_STREAM_TYPE,
+    Response,
+    answer_json,
+    make_identity,
+)
+from wigeonpier.web.server import Server, dispatch_to, make_route
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wigeonpier.web.client import HttpCaller
+    from wigeonpier.web.messages import Request
+
+MOST_BODY = 16_000_000
+CHAT = 'chat.completion'
+TEXT = 'text_completion'
+CRASH_MARK = '[[crash]]'
+REJECT_MARK = '[[reject]]'
+FAIL_MARK = '[[fail]]'
+RESTART_SECONDS = 0.5
+LOAD_LAG_SECONDS = 1.0
+EVENT_LAG_SECONDS = 0.5
+EVENT_LOSS = 0.05
+
+
+@dataclass(slots=True)
+class EngineState:
+    """What orders changed.
+
+    :param models: versions by model that is loaded.
+    :param adapters: adapters that are loaded.
+    :param role: what the engine does: both, prefill or decode.
+    :param fence: highest fencing number of an order.
+    :param orders: orders that were carried out, with their numbers.
+    """
+
+    models: dict[str, str]
+    adapters: set[str] = field(default_factory=set)
+    role: str = 'both'
+    fence: int = 0
+    orders: list[dict[str, Any]] = field(default_factory=list)
+
+
+class StandInEngine:
+    """One engine on one port."""
+
+    def __init__(
+        self,
+        models: tuple[str, ...],
+        shape: EngineShape,
+        *,
+        checks_fencing: bool = False,
+        seed: int = 0,
+    ) -> None:
+        """Load the models; nothing listens yet."""
+        self.batcher = Batcher(shape)
+        self.state = EngineState(dict.fromkeys(models, '1'))
+        self.checks_fencing = checks_fencing
+        self.is_down = False
+        self.weights: tuple[HttpCaller, str] | None = None
+        self.prompt_starts: Counter[str] = Counter()
+        self._random = random.Random(seed)
+        self._loads: list[tuple[float, dict[str, int]]] = []
+        self._server: Server | None = None
+
+    @property
+    def address(self) -> str:
+        """Give ``host:port``."""
+        if self._server is None:
+            raise RuntimeError('the engine does not listen')
+        return self._server.address
+
+    def serve(self, host: str = '127.0.0.1', port: int = 0) -> None:
+        """Listen for calls.
+
+        :param host: address to listen on.
+        :param port: port, 0 for a free one.
+        """
+        self._server = Server(host, port, self.handle)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening and end all streams."""
+        self.batcher.crash()
+        self.batcher.stop()
+        if self._server is not None:
+            self._server.stop()
+
+    def crash(self, seconds: float = RESTART_SECONDS) -> None:
+        """Lose all streams and refuse calls for a while.
+
+        :param seconds: time until the engine is back.
+        """
+        self.is_down = True
+        self.batcher.crash()
+        gevent.spawn_later(seconds, self._come_back)
+
+    def handle(self, request: Request) -> Response:
+        """Answer one call.
+
+        :param request: the call.
+        :returns: the answer.
+        """
+        request.body_limit = MOST_BODY
+        if self.is_down:
+            raise ConnectionResetError
+        routes = [
+            make_route('POST', '/v1/(chat/)?completions', self._complete),
+            make_route('GET', '/v1/models', self._list_models),
+            make_route('POST', '/v1/streams/([^/]+)/cancel', self._cancel),
+            make_route('POST', '/v1/streams/([^/]+)/resume', self._resume),
+            make_route('GET', '/v1/kv/([^/]+)', self._export_kv),
+            make_route('POST', '/v1/kv', self._import_kv),
+            make_route('GET', '/v1/cache/events', self._list_events),
+            make_route('GET', '/v1/load', self._report_load),
+            make_route('POST', '/v1/orders', self._obey),
+            make_route('GET', '/healthz', _answer_health),
+        ]
+        return dispatch_to(routes)(request)
+
+    def _come_back(self) -> None:
+        self.is_down = False
+
+    def _complete(self, request: Request, chat: str | None) -> Response:
+        body = msgspec.json.decode(request.read_body())
+        prompt = _read_prompt(body)
+        self._misbehave(prompt)
+        sequence = Sequence(
+            identity=request.headers.get(headers.REQUEST_ID)
+            or make_identity(),
+            model=body['model'],
+            prompt=prompt,
+            length=int(body.get('max_tokens') or DEFAULT_LENGTH),
+            produced=int(body.get('continuation', {}).get('tokens', 0)),
+        )
+        if sequence.model not in self.state.models:
+            raise Refusal(ErrorKind.model_not_found, 'model is not loaded')
+        self.prompt_starts[prompt] += 1
+        self.batcher.add(sequence)
+        shape = CHAT if chat else TEXT
+        if body.get('stream'):
+            wants_usage = bool(
+                (body.get('stream_options') or {}).get('include_usage'),
+            )
+            return self._stream(sequence, shape, wants_usage)
+        text = ''.join(sequence.iterate_tokens())
+        return answer_json(_make_completion(sequence, shape, text))
+
+    def _stream(
+        self,
+        sequence: Sequence,
+        shape: str,
+        wants_usage: bool,
+    ) -> Response:
+        return Response(
+            200,
+            self._render_stream(sequence, shape, wants_usage),
+            EVENT_STREAM_TYPE,
+        )
+
+    def _render_stream(
+        self,
+        sequence: Sequence,
+        shape: str,
+        wants_usage: bool,
+    ) -> Iterator[bytes]:
+        try:
+            for token in sequence.iterate_tokens():
+                yield _render_event(_make_chunk(sequence, shape, token))
+            if not sequence.is_cancelled:
+                yield _render_event(_make_last(sequence, shape))
+                if wants_usage:
+                    yield _render_event(_make_usage(sequence, shape))
+                yield b'data: [DONE]\n\n'
+        finally:
+            if sequence.produced < sequence.length:
+                self.batcher.cancel(sequence)
+
+    def _cancel(self, _request: Request, identity: str) -> Response:
+        sequence = self.batcher.find(identity)
+        if sequence is not None:
+            self.batcher.cancel(sequence)
+        return answer_json({'cancelled': sequence is not None})
+
+    def _resume(self, request: Request, identity: str) -> Response:
+        kept = self.batcher.kept.get(identity)
+        if kept is None:
+            raise Refusal(ErrorKind.not_found, 'the stream is not kept')
+        asked = msgspec.json.decode(request.read_body())
+        sequence = Sequence(
+            identity,
+            kept.model,
+            kept.prompt,
+            kept.length,
+            int(asked['delivered']),
+        )
+        self.batcher.add(sequence)
+        return self._stream(sequence, asked.get('object', CHAT), True)
+
+    def _export_kv(self, _request: Request, identity: str) -> Response:
+        kept = self.batcher.kept.get(identity)
+        if kept is None:
+            raise Refusal(ErrorKind.not_found, 'the stream is not kept')
+        return answer_json({
+            'identity': kept.identity,
+            'model': kept.model,
+            'prompt': kept.prompt,
+            'length': kept.length,
+            'produced': kept.produced,
+        })
+
+    def _import_kv(self, request: Request) -> Response:
+        content = msgspec.json.decode(request.read_body())
+        self.batcher.kept[content['identity']] = Sequence(**content)
+        return answer_json({'imported': True})
+
+    def _list_events(self, request: Request) -> Response:
+        since = int(request.query.removeprefix('since=') or 0)
+        gevent.sleep(EVENT_LAG_SECONDS)
+        events = [
+            {'number': number, 'kind': kind, 'block': str(block)}
+            for number, (kind, block) in enumerate(self.batcher.cache.events)
+            if number >= since and self._random.random() >= EVENT_LOSS
+        ]
+        return answer_json(events)
+
+    def _report_load(self, _request: Request) -> Response:
+        now = time.monotonic()
+        running = len(self.batcher.running)
+        waiting = len(self.batcher.waiting)
+        self._loads.append((now, {'running': running, 'waiting': waiting}))
+        while len(self._loads) > 1 and (
+            self._loads[1][0] <= now - LOAD_LAG_SECONDS
+        ):
+            self._loads.pop(0)
+        return answer_json(self._loads[0][1])
+
+    def _obey(self, request: Request) -> Response:
+        order = msgspec.json.decode(request.read_body())
+        if self.checks_fencing and order['fence'] < self.state.fence:
+            raise Refusal(ErrorKind.conflict, 'the fencing number is old')
+        self.state.fence = max(self.state.fence, order['fence'])
+        self._carry_out(order)
+        self.state.orders.append(order)
+        return answer_json({'done': True})
+
+    def _carry_out(self, order: dict[str, Any]) -> None:
+        match order['kind']:
+            case 'load_model':
+                self._fetch_weights(order['model'], order['version'])
+                self.state.models[order['model']] = order['version']
+            case 'unload_model':
+                self.state.models.pop(order['model'], None)
+            case 'load_adapter':
+                self._fetch_weights(order['adapter'], order['version'])
+                self.state.adapters.add(order['adapter'])
+            case 'change_role':
+                self.state.role = order['role']
+            case other:
+                raise Refusal(ErrorKind.invalid_request, f'no order {other}')
+
+    def _fetch_weights(self, name: str, version: str) -> None:
+        if self.weights is None:
+            return
+        caller, address = self.weights
+        reply = caller.call(
+            address,
+            'GET',
+            f'/weights/{name}/{version}',
+            patience=60,
+        )
+        if reply.is_err() or not reply.unwrap().is_good:
+            raise Refusal(ErrorKind.overloaded, 'the weight store refused')
+
+    def _list_models(self, _request: Request) -> Response:
+        data = [
+            {'id': name, 'object': 'model', 'version': version}
+            for name, version in self.state.models.items()
+        ]
+        return answer_json({'object': 'list', 'data': data})
+
+    def _misbehave(self, prompt: str) -> None:
+        if REJECT_MARK in prompt:
+            raise Refusal(ErrorKind.invalid_request, 'the prompt is refused')
+        if FAIL_MARK in prompt:
+            raise Refusal(ErrorKind.internal, 'the prompt cannot be answered')
+        if CRASH_MARK in prompt:
+            self.prompt_starts[prompt] += 1
+            self.crash()
+            raise EngineGoneError
+
+
+def _answer_health(_request: Request) -> Response:
+    return answer_json({'ok': True})
+
+
+def _read_prompt(body: dict[str, Any]) -> str:
+    if 'messages' in body:
+        return '\n'.join(str(part['content']) for part in body['messages'])
+    return str(body['prompt'])
+
+
+def _render_event(content: dict[str, Any]) -> bytes:
+    return b'data: %b\n\n' % msgspec.json.encode(content)
+
+
+def _make_head(sequence: Sequence, shape: str) -> dict[str, Any]:
+    return {
+        'id': f'cmpl-{sequence.identity}',
+        'object': shape,
+        'created': int(time.time()),
+        'model': sequence.model,
+    }
+
+
+def _make_chunk(sequence: Sequence, shape: str, token: str) -> dict[str, Any]:
+    if shape == CHAT:
+        choice = {'delta': {'role': 'assistant', 'content': token}}
+    else:
+        choice = {'text': token}
+    head = _make_head(sequence, shape)
+    if shape == CHAT:
+        head['object'] = 'chat.completion.chunk'
+    return head | {'choices': [{'index': 0, 'finish_reason': None} | choice]}
+
+
+def _make_last(sequence: Sequence, shape: str) -> dict[str, Any]:
+    last = _make_chunk(sequence, shape, '')
+    last['choices'][0]['finish_reason'] = 'stop'
+    return last
+
+
+def _make_usage(sequence: Sequence, shape: str) -> dict[str, Any]:
+    last = _make_chunk(sequence, shape, '')
+    return last | {'choices': [], 'usage': _count_tokens(sequence)}
+
+
+def _make_completion(
+    sequence: Sequence,
+    shape: str,
+    text: str,
+) -> dict[str, Any]:
+    if shape == CHAT:
+        choice = {'message': {'role': 'assistant', 'content': text}}
+    else:
+        choice = {'text': text}
+    return _make_head(sequence, shape) | {
+        'choices': [{'index': 0, 'finish_reason': 'stop'} | choice],
+        'usage': _count_tokens(sequence),
+    }
+
+
+def _count_tokens(sequence: Sequence) -> dict[str, int]:
+    prompt_tokens = len(sequence.prompt.split())
+    return {
+        'prompt_tokens': prompt_tokens,
+        'completion_tokens': sequence.length,
+        'total_tokens': prompt_tokens + sequence.length,
+    }
--- /dev/null
+++ b/src/wigeonpier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/wigeonpier/disk/__init__.py
@@ -0,0 +1,1 @@
+"""Bulk data under one data folder."""
--- /dev/null
+++ b/src/wigeonpier/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process on an entry VM."""
--- /dev/null
+++ b/src/wigeonpier/entry/app.py
@@ -0,0 +1,327 @@
+"""Composition root of the entry process."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import gevent
+
+from wigeonpier.batch.chunk import Workshop
+from wigeonpier.entry.accounts import KeyRing
+from wigeonpier.entry.admin import AdminDesk
+from wigeonpier.entry.board import JobBoard
+from wigeonpier.entry.configuration import ConfigurationDesk
+from wigeonpier.entry.files import FileDesk
+from wigeonpier.entry.forward import Forwarder
+from wigeonpier.entry.jobs import JobDesk
+from wigeonpier.entry.keeper import JobKeeper
+from wigeonpier.entry.limits import CustomerLimits
+from wigeonpier.entry.online import OnlineDesk
+from wigeonpier.entry.peers import PeerDesk
+from wigeonpier.loops import spawn_loop
+from wigeonpier.membership.directory import Directory
+from wigeonpier.membership.messages import DiskReport, Heartbeat, Role
+from wigeonpier.membership.reporter import (
+    CONFIGURATION_PATH,
+    HEARTBEAT_PATH,
+    Reporter,
+)
+from wigeonpier.platform import keys
+from wigeonpier.platform.view import PrefixView
+from wigeonpier.policy.attempts import Bounds
+from wigeonpier.process import (
+    Parts,
+    build_parts,
+    make_common_routes,
+    make_disk_client,
+)
+from wigeonpier.settings.process import EntrySettings, split_address
+from wigeonpier.web.client import HttpCaller
+from wigeonpier.web.filters import (
+    answer_errors,
+    limit_bodies,
+    require_peer_key,
+    trace_requests,
+)
+from wigeonpier.web.server import (
+    Server,
+    chain_filters,
+    dispatch_to,
+    make_route,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.disk.client import DiskClient
+    from wigeonpier.platform.port import Change
+
+PROGRAM = 'wigeonpier-entry'
+SMALL_BODY = 1_000_000
+PEER_PATHS = ('/peer/', '/disk/')
+ADMIN_PATHS = ('/admin/',)
+ENTRY_FAN_OUT = 64
+VM_LIST_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class EntryApp:
+    """All parts of one entry process.
+
+    :param parts: what both daemons have.
+    :param directory: view of the fleet.
+    :param disks: reaches data folders.
+    :param board: jobs that are not finished.
+    :param desk: accepts and shows jobs.
+    :param limits: limits of customers.
+    :param ring: customers by key.
+    :param configuration: accepts configurations.
+    :param reporter: heartbeats to the other entries.
+    :param keeper: brings jobs to their end.
+    :param views: what is watched in the key-value service.
+    :param server: listener for callers and peers.
+    :param admin: listener for operators.
+    """
+
+    parts: Parts
+    directory: Directory
+    disks: DiskClient
+    board: JobBoard
+    desk: JobDesk
+    limits: CustomerLimits
+    ring: KeyRing
+    configuration: ConfigurationDesk
+    reporter: Reporter
+    keeper: JobKeeper
+    views: tuple[PrefixView, ...]
+    server: Server
+    admin: Server
+
+    def start(self) -> str:
+        """Listen, and begin to watch, beat and look after jobs.
+
+        :returns: address for callers.
+        """
+        self.parts.address = self.server.address
+        self.parts.holder.listen(self.ring.load)
+        for view in self.views:
+            view.start()
+        self.keeper.start()
+        spawn_loop('vm list', lambda: _watch_vms(self))
+        spawn_loop('itself', lambda: _report_itself(self))
+        self.reporter.start()
+        self.server.start()
+        self.admin.start()
+        return self.server.address
+
+    def leave(self, seconds: float) -> int:
+        """Take no new work and wait for what is in hand.
+
+        :param seconds: longest wait.
+        :returns: requests still in hand.
+        """
+        self.parts.is_leaving = True
+        self.reporter.hurry()
+        left = self.server.drain(seconds)
+        self.admin.drain(0)
+        return left
+
+
+def build_entry(
+    settings: EntrySettings,
+    make_caller: Callable[[dict[str, str]], HttpCaller] = HttpCaller,
+) -> EntryApp:
+    """Wire an entry process.
+
+    :param settings: what it was told.
+    :param make_caller: makes the connections to peers and the platform.
+    :returns: the process; nothing runs yet.
+    """
+    parts = build_parts(settings, make_caller)
+    clock = time.monotonic
+    directory = Directory(clock, lambda name: _find_region(parts, name))
+    disks = make_disk_client(
+        parts.caller,
+        lambda: _index_disks(directory),
+    )
+    board = JobBoard(clock, lambda: _list_weights(parts))
+    desk = JobDesk(parts.platform, board)
+    limits = CustomerLimits(clock, lambda: len(directory.list_entries()))
+    ring = KeyRing()
+    reporter = Reporter(
+        parts.caller,
+        parts.holder,
+        settings.entries,
+        ENTRY_FAN_OUT,
+        lambda: _describe(parts, limits),
+    )
+    forwarder = Forwarder(directory, parts.caller, parts.metrics, parts.draw)
+    online = OnlineDesk(parts.holder, forwarder, limits, settings.data_centre)
+    files = FileDesk(parts.holder, desk, disks, directory)
+    peers = PeerDesk(parts.holder, directory, board, limits, parts.caller)
+    server = _build_server(parts, ring, online, files, peers)
+    configuration = ConfigurationDesk(parts.platform, parts.holder)
+    admin = _build_admin(parts, AdminDesk(configuration, directory, desk))
+    keeper = JobKeeper(
+        board,
+        directory,
+        disks,
+        lambda: _make_workshop(parts, disks, directory),
+        server.address,
+    )
+    return EntryApp(
+        parts=parts,
+        directory=directory,
+        disks=disks,
+        board=board,
+        desk=desk,
+        limits=limits,
+        ring=ring,
+        configuration=configuration,
+        reporter=reporter,
+        keeper=keeper,
+        views=_make_views(parts, board),
+        server=server,
+        admin=admin,
+    )
+
+
+def _build_server(
+    parts: Parts,
+    ring: KeyRing,
+    online: OnlineDesk,
+    files: FileDesk,
+    peers: PeerDesk,
+) -> Server:
+    routes = [
+        make_route('POST', '/v1/chat/completions', online.complete),
+        make_route('POST', '/v1/completions', online.complete),
+        make_route('GET', '/v1/models', online.list_models),
+        make_route('*', '/services/([^/]+)(/.*)?', online.call_service),
+        make_route('POST', '/v1/files', files.upload),
+        make_route('GET', '/v1/files', files.list_files),
+        make_route('GET', '/v1/files/([^/]+)', files.show),
+        make_route('GET', '/v1/files/([^/]+)/content', files.read_content),
+        make_route('POST', '/v1/batches', files.create_batch),
+        make_route('GET', '/v1/batches', files.list_batches),
+        make_route('GET', '/v1/batches/([^/]+)', files.show_batch),
+        make_route('POST', '/v1/batches/([^/]+)/cancel', files.cancel_batch),
+        make_route('POST', HEARTBEAT_PATH, peers.take_heartbeat),
+        make_route('GET', CONFIGURATION_PATH, peers.show_configuration),
+        *make_common_routes(parts),
+    ]
+    settings = parts.settings
+    filters = [
+        trace_requests('entry', parts.export, parts.metrics),
+        answer_errors,
+        limit_bodies(SMALL_BODY),
+        require_peer_key(settings.peer_keys, PEER_PATHS),
+        ring.require_key,
+    ]
+    host, port = split_address(settings.listen)
+    return Server(host, port, chain_filters(filters, dispatch_to(routes)))
+
+
+def _build_admin(parts: Parts, desk: AdminDesk) -> Server:
+    settings = parts.settings
+    filters = [
+        trace_requests('admin', parts.export, parts.metrics),
+        answer_errors,
+        limit_bodies(SMALL_BODY),
+        require_peer_key(settings.peer_keys, ADMIN_PATHS),
+    ]
+    address = getattr(settings, 'admin', '127.0.0.1:0')
+    host, port = split_address(address)
+    return Server(
+        host,
+        port,
+        chain_filters(filters, dispatch_to(desk.make_routes())),
+    )
+
+
+def _make_views(parts: Parts, board: JobBoard) -> tuple[PrefixView, ...]:
+    platform, draw = parts.platform, parts.draw
+
+    def note_configuration(change: Change) -> None:  # noqa: WPS430
+        if change.value is not None:
+            parts.holder.adopt(change.value)
+
+    return (
+        PrefixView(platform, keys.CONFIGURATION, note_configuration, draw),
+        PrefixView(platform, keys.JOBS, board.note_job, draw),
+        PrefixView(platform, keys.CHUNKS, board.note_claim, draw),
+    )
+
+
+def _make_workshop(
+    parts: Parts,
+    disks: DiskClient,
+    directory: Directory,
+) -> Workshop:
+    batch = parts.holder.deployment.batch
+    return Workshop(
+        platform=parts.platform,
+        disks=disks,
+        list_disks=directory.list_disks,
+        is_gone=lambda copy: False,
+        owner=parts.settings.name,
+        copies=batch.copies,
+        least_copies=batch.least_copies,
+        bounds=Bounds(batch.attempts, batch.lone_losses),
+    )
+
+
+def _describe(parts: Parts, limits: CustomerLimits) -> Heartbeat:
+    return Heartbeat(
+        name=parts.settings.name,
+        boot=parts.boot,
+        role=Role.entry,
+        address=parts.address,
+        data_centre=parts.settings.data_centre,
+        is_leaving=parts.is_leaving,
+        version=parts.holder.version,
+        disk=parts.report_disk(),
+        usage=limits.report(),
+    )
+
+
+def _report_itself(app: EntryApp) -> None:
+    """Keep this entry in its own view of the fleet, without a call."""
+    app.directory.note_heartbeat(_describe(app.parts, app.limits))
+    app.reporter.learn_entries(app.directory.list_entries())
+    gevent.sleep(1)
+
+
+def _watch_vms(app: EntryApp) -> None:
+    listed = app.parts.platform.list_vms()
+    if listed.is_ok():
+        app.directory.note_vms(listed.unwrap())
+    known = set(app.directory.members)
+    for entry in set(app.limits.others) - known:
+        app.limits.forget_entry(entry)
+    gevent.sleep(VM_LIST_SECONDS)
+
+
+def _index_disks(directory: Directory) -> dict[str, DiskReport]:
+    return {
+        member.heartbeat.disk.incarnation: member.heartbeat.disk
+        for member in directory.members.values()
+        if member.heartbeat.disk is not None
+    }
+
+
+def _find_region(parts: Parts, data_centre: str) -> str:
+    if not parts.holder.version:
+        return ''
+    known = parts.holder.deployment.data_centres.get(data_centre)
+    return known.region if known else ''
+
+
+def _list_weights(parts: Parts) -> dict[str, float]:
+    return {
+        name: customer.weight
+        for name, customer in parts.holder.deployment.customers.items()
+    }
+
--- /dev/null
+++ b/src/wigeonpier/entry/files.py
@@ -0,0 +1,200 @@
+"""Handlers of files and batches."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+from result import Err
+
+from wigeonpier.batch.models import BatchPage, BatchRequest, ListPage
+from wigeonpier.batch.pages import ERRORS, OUTPUT, show_file
+from wigeonpier.batch.results import iterate_pages, iterate_results
+from wigeonpier.entry.jobs import JobDesk, refuse_platform
+from wigeonpier.entry.uploads import receive_file
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.platform import keys
+from wigeonpier.web import headers
+from wigeonpier.web.messages import (
+    JSON_LINES_TYPE,
+    Response,
+    answer_json,
+    decode_body,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wigeonpier.disk.client import DiskClient
+    from wigeonpier.membership.directory import Directory
+    from wigeonpier.settings.holder import ConfigurationHolder
+    from wigeonpier.web.messages import Request
+
+DEFAULT_LIST = 20
+LONGEST_LIST = 100
+
+
+@dataclass(frozen=True, slots=True)
+class FileDesk:
+    """What handlers of files and batches use.
+
+    :param holder: configuration in force.
+    :param desk: accepts and shows jobs.
+    :param disks: reaches data folders.
+    :param directory: data folders in reach.
+    """
+
+    holder: ConfigurationHolder
+    desk: JobDesk
+    disks: DiskClient
+    directory: Directory
+
+    def upload(self, request: Request) -> Response:
+        """Take in a batch file.
+
+        :param request: multipart form.
+        :returns: the file.
+        """
+        record = receive_file(
+            request,
+            self.holder.deployment,
+            self.disks,
+            self.directory.list_disks(),
+        )
+        self.desk.write_file(record)
+        return answer_json(show_file(record))
+
+    def show(self, request: Request, file_id: str) -> Response:
+        """Show a file.
+
+        :param request: the caller's.
+        :param file_id: id of the file.
+        :returns: the file.
+        """
+        record = self.desk.read_file(request.customer, file_id)
+        return answer_json(show_file(record))
+
+    def read_content(self, request: Request, file_id: str) -> Response:
+        """Read a file, an output file or an error file.
+
+        :param request: the caller's.
+        :param file_id: id of the file.
+        :returns: its lines, streamed.
+        """
+        for prefix in (OUTPUT, ERRORS):
+            if file_id.startswith(prefix):
+                job = file_id.removeprefix(prefix)
+                lines = self._read_results(request, job, prefix == OUTPUT)
+                return Response(200, lines, JSON_LINES_TYPE)
+        record = self.desk.read_file(request.customer, file_id)
+        pages = iterate_pages(
+            record.copies,
+            self.disks,
+            record.id,
+            len(record.pages),
+        )
+        return Response(200, pages, JSON_LINES_TYPE)
+
+    def create_batch(self, request: Request) -> Response:
+        """Accept a job.
+
+        :param request: the caller's.
+        :returns: the job.
+        """
+        page = self.desk.create(
+            request.customer,
+            decode_body(request.read_body(), BatchRequest),
+            request.headers.get(headers.IDEMPOTENCY_KEY, ''),
+            self.holder.deployment,
+        )
+        return answer_json(page)
+
+    def show_batch(self, request: Request, job: str) -> Response:
+        """Show a job.
+
+        :param request: the caller's.
+        :param job: id of the job.
+        :returns: the job.
+        """
+        return answer_json(self.desk.show(request.customer, job))
+
+    def list_batches(self, request: Request) -> Response:
+        """List the caller's jobs, newest first.
+
+        :param request: the caller's, perhaps with ``limit`` and ``after``.
+        :returns: the list.
+        """
+        query = parse_qs(request.query)
+        limit = min(
+            LONGEST_LIST,
+            _read_count(query.get('limit', [str(DEFAULT_LIST)])[0]),
+        )
+        pages = self.desk.list_pages(request.customer)
+        after = query.get('after', [''])[0]
+        ids = [page.id for page in pages]
+        start = ids.index(after) + 1 if after in ids else 0
+        return answer_json(_make_list(pages[start:], limit))
+
+    def cancel_batch(self, request: Request, job: str) -> Response:
+        """Cancel a job.
+
+        :param request: the caller's.
+        :param job: id of the job.
+        :returns: the job.
+        """
+        return answer_json(self.desk.cancel(request.customer, job))
+
+    def list_files(self, request: Request) -> Response:
+        """List the caller's files.
+
+        :param request: the caller's.
+        :returns: the list.
+        """
+        prefix = keys.name_file(request.customer, '')
+        listed = self.desk.platform.list_prefix(prefix)
+        if isinstance(listed, Err):
+            raise refuse_platform()
+        files = [
+            show_file(
+                self.desk.read_file(
+                    request.customer,
+                    entry.key.removeprefix(prefix),
+                ),
+            )
+            for entry in listed.ok_value.entries[:LONGEST_LIST]
+        ]
+        return answer_json(ListPage(files))
+
+    def _read_results(
+        self,
+        request: Request,
+        job: str,
+        succeeded: bool,
+    ) -> Iterator[bytes]:
+        finished = self.desk.read_finished(request.customer, job)
+        if finished is None:
+            raise Refusal(
+                ErrorKind.not_found,
+                f'batch {job} has no results yet',
+            )
+        return iterate_results(finished, self.disks, succeeded=succeeded)
+
+
+def _read_count(text: str) -> int:
+    if not text.isdigit() or int(text) < 1:
+        raise Refusal(
+            ErrorKind.invalid_request,
+            f'limit: expected a whole number above 0, got {text!r}',
+        )
+    return int(text)
+
+
+def _make_list(pages: list[BatchPage], limit: int) -> ListPage:
+    shown = pages[:limit]
+    return ListPage(
+        shown,
+        has_more=len(pages) > limit,
+        first_id=shown[0].id if shown else None,
+        last_id=shown[-1].id if shown else None,
+    )
--- /dev/null
+++ b/src/wigeonpier/entry/jobs.py
@@ -0,0 +1,384 @@
+"""Accepts, shows and cancels batch jobs."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+from result import Err, Ok
+
+from wigeonpier.batch.models import (
+    BatchPage,
+    BatchRequest,
+    FileRecord,
+    FinishedJob,
+    Job,
+    JobStatus,
+    Resend,
+)
+from wigeonpier.batch.pages import show_finished, show_job
+from wigeonpier.entry.uploads import find_service
+from wigeonpier.errors import ErrorKind, Ran, Refusal
+from wigeonpier.platform import keys
+from wigeonpier.platform.certain import swap_certainly
+from wigeonpier.platform.port import Entry, Failure, Platform
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from wigeonpier.entry.board import JobBoard
+    from wigeonpier.settings.deployment import Deployment
+
+WRITE_SECONDS = 8.0
+CANCEL_TRIES = 8
+JOB_ID_BYTES = 12
+HOUR_SECONDS = 3600
+WINDOW_UNITS = {'m': 60, 'h': HOUR_SECONDS, 'd': 24 * HOUR_SECONDS}
+
+Kept = TypeVar('Kept')
+
+
+@dataclass(slots=True)
+class JobDesk:
+    """What callers do with jobs.
+
+    :param platform: the port.
+    :param board: jobs that are not finished.
+    """
+
+    platform: Platform
+    board: JobBoard
+
+    def create(
+        self,
+        customer: str,
+        asked: BatchRequest,
+        idempotency_key: str,
+        deployment: Deployment,
+    ) -> BatchPage:
+        """Accept a job, or find the one that this request made before.
+
+        :param customer: who asks.
+        :param asked: what is asked for.
+        :param idempotency_key: key of a resend, empty for none.
+        :param deployment: configuration in force.
+        :returns: the job.
+        """
+        record = self.read_file(customer, asked.input_file_id)
+        digest = _digest_request(asked, record)
+        resend = self._join_resend(
+            customer,
+            f'key:{idempotency_key}' if idempotency_key else f'body:{digest}',
+            digest,
+            deployment,
+        )
+        known = self._find_page(customer, resend.job)
+        if known is not None:
+            return known
+        job = _make_job(resend, asked, record, deployment)
+        self._check_queue(customer, job, deployment)
+        return self._write_job(job)
+
+    def show(self, customer: str, job_id: str) -> BatchPage:
+        """Show one job.
+
+        :param customer: who asks.
+        :param job_id: id of the job.
+        :returns: the job.
+        :raises Refusal: when the customer has no such job.
+        """
+        page = self._find_page(customer, job_id)
+        if page is None:
+            raise Refusal(ErrorKind.not_found, f'there is no batch {job_id}')
+        return page
+
+    def list_pages(self, customer: str) -> list[BatchPage]:
+        """List the jobs of a customer.
+
+        :param customer: who asks.
+        :returns: newest first.
+        """
+        pages = [
+            self._show_held(held.job)
+            for held in self.board.jobs.values()
+            if held.job.customer == customer
+        ]
+        running = {page.id for page in pages}
+        pages += [
+            show_finished(finished)
+            for finished in self.list_finished(customer)
+            if finished.job.id not in running
+        ]
+        return sorted(pages, key=lambda page: page.created_at, reverse=True)
+
+    def list_finished(self, customer: str) -> list[FinishedJob]:
+        """Read the finished jobs of a customer.
+
+        :param customer: whose.
+        :returns: the jobs.
+        """
+        prefix = keys.name_results(customer, '')
+        listed = self.platform.list_prefix(prefix)
+        if isinstance(listed, Err):
+            raise refuse_platform()
+        return [
+            msgspec.json.decode(entry.value, type=FinishedJob)
+            for entry in listed.ok_value.entries
+        ]
+
+    def cancel(self, customer: str, job_id: str) -> BatchPage:
+        """Cancel a job; a finished one stays as it is.
+
+        :param customer: who asks.
+        :param job_id: id of the job.
+        :returns: the job.
+        """
+        for _ in range(CANCEL_TRIES):
+            entry = self._read(keys.name_job(customer, job_id))
+            if entry is None:
+                return self.show(customer, job_id)
+            job = msgspec.json.decode(entry.value, type=Job)
+            if job.status is JobStatus.cancelling:
+                return self._show_held(job)
+            job.status = JobStatus.cancelling
+            job.cancelling_at = int(time.time())
+            if self._replace(entry, job):
+                return self._show_held(job)
+        raise Refusal(ErrorKind.conflict, 'the job changes at the moment')
+
+    def read_file(self, customer: str, file_id: str) -> FileRecord:
+        """Read the record of an uploaded file.
+
+        :param customer: who asks.
+        :param file_id: id of the file.
+        :returns: the record.
+        :raises Refusal: when the customer has no such file.
+        """
+        entry = self._read(keys.name_file(customer, file_id))
+        if entry is None:
+            raise Refusal(ErrorKind.not_found, f'there is no file {file_id}')
+        return msgspec.json.decode(entry.value, type=FileRecord)
+
+    def write_file(self, record: FileRecord) -> None:
+        """Keep the record of an uploaded file.
+
+        :param record: the file; its pages are kept already.
+        """
+        raw = msgspec.json.encode(record)
+        wrote = swap_certainly(
+            self.platform,
+            keys.name_file(record.customer, record.id),
+            raw,
+            0,
+            lambda entry: entry.value == raw,
+            WRITE_SECONDS,
+        )
+        if isinstance(wrote, Err):
+            raise refuse_write(wrote.err_value)
+
+    def read_finished(self, customer: str, job_id: str) -> FinishedJob | None:
+        """Read a finished job.
+
+        :param customer: who asks.
+        :param job_id: id of the job.
+        :returns: the job, ``None`` where it is not finished.
+        """
+        entry = self._read(keys.name_results(customer, job_id))
+        if entry is None:
+            return None
+        return msgspec.json.decode(entry.value, type=FinishedJob)
+
+    def _find_page(self, customer: str, job_id: str) -> BatchPage | None:
+        held = self.board.jobs.get(job_id)
+        if held is not None and held.job.customer == customer:
+            return self._show_held(held.job)
+        # Results are written before the job's key goes, so in this order
+        # one of the two is seen.
+        entry = self._read(keys.name_job(customer, job_id))
+        if entry is not None:
+            return self._show_held(msgspec.json.decode(entry.value, type=Job))
+        finished = self.read_finished(customer, job_id)
+        return show_finished(finished) if finished else None
+
+    def _show_held(self, job: Job) -> BatchPage:
+        held = self.board.jobs.get(job.id)
+        claims = [kept.claim for kept in held.claims.values()] if held else []
+        return show_job(job, claims)
+
+    def _join_resend(
+        self,
+        customer: str,
+        source: str,
+        digest: str,
+        deployment: Deployment,
+    ) -> Resend:
+        """Agree with all other tries of this request on one job id."""
+        name = hashlib.sha256(source.encode()).hexdigest()
+        key = keys.name_resend(customer, name)
+        entry = self._read(key)
+        window = deployment.batch.resend_hours * HOUR_SECONDS
+        if entry is not None:
+            resend = msgspec.json.decode(entry.value, type=Resend)
+            if time.time() - resend.created < window:
+                return _check_same(resend, digest)
+        fresh = Resend(
+            f'batch_{secrets.token_hex(JOB_ID_BYTES)}',
+            digest,
+            int(time.time()),
+        )
+        raw = msgspec.json.encode(fresh)
+        wrote = swap_certainly(
+            self.platform,
+            key,
+            raw,
+            entry.revision if entry else 0,
+            lambda found: found.value == raw,
+            WRITE_SECONDS,
+        )
+        if isinstance(wrote, Ok):
+            return fresh
+        if wrote.err_value is not Failure.conflict:
+            raise refuse_write(wrote.err_value)
+        winner = self._read(key)
+        if winner is None:
+            raise Refusal(ErrorKind.conflict, 'the resend key changes')
+        return _check_same(
+            msgspec.json.decode(winner.value, type=Resend),
+            digest,
+        )
+
+    def _check_queue(
+        self,
+        customer: str,
+        job: Job,
+        deployment: Deployment,
+    ) -> None:
+        limit = deployment.customers[customer].limits.queued_items
+        if self.board.count_queued(customer) + job.items > limit:
+            raise Refusal(
+                ErrorKind.limit_reached,
+                f'at most {limit} items may be queued',
+                retry_after=60,
+            )
+
+    def _write_job(self, job: Job) -> BatchPage:
+        raw = msgspec.json.encode(job)
+        wrote = swap_certainly(
+            self.platform,
+            keys.name_job(job.customer, job.id),
+            raw,
+            0,
+            lambda entry: entry.value == raw,
+            WRITE_SECONDS,
+        )
+        if isinstance(wrote, Err) and wrote.err_value is not Failure.conflict:
+            raise refuse_write(wrote.err_value)
+        log_event(
+            Event.job_accepted,
+            job=job.id,
+            customer=job.customer,
+            items=job.items,
+        )
+        return self._show_held(job)
+
+    def _replace(self, entry: Entry, job: Job) -> bool:
+        raw = msgspec.json.encode(job)
+        wrote = swap_certainly(
+            self.platform,
+            entry.key,
+            raw,
+            entry.revision,
+            lambda found: found.value == raw,
+            WRITE_SECONDS,
+        )
+        if isinstance(wrote, Ok):
+            return True
+        if wrote.err_value is Failure.conflict:
+            return False
+        raise refuse_write(wrote.err_value)
+
+    def _read(self, key: str) -> Entry | None:
+        read = self.platform.get(key)
+        if isinstance(read, Err):
+            raise refuse_platform()
+        return read.ok_value
+
+
+def refuse_platform() -> Refusal:
+    """Make the refusal for a key-value service that does not answer.
+
+    :returns: the refusal; nothing was written.
+    """
+    return Refusal(
+        ErrorKind.platform_down,
+        'the key-value service does not answer; nothing was accepted',
+    )
+
+
+def refuse_write(failure: Failure) -> Refusal:
+    """Make the refusal for a write that could not be made certain.
+
+    :param failure: what is known.
+    :returns: the refusal; it says whether the write may stand.
+    """
+    if failure is Failure.unknown:
+        return Refusal(
+            ErrorKind.outcome_unknown,
+            'it is not known whether this was accepted; send it again',
+            ran=Ran.unknown,
+        )
+    return refuse_platform()
+
+
+def _check_same(resend: Resend, digest: str) -> Resend:
+    if resend.digest != digest:
+        raise Refusal(
+            ErrorKind.key_reused,
+            'the Idempotency-Key was used for another request',
+        )
+    return resend
+
+
+def _digest_request(asked: BatchRequest, record: FileRecord) -> str:
+    parts = [
+        record.digest,
+        asked.endpoint,
+        asked.completion_window,
+        msgspec.json.encode(asked.metadata, order='sorted').decode(),
+    ]
+    return hashlib.sha256('\0'.join(parts).encode()).hexdigest()
+
+
+def _make_job(
+    resend: Resend,
+    asked: BatchRequest,
+    record: FileRecord,
+    deployment: Deployment,
+) -> Job:
+    if asked.endpoint != record.url:
+        raise Refusal(
+            ErrorKind.invalid_request,
+            f'endpoint: expected {record.url}, which the lines call',
+        )
+    window = asked.completion_window
+    seconds = int(window[:-1]) * WINDOW_UNITS[window[-1]]
+    service = find_service(deployment, record.url, record.model)
+    return Job(
+        id=resend.job,
+        customer=record.customer,
+        file=record.id,
+        pages=record.pages,
+        copies=record.copies,
+        url=record.url,
+        model=record.model,
+        service=service,
+        idempotent=deployment.services[service].idempotent,
+        window=window,
+        created=resend.created,
+        deadline=resend.created + seconds,
+        metadata=asked.metadata or {},
+    )
--- /dev/null
+++ b/src/wigeonpier/entry/keeper.py
@@ -0,0 +1,253 @@
+"""Brings jobs to their end: cancels, finishes, clears away."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Err, Ok
+
+from wigeonpier.batch.chunk import (
+    Chunk,
+    ChunkProblemError,
+    Workshop,
+    claim_chunk,
+    make_error,
+    open_chunk,
+)
+from wigeonpier.batch.claims import Claim, Tally, add_tallies
+from wigeonpier.batch.journal import JournalEndedError
+from wigeonpier.batch.models import DoneChunk, FinishedJob, JobStatus
+from wigeonpier.batch.records import Status
+from wigeonpier.invariants import Promise, check_promise
+from wigeonpier.loops import spawn_loop
+from wigeonpier.platform import keys
+from wigeonpier.platform.certain import swap_certainly
+from wigeonpier.platform.port import Failure
+from wigeonpier.policy.ranking import rank_by_key
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from wigeonpier.batch.models import Job
+    from wigeonpier.disk.client import DiskClient
+    from wigeonpier.entry.board import HeldJob, JobBoard
+    from wigeonpier.membership.directory import Directory
+
+PERIOD_SECONDS = 0.5
+AGES_SECONDS = 1.0
+STAND_IN_SECONDS = 5.0
+WRITE_SECONDS = 8.0
+
+
+@dataclass(slots=True)
+class JobKeeper:
+    """Looks after all jobs, together with the other entries.
+
+    Each job has one entry that acts at once, by rendezvous; the others act
+    only when nothing has happened for a while.  Acting twice is harmless,
+    since every step is a compare-and-swap.
+
+    :param board: jobs and claims.
+    :param directory: live entries and data folders.
+    :param disks: reaches data folders.
+    :param workshop: gives what owners of chunks use now.
+    :param address: this entry.
+    """
+
+    board: JobBoard
+    directory: Directory
+    disks: DiskClient
+    workshop: Callable[[], Workshop]
+    address: str
+    _seen_since: dict[str, float] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Begin to look after jobs."""
+        spawn_loop('jobs', self._run)
+        spawn_loop('ages', self._poll_ages)
+
+    def _run(self) -> None:
+        gevent.sleep(PERIOD_SECONDS)
+        for held in list(self.board.jobs.values()):
+            self._attend(held)
+        self._clear_orphans()
+
+    def _attend(self, held: HeldJob) -> None:
+        try:
+            if held.is_new:
+                self._verify(held)
+            elif held.job.status is JobStatus.cancelling:
+                if self._is_my_turn(held.job.id):
+                    self._end_cancelled(held)
+            elif held.is_all_done and self._is_my_turn(held.job.id):
+                self._finish(held, JobStatus.completed)
+        except (ChunkProblemError, JournalEndedError) as problem:
+            log_event(
+                Event.chunk_failed,
+                job=held.job.id,
+                problem=str(problem),
+            )
+
+    def _verify(self, held: HeldJob) -> None:
+        """Make sure that a job that appears was not finished already.
+
+        A process that was paused while it accepted a job may write the
+        job's key again after the job has ended.
+        """
+        platform = self.workshop().platform
+        job = held.job
+        read = platform.get(keys.name_results(job.customer, job.id))
+        if isinstance(read, Err):
+            return
+        if read.ok_value is None:
+            held.is_new = False
+        else:
+            self._clear(held)
+
+    def _is_my_turn(self, job: str) -> bool:
+        entries = self.directory.list_entries()
+        if not entries or rank_by_key(entries, job)[0] == self.address:
+            return True
+        since = self._seen_since.setdefault(job, time.monotonic())
+        return time.monotonic() - since > STAND_IN_SECONDS
+
+    def _end_cancelled(self, held: HeldJob) -> None:
+        platform = self.workshop().platform
+        prefix = keys.name_chunk(held.job.id, 0).rpartition('/')[0]
+        listed = platform.list_prefix(f'{prefix}/')
+        if isinstance(listed, Err):
+            return
+        claims = {
+            keys.parse_chunk(entry.key)[1]: (
+                msgspec.json.decode(entry.value, type=Claim),
+                entry.revision,
+            )
+            for entry in listed.ok_value.entries
+        }
+        for index, (claim, revision) in claims.items():
+            if not claim.is_done:
+                claims[index] = self._cancel_chunk(
+                    held,
+                    index,
+                    claim,
+                    revision,
+                )
+        self._write_finished(
+            held,
+            JobStatus.cancelled,
+            {index: claim for index, (claim, _revision) in claims.items()},
+        )
+
+    def _cancel_chunk(
+        self,
+        held: HeldJob,
+        index: int,
+        claim: Claim,
+        revision: int,
+    ) -> tuple[Claim, int]:
+        """Fence the owner and give each open item its result."""
+        workshop = self.workshop()
+        mine, taken = claim_chunk(workshop, held.job, index, claim, revision)
+        chunk = open_chunk(workshop, held.job, index, mine, taken)
+        try:
+            _cancel_items(chunk)
+            finished = chunk.finish()
+        finally:
+            chunk.journal.close()
+        if isinstance(finished, Err):
+            raise ChunkProblemError('the cancelled chunk was not written')
+        return chunk.claim, chunk.revision
+
+    def _finish(self, held: HeldJob, status: JobStatus) -> None:
+        claims = {index: kept.claim for index, kept in held.claims.items()}
+        self._write_finished(held, status, claims)
+
+    def _write_finished(
+        self,
+        held: HeldJob,
+        status: JobStatus,
+        claims: dict[int, Claim],
+    ) -> None:
+        job = msgspec.structs.replace(held.job, status=status)
+        check_promise(
+            all(claim.is_done for claim in claims.values()),
+            Promise.exactly_one_result,
+            f'{job.id} ends with chunks in work',
+        )
+        finished = FinishedJob(
+            job=job,
+            chunks=tuple(
+                DoneChunk(index, claim.segments[-1])
+                for index, claim in sorted(claims.items())
+            ),
+            tally=_total_results(job, claims.values()),
+            finished=int(time.time()),
+        )
+        raw = msgspec.json.encode(finished)
+        wrote = swap_certainly(
+            self.workshop().platform,
+            keys.name_results(job.customer, job.id),
+            raw,
+            0,
+            lambda entry: entry.value == raw,
+            WRITE_SECONDS,
+        )
+        if isinstance(wrote, Ok):
+            log_event(Event.job_finished, job=job.id, status=status.value)
+        if isinstance(wrote, Ok) or wrote.err_value is Failure.conflict:
+            self._clear(held)
+
+    def _clear(self, held: HeldJob) -> None:
+        """Delete the keys of a job whose results are kept."""
+        platform = self.workshop().platform
+        job = held.job
+        for index, kept in list(held.claims.items()):
+            platform.swap(keys.name_chunk(job.id, index), None, kept.revision)
+        platform.swap(
+            keys.name_job(job.customer, job.id),
+            None,
+            held.revision,
+        )
+        self._seen_since.pop(job.id, None)
+
+    def _clear_orphans(self) -> None:
+        platform = self.workshop().platform
+        for job, index, revision in self.board.list_orphans():
+            if self._is_my_turn(job):
+                platform.swap(keys.name_chunk(job, index), None, revision)
+
+    def _poll_ages(self) -> None:
+        gevent.sleep(AGES_SECONDS)
+        self.board.forget_ages()
+        if self.board.jobs:
+            gevent.joinall([
+                gevent.spawn(self._poll_disk, disk.address)
+                for disk in self.directory.list_disks()
+            ])
+
+    def _poll_disk(self, address: str) -> None:
+        for told in self.disks.list_ages(address) or ():
+            name = (told.job, told.chunk, told.fence)
+            self.board.note_age(name, told.age)
+
+
+def _cancel_items(chunk: Chunk) -> None:
+    chunk.write(*(
+        make_error(item, Status.cancelled, 'the job was cancelled')
+        for item in (*chunk.ready, *chunk.suspects)
+    ))
+
+
+def _total_results(job: Job, claims: Iterable[Claim]) -> Tally:
+    total = add_tallies([claim.tally for claim in claims])
+    never_started = job.items - total.items
+    return msgspec.structs.replace(
+        total,
+        cancelled=total.cancelled + never_started,
+    )
--- /dev/null
+++ b/src/wigeonpier/entry/online.py
@@ -0,0 +1,191 @@
+"""Handlers of online requests."""
+
+from __future__ import annotations
+
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+import xxhash
+
+from wigeonpier.batch.models import ListPage
+from wigeonpier.entry.forward import Forwarder, Work
+from wigeonpier.entry.uploads import find_service
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.policy.route import Ask
+from wigeonpier.web import headers
+from wigeonpier.web.messages import answer_json, decode_body
+
+if TYPE_CHECKING:
+    from wigeonpier.entry.limits import Account, CustomerLimits
+    from wigeonpier.settings.deployment import Deployment, Service
+    from wigeonpier.settings.holder import ConfigurationHolder
+    from wigeonpier.web.messages import Request, Response
+
+AFFINITY_BYTES = 512
+TRUTHS = {'true': True, 'false': False}
+
+
+class CompletionHead(msgspec.Struct):
+    """What an entry reads of a completion request.
+
+    :param model: model to run.
+    :param stream: whether the answer is streamed.
+    :param messages: chat so far, not looked into.
+    :param prompt: prompt, not looked into.
+    """
+
+    model: str
+    stream: bool = False
+    messages: msgspec.Raw = msgspec.Raw(b'')
+    prompt: msgspec.Raw = msgspec.Raw(b'')
+
+
+class ModelPage(msgspec.Struct):
+    """A model as the published interface shows it."""
+
+    id: str
+    object: str = 'model'
+    created: int = 0
+    owned_by: str = 'wigeonpier'
+
+
+@dataclass(frozen=True, slots=True)
+class OnlineDesk:
+    """What online handlers use.
+
+    :param holder: configuration in force.
+    :param forwarder: sends requests to upstreams.
+    :param limits: limits of customers.
+    :param data_centre: where this entry stands.
+    """
+
+    holder: ConfigurationHolder
+    forwarder: Forwarder
+    limits: CustomerLimits
+    data_centre: str
+
+    def complete(self, request: Request) -> Response:
+        """Answer a completion, streamed or whole.
+
+        :param request: the caller's.
+        :returns: the upstream's answer.
+        """
+        deployment = self.holder.deployment
+        request.body_limit = deployment.body_limit
+        body = request.read_body()
+        head = decode_body(body, CompletionHead)
+        name = find_service(deployment, request.path, head.model)
+        if not (bytes(head.messages) or bytes(head.prompt)):
+            raise Refusal(
+                ErrorKind.invalid_request,
+                'expected messages or prompt',
+            )
+        ask = self._make_ask(deployment, name, head)
+        return self._send(request, request.path, body, ask)
+
+    def call_service(
+        self,
+        request: Request,
+        name: str,
+        _rest: str,
+    ) -> Response:
+        """Pass any call on to a plain service.
+
+        :param request: the caller's.
+        :param name: name of the service.
+        :param _rest: path at the service.
+        :returns: the service's answer.
+        """
+        deployment = self.holder.deployment
+        if name not in deployment.services:
+            raise Refusal(ErrorKind.not_found, f'there is no service {name!r}')
+        request.body_limit = deployment.body_limit
+        body = request.read_body()
+        path = request.path
+        if request.query:
+            path = f'{path}?{request.query}'
+        ask = self._make_ask(deployment, name, CompletionHead(model=''))
+        return self._send(request, path, body, ask)
+
+    def list_models(self, _request: Request) -> Response:
+        """List the models that callers may use.
+
+        :param _request: the caller's.
+        :returns: the list.
+        """
+        services = self.holder.deployment.services.values()
+        names = sorted({name for each in services for name in each.models})
+        return answer_json(ListPage([ModelPage(name) for name in names]))
+
+    def _make_ask(
+        self,
+        deployment: Deployment,
+        service: str,
+        head: CompletionHead,
+    ) -> Ask:
+        start = (bytes(head.messages) or bytes(head.prompt))[:AFFINITY_BYTES]
+        affinity = ''
+        if len(start) == AFFINITY_BYTES:
+            affinity = xxhash.xxh3_64_hexdigest(start)
+        return Ask(
+            service=service,
+            model=head.model,
+            affinity=affinity,
+            data_centre=self.data_centre,
+            region=deployment.data_centres[self.data_centre].region,
+        )
+
+    def _send(
+        self,
+        request: Request,
+        path: str,
+        body: bytes,
+        ask: Ask,
+    ) -> Response:
+        deployment = self.holder.deployment
+        service = deployment.services[ask.service]
+        work = Work(
+            request=request,
+            path=path,
+            body=body,
+            ask=ask,
+            is_idempotent=read_idempotent(request, service),
+            deadline=time.monotonic() + service.deadline_seconds,
+        )
+        limits = deployment.customers[request.customer].limits
+        held = ExitStack()
+        account = held.enter_context(self.limits.hold(request.customer, limits))
+        try:
+            response = self.forwarder.send(work)
+        except BaseException:
+            held.close()
+            raise
+        response.on_close.append(lambda: _charge(account, work))
+        response.on_close.append(held.close)
+        return response
+
+
+def read_idempotent(request: Request, service: Service) -> bool:
+    """Tell whether a request may run more than once.
+
+    :param request: the caller's.
+    :param service: gives the default.
+    :returns: what the header says, or the default.
+    :raises Refusal: when the header holds something else.
+    """
+    said = request.headers.get(headers.IDEMPOTENT)
+    if said is None:
+        return service.idempotent
+    if said.lower() not in TRUTHS:
+        raise Refusal(
+            ErrorKind.invalid_request,
+            f'{headers.IDEMPOTENT}: expected true or false',
+        )
+    return TRUTHS[said.lower()]
+
+
+def _charge(account: Account, work: Work) -> None:
+    account.tokens.tokens -= work.tokens
--- /dev/null
+++ b/src/wigeonpier/errors.py
@@ -0,0 +1,153 @@
+"""The closed list of error kinds and the answer that each one gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from types import MappingProxyType
+
+
+class Ran(StrEnum):
+    """What is known about whether the refused work ran."""
+
+    no = 'no'
+    unknown = 'unknown'
+
+
+class ErrorKind(StrEnum):
+    """Every kind of error that a caller can meet."""
+
+    invalid_request = 'invalid_request'
+    body_too_large = 'body_too_large'
+    unauthenticated = 'unauthenticated'
+    forbidden = 'forbidden'
+    not_found = 'not_found'
+    method_not_allowed = 'method_not_allowed'
+    model_not_found = 'model_not_found'
+    key_reused = 'key_reused'
+    conflict = 'conflict'
+    limit_reached = 'limit_reached'
+    overloaded = 'overloaded'
+    leaving = 'leaving'
+    not_ready = 'not_ready'
+    no_upstream = 'no_upstream'
+    platform_down = 'platform_down'
+    storage_down = 'storage_down'
+    deadline_passed = 'deadline_passed'
+    upstream_lost = 'upstream_lost'
+    upstream_failed = 'upstream_failed'
+    outcome_unknown = 'outcome_unknown'
+    internal = 'internal'
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How one kind of error is told to a caller.
+
+    :param status: HTTP status.
+    :param ran: what the kind itself says about the work.
+    :param retry_after: seconds after which a retry may help, ``None`` when
+        the same request will not succeed later.
+    :param help_text: advice for the caller, shown in ``docs/errors.md``.
+    """
+
+    status: int
+    ran: Ran
+    retry_after: int | None
+    help_text: str
+
+
+ANSWERS = MappingProxyType({
+    ErrorKind.invalid_request: Answer(
+        400, Ran.no, None, 'Correct the request; the message names the field.'
+    ),
+    ErrorKind.body_too_large: Answer(
+        413, Ran.no, None, 'Send a smaller body; the message gives the limit.'
+    ),
+    ErrorKind.unauthenticated: Answer(
+        401, Ran.no, None, 'Send a valid key as a bearer token.'
+    ),
+    ErrorKind.forbidden: Answer(
+        403, Ran.no, None, 'Ask an operator for the role that is named.'
+    ),
+    ErrorKind.not_found: Answer(
+        404, Ran.no, None, 'Check the path and the id.'
+    ),
+    ErrorKind.method_not_allowed: Answer(
+        405, Ran.no, None, 'Use a method that the path takes.'
+    ),
+    ErrorKind.model_not_found: Answer(
+        404, Ran.no, None, 'Use a model that /v1/models lists.'
+    ),
+    ErrorKind.key_reused: Answer(
+        409, Ran.no, None, 'Use a new Idempotency-Key for a new request.'
+    ),
+    ErrorKind.conflict: Answer(
+        409, Ran.no, None, 'Read the current state and decide again.'
+    ),
+    ErrorKind.limit_reached: Answer(
+        429, Ran.no, 1, 'Slow down, or ask for a higher limit.'
+    ),
+    ErrorKind.overloaded: Answer(
+        503, Ran.no, 1, 'Try again after the time given.'
+    ),
+    ErrorKind.leaving: Answer(
+        503, Ran.no, 1, 'The process is leaving; try another.'
+    ),
+    ErrorKind.not_ready: Answer(
+        503, Ran.no, 2, 'The process has no configuration yet.'
+    ),
+    ErrorKind.no_upstream: Answer(
+        503, Ran.no, 2, 'No upstream of the service takes work now.'
+    ),
+    ErrorKind.platform_down: Answer(
+        503, Ran.no, 10, 'The key-value service does not answer.'
+    ),
+    ErrorKind.storage_down: Answer(
+        503, Ran.no, 5, 'Too few data folders can be reached.'
+    ),
+    ErrorKind.deadline_passed: Answer(
+        504, Ran.no, None, 'The deadline passed before work was started.'
+    ),
+    ErrorKind.upstream_lost: Answer(
+        502, Ran.unknown, 1, 'The upstream was lost; resend idempotent work.'
+    ),
+    ErrorKind.upstream_failed: Answer(
+        502, Ran.unknown, 1, 'The upstream failed; resend idempotent work.'
+    ),
+    ErrorKind.outcome_unknown: Answer(
+        503, Ran.unknown, 2, 'Resend with the same Idempotency-Key.'
+    ),
+    ErrorKind.internal: Answer(
+        500, Ran.unknown, None, 'Report the trace id to the operators.'
+    ),
+})
+
+
+class Refusal(Exception):  # noqa: N818
+    """A request that is refused, with a kind from the closed list.
+
+    :param kind: kind of the error.
+    :param message: what was wrong and what to do.
+    :param ran: overrides the kind's own statement where more is known.
+    :param retry_after: overrides the kind's own advice, in seconds.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        ran: Ran | None = None,
+        retry_after: int | None = None,
+    ) -> None:
+        """Keep the kind and fill the gaps from the table."""
+        super().__init__(message)
+        answer = ANSWERS[kind]
+        self.kind = kind
+        self.message = message
+        self.status = answer.status
+        self.ran = ran or answer.ran
+        self.retry_after = (
+            answer.retry_after if retry_after is None else retry_after
+        )
--- /dev/null
+++ b/src/wigeonpier/invariants.py
@@ -0,0 +1,61 @@
+"""Checks of the promises, made where the promise could be broken.
+
+In tests a broken promise raises; in production it is logged as a numbered
+event and counted, because stopping would harm more callers than going on.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+from enum import StrEnum
+
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+STRICT_VARIABLE = 'WIGEONPIER_STRICT'
+
+
+class Promise(StrEnum):
+    """What must always hold, one name a promise of the brief."""
+
+    exactly_one_result = 'exactly_one_result'
+    cancelled_job_stops = 'cancelled_job_stops'
+    no_blocking_behind_batch = 'no_blocking_behind_batch'
+    whole_answer_to_its_caller = 'whole_answer_to_its_caller'
+    refused_means_not_run = 'refused_means_not_run'
+    runs_at_most_once = 'runs_at_most_once'
+    leaving_gets_no_work = 'leaving_gets_no_work'
+    shutdown_cuts_nothing = 'shutdown_cuts_nothing'
+    configuration_never_reverts = 'configuration_never_reverts'
+
+
+class BrokenPromiseError(AssertionError):
+    """A promise was found broken while invariants are strict."""
+
+
+violations: Counter[Promise] = Counter()
+
+
+def is_strict() -> bool:
+    """Tell whether a broken promise raises.
+
+    :returns: true where the environment asks for it, as tests do.
+    """
+    return os.environ.get(STRICT_VARIABLE) == '1'
+
+
+def check_promise(holds: bool, promise: Promise, detail: str) -> None:
+    """Record a broken promise, and raise where invariants are strict.
+
+    :param holds: whether the promise holds here.
+    :param promise: the promise that is checked.
+    :param detail: what was seen, for the log.
+    :raises BrokenPromiseError: when it does not hold and checks are strict.
+    """
+    if holds:
+        return
+    violations[promise] += 1
+    log_event(Event.promise_broken, promise=promise.value, detail=detail)
+    if is_strict():
+        raise BrokenPromiseError(f'{promise.value}: {detail}')
--- /dev/null
+++ b/src/wigeonpier/local/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside an upstream."""
--- /dev/null
+++ b/src/wigeonpier/local/app.py
@@ -0,0 +1,270 @@
+"""Composition root of the local process."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from wigeonpier.batch.chunk import Workshop
+from wigeonpier.local.engine import Engine
+from wigeonpier.local.gate import Gate
+from wigeonpier.local.online import OnlinePath, answer_online
+from wigeonpier.local.upstream import UpstreamWatch
+from wigeonpier.local.work import Worker
+from wigeonpier.membership.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    Role,
+    UpstreamReport,
+)
+from wigeonpier.membership.reporter import Reporter
+from wigeonpier.policy.attempts import Bounds
+from wigeonpier.policy.copies import Disk
+from wigeonpier.process import (
+    Parts,
+    build_parts,
+    make_common_routes,
+    make_disk_client,
+)
+from wigeonpier.settings.deployment import ServiceKind
+from wigeonpier.settings.process import LocalSettings, split_address
+from wigeonpier.web.client import HttpCaller
+from wigeonpier.web.filters import (
+    answer_errors,
+    limit_bodies,
+    require_peer_key,
+    trace_requests,
+)
+from wigeonpier.web.server import (
+    Server,
+    chain_filters,
+    dispatch_to,
+    make_route,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.settings.deployment import Deployment
+    from wigeonpier.web.messages import Request, Response
+
+PROGRAM = 'wigeonpier-local'
+FAN_OUT = 2
+BODY_LIMIT = 16_000_000
+GUARDED_PATHS = ('/v1/', '/services/', '/disk/')
+MILLISECONDS = 1000
+
+
+@dataclass(slots=True)
+class LocalApp:
+    """All parts of one local process.
+
+    :param parts: what both daemons have.
+    :param gate: decides what the upstream is given.
+    :param watch: tells whether the upstream is well.
+    :param worker: owns chunks and runs their items.
+    :param reporter: heartbeats to entries.
+    :param server: listener for peers.
+    """
+
+    parts: Parts
+    gate: Gate
+    watch: UpstreamWatch
+    worker: Worker
+    reporter: Reporter
+    server: Server
+
+    def start(self) -> str:
+        """Listen, and begin to watch, beat and draw work.
+
+        :returns: address for peers.
+        """
+        self.parts.address = self.server.address
+        self.parts.holder.listen(self._use)
+        self.watch.start()
+        self.worker.start()
+        self.reporter.on_reply = self._take_reply
+        self.reporter.start()
+        self.server.start()
+        return self.server.address
+
+    def leave(self, seconds: float) -> int:
+        """Take no new work, hand batch work over, wait for the rest.
+
+        :param seconds: longest wait.
+        :returns: requests still in hand.
+        """
+        give_up = time.monotonic() + seconds
+        self.parts.is_leaving = True
+        self.gate.is_open = False
+        self.reporter.beat()
+        self.worker.leave(seconds)
+        left = self.server.drain(max(0, give_up - time.monotonic()))
+        return left + len(self.worker.chunks)
+
+    def _use(self, deployment: Deployment) -> None:
+        service = deployment.services.get(_get_settings(self.parts).service)
+        if service is not None:
+            self.gate.target_seconds = service.between_tokens_ms / MILLISECONDS
+        batch = deployment.batch
+        self.worker.workshop = Workshop(
+            platform=self.parts.platform,
+            disks=self.worker.workshop.disks,
+            list_disks=self.worker.workshop.list_disks,
+            is_gone=self.worker.workshop.is_gone,
+            owner=self.parts.settings.name,
+            copies=batch.copies,
+            least_copies=batch.least_copies,
+            bounds=Bounds(batch.attempts, batch.lone_losses),
+        )
+
+    def _take_reply(self, reply: HeartbeatReply) -> None:
+        self.worker.take_offers(reply.offers)
+        self.worker.drop_jobs(reply.stopped)
+
+
+def build_local(
+    settings: LocalSettings,
+    make_caller: Callable[[dict[str, str]], HttpCaller] = HttpCaller,
+) -> LocalApp:
+    """Wire a local process.
+
+    :param settings: what it was told.
+    :param make_caller: makes the connections to peers and the platform.
+    :returns: the process; nothing runs yet.
+    """
+    parts = build_parts(settings, make_caller)
+    upstream = HttpCaller()
+    gate = Gate()
+    watch = UpstreamWatch(
+        upstream,
+        settings.upstream,
+        lambda: _find_kind(parts),
+    )
+    reporter = Reporter(
+        parts.caller,
+        parts.holder,
+        settings.entries,
+        FAN_OUT,
+        lambda: _describe(parts, gate, watch, worker),
+    )
+    worker = Worker(
+        gate,
+        Engine(upstream, settings.upstream, gate),
+        watch,
+        _make_workshop(parts, reporter),
+        parts.metrics,
+    )
+    path = OnlinePath(
+        gate,
+        upstream,
+        settings.upstream,
+        parts.metrics,
+        settings.service,
+    )
+    return LocalApp(
+        parts,
+        gate,
+        watch,
+        worker,
+        reporter,
+        _build_server(parts, path),
+    )
+
+
+def _build_server(parts: Parts, path: OnlinePath) -> Server:
+    def complete(request: Request) -> Response:  # noqa: WPS430
+        return answer_online(path, request, request.path)
+
+    def call_service(  # noqa: WPS430
+        request: Request,
+        _name: str,
+        rest: str | None,
+    ) -> Response:
+        query = f'?{request.query}' if request.query else ''
+        return answer_online(path, request, f'{rest or "/"}{query}')
+
+    routes = [
+        make_route('POST', '/v1/(?:chat/)?completions', complete),
+        make_route('*', '/services/([^/]+)(/.*)?', call_service),
+        *make_common_routes(parts),
+    ]
+    filters = [
+        trace_requests('local', parts.export, parts.metrics),
+        answer_errors,
+        limit_bodies(BODY_LIMIT),
+        require_peer_key(parts.settings.peer_keys, GUARDED_PATHS),
+    ]
+    host, port = split_address(parts.settings.listen)
+    return Server(host, port, chain_filters(filters, dispatch_to(routes)))
+
+
+def _make_workshop(parts: Parts, reporter: Reporter) -> Workshop:
+    def list_disks() -> list[Disk]:  # noqa: WPS430
+        return [
+            Disk(
+                report.incarnation,
+                report.address,
+                report.data_centre,
+                report.free_bytes,
+            )
+            for report in reporter.neighbours.disks.values()
+        ]
+
+    return Workshop(
+        platform=parts.platform,
+        disks=make_disk_client(
+            parts.caller,
+            lambda: reporter.neighbours.disks,
+        ),
+        list_disks=list_disks,
+        is_gone=lambda copy: False,
+        owner=parts.settings.name,
+        copies=1,
+        least_copies=1,
+        bounds=Bounds(1, 1),
+    )
+
+
+def _describe(
+    parts: Parts,
+    gate: Gate,
+    watch: UpstreamWatch,
+    worker: Worker,
+) -> Heartbeat:
+    return Heartbeat(
+        name=parts.settings.name,
+        boot=parts.boot,
+        role=Role.local,
+        address=parts.address,
+        data_centre=parts.settings.data_centre,
+        is_leaving=parts.is_leaving,
+        version=parts.holder.version,
+        upstream=UpstreamReport(
+            service=_get_settings(parts).service,
+            models=watch.models,
+            slots=gate.slots,
+            online=gate.online + gate.waiting,
+            batch=len(gate.batch),
+            is_well=watch.is_well,
+        ),
+        disk=parts.report_disk(),
+        wants=worker.count_wanted(),
+        held=worker.list_held(),
+    )
+
+
+def _get_settings(parts: Parts) -> LocalSettings:
+    settings = parts.settings
+    if not isinstance(settings, LocalSettings):
+        raise TypeError('a local process needs LocalSettings')
+    return settings
+
+
+def _find_kind(parts: Parts) -> ServiceKind:
+    if not parts.holder.version:
+        return ServiceKind.model
+    services = parts.holder.deployment.services
+    service = services.get(_get_settings(parts).service)
+    return service.kind if service else ServiceKind.model
--- /dev/null
+++ b/src/wigeonpier/local/engine.py
@@ -0,0 +1,223 @@
+"""Runs one batch item at the upstream, as a stream that can give way."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from geventhttpclient.response import HTTPParseError
+from result import Err, Result
+
+from wigeonpier.web import headers
+from wigeonpier.web.client import CallFailure
+from wigeonpier.web.messages import EVENT_STREAM_TYPE, JSON_TYPE
+from wigeonpier.web.sse import Assembler, Whole, continue_body
+
+if TYPE_CHECKING:
+    from wigeonpier.local.gate import Gate
+    from wigeonpier.web.client import HttpCaller, StreamReply
+
+SILENCE_SECONDS = 60.0
+CANCEL_SECONDS = 2.0
+CANCEL_TRIES = 10
+CANCEL_GAP_SECONDS = 0.02
+FIRST_ERROR_STATUS = 400
+NOT_FOUND = 404
+SERVER_ERROR = 500
+TOO_MANY = 429
+
+
+class _Cancelled(msgspec.Struct):
+    cancelled: bool = True
+
+
+class RunEnd(StrEnum):
+    """How a run at the upstream ended."""
+
+    answered = 'answered'
+    stopped = 'stopped'
+    not_run = 'not_run'
+    failed = 'failed'
+    lost = 'lost'
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of one batch item, perhaps with pauses.
+
+    :param identity: id of the stream at the upstream.
+    :param path: path at the upstream.
+    :param body: the request.
+    :param is_stream: whether the upstream streams the answer.
+    :param assembler: what came so far.
+    :param is_paused: whether the upstream may still keep its state.
+    :param code: HTTP status.
+    :param answer: whole answer.
+    :param usage: tokens that it took.
+    """
+
+    identity: str
+    path: str
+    body: bytes
+    is_stream: bool
+    assembler: Assembler = field(default_factory=Assembler)
+    is_paused: bool = False
+    code: int = 0
+    answer: bytes = b''
+    usage: Whole = field(default_factory=Whole)
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """The upstream as batch work uses it.
+
+    :param caller: connections to it.
+    :param address: ``host:port``.
+    :param gate: learns from the gaps between tokens.
+    """
+
+    caller: HttpCaller
+    address: str
+    gate: Gate
+
+    def advance(self, run: Run) -> RunEnd:
+        """Run until the answer is whole or the stream ends otherwise.
+
+        :param run: the run; keeps what came, for the next time.
+        :returns: how it ended.
+        """
+        opened = self._open(run)
+        if isinstance(opened, Err):
+            if opened.err_value is CallFailure.not_sent:
+                return RunEnd.not_run
+            return RunEnd.lost
+        reply = opened.ok_value
+        try:
+            return self._read(run, reply)
+        except (OSError, HTTPParseError, msgspec.DecodeError):
+            return RunEnd.lost
+        finally:
+            reply.close()
+
+    def stop(self, run: Run) -> None:
+        """Make a stream give way; its state is kept for a while.
+
+        :param run: the run.
+        """
+        run.is_paused = True
+        gevent.spawn(self._cancel, run)
+
+    def _cancel(self, run: Run) -> None:
+        # A cancel may overtake the request that it is for.
+        for _ in range(CANCEL_TRIES):
+            called = self.caller.call(
+                self.address,
+                'POST',
+                f'/v1/streams/{run.identity}/cancel',
+                patience=CANCEL_SECONDS,
+            )
+            if isinstance(called, Err) or not run.is_paused:
+                return
+            if called.ok_value.decode(_Cancelled).cancelled:
+                return
+            gevent.sleep(CANCEL_GAP_SECONDS)
+
+    def _open(self, run: Run) -> Result[StreamReply, CallFailure]:
+        if run.is_paused:
+            run.is_paused = False
+            resumed = self._resume(run)
+            if resumed is not None:
+                return resumed
+        body = run.body
+        if run.assembler.parts:
+            body = continue_body(
+                body,
+                run.assembler.text,
+                len(run.assembler.parts),
+            )
+        return self._post(run.path, body, run.identity)
+
+    def _resume(self, run: Run) -> Result[StreamReply, CallFailure] | None:
+        asked = {
+            'delivered': len(run.assembler.parts),
+            'object': run.assembler.head.object.removesuffix('.chunk'),
+        }
+        opened = self._post(
+            f'/v1/streams/{run.identity}/resume',
+            msgspec.json.encode(asked),
+            run.identity,
+        )
+        if isinstance(opened, Err):
+            return opened
+        if opened.ok_value.status == NOT_FOUND:
+            opened.ok_value.read()
+            opened.ok_value.close()
+            return None
+        return opened
+
+    def _post(
+        self,
+        path: str,
+        body: bytes,
+        identity: str,
+    ) -> Result[StreamReply, CallFailure]:
+        return self.caller.open(
+            self.address,
+            'POST',
+            path,
+            body,
+            headers={
+                'content-type': JSON_TYPE,
+                headers.REQUEST_ID: identity,
+            },
+            patience=SILENCE_SECONDS,
+        )
+
+    def _read(self, run: Run, reply: StreamReply) -> RunEnd:
+        run.code = reply.status
+        content_type = reply.get_header('content-type')
+        if not content_type.startswith(EVENT_STREAM_TYPE):
+            return _read_whole(run, reply)
+        last = 0.0
+        for line in reply.iterate_lines():
+            if run.assembler.feed(line):
+                now = time.monotonic()
+                if last:
+                    self.gate.note_gap(now - last)
+                last = now
+        if not run.assembler.is_whole:
+            return RunEnd.stopped if run.is_paused else RunEnd.lost
+        run.answer = msgspec.json.encode(run.assembler.make_body())
+        if run.assembler.usage:
+            run.usage = Whole(run.assembler.usage)
+        return RunEnd.answered
+
+
+def prepare_body(raw: bytes, is_stream: bool) -> bytes:
+    """Make an item's request one that streams and counts its tokens.
+
+    :param raw: the request of the line.
+    :param is_stream: whether the upstream can stream it.
+    :returns: the request for the upstream.
+    """
+    if not is_stream:
+        return raw
+    body = msgspec.json.decode(raw)
+    body['stream'] = True
+    body['stream_options'] = {'include_usage': True}
+    return msgspec.json.encode(body)
+
+
+def _read_whole(run: Run, reply: StreamReply) -> RunEnd:
+    run.answer = reply.read()
+    if reply.status == TOO_MANY:
+        return RunEnd.not_run
+    if reply.status >= SERVER_ERROR:
+        return RunEnd.failed
+    if reply.status < FIRST_ERROR_STATUS and run.is_stream:
+        run.usage = msgspec.json.decode(run.answer, type=Whole)
+    return RunEnd.answered
--- /dev/null
+++ b/src/wigeonpier/local/gate.py
@@ -0,0 +1,187 @@
+"""The gate before one upstream: it alone sees all that is given to it."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from gevent.event import Event as Signal
+
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.invariants import Promise, check_promise
+from wigeonpier.policy import gate as policy
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+TARGET_SECONDS = 0.028
+
+
+@dataclass(slots=True, eq=False)
+class BatchStream:
+    """A batch item at the upstream.
+
+    :param slack: seconds that its job has to spare.
+    :param is_one_run: whether it may not be stopped and run again.
+    :param stop: makes it give way; called at most once.
+    :param is_stopped: whether it was told to.
+    """
+
+    slack: float
+    is_one_run: bool
+    stop: Callable[[], None]
+    is_stopped: bool = False
+
+
+@dataclass(slots=True)
+class Gate:
+    """Counts what runs at the upstream and decides what may start.
+
+    :param target_seconds: most time between tokens for 95 in 100.
+    :param is_open: false once the process leaves.
+    """
+
+    target_seconds: float = TARGET_SECONDS
+    is_open: bool = True
+    online: int = 0
+    batch: set[BatchStream] = field(default_factory=set)
+    model: policy.StepModel = field(default_factory=policy.make_model)
+    on_room: Signal = field(default_factory=Signal)
+    _waiting: deque[Signal] = field(default_factory=deque)
+
+    @property
+    def slots(self) -> int:
+        """Give the streams that fit within the target, as learned."""
+        return policy.count_slots(self.model, self.target_seconds)
+
+    @property
+    def running(self) -> int:
+        """Count all streams at the upstream."""
+        return self.online + len(self.batch)
+
+    @property
+    def waiting(self) -> int:
+        """Count online requests that wait here."""
+        return len(self._waiting)
+
+    def see(self) -> policy.Occupancy:
+        """Describe what runs and waits.
+
+        :returns: counts for the policy.
+        """
+        return policy.Occupancy(
+            online=self.online,
+            online_waiting=len(self._waiting),
+            batch=sum(not stream.is_stopped for stream in self.batch),
+            one_run=sum(stream.is_one_run for stream in self.batch),
+        )
+
+    @contextmanager
+    def hold_online(self, deadline: float) -> Iterator[None]:
+        """Take a slot for an online request, before any batch work.
+
+        :param deadline: monotonic seconds at which it is given up.
+        :yields: while the slot is held.
+        :raises Refusal: when it cannot start in time; it did not run.
+        """
+        self._make_way(1)
+        if self._waiting or not policy.may_admit_online(
+            self.see(),
+            self.slots,
+        ):
+            self._wait_for_slot(deadline)
+        self.online += 1
+        try:
+            yield
+        finally:
+            self.online -= 1
+            self._let_next()
+
+    def add_batch(self, stream: BatchStream) -> None:
+        """Count a batch stream that :meth:`may_start_batch` let in.
+
+        :param stream: the stream.
+        """
+        check_promise(
+            not self._waiting,
+            Promise.no_blocking_behind_batch,
+            'batch work starts while online work waits',
+        )
+        stream.is_stopped = False
+        self.batch.add(stream)
+
+    def remove_batch(self, stream: BatchStream) -> None:
+        """Give the slot of a batch stream back.
+
+        :param stream: the stream; nothing happens where it holds none.
+        """
+        if stream in self.batch:
+            self.batch.remove(stream)
+            self._let_next()
+
+    def may_start_batch(self, *, is_one_run: bool = False) -> bool:
+        """Tell whether one more batch stream may start now.
+
+        :param is_one_run: whether it may not be stopped and run again.
+        :returns: whether it may.
+        """
+        return self.is_open and policy.may_admit_batch(
+            self.see(),
+            self.slots,
+            is_one_run=is_one_run,
+        )
+
+    def note_gap(self, seconds: float) -> None:
+        """Learn from the time between two tokens.
+
+        :param seconds: the gap.
+        """
+        policy.note_gap(self.model, self.running, seconds)
+
+    def _make_way(self, arriving: int) -> None:
+        seen = self.see()
+        count = policy.count_to_preempt(
+            policy.Occupancy(
+                seen.online,
+                seen.online_waiting + arriving,
+                seen.batch,
+                seen.one_run,
+            ),
+            self.slots,
+        )
+        if not count:
+            return
+        free = [
+            stream
+            for stream in self.batch
+            if not stream.is_one_run and not stream.is_stopped
+        ]
+        free.sort(key=lambda stream: stream.slack, reverse=True)
+        for stream in free[:count]:
+            stream.is_stopped = True
+            stream.stop()
+        log_event(Event.batch_preempted, streams=len(free[:count]))
+
+    def _wait_for_slot(self, deadline: float) -> None:
+        turn = Signal()
+        self._waiting.append(turn)
+        if turn.wait(max(0, deadline - time.monotonic())):
+            return
+        self._waiting.remove(turn)
+        raise Refusal(
+            ErrorKind.deadline_passed,
+            'no slot became free before the deadline',
+        )
+
+    def _let_next(self) -> None:
+        promised = 0
+        while self._waiting and self.online + promised < self.slots:
+            self._waiting.popleft().set()
+            promised += 1
+        if not self._waiting:
+            self.on_room.set()
--- /dev/null
+++ b/src/wigeonpier/local/online.py
@@ -0,0 +1,158 @@
+"""Passes online requests through the gate to the upstream."""
+
+from __future__ import annotations
+
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from geventhttpclient.response import HTTPParseError
+from result import Err
+
+from wigeonpier.errors import ErrorKind, Ran, Refusal
+from wigeonpier.web import headers
+from wigeonpier.web.client import CallFailure
+from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
+from wigeonpier.web.sse import is_text_line
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wigeonpier.local.gate import Gate
+    from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.web.client import HttpCaller, StreamReply
+    from wigeonpier.web.messages import Request
+
+DEFAULT_DEADLINE_MS = 120_000
+MILLISECONDS = 1000
+SERVER_ERROR = 500
+PASSED_HEADERS = ('content-type', 'accept', 'traceparent')
+
+
+@dataclass(frozen=True, slots=True)
+class OnlinePath:
+    """What the online path of a local process is made of.
+
+    :param gate: decides when a request starts.
+    :param caller: connections to the upstream.
+    :param upstream: ``host:port`` of the upstream.
+    :param metrics: numbers of this process.
+    :param service: service that the upstream is a replica of.
+    """
+
+    gate: Gate
+    caller: HttpCaller
+    upstream: str
+    metrics: Metrics
+    service: str
+
+
+def answer_online(path: OnlinePath, request: Request, target: str) -> Response:
+    """Pass one request to the upstream.
+
+    :param path: parts of the way.
+    :param request: request of an entry process.
+    :param target: path at the upstream.
+    :returns: the upstream's answer.
+    :raises Refusal: when it did not run, or it is not known whether it did.
+    """
+    if not path.gate.is_open:
+        raise Refusal(ErrorKind.leaving, 'this upstream is leaving')
+    body = request.read_body()
+    arrived = time.monotonic()
+    patience_ms = request.headers.get(headers.DEADLINE_MS, DEFAULT_DEADLINE_MS)
+    deadline = arrived + int(patience_ms) / MILLISECONDS
+    held = ExitStack()
+    try:
+        held.enter_context(path.gate.hold_online(deadline))
+        path.metrics.observe(
+            'queueing',
+            time.monotonic() - arrived,
+            service=path.service,
+            work='online',
+        )
+        reply = _open_upstream(path, request, target, body, deadline)
+        held.callback(reply.close)
+        return _make_response(path, reply, held)
+    except BaseException:
+        held.close()
+        raise
+
+
+def _open_upstream(
+    path: OnlinePath,
+    request: Request,
+    target: str,
+    body: bytes,
+    deadline: float,
+) -> StreamReply:
+    passed = {
+        name: request.headers[name]
+        for name in PASSED_HEADERS
+        if name in request.headers
+    }
+    passed[headers.REQUEST_ID] = request.identity
+    if request.span:
+        passed['traceparent'] = request.span.traceparent
+    opened = path.caller.open(
+        path.upstream,
+        request.method,
+        target,
+        body,
+        headers=passed,
+        patience=_round_patience(deadline - time.monotonic()),
+    )
+    if isinstance(opened, Err):
+        if opened.err_value is CallFailure.not_sent:
+            raise Refusal(ErrorKind.no_upstream, 'the upstream is down')
+        raise Refusal(ErrorKind.upstream_lost, 'the upstream was lost')
+    return opened.ok_value
+
+
+def _make_response(
+    path: OnlinePath,
+    reply: StreamReply,
+    held: ExitStack,
+) -> Response:
+    content_type = reply.get_header('content-type')
+    if content_type.startswith(EVENT_STREAM_TYPE):
+        return Response(
+            reply.status,
+            _relay(path, reply),
+            content_type,
+            on_close=[held.close],
+        )
+    try:
+        body = reply.read()
+    except (OSError, HTTPParseError) as error:
+        raise Refusal(ErrorKind.upstream_lost, 'the answer broke off') from (
+            error
+        )
+    if reply.status >= SERVER_ERROR:
+        raise Refusal(
+            ErrorKind.upstream_failed,
+            f'the upstream answered {reply.status}',
+            ran=Ran.unknown,
+        )
+    held.close()
+    return Response(reply.status, body, content_type)
+
+
+def _relay(path: OnlinePath, reply: StreamReply) -> Iterator[bytes]:
+    last = 0.0
+    for line in reply.iterate_lines():
+        if is_text_line(line):
+            now = time.monotonic()
+            if last:
+                path.gate.note_gap(now - last)
+            last = now
+        yield line
+
+
+def _round_patience(seconds: float) -> float:
+    # Connections are kept by patience; a few values share them.
+    for step in (1, 5, 30, 120):
+        if seconds <= step:
+            return step
+    return 600
--- /dev/null
+++ b/src/wigeonpier/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes live, and what they tell each other."""
--- /dev/null
+++ b/src/wigeonpier/membership/messages.py
@@ -0,0 +1,125 @@
+"""What processes tell each other in heartbeats."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+from wigeonpier.batch.claims import Claim
+from wigeonpier.batch.models import Job
+
+
+class Role(StrEnum):
+    """What a process does."""
+
+    entry = 'entry'
+    local = 'local'
+
+
+class DiskReport(msgspec.Struct, frozen=True):
+    """A data folder.
+
+    :param incarnation: its id.
+    :param address: ``host:port`` of its process.
+    :param data_centre: where it stands.
+    :param free_bytes: room that is left.
+    """
+
+    incarnation: str
+    address: str
+    data_centre: str
+    free_bytes: int
+
+
+class UpstreamReport(msgspec.Struct, frozen=True):
+    """The upstream beside a local process.
+
+    :param service: service that it is a replica of.
+    :param models: models that it serves.
+    :param slots: streams that it runs within its target.
+    :param online: online requests that it has.
+    :param batch: batch items that it has.
+    :param is_well: whether it answers.
+    """
+
+    service: str
+    models: tuple[str, ...]
+    slots: int
+    online: int
+    batch: int
+    is_well: bool
+
+
+class Usage(msgspec.Struct, frozen=True, array_like=True):
+    """What one customer asked of one entry of late.
+
+    :param customer: name of the customer.
+    :param rate: requests a second.
+    """
+
+    customer: str
+    rate: float
+
+
+class Heartbeat(msgspec.Struct, kw_only=True):
+    """What a process says of itself.
+
+    :param name: name of its VM.
+    :param boot: drawn anew at each start.
+    :param role: what it does.
+    :param address: ``host:port`` for peers.
+    :param data_centre: where it stands.
+    :param is_leaving: whether it takes no new work.
+    :param version: configuration that it has in force.
+    :param upstream: the upstream beside it.
+    :param disk: its data folder.
+    :param wants: batch items that it could take on now.
+    :param held: jobs of whose chunks it owns some.
+    :param usage: active customers, from an entry.
+    """
+
+    name: str
+    boot: str
+    role: Role
+    address: str
+    data_centre: str
+    is_leaving: bool
+    version: int
+    upstream: UpstreamReport | None = None
+    disk: DiskReport | None = None
+    wants: int = 0
+    held: tuple[str, ...] = ()
+    usage: tuple[Usage, ...] = ()
+
+
+class Offer(msgspec.Struct, kw_only=True):
+    """A chunk that a local process may claim.
+
+    :param job: the job as the entry knows it.
+    :param chunk: index of the chunk.
+    :param revision: revision of the claim's key, 0 where there is none.
+    :param claim: the claim that is replaced.
+    """
+
+    job: Job
+    chunk: int
+    revision: int
+    claim: Claim | None = None
+
+
+class HeartbeatReply(msgspec.Struct, kw_only=True):
+    """What an entry tells a process.
+
+    :param version: configuration that the entry has in force.
+    :param entries: ``host:port`` of live entries.
+    :param disks: data folders in reach.
+    :param offers: chunks to claim.
+    :param stopped: held jobs that were cancelled.
+    """
+
+    version: int
+    entries: tuple[str, ...]
+    disks: tuple[DiskReport, ...] = ()
+    offers: tuple[Offer, ...] = ()
+    stopped: tuple[str, ...] = ()
--- /dev/null
+++ b/src/wigeonpier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports and adapters of the platform."""
--- /dev/null
+++ b/src/wigeonpier/platform/keys.py
@@ -0,0 +1,71 @@
+"""Names of the keys that the system holds in the key-value service."""
+
+from __future__ import annotations
+
+CONFIGURATION = 'wigeonpier/configuration'
+HISTORY = 'wigeonpier/history/'
+JOBS = 'wigeonpier/jobs/'
+CHUNKS = 'wigeonpier/chunks/'
+RESULTS = 'wigeonpier/results/'
+FILES = 'wigeonpier/files/'
+RESENDS = 'wigeonpier/resends/'
+
+
+def name_job(customer: str, job: str) -> str:
+    """Name the key of a job that is not finished.
+
+    :param customer: whose job it is.
+    :param job: id of the job.
+    :returns: the key.
+    """
+    return f'{JOBS}{customer}/{job}'
+
+
+def name_results(customer: str, job: str) -> str:
+    """Name the key of a finished job.
+
+    :param customer: whose job it is.
+    :param job: id of the job.
+    :returns: the key.
+    """
+    return f'{RESULTS}{customer}/{job}'
+
+
+def name_file(customer: str, file_id: str) -> str:
+    """Name the key of an uploaded file.
+
+    :param customer: whose file it is.
+    :param file_id: id of the file.
+    :returns: the key.
+    """
+    return f'{FILES}{customer}/{file_id}'
+
+
+def name_resend(customer: str, digest: str) -> str:
+    """Name the key that joins resends of one job.
+
+    :param customer: who sent it.
+    :param digest: digest of the idempotency key, or of the request.
+    :returns: the key.
+    """
+    return f'{RESENDS}{customer}/{digest}'
+
+
+def name_chunk(job: str, index: int) -> str:
+    """Name the key of a chunk's claim.
+
+    :param job: id of the job.
+    :param index: position of the chunk in the job.
+    :returns: the key; keys of one job sort by index.
+    """
+    return f'{CHUNKS}{job}/{index:06d}'
+
+
+def parse_chunk(key: str) -> tuple[str, int]:
+    """Take the key of a chunk's claim apart.
+
+    :param key: key that :func:`name_chunk` made.
+    :returns: job id and index.
+    """
+    job, index = key.removeprefix(CHUNKS).split('/')
+    return job, int(index)
--- /dev/null
+++ b/src/wigeonpier/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: state and event in, decision out."""
--- /dev/null
+++ b/src/wigeonpier/policy/attempts.py
@@ -0,0 +1,164 @@
+"""Decides what becomes of a batch item from what its journal says."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from wigeonpier.batch.records import Begin, Failure, Outcome, Ready, Release
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wigeonpier.batch.records import Record
+
+
+class Step(StrEnum):
+    """What to do with an item next."""
+
+    run = 'run'
+    run_alone = 'run_alone'
+    fail = 'fail'
+    settle_unknown = 'settle_unknown'
+    nothing = 'nothing'
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What is durably known of one item.
+
+    :param is_open: begun and neither released, failed nor ended.
+    :param was_alone: the open attempt ran alone.
+    :param losses: attempts during which the owner or upstream was lost.
+    :param lone_losses: those of them in which it ran alone.
+    :param failures: attempts that the upstream answered with a failure.
+    :param last_reason: what the upstream said last.
+    :param outcome: the item's one result.
+    """
+
+    is_open: bool = False
+    was_alone: bool = False
+    losses: int = 0
+    lone_losses: int = 0
+    failures: int = 0
+    last_reason: str = ''
+    outcome: Outcome | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """How often an item is tried.
+
+    :param failures: most failed attempts.
+    :param lone_losses: most losses while it ran alone.
+    """
+
+    failures: int
+    lone_losses: int
+
+
+@dataclass(slots=True)
+class Journal:
+    """What one segment says.
+
+    :param ledgers: one an item; empty where no snapshot is whole.
+    :param is_ready: whether the snapshot at its start is whole.
+    """
+
+    ledgers: list[Ledger] = field(default_factory=list)
+    is_ready: bool = False
+
+
+def apply_record(ledger: Ledger, record: Record) -> None:
+    """Bring a ledger up to date with one record.
+
+    :param ledger: ledger of the record's item, changed in place.
+    :param record: what was written.
+    """
+    match record:
+        case Begin(alone=alone):
+            note_loss(ledger)
+            ledger.is_open = True
+            ledger.was_alone = alone
+        case Release():
+            ledger.is_open = False
+        case Failure(reason=reason):
+            ledger.is_open = False
+            ledger.failures += 1
+            ledger.last_reason = reason
+        case Outcome():
+            ledger.is_open = False
+            # The first result stands; a second one would be a change.
+            ledger.outcome = ledger.outcome or record
+
+
+def fold_segment(records: Iterable[Record], items: int) -> Journal:
+    """Read one segment from its start.
+
+    :param records: its sound records in order.
+    :param items: how many items the chunk has.
+    :returns: ledgers as of its end.
+    """
+    journal = Journal([Ledger() for _ in range(items)])
+    for record in records:
+        if isinstance(record, Ready):
+            journal.is_ready = True
+        else:
+            apply_record(journal.ledgers[record.item], record)
+    return journal
+
+
+def note_loss(ledger: Ledger) -> None:
+    """Note that an item has lost its owner or upstream, if it was open.
+
+    :param ledger: its ledger, changed in place.
+    """
+    if ledger.is_open:
+        ledger.losses += 1
+        ledger.lone_losses += ledger.was_alone
+        ledger.is_open = False
+
+
+def decide_item(ledger: Ledger, idempotent: bool, bounds: Bounds) -> Step:
+    """Decide what to do with an item that is not running.
+
+    :param ledger: what is known of it.
+    :param idempotent: whether it may run more than once.
+    :param bounds: how often it is tried.
+    :returns: the step.
+    """
+    if ledger.outcome is not None:
+        return Step.nothing
+    if not idempotent and (ledger.losses or ledger.failures):
+        return Step.settle_unknown
+    if ledger.failures >= bounds.failures:
+        return Step.fail
+    if ledger.lone_losses >= bounds.lone_losses:
+        return Step.fail
+    if ledger.losses:
+        return Step.run_alone
+    return Step.run
+
+
+def write_snapshot(index: int, ledger: Ledger) -> list[Record]:
+    """Say in records what a ledger knows, for a new segment.
+
+    :param index: position of the item.
+    :param ledger: its ledger.
+    :returns: records that fold to the same ledger.
+    """
+    if ledger.outcome is not None:
+        return [ledger.outcome]
+    records: list[Record] = []
+    for loss in range(ledger.losses):
+        # A begin on top of a begin counts the first one as lost.
+        records.append(Begin(index, loss < ledger.lone_losses))
+    if ledger.losses:
+        records += [Begin(index, alone=False), Release(index)]
+    records += [
+        Failure(index, ledger.last_reason) for _ in range(ledger.failures)
+    ]
+    if ledger.is_open:
+        records.append(Begin(index, ledger.was_alone))
+    return records
--- /dev/null
+++ b/src/wigeonpier/policy/retry.py
@@ -0,0 +1,65 @@
+"""Decides whether a request is sent again, within a budget."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+MOST_TRIES = 3
+BUDGET_SHARE = 0.1
+BUDGET_LEAST = 10.0
+
+
+class Fate(StrEnum):
+    """What is known of a try that gave no good answer."""
+
+    not_run = 'not_run'
+    may_have_run = 'may_have_run'
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Retries that an entry may still make; a share of its requests.
+
+    :param tokens: retries that may be made now.
+    """
+
+    tokens: float = BUDGET_LEAST
+
+    def note_request(self) -> None:
+        """Earn a share of a retry."""
+        self.tokens = min(BUDGET_LEAST, self.tokens + BUDGET_SHARE)
+
+    def note_retry(self) -> None:
+        """Spend one retry."""
+        self.tokens -= 1
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """One try that ended badly.
+
+    :param number: 1 for the first.
+    :param fate: what is known of it.
+    :param idempotent: whether the request may run more than once.
+    :param seconds_left: until the request's deadline.
+    """
+
+    number: int
+    fate: Fate
+    idempotent: bool
+    seconds_left: float
+
+
+def may_retry(last: Try, budget: RetryBudget) -> bool:
+    """Decide whether to try another upstream.
+
+    :param last: the try that ended badly.
+    :param budget: retries that may be made.
+    :returns: false where the caller gets its final answer now.
+    """
+    if last.number >= MOST_TRIES or last.seconds_left <= 0:
+        return False
+    if last.fate is Fate.may_have_run and not last.idempotent:
+        return False
+    return budget.tokens >= 1
--- /dev/null
+++ b/src/wigeonpier/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and the deployment's configuration."""
--- /dev/null
+++ b/src/wigeonpier/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, traces and metrics."""
--- /dev/null
+++ b/src/wigeonpier/telemetry/exporters.py
@@ -0,0 +1,119 @@
+"""Where finished spans go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+from gevent.queue import Full, Queue
+
+from wigeonpier.telemetry.trace import (
+    NANOSECONDS,
+    SpanRecord,
+    ignore_span,
+    open_line_exporter,
+)
+from wigeonpier.web.client import HttpCaller
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+OTLP_PATH = '/v1/traces'
+MOST_QUEUED = 4096
+MOST_SENT = 512
+GATHER_SECONDS = 0.5
+SERVICE_NAME = 'wigeonpier'
+
+
+def choose_exporter(
+    path: str,
+    address: str,
+) -> Callable[[SpanRecord], None]:
+    """Choose where spans go by settings.
+
+    :param path: file for JSON lines, empty for none.
+    :param address: ``host:port`` of an OTLP/HTTP collector, empty for none.
+    :returns: the exporter.
+    """
+    exporters = []
+    if path:
+        exporters.append(open_line_exporter(path))
+    if address:
+        exporters.append(start_otlp_exporter(address))
+    if not exporters:
+        return ignore_span
+
+    def export(record: SpanRecord) -> None:  # noqa: WPS430
+        for exporter in exporters:
+            exporter(record)
+
+    return export
+
+
+def start_otlp_exporter(address: str) -> Callable[[SpanRecord], None]:
+    """Send spans to a collector in the OTLP/HTTP JSON encoding.
+
+    Spans are dropped rather than kept when the collector is slow or down.
+
+    :param address: ``host:port``.
+    :returns: the exporter.
+    """
+    queue: Queue[SpanRecord] = Queue(MOST_QUEUED)
+    caller = HttpCaller()
+
+    def export(record: SpanRecord) -> None:  # noqa: WPS430
+        try:
+            queue.put_nowait(record)
+        except Full:
+            return
+
+    def send() -> None:  # noqa: WPS430
+        while True:
+            records = [queue.get()]
+            gevent.sleep(GATHER_SECONDS)
+            while not queue.empty() and len(records) < MOST_SENT:
+                records.append(queue.get())
+            caller.call(
+                address,
+                'POST',
+                OTLP_PATH,
+                msgspec.json.encode(encode_otlp(records)),
+                headers={'content-type': 'application/json'},
+            )
+
+    gevent.spawn(send)
+    return export
+
+
+def encode_otlp(records: list[SpanRecord]) -> dict[str, Any]:
+    """Encode spans as the published OTLP JSON shape.
+
+    :param records: finished spans.
+    :returns: an ``ExportTraceServiceRequest``.
+    """
+    resource = {'attributes': [_encode_text('service.name', SERVICE_NAME)]}
+    spans = [
+        {
+            'traceId': record.trace_id,
+            'spanId': record.span_id,
+            'parentSpanId': record.parent_id,
+            'name': record.name,
+            'kind': 2,
+            'startTimeUnixNano': str(int(record.started * NANOSECONDS)),
+            'endTimeUnixNano': str(
+                int((record.started + record.seconds) * NANOSECONDS),
+            ),
+            'attributes': [
+                _encode_text(name, text)
+                for name, text in record.attributes.items()
+            ],
+        }
+        for record in records
+    ]
+    scope = {'scope': {'name': SERVICE_NAME}, 'spans': spans}
+    return {'resourceSpans': [{'resource': resource, 'scopeSpans': [scope]}]}
+
+
+def _encode_text(name: str, text: str) -> dict[str, Any]:
+    return {'key': name, 'value': {'stringValue': text}}
--- /dev/null
+++ b/src/wigeonpier/telemetry/logs.py
@@ -0,0 +1,51 @@
+"""Structured logs: one JSON object a line, numbered events only."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import structlog
+
+if TYPE_CHECKING:
+    from wigeonpier.telemetry.events import Event
+
+_LOGGER = structlog.get_logger()
+
+
+def configure_logs(process: str, level: str) -> None:
+    """Send events as JSON lines to standard error.
+
+    :param process: name that each line carries.
+    :param level: lowest level that is written, as in ``logging``.
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso'),
+            structlog.processors.JSONRenderer(serializer=_render),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()],
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    structlog.contextvars.bind_contextvars(process=process)
+
+
+def log_event(event: Event, **fields: Any) -> None:
+    """Write one numbered event.
+
+    :param event: entry of the catalogue.
+    :param fields: what happened, JSON values.
+    """
+    write = getattr(_LOGGER, event.level)
+    write(event.name, number=event.number, **fields)
+
+
+def _render(fields: dict[str, Any], **_options: Any) -> str:
+    return msgspec.json.encode(fields, enc_hook=str).decode()
--- /dev/null
+++ b/src/wigeonpier/telemetry/metrics.py
@@ -0,0 +1,131 @@
+"""Counters, gauges and HDR histograms, shown as Prometheus text."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 95.0, 99.0, 99.9)
+MICROSECONDS = 1_000_000
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """The numbers of one process."""
+
+    def __init__(self) -> None:
+        """Start with no numbers."""
+        self._counters: defaultdict[tuple[str, Labels], float] = defaultdict(
+            float,
+        )
+        self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter.
+
+        :param name: name without prefix.
+        :param amount: what to add.
+        :param labels: label values.
+        """
+        self._counters[name, _sort_labels(labels)] += amount
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a time in a histogram.
+
+        :param name: name without prefix or unit.
+        :param seconds: what was measured.
+        :param labels: label values.
+        """
+        key = (name, _sort_labels(labels))
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms[key] = histogram
+        histogram.record_value(max(LOWEST_US, int(seconds * MICROSECONDS)))
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show a value that is read when the page is asked for.
+
+        :param name: name without prefix.
+        :param read: gives the value.
+        """
+        self._gauges[name] = read
+
+    def get_counter(self, name: str, **labels: str) -> float:
+        """Read one counter.
+
+        :param name: name without prefix.
+        :param labels: label values.
+        :returns: its value, 0 where it was never counted.
+        """
+        return self._counters.get((name, _sort_labels(labels)), 0)
+
+    def get_quantile(self, name: str, share: float, **labels: str) -> float:
+        """Read one quantile of a histogram.
+
+        :param name: name without prefix or unit.
+        :param share: per cent, 0 to 100.
+        :param labels: label values.
+        :returns: seconds, 0 where nothing was observed.
+        """
+        histogram = self._histograms.get((name, _sort_labels(labels)))
+        if histogram is None:
+            return 0
+        return float(histogram.get_value_at_percentile(share)) / MICROSECONDS
+
+    def render(self) -> str:
+        """Show all numbers in the Prometheus text format.
+
+        :returns: the page.
+        """
+        lines = [
+            f'wigeonpier_{name}{_render_labels(labels)} {value}'
+            for (name, labels), value in sorted(self._counters.items())
+        ]
+        lines += [
+            f'wigeonpier_{name} {read()}'
+            for name, read in sorted(self._gauges.items())
+        ]
+        for (name, labels), histogram in sorted(
+            self._histograms.items(),
+            key=lambda entry: entry[0],
+        ):
+            lines += _render_histogram(name, labels, histogram)
+        return '\n'.join(lines) + '\n'
+
+
+def _sort_labels(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
+
+
+def _render_labels(labels: Labels) -> str:
+    if not labels:
+        return ''
+    pairs = ','.join(f'{name}="{value}"' for name, value in labels)
+    return f'{{{pairs}}}'
+
+
+def _render_histogram(
+    name: str,
+    labels: Labels,
+    histogram: HdrHistogram,
+) -> list[str]:
+    full = f'wigeonpier_{name}_seconds'
+    lines = []
+    for share in QUANTILES:
+        with_share = (*labels, ('quantile', str(share / 100)))
+        value = histogram.get_value_at_percentile(share) / MICROSECONDS
+        lines.append(f'{full}{_render_labels(with_share)} {value}')
+    total = histogram.get_total_count()
+    lines.append(f'{full}_count{_render_labels(labels)} {total}')
+    return lines
--- /dev/null
+++ b/src/wigeonpier/telemetry/trace.py
@@ -0,0 +1,123 @@
+"""Trace spans with W3C trace context, one span a hop."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+HEADER = 'traceparent'
+_VERSION = '00'
+_SAMPLED = '01'
+_TRACE_LENGTH = 32
+_SPAN_LENGTH = 16
+_PART_COUNT = 4
+NANOSECONDS = 1_000_000_000
+
+
+@dataclass(slots=True)
+class Span:
+    """One hop of one request.
+
+    :param trace_id: 32 hexadecimal digits, shared by all hops.
+    :param span_id: 16 hexadecimal digits of this hop.
+    :param parent_id: span that called this one, empty for the first.
+    :param name: what the hop does.
+    :param started: seconds since the epoch.
+    :param fields: attributes, text values.
+    """
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    started: float
+    fields: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def traceparent(self) -> str:
+        """Give the header for the next hop."""
+        return f'{_VERSION}-{self.trace_id}-{self.span_id}-{_SAMPLED}'
+
+
+class SpanRecord(msgspec.Struct):
+    """A finished span as one JSON line."""
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    started: float
+    seconds: float
+    attributes: dict[str, str]
+
+
+def start_span(name: str, traceparent: str | None) -> Span:
+    """Begin a span, joined to the caller's trace where there is one.
+
+    :param name: what the hop does.
+    :param traceparent: header of the caller, malformed ones are ignored.
+    :returns: the span.
+    """
+    trace_id, parent_id = _parse_parent(traceparent)
+    return Span(
+        trace_id=trace_id or secrets.token_hex(_TRACE_LENGTH // 2),
+        span_id=secrets.token_hex(_SPAN_LENGTH // 2),
+        parent_id=parent_id,
+        name=name,
+        started=time.time(),
+    )
+
+
+def make_record(span: Span) -> SpanRecord:
+    """Close a span.
+
+    :param span: the span that ends now.
+    :returns: its record.
+    """
+    return SpanRecord(
+        trace_id=span.trace_id,
+        span_id=span.span_id,
+        parent_id=span.parent_id,
+        name=span.name,
+        started=span.started,
+        seconds=time.time() - span.started,
+        attributes=span.fields,
+    )
+
+
+def open_line_exporter(path: str) -> Callable[[SpanRecord], None]:
+    """Write spans to a file, one JSON object a line.
+
+    :param path: file that is appended to.
+    :returns: the exporter.
+    """
+    stream = open(path, 'ab', buffering=0)  # noqa: SIM115
+
+    def export(record: SpanRecord) -> None:  # noqa: WPS430
+        stream.write(msgspec.json.encode(record) + b'\n')
+
+    return export
+
+
+def ignore_span(_record: SpanRecord) -> None:
+    """Export nothing.
+
+    :param _record: a finished span.
+    """
+
+
+def _parse_parent(traceparent: str | None) -> tuple[str, str]:
+    parts = (traceparent or '').split('-')
+    if len(parts) != _PART_COUNT:
+        return '', ''
+    _version, trace_id, span_id, _flags = parts
+    if len(trace_id) != _TRACE_LENGTH or len(span_id) != _SPAN_LENGTH:
+        return '', ''
+    return trace_id, span_id
--- /dev/null
+++ b/src/wigeonpier/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP plumbing that both daemons share."""
--- /dev/null
+++ b/src/wigeonpier/web/filters.py
@@ -0,0 +1,138 @@
+"""Filters that both daemons put before their routes."""
+
+from __future__ import annotations
+
+import hmac
+import time
+import traceback
+from typing import TYPE_CHECKING
+
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.invariants import BrokenPromiseError
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+from wigeonpier.telemetry.trace import HEADER, make_record, start_span
+from wigeonpier.web import headers
+from wigeonpier.web.messages import answer_refusal, make_identity
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.telemetry.trace import Span, SpanRecord
+    from wigeonpier.web.messages import Request, Response
+    from wigeonpier.web.server import Filter, Handler
+
+QUIET_PATHS = frozenset(('/healthz', '/readyz', '/metrics'))
+
+
+def trace_requests(
+    process: str,
+    export: Callable[[SpanRecord], None],
+    metrics: Metrics,
+) -> Filter:
+    """Make the filter that gives each request an id and a span.
+
+    :param process: name of the hop.
+    :param export: takes the finished span.
+    :param metrics: counts answers by status.
+    :returns: the filter.
+    """
+
+    def trace(request: Request, following: Handler) -> Response:  # noqa: WPS430
+        span = start_span(process, request.headers.get(HEADER))
+        request.span = span
+        request.identity = (
+            request.headers.get(headers.REQUEST_ID) or make_identity()
+        )
+        response = following(request)
+        response.headers[headers.REQUEST_ID] = request.identity
+        metrics.count('answers_total', status=str(response.status))
+        span.fields.update(
+            method=request.method,
+            path=request.path,
+            status=str(response.status),
+            request=request.identity,
+        )
+        response.on_close.append(lambda: _finish(span, request, export))
+        return response
+
+    return trace
+
+
+def answer_errors(request: Request, following: Handler) -> Response:
+    """Turn refusals and faults into answers.
+
+    :param request: the request.
+    :param following: the next handler.
+    :returns: the answer, never an exception but for a broken promise.
+    """
+    try:
+        return following(request)
+    except Refusal as refusal:
+        return answer_refusal(refusal)
+    except BrokenPromiseError:
+        raise
+    except Exception:
+        log_event(
+            Event.request_failed,
+            request=request.identity,
+            path=request.path,
+            trace=traceback.format_exc(),
+        )
+        return answer_refusal(
+            Refusal(ErrorKind.internal, f'request {request.identity} failed'),
+        )
+
+
+def limit_bodies(limit: int) -> Filter:
+    """Make the filter that bounds the size of bodies.
+
+    :param limit: most bytes of a body, unless a handler raises it.
+    :returns: the filter.
+    """
+
+    def bound(request: Request, following: Handler) -> Response:  # noqa: WPS430
+        request.body_limit = limit
+        return following(request)
+
+    return bound
+
+
+def require_peer_key(keys: tuple[str, ...], prefixes: tuple[str, ...]) -> Filter:
+    """Make the filter that lets only processes of the system through.
+
+    :param keys: shared keys in force; any of them is taken, so that they
+        can be rotated.
+    :param prefixes: paths that are for peers only.
+    :returns: the filter.
+    """
+
+    def check(request: Request, following: Handler) -> Response:  # noqa: WPS430
+        if request.path.startswith(prefixes):
+            shown = request.headers.get(headers.PEER_KEY, '')
+            if not any(hmac.compare_digest(shown, key) for key in keys):
+                raise Refusal(
+                    ErrorKind.unauthenticated,
+                    f'{headers.PEER_KEY} does not hold a peer key in force',
+                )
+        return following(request)
+
+    return check
+
+
+def _finish(
+    span: Span,
+    request: Request,
+    export: Callable[[SpanRecord], None],
+) -> None:
+    export(make_record(span))
+    if request.path not in QUIET_PATHS:
+        log_event(
+            Event.request_done,
+            request=request.identity,
+            customer=request.customer,
+            path=request.path,
+            status=span.fields['status'],
+            seconds=round(time.time() - span.started, 4),
+        )
