--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -13,7 +13,11 @@
 from result import Err, Ok, Result
 
 from wigeonpier.batch.claims import Claim, Segment, Tally
-from wigeonpier.batch.journal import JournalEnd, JournalEndedError, JournalWriter
+from wigeonpier.batch.journal import (
+    JournalEnd,
+    JournalEndedError,
+    JournalWriter,
+)
 from wigeonpier.batch.models import Job, Line
 from wigeonpier.batch.records import (
     Begin,
@@ -303,8 +307,9 @@
         name_chunk(job, index),
         msgspec.json.encode(claim),
         revision,
-        lambda entry: msgspec.json.decode(entry.value, type=Claim).token
-        == claim.token,
+        lambda entry: (
+            msgspec.json.decode(entry.value, type=Claim).token == claim.token
+        ),
         CLAIM_PATIENCE_SECONDS,
     )
 
@@ -493,9 +498,7 @@
     )
     if page is None:
         raise ChunkProblemError(f'{PAGE_HEAD} {job.file}/{index} answers')
-    lines = [
-        msgspec.json.decode(line, type=Line) for line in page.splitlines()
-    ]
+    lines = [msgspec.json.decode(line, type=Line) for line in page.splitlines()]
     return [
         Item(
             position,
@@ -562,4 +565,3 @@
     if all(workshop.is_gone(copy) for copy in segment.copies):
         return None
     raise ChunkProblemError('no copy of an older segment answers')
-
--- a/src/wigeonpier/batch/claims.py
+++ b/src/wigeonpier/batch/claims.py
@@ -38,10 +38,7 @@
     def items(self) -> int:
         """Count the items."""
         return (
-            self.succeeded
-            + self.failed
-            + self.cancelled
-            + self.outcome_unknown
+            self.succeeded + self.failed + self.cancelled + self.outcome_unknown
         )
 
 
@@ -70,7 +67,9 @@
     :param tallies: one a chunk.
     :returns: their sum.
     """
-    return Tally(*(
-        sum(getattr(tally, name) for tally in tallies)
-        for name in Tally.__struct_fields__
-    ))
+    return Tally(
+        *(
+            sum(getattr(tally, name) for tally in tallies)
+            for name in Tally.__struct_fields__
+        )
+    )
--- a/src/wigeonpier/bench/batching.py
+++ b/src/wigeonpier/bench/batching.py
@@ -157,9 +157,11 @@
         while self.waiting and len(self.running) < self.shape.most_streams:
             sequence = self.waiting.popleft()
             words = sequence.prompt.split()
-            known = self.cache.use(words) if sequence.identity not in (
-                self.kept
-            ) else len(words)
+            known = (
+                self.cache.use(words)
+                if sequence.identity not in (self.kept)
+                else len(words)
+            )
             uncached += len(words) - known + sequence.produced
             self.running.append(sequence)
         return uncached * self.shape.prefill_per_token * self.slowdown
--- a/src/wigeonpier/bench/engine.py
+++ b/src/wigeonpier/bench/engine.py
@@ -149,8 +149,7 @@
         prompt = _read_prompt(body)
         self._misbehave(prompt)
         sequence = Sequence(
-            identity=request.headers.get(headers.REQUEST_ID)
-            or make_identity(),
+            identity=request.headers.get(headers.REQUEST_ID) or make_identity(),
             model=body['model'],
             prompt=prompt,
             length=int(body.get('max_tokens') or DEFAULT_LENGTH),
@@ -224,13 +223,15 @@
         kept = self.batcher.kept.get(identity)
         if kept is None:
             raise Refusal(ErrorKind.not_found, 'the stream is not kept')
-        return answer_json({
-            'identity': kept.identity,
-            'model': kept.model,
-            'prompt': kept.prompt,
-            'length': kept.length,
-            'produced': kept.produced,
-        })
+        return answer_json(
+            {
+                'identity': kept.identity,
+                'model': kept.model,
+                'prompt': kept.prompt,
+                'length': kept.length,
+                'produced': kept.produced,
+            }
+        )
 
     def _import_kv(self, request: Request) -> Response:
         content = msgspec.json.decode(request.read_body())
--- a/src/wigeonpier/bench/faults.py
+++ b/src/wigeonpier/bench/faults.py
@@ -89,4 +89,3 @@
         if self._faults.is_cut(address):
             return Err(CallFailure.lost)
         return opened
-
--- /dev/null
+++ b/src/wigeonpier/bench/load.py
@@ -0,0 +1,326 @@
+"""Sends online requests and batch jobs to entries, and measures answers."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+from geventhttpclient.response import HTTPParseError
+from result import Err
+
+from wigeonpier.bench.answers import make_answer
+from wigeonpier.web.client import HttpCaller, Reply
+from wigeonpier.web.sse import Assembler
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from wigeonpier.bench.arrivals import Arrival
+
+CHAT = '/v1/chat/completions'
+BOUNDARY = 'wigeonpier-bench-boundary'
+PATIENCE_SECONDS = 120.0
+POLL_SECONDS = 0.1
+FINAL = ('completed', 'cancelled')
+
+
+@dataclass(slots=True)
+class Answer:
+    """What became of one online request.
+
+    :param arrival: the request.
+    :param status: HTTP status, 0 where there was none.
+    :param first_token: seconds, ``None`` where none came.
+    :param gaps: seconds between tokens.
+    :param is_right: whether the whole right answer came.
+    :param kind: kind of the error, empty for none.
+    :param ended: seconds from the start of the run.
+    """
+
+    arrival: Arrival
+    status: int = 0
+    first_token: float | None = None
+    gaps: list[float] = field(default_factory=list)
+    is_right: bool = False
+    kind: str = ''
+    ended: float = 0
+
+
+@dataclass(slots=True)
+class Client:
+    """A caller of the published interface.
+
+    :param addresses: entries; they are used in turn.
+    :param key: the customer's key.
+    :param model: model that is asked.
+    """
+
+    addresses: Sequence[str]
+    key: str
+    model: str
+    caller: HttpCaller = field(default_factory=HttpCaller)
+    _turn: int = 0
+
+    def ask(self, arrival: Arrival, started: float = 0) -> Answer:
+        """Send one question and read its streamed answer.
+
+        :param arrival: the question.
+        :param started: monotonic start of the run.
+        :returns: what became of it.
+        """
+        answer = Answer(arrival)
+        asked = time.monotonic()
+        opened = self.caller.open(
+            self._choose(),
+            'POST',
+            CHAT,
+            self.make_body(arrival, is_stream=True),
+            headers=self._make_headers(),
+            patience=PATIENCE_SECONDS,
+        )
+        if isinstance(opened, Err):
+            answer.kind = opened.err_value.value
+            return answer
+        reply = opened.ok_value
+        answer.status = reply.status
+        assembler = Assembler()
+        try:
+            if reply.status != 200:
+                answer.kind = _read_kind(reply.read())
+                return answer
+            last = 0.0
+            for line in reply.iterate_lines():
+                if assembler.feed(line):
+                    now = time.monotonic()
+                    if last:
+                        answer.gaps.append(now - last)
+                    else:
+                        answer.first_token = now - asked
+                    last = now
+        except (OSError, HTTPParseError, msgspec.DecodeError):
+            answer.kind = 'broken'
+        finally:
+            reply.close()
+        expected = make_answer(self.model, arrival.prompt, arrival.length)
+        answer.is_right = assembler.is_whole and assembler.text == expected
+        answer.ended = time.monotonic() - started
+        return answer
+
+    def ask_all(self, arrivals: Sequence[Arrival]) -> list[Answer]:
+        """Send questions at their times and wait for all answers.
+
+        :param arrivals: questions in order of time.
+        :returns: what became of each.
+        """
+        started = time.monotonic()
+        pending = []
+        for arrival in arrivals:
+            gevent.sleep(max(0, started + arrival.at - time.monotonic()))
+            pending.append(gevent.spawn(self.ask, arrival, started))
+        gevent.joinall(pending)
+        return [greenlet.get() for greenlet in pending]
+
+    def make_body(self, arrival: Arrival, *, is_stream: bool) -> bytes:
+        """Make the body of a chat request.
+
+        :param arrival: the question.
+        :param is_stream: whether to stream the answer.
+        :returns: JSON.
+        """
+        body = make_chat(self.model, arrival.prompt, arrival.length)
+        return msgspec.json.encode(body | {'stream': is_stream})
+
+    def upload(self, lines: bytes) -> str:
+        """Upload a batch file.
+
+        :param lines: its content.
+        :returns: id of the file.
+        """
+        form = (
+            f'--{BOUNDARY}\r\nContent-Disposition: form-data; name="purpose"'
+            f'\r\n\r\nbatch\r\n--{BOUNDARY}\r\nContent-Disposition: '
+            'form-data; name="file"; filename="items.jsonl"\r\n\r\n'
+        ).encode()
+        body = b'%b%b\r\n--%b--\r\n' % (form, lines, BOUNDARY.encode())
+        kind = f'multipart/form-data; boundary={BOUNDARY}'
+        reply = self.call('POST', '/v1/files', body, {'content-type': kind})
+        return str(_read_good(reply)['id'])
+
+    def create_batch(
+        self,
+        file_id: str,
+        endpoint: str = CHAT,
+        idempotency_key: str = '',
+        window: str = '24h',
+    ) -> dict[str, Any]:
+        """Create a batch job.
+
+        :param file_id: its input.
+        :param endpoint: path that its lines call.
+        :param idempotency_key: key of a resend, empty for none.
+        :param window: completion window.
+        :returns: the batch.
+        """
+        asked = {
+            'input_file_id': file_id,
+            'endpoint': endpoint,
+            'completion_window': window,
+        }
+        headers = {}
+        if idempotency_key:
+            headers['idempotency-key'] = idempotency_key
+        return _read_good(
+            self.call(
+                'POST',
+                '/v1/batches',
+                msgspec.json.encode(asked),
+                headers,
+            ),
+        )
+
+    def read_batch(self, job: str) -> dict[str, Any]:
+        """Read a batch.
+
+        :param job: its id.
+        :returns: the batch.
+        """
+        return _read_good(self.call('GET', f'/v1/batches/{job}'))
+
+    def cancel_batch(self, job: str) -> dict[str, Any]:
+        """Cancel a batch.
+
+        :param job: its id.
+        :returns: the batch.
+        """
+        return _read_good(self.call('POST', f'/v1/batches/{job}/cancel'))
+
+    def await_batch(self, job: str, seconds: float) -> dict[str, Any]:
+        """Wait until a batch has ended.
+
+        :param job: its id.
+        :param seconds: longest wait.
+        :returns: the batch as it is then.
+        """
+        give_up = time.monotonic() + seconds
+        batch: dict[str, Any] = {'status': 'unknown'}
+        while time.monotonic() < give_up:
+            reply = self.call('GET', f'/v1/batches/{job}')
+            if reply is not None and reply.is_good:
+                batch = msgspec.json.decode(reply.body)
+                if batch['status'] in FINAL:
+                    return batch
+            gevent.sleep(POLL_SECONDS)
+        return batch
+
+    def read_results(self, batch: dict[str, Any]) -> list[dict[str, Any]]:
+        """Read all results of a batch that has ended.
+
+        :param batch: the batch.
+        :returns: lines of its output and error files.
+        """
+        lines = []
+        for name in ('output_file_id', 'error_file_id'):
+            if batch.get(name):
+                reply = self.call('GET', f'/v1/files/{batch[name]}/content')
+                if reply is None or not reply.is_good:
+                    raise RuntimeError(f'{name} cannot be read: {reply}')
+                lines += reply.body.splitlines()
+        return [msgspec.json.decode(line) for line in lines]
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> Reply | None:
+        """Send any call.
+
+        :param method: HTTP method.
+        :param path: path with query.
+        :param body: whole body.
+        :param headers: further headers.
+        :returns: the answer, ``None`` where there was none.
+        """
+        called = self.caller.call(
+            self._choose(),
+            method,
+            path,
+            body,
+            headers=self._make_headers() | (headers or {}),
+            patience=PATIENCE_SECONDS,
+        )
+        return None if isinstance(called, Err) else called.ok_value
+
+    def _choose(self) -> str:
+        self._turn += 1
+        return self.addresses[self._turn % len(self.addresses)]
+
+    def _make_headers(self) -> dict[str, str]:
+        return {
+            'authorization': f'Bearer {self.key}',
+            'content-type': 'application/json',
+        }
+
+
+def make_chat(model: str, prompt: str, length: int) -> dict[str, Any]:
+    """Make the body of a chat request.
+
+    :param model: model that is asked.
+    :param prompt: what is asked.
+    :param length: tokens of the answer.
+    :returns: the body.
+    """
+    return {
+        'model': model,
+        'messages': [{'role': 'user', 'content': prompt}],
+        'max_tokens': length,
+    }
+
+
+def make_lines(
+    model: str,
+    prompts: Sequence[str],
+    length: int,
+    *,
+    idempotent: bool | None = None,
+) -> bytes:
+    """Make a batch file.
+
+    :param model: model that is asked.
+    :param prompts: one an item; the item's id is its position.
+    :param length: tokens of each answer.
+    :param idempotent: what each line says, ``None`` to say nothing.
+    :returns: JSON lines.
+    """
+    lines = []
+    for number, prompt in enumerate(prompts):
+        line: dict[str, Any] = {
+            'custom_id': f'item-{number}',
+            'method': 'POST',
+            'url': CHAT,
+            'body': make_chat(model, prompt, length),
+        }
+        if idempotent is not None:
+            line['idempotent'] = idempotent
+        lines.append(msgspec.json.encode(line))
+    return b'\n'.join(lines) + b'\n'
+
+
+def _read_kind(body: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(body)['error']['type'])
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return 'unreadable'
+
+
+def _read_good(reply: Reply | None) -> dict[str, Any]:
+    if reply is None:
+        raise ConnectionError('no answer')
+    if not reply.is_good:
+        raise RuntimeError(f'{reply.status}: {reply.body[:500]!r}')
+    decoded: dict[str, Any] = msgspec.json.decode(reply.body)
+    return decoded
--- a/src/wigeonpier/bench/platform.py
+++ b/src/wigeonpier/bench/platform.py
@@ -111,12 +111,14 @@
         :param address: ``host:port`` of its process.
         :param data_centre: where it stands.
         """
-        self.vms.append({
-            'name': name,
-            'address': address,
-            'data_centre': data_centre,
-            'state': 'live',
-        })
+        self.vms.append(
+            {
+                'name': name,
+                'address': address,
+                'data_centre': data_centre,
+                'state': 'live',
+            }
+        )
 
     def mark_leaving(self, name: str) -> None:
         """Show a VM as leaving.
--- a/src/wigeonpier/bench/site.py
+++ b/src/wigeonpier/bench/site.py
@@ -197,9 +197,7 @@
         :returns: the first one.
         """
         return next(
-            entry
-            for entry in self.entries.values()
-            if not entry.faults.is_dead
+            entry for entry in self.entries.values() if not entry.faults.is_dead
         )
 
     def add_entry(self, name: str, port: int = 0) -> Entry:
--- /dev/null
+++ b/src/wigeonpier/cli/calls.py
@@ -0,0 +1,107 @@
+"""Calls of the command line to the administration listener."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgspec
+from result import Err
+
+from wigeonpier.web.client import HttpCaller
+from wigeonpier.web.headers import PEER_KEY
+from wigeonpier.web.messages import ErrorPage
+
+if TYPE_CHECKING:
+    import argparse
+
+ADDRESS_VARIABLE = 'WIGEONPIER_ADMIN'
+KEY_VARIABLE = 'WIGEONPIER_KEY'
+DEFAULT_ADDRESS = '127.0.0.1:8101'
+PATIENCE_SECONDS = 30.0
+
+Model = TypeVar('Model')
+
+
+class CommandError(Exception):
+    """A command that failed; its text tells what to do."""
+
+
+def add_connection(parser: argparse.ArgumentParser) -> None:
+    """Declare how to reach the administration listener.
+
+    :param parser: parser of a sub-command.
+    """
+    parser.add_argument(
+        '--admin',
+        default=os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS),
+        help='host:port of an entry\'s administration listener, also from '
+        f'{ADDRESS_VARIABLE} (default: %(default)s)',
+    )
+    parser.add_argument(
+        '--key',
+        default=os.environ.get(KEY_VARIABLE, ''),
+        help=f'operator key, also from {KEY_VARIABLE}',
+    )
+    parser.add_argument(
+        '--json',
+        action='store_true',
+        help='print JSON instead of a table',
+    )
+
+
+def call_admin(
+    parsed: argparse.Namespace,
+    method: str,
+    path: str,
+    content: Any = None,
+) -> bytes:
+    """Call the administration listener.
+
+    :param parsed: options with the connection.
+    :param method: HTTP method.
+    :param path: path below ``/admin/v1/``.
+    :param content: body, ``None`` for none.
+    :returns: body of a good answer.
+    :raises CommandError: when there is none.
+    """
+    called = HttpCaller({PEER_KEY: parsed.key}).call(
+        parsed.admin,
+        method,
+        f'/admin/v1/{path}',
+        b'' if content is None else msgspec.json.encode(content),
+        patience=PATIENCE_SECONDS,
+    )
+    if isinstance(called, Err):
+        raise CommandError(
+            f'{parsed.admin} does not answer; set --admin to an entry',
+        )
+    reply = called.ok_value
+    if reply.is_good:
+        return reply.body
+    page = reply.decode(ErrorPage)
+    raise CommandError(f'{page.error.type}: {page.error.message}')
+
+
+def write_line(line: str) -> None:
+    """Print one line.
+
+    :param line: the text.
+    """
+    sys.stdout.write(f'{line}\n')
+
+
+def write_table(head: tuple[str, ...], rows: list[tuple[Any, ...]]) -> None:
+    """Print a table with aligned columns.
+
+    :param head: names of the columns.
+    :param rows: cells.
+    """
+    texts = [head, *(tuple(str(cell) for cell in row) for row in rows)]
+    widths = [
+        max(len(row[column]) for row in texts) for column in range(len(head))
+    ]
+    for row in texts:
+        cells = zip(row, widths, strict=True)
+        write_line('  '.join(f'{cell:<{width}}' for cell, width in cells))
--- /dev/null
+++ b/src/wigeonpier/cli/configure.py
@@ -0,0 +1,239 @@
+"""Sub-commands for the configuration."""
+
+from __future__ import annotations
+
+import difflib
+import getpass
+import secrets
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from wigeonpier.cli.calls import (
+    CommandError,
+    add_connection,
+    call_admin,
+    write_line,
+    write_table,
+)
+from wigeonpier.entry.configuration import Accepted, Application
+from wigeonpier.settings.deployment import (
+    Bundle,
+    make_effective,
+    merge_overlay,
+)
+from wigeonpier.settings.document import DocumentError, read_document
+
+if TYPE_CHECKING:
+    import argparse
+
+ACTIONS = ('check', 'diff', 'show', 'apply', 'history')
+SUFFIX = '.jsonc'
+TRIES = 3
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare ``config``.
+
+    :param parser: parser of the sub-command.
+    """
+    parser.add_argument('action', choices=ACTIONS)
+    parser.add_argument('base', nargs='?', help='base file')
+    parser.add_argument(
+        'overlays',
+        nargs='*',
+        help='overlay files; the name of each is its site',
+    )
+    parser.add_argument('--site', default='', help='site for show')
+    parser.add_argument(
+        '--effective',
+        action='store_true',
+        help='show base and overlay merged',
+    )
+    parser.add_argument(
+        '--edited',
+        type=int,
+        help='version that was edited (default: the one in force)',
+    )
+    add_connection(parser)
+    parser.set_defaults(run=run_config)
+
+
+def run_config(parsed: argparse.Namespace) -> int:
+    """Run ``config``.
+
+    :param parsed: options.
+    :returns: exit status.
+    """
+    runners = {
+        'check': _check,
+        'diff': _diff,
+        'show': _show,
+        'apply': _apply,
+        'history': _list_history,
+    }
+    return runners[parsed.action](parsed)
+
+
+def read_files(base: str, overlays: list[str]) -> Bundle:
+    """Read base and overlays, and check each site.
+
+    :param base: base file.
+    :param overlays: overlay files.
+    :returns: a bundle without a version.
+    :raises DocumentError: with every mistake of every file.
+    """
+    bundle = Bundle(
+        version=0,
+        operation='',
+        operator='',
+        base=read_document(base),
+        overlays={
+            Path(path).name.removesuffix(SUFFIX): read_document(path)
+            for path in overlays
+        },
+    )
+    problems: list[str] = []
+    for site, source in (('', base), *_name_sources(overlays)):
+        try:
+            make_effective(bundle, site)
+        except DocumentError as error:
+            problems += [
+                f'{source}: {problem.partition(": ")[2]}'
+                for problem in error.problems
+            ]
+    if problems:
+        raise DocumentError(problems)
+    return bundle
+
+
+def _name_sources(overlays: list[str]) -> list[tuple[str, str]]:
+    return [
+        (Path(path).name.removesuffix(SUFFIX), path) for path in overlays
+    ]
+
+
+def _require_base(parsed: argparse.Namespace) -> Bundle:
+    if not parsed.base:
+        raise CommandError(f'config {parsed.action} needs a base file')
+    return read_files(parsed.base, parsed.overlays)
+
+
+def _check(parsed: argparse.Namespace) -> int:
+    bundle = _require_base(parsed)
+    write_line(f'good, with {len(bundle.overlays)} overlays')
+    return 0
+
+
+def _diff(parsed: argparse.Namespace) -> int:
+    bundle = _require_base(parsed)
+    current = _read_current(parsed)
+    for line in render_diff(current, bundle):
+        write_line(line)
+    return 0
+
+
+def _show(parsed: argparse.Namespace) -> int:
+    current = _read_current(parsed)
+    if current is None:
+        raise CommandError('no configuration is in force yet; apply one')
+    content: Any = current.base
+    overlay = current.overlays.get(parsed.site, {})
+    if parsed.effective:
+        content = merge_overlay(content, overlay)
+    elif parsed.site:
+        content = overlay
+    write_line(_render(content))
+    return 0
+
+
+def _apply(parsed: argparse.Namespace) -> int:
+    bundle = _require_base(parsed)
+    current = _read_current(parsed)
+    newest = current.version if current else 0
+    asked = Application(
+        edited=newest if parsed.edited is None else parsed.edited,
+        operation=secrets.token_hex(8),
+        operator=getpass.getuser(),
+        base=bundle.base,
+        overlays=bundle.overlays,
+    )
+    try:
+        raw = _send(parsed, asked)
+    except CommandError as error:
+        if str(error).startswith('conflict'):
+            _show_conflict(parsed, bundle)
+        raise
+    accepted = msgspec.json.decode(raw, type=Accepted)
+    write_line(f'version {accepted.version} is accepted')
+    return 0
+
+
+def _send(parsed: argparse.Namespace, asked: Application) -> bytes:
+    """Send an application; the same operation may be sent again."""
+    for _ in range(TRIES):
+        try:
+            return call_admin(parsed, 'POST', 'configuration', asked)
+        except CommandError as error:
+            if not str(error).startswith('outcome_unknown'):
+                raise
+    raise CommandError(
+        f'it is not known whether operation {asked.operation} was accepted; '
+        'look at config history',
+    )
+
+
+def _show_conflict(parsed: argparse.Namespace, bundle: Bundle) -> None:
+    for line in render_diff(bundle, _read_current(parsed)):
+        write_line(line)
+
+
+def _list_history(parsed: argparse.Namespace) -> int:
+    raw = call_admin(parsed, 'GET', 'configuration/history')
+    if parsed.json:
+        write_line(raw.decode())
+        return 0
+    bundles = msgspec.json.decode(raw, type=list[Bundle])
+    write_table(
+        ('version', 'operator', 'operation'),
+        [
+            (bundle.version, bundle.operator, bundle.operation)
+            for bundle in bundles
+        ],
+    )
+    return 0
+
+
+def _read_current(parsed: argparse.Namespace) -> Bundle | None:
+    raw = call_admin(parsed, 'GET', 'configuration')
+    return msgspec.json.decode(raw, type=Bundle | None)
+
+
+def render_diff(old: Bundle | None, new: Bundle | None) -> list[str]:
+    """Show what differs between two configurations.
+
+    :param old: first one, ``None`` for none.
+    :param new: second one.
+    :returns: lines of a unified diff.
+    """
+    texts = [
+        _render({'base': bundle.base, 'overlays': bundle.overlays})
+        if bundle
+        else ''
+        for bundle in (old, new)
+    ]
+    return list(
+        difflib.unified_diff(
+            texts[0].splitlines(),
+            texts[1].splitlines(),
+            'old',
+            'new',
+            lineterm='',
+        ),
+    )
+
+
+def _render(content: Any) -> str:
+    raw = msgspec.json.encode(content, order='sorted')
+    return msgspec.json.format(raw, indent=2).decode()
--- a/src/wigeonpier/disk/routes.py
+++ b/src/wigeonpier/disk/routes.py
@@ -177,9 +177,9 @@
 
 
 def _list_ages(folder: DataFolder, _request: Request) -> Response:
-    return answer_json([
-        SegmentAge(*name, age) for name, age in folder.list_ages().items()
-    ])
+    return answer_json(
+        [SegmentAge(*name, age) for name, age in folder.list_ages().items()]
+    )
 
 
 def _is_meant(folder: DataFolder, request: Request) -> bool:
--- a/src/wigeonpier/entry/admin.py
+++ b/src/wigeonpier/entry/admin.py
@@ -178,10 +178,12 @@
         for finished in self._read_all():
             tallies = by_customer.setdefault(finished.job.customer, [])
             tallies.append(finished.tally)
-        return answer_json([
-            UsagePage(customer, len(tallies), add_tallies(tallies))
-            for customer, tallies in sorted(by_customer.items())
-        ])
+        return answer_json(
+            [
+                UsagePage(customer, len(tallies), add_tallies(tallies))
+                for customer, tallies in sorted(by_customer.items())
+            ]
+        )
 
     def drain(self, _request: Request, name: str) -> Response:
         """Give a VM no new work.
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -146,7 +146,11 @@
         parts.caller,
         lambda: _index_disks(directory),
     )
-    board = JobBoard(clock, lambda: _list_weights(parts))
+    board = JobBoard(
+        clock,
+        lambda: _list_weights(parts),
+        directory.list_entries,
+    )
     desk = JobDesk(parts.platform, board)
     limits = CustomerLimits(clock, lambda: len(directory.list_entries()))
     ring = KeyRing()
@@ -163,6 +167,7 @@
     peers = PeerDesk(parts.holder, directory, board, limits, parts.caller)
     server = _build_server(parts, ring, online, files, peers)
     configuration = ConfigurationDesk(parts.platform, parts.holder)
+    board.address = server.address
     admin = _build_admin(parts, AdminDesk(configuration, directory, desk))
     keeper = JobKeeper(
         board,
@@ -324,4 +329,3 @@
         name: customer.weight
         for name, customer in parts.holder.deployment.customers.items()
     }
-
--- a/src/wigeonpier/entry/board.py
+++ b/src/wigeonpier/entry/board.py
@@ -89,6 +89,8 @@
 
     :param clock: gives monotonic seconds.
     :param weights: gives the share of each customer.
+    :param list_entries: gives the addresses of live entries.
+    :param address: this entry's.
     :param jobs: by id.
     :param ages: silence of segments as the data folders told, by job,
         chunk and fencing number: seconds, and when it was told.
@@ -97,6 +99,8 @@
 
     clock: Callable[[], float]
     weights: Callable[[], dict[str, float]]
+    list_entries: Callable[[], list[str]] = list
+    address: str = ''
     jobs: dict[str, HeldJob] = field(default_factory=dict)
     ages: dict[tuple[str, int, int], tuple[float, float]] = field(
         default_factory=dict,
@@ -275,7 +279,7 @@
     def _iterate_offers(self, held_job: HeldJob) -> Iterator[Offer]:
         job = held_job.job
         now = self.clock()
-        for index in range(len(job.pages)):
+        for index in self._order_chunks(job):
             held = held_job.claims.get(index)
             offered = self._offered.get((job.id, index))
             if offered is not None and now - offered < OFFER_SECONDS:
@@ -290,6 +294,20 @@
                     claim=held.claim,
                 )
 
+    def _order_chunks(self, job: Job) -> list[int]:
+        """Put this entry's part of the chunks first.
+
+        Entries that offered in one order would send their local processes
+        after the same claims.
+        """
+        entries = self.list_entries()
+        place = entries.index(self.address) if self.address in entries else 0
+        count = max(1, len(entries))
+        return sorted(
+            range(len(job.pages)),
+            key=lambda index: (index % count != place, index),
+        )
+
     def _is_free(self, job: str, index: int, held: HeldClaim) -> bool:
         if held.claim.is_done:
             return False
--- a/src/wigeonpier/entry/configuration.py
+++ b/src/wigeonpier/entry/configuration.py
@@ -113,9 +113,7 @@
         if current is not None:
             newest = msgspec.json.decode(current.value, type=Bundle)
             bundles = [
-                bundle
-                for bundle in bundles
-                if bundle.version != newest.version
+                bundle for bundle in bundles if bundle.version != newest.version
             ]
             bundles.append(newest)
         return bundles
--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -404,11 +404,13 @@
 
 
 def _render_error(refusal: Refusal) -> bytes:
-    page = msgspec.json.encode({
-        'error': {
-            'type': refusal.kind.value,
-            'message': refusal.message,
-            'ran': refusal.ran.value,
-        },
-    })
+    page = msgspec.json.encode(
+        {
+            'error': {
+                'type': refusal.kind.value,
+                'message': refusal.message,
+                'ran': refusal.ran.value,
+            },
+        }
+    )
     return b'data: %b\n\n' % page
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -226,10 +226,12 @@
         gevent.sleep(AGES_SECONDS)
         self.board.forget_ages()
         if self.board.jobs:
-            gevent.joinall([
-                gevent.spawn(self._poll_disk, disk.address)
-                for disk in self.directory.list_disks()
-            ])
+            gevent.joinall(
+                [
+                    gevent.spawn(self._poll_disk, disk.address)
+                    for disk in self.directory.list_disks()
+                ]
+            )
 
     def _poll_disk(self, address: str) -> None:
         for told in self.disks.list_ages(address) or ():
@@ -238,10 +240,12 @@
 
 
 def _cancel_items(chunk: Chunk) -> None:
-    chunk.write(*(
-        make_error(item, Status.cancelled, 'the job was cancelled')
-        for item in (*chunk.ready, *chunk.suspects)
-    ))
+    chunk.write(
+        *(
+            make_error(item, Status.cancelled, 'the job was cancelled')
+            for item in (*chunk.ready, *chunk.suspects)
+        )
+    )
 
 
 def _total_results(job: Job, claims: Iterable[Claim]) -> Tally:
--- a/src/wigeonpier/entry/uploads.py
+++ b/src/wigeonpier/entry/uploads.py
@@ -11,8 +11,12 @@
 
 import msgspec
 import xxhash
-from multipart import MultipartError, MultipartSegment, PushMultipartParser
-from multipart import parse_options_header
+from multipart import (
+    MultipartError,
+    MultipartSegment,
+    PushMultipartParser,
+    parse_options_header,
+)
 
 from wigeonpier.batch.models import (
     CHAT_PATH,
--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -57,71 +57,82 @@
     help_text: str
 
 
-ANSWERS = MappingProxyType({
-    ErrorKind.invalid_request: Answer(
-        400, Ran.no, None, 'Correct the request; the message names the field.'
-    ),
-    ErrorKind.body_too_large: Answer(
-        413, Ran.no, None, 'Send a smaller body; the message gives the limit.'
-    ),
-    ErrorKind.unauthenticated: Answer(
-        401, Ran.no, None, 'Send a valid key as a bearer token.'
-    ),
-    ErrorKind.forbidden: Answer(
-        403, Ran.no, None, 'Ask an operator for the role that is named.'
-    ),
-    ErrorKind.not_found: Answer(
-        404, Ran.no, None, 'Check the path and the id.'
-    ),
-    ErrorKind.method_not_allowed: Answer(
-        405, Ran.no, None, 'Use a method that the path takes.'
-    ),
-    ErrorKind.model_not_found: Answer(
-        404, Ran.no, None, 'Use a model that /v1/models lists.'
-    ),
-    ErrorKind.key_reused: Answer(
-        409, Ran.no, None, 'Use a new Idempotency-Key for a new request.'
-    ),
-    ErrorKind.conflict: Answer(
-        409, Ran.no, None, 'Read the current state and decide again.'
-    ),
-    ErrorKind.limit_reached: Answer(
-        429, Ran.no, 1, 'Slow down, or ask for a higher limit.'
-    ),
-    ErrorKind.overloaded: Answer(
-        503, Ran.no, 1, 'Try again after the time given.'
-    ),
-    ErrorKind.leaving: Answer(
-        503, Ran.no, 1, 'The process is leaving; try another.'
-    ),
-    ErrorKind.not_ready: Answer(
-        503, Ran.no, 2, 'The process has no configuration yet.'
-    ),
-    ErrorKind.no_upstream: Answer(
-        503, Ran.no, 2, 'No upstream of the service takes work now.'
-    ),
-    ErrorKind.platform_down: Answer(
-        503, Ran.no, 10, 'The key-value service does not answer.'
-    ),
-    ErrorKind.storage_down: Answer(
-        503, Ran.no, 5, 'Too few data folders can be reached.'
-    ),
-    ErrorKind.deadline_passed: Answer(
-        504, Ran.no, None, 'The deadline passed before work was started.'
-    ),
-    ErrorKind.upstream_lost: Answer(
-        502, Ran.unknown, 1, 'The upstream was lost; resend idempotent work.'
-    ),
-    ErrorKind.upstream_failed: Answer(
-        502, Ran.unknown, 1, 'The upstream failed; resend idempotent work.'
-    ),
-    ErrorKind.outcome_unknown: Answer(
-        503, Ran.unknown, 2, 'Resend with the same Idempotency-Key.'
-    ),
-    ErrorKind.internal: Answer(
-        500, Ran.unknown, None, 'Report the trace id to the operators.'
-    ),
-})
+ANSWERS = MappingProxyType(
+    {
+        ErrorKind.invalid_request: Answer(
+            400,
+            Ran.no,
+            None,
+            'Correct the request; the message names the field.',
+        ),
+        ErrorKind.body_too_large: Answer(
+            413,
+            Ran.no,
+            None,
+            'Send a smaller body; the message gives the limit.',
+        ),
+        ErrorKind.unauthenticated: Answer(
+            401, Ran.no, None, 'Send a valid key as a bearer token.'
+        ),
+        ErrorKind.forbidden: Answer(
+            403, Ran.no, None, 'Ask an operator for the role that is named.'
+        ),
+        ErrorKind.not_found: Answer(
+            404, Ran.no, None, 'Check the path and the id.'
+        ),
+        ErrorKind.method_not_allowed: Answer(
+            405, Ran.no, None, 'Use a method that the path takes.'
+        ),
+        ErrorKind.model_not_found: Answer(
+            404, Ran.no, None, 'Use a model that /v1/models lists.'
+        ),
+        ErrorKind.key_reused: Answer(
+            409, Ran.no, None, 'Use a new Idempotency-Key for a new request.'
+        ),
+        ErrorKind.conflict: Answer(
+            409, Ran.no, None, 'Read the current state and decide again.'
+        ),
+        ErrorKind.limit_reached: Answer(
+            429, Ran.no, 1, 'Slow down, or ask for a higher limit.'
+        ),
+        ErrorKind.overloaded: Answer(
+            503, Ran.no, 1, 'Try again after the time given.'
+        ),
+        ErrorKind.leaving: Answer(
+            503, Ran.no, 1, 'The process is leaving; try another.'
+        ),
+        ErrorKind.not_ready: Answer(
+            503, Ran.no, 2, 'The process has no configuration yet.'
+        ),
+        ErrorKind.no_upstream: Answer(
+            503, Ran.no, 2, 'No upstream of the service takes work now.'
+        ),
+        ErrorKind.platform_down: Answer(
+            503, Ran.no, 10, 'The key-value service does not answer.'
+        ),
+        ErrorKind.storage_down: Answer(
+            503, Ran.no, 5, 'Too few data folders can be reached.'
+        ),
+        ErrorKind.deadline_passed: Answer(
+            504, Ran.no, None, 'The deadline passed before work was started.'
+        ),
+        ErrorKind.upstream_lost: Answer(
+            502,
+            Ran.unknown,
+            1,
+            'The upstream was lost; resend idempotent work.',
+        ),
+        ErrorKind.upstream_failed: Answer(
+            502, Ran.unknown, 1, 'The upstream failed; resend idempotent work.'
+        ),
+        ErrorKind.outcome_unknown: Answer(
+            503, Ran.unknown, 2, 'Resend with the same Idempotency-Key.'
+        ),
+        ErrorKind.internal: Answer(
+            500, Ran.unknown, None, 'Report the trace id to the operators.'
+        ),
+    }
+)
 
 
 class Refusal(Exception):  # noqa: N818
--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -83,6 +83,7 @@
         self.parts.address = self.server.address
         self.parts.holder.listen(self._use)
         self.watch.start()
+        self.worker.on_low = self.reporter.hurry
         self.worker.start()
         self.reporter.on_reply = self._take_reply
         self.reporter.start()
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -33,6 +33,8 @@
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wigeonpier.local.upstream import UpstreamWatch
     from wigeonpier.membership.messages import Offer
     from wigeonpier.telemetry.metrics import Metrics
@@ -63,6 +65,10 @@
     go: Signal = field(default_factory=Signal)
 
 
+def _ignore_low() -> None:
+    """Do nothing before a reporter listens."""
+
+
 @dataclass(slots=True)
 class Worker:
     """Owns chunks and runs their items while the gate lets it.
@@ -73,6 +79,7 @@
     :param workshop: what owners of chunks use; made anew by configuration.
     :param metrics: numbers of this process.
     :param chunks: chunks in work by job and index.
+    :param on_low: called when work at hand runs out.
     :param is_open: false once the process leaves.
     """
 
@@ -82,6 +89,7 @@
     workshop: Workshop
     metrics: Metrics
     chunks: dict[tuple[str, int], Chunk] = field(default_factory=dict)
+    on_low: Callable[[], None] = _ignore_low
     is_open: bool = True
     _claiming: set[tuple[str, int]] = field(default_factory=set)
     _paused: deque[Turn] = field(default_factory=deque)
@@ -175,7 +183,7 @@
             self._claim_or_fail(offer)
         except (ChunkProblemError, JournalEndedError) as problem:
             log_event(
-                Event.chunk_failed,
+                Event.chunk_not_opened,
                 job=offer.job.id,
                 chunk=offer.chunk,
                 problem=str(problem),
@@ -258,6 +266,8 @@
 
     def _start_from(self, chunk: Chunk) -> bool:
         if chunk.ready:
+            if len(chunk.ready) == 1:
+                self.on_low()
             item = chunk.ready[0]
             if not self.gate.may_start_batch(
                 is_one_run=not item.is_idempotent,
@@ -302,8 +312,7 @@
         is_stream = _can_stream(chunk.job)
         run = Run(
             identity=(
-                f'{chunk.job.id}-{chunk.index}-{item.index}-'
-                f'{chunk.claim.fence}'
+                f'{chunk.job.id}-{chunk.index}-{item.index}-{chunk.claim.fence}'
             ),
             path=_find_path(chunk.job),
             body=prepare_body(bytes(item.line.body), is_stream),
--- a/src/wigeonpier/membership/directory.py
+++ b/src/wigeonpier/membership/directory.py
@@ -162,11 +162,13 @@
 
         :returns: names, sorted.
         """
-        return sorted({
-            model
-            for state in self.upstreams.values()
-            for model in state.models
-        })
+        return sorted(
+            {
+                model
+                for state in self.upstreams.values()
+                for model in state.models
+            }
+        )
 
     def _note_upstream(
         self,
--- a/src/wigeonpier/membership/reporter.py
+++ b/src/wigeonpier/membership/reporter.py
@@ -88,14 +88,18 @@
         targets = self._choose_targets(heartbeat)
         raw = msgspec.json.encode(heartbeat)
         # Only one entry is asked for work, so that offers do not add up.
-        quiet = msgspec.json.encode(msgspec.structs.replace(
-            heartbeat,
-            wants=0,
-        ))
-        gevent.joinall([
-            gevent.spawn(self._beat_to, target, quiet if rank else raw)
-            for rank, target in enumerate(targets)
-        ])
+        quiet = msgspec.json.encode(
+            msgspec.structs.replace(
+                heartbeat,
+                wants=0,
+            )
+        )
+        gevent.joinall(
+            [
+                gevent.spawn(self._beat_to, target, quiet if rank else raw)
+                for rank, target in enumerate(targets)
+            ]
+        )
 
     def _run(self) -> None:
         self.beat()
--- a/src/wigeonpier/policy/ranking.py
+++ b/src/wigeonpier/policy/ranking.py
@@ -16,7 +16,10 @@
     """
     return sorted(
         names,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode()), name),
+        key=lambda name: (
+            xxhash.xxh3_64_intdigest(f'{key}\0{name}'.encode()),
+            name,
+        ),
         reverse=True,
     )
 
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -33,6 +33,7 @@
     item_suspect = (606, 'warning', 'An item was running when work was lost.')
     batch_preempted = (607, 'info', 'Batch work gave way to online work.')
     chunk_failed = (608, 'error', 'Work on a chunk stopped on an error.')
+    chunk_not_opened = (609, 'info', 'An offered chunk could not be taken.')
     disk_opened = (700, 'info', 'A data folder is in use.')
     disk_refused = (701, 'warning', 'A data folder refused an append.')
     journal_repaired = (702, 'warning', 'A torn tail was cut off a journal.')
--- a/src/wigeonpier/web/filters.py
+++ b/src/wigeonpier/web/filters.py
@@ -99,7 +99,9 @@
     return bound
 
 
-def require_peer_key(keys: tuple[str, ...], prefixes: tuple[str, ...]) -> Filter:
+def require_peer_key(
+    keys: tuple[str, ...], prefixes: tuple[str, ...]
+) -> Filter:
     """Make the filter that lets only processes of the system through.
 
     :param keys: shared keys in force; any of them is taken, so that they
