--- a/src/wigeonpier/bench/batching.py
+++ b/src/wigeonpier/bench/batching.py
@@ -5,6 +5,7 @@
 import time
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from errno import ECONNRESET
 from typing import TYPE_CHECKING
 
 import gevent
@@ -131,7 +132,7 @@
     def crash(self) -> None:
         """Lose every stream and all memory."""
         for sequence in (*self.running, *self.waiting):
-            sequence.tokens.put(EngineGoneError('the engine crashed'))
+            sequence.tokens.put(EngineGoneError(ECONNRESET, 'the engine crashed'))
         self.running.clear()
         self.waiting.clear()
         self.kept.clear()
--- a/src/wigeonpier/bench/engine.py
+++ b/src/wigeonpier/bench/engine.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from errno import ECONNRESET
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -126,7 +127,7 @@
         """
         request.body_limit = MOST_BODY
         if self.is_down:
-            raise ConnectionResetError
+            raise ConnectionResetError(ECONNRESET, 'the process is gone')
         routes = [
             make_route('POST', '/v1/(chat/)?completions', self._complete),
             make_route('GET', '/v1/models', self._list_models),
@@ -311,7 +312,7 @@
         if CRASH_MARK in prompt:
             self.prompt_starts[prompt] += 1
             self.crash()
-            raise EngineGoneError
+            raise EngineGoneError(ECONNRESET, 'the engine crashed')
 
 
 def _answer_health(_request: Request) -> Response:
--- a/src/wigeonpier/bench/faults.py
+++ b/src/wigeonpier/bench/faults.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from errno import ECONNRESET
+
 from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event as Signal
@@ -50,7 +52,7 @@
         def serve(request: Request) -> Response:  # noqa: WPS430
             self.wait()
             if self.is_dead:
-                raise ConnectionResetError
+                raise ConnectionResetError(ECONNRESET, 'the process is gone')
             return handler(request)
 
         return serve
--- a/src/wigeonpier/bench/site.py
+++ b/src/wigeonpier/bench/site.py
@@ -111,6 +111,7 @@
     :param seed: draws what the stand-ins draw.
     :param shape: how fast engines are.
     :param batch: settings of batch jobs that differ from the example.
+    :param trace_file: file for spans of all processes, empty for none.
     """
 
     plan: SitePlan
@@ -118,6 +119,7 @@
     seed: int = 0
     shape: EngineShape = field(default_factory=EngineShape)
     batch: dict[str, Any] = field(default_factory=dict)
+    trace_file: str = ''
     platform: StandInPlatform = field(init=False)
     catalogue: StandInCatalogue = field(default_factory=StandInCatalogue)
     entries: dict[str, Entry] = field(default_factory=dict)
@@ -217,6 +219,7 @@
             peer_keys=(PEER_KEY,),
             data_folder=str(self.folder / name) if has_disk else '',
             entries=self.list_addresses(),
+            trace_file=self.trace_file,
         )
         faults = ProcessFaults()
         app = build_entry(settings, faults.make_caller)
@@ -340,6 +343,7 @@
             entries=self.list_addresses(),
             upstream=upstream,
             service=service,
+            trace_file=self.trace_file,
         )
         faults = ProcessFaults()
         app = build_local(settings, faults.make_caller)
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -64,6 +64,7 @@
 ADMIN_PATHS = ('/admin/',)
 ENTRY_FAN_OUT = 64
 VM_LIST_SECONDS = 1.0
+ITSELF_SECONDS = 0.25
 
 
 @dataclass(slots=True)
@@ -160,6 +161,7 @@
         settings.entries,
         ENTRY_FAN_OUT,
         lambda: _describe(parts, limits),
+        parts.platform.list_vms,
     )
     forwarder = Forwarder(directory, parts.caller, parts.metrics, parts.draw)
     online = OnlineDesk(parts.holder, forwarder, limits, settings.data_centre)
@@ -296,7 +298,7 @@
     """Keep this entry in its own view of the fleet, without a call."""
     app.directory.note_heartbeat(_describe(app.parts, app.limits))
     app.reporter.learn_entries(app.directory.list_entries())
-    gevent.sleep(1)
+    gevent.sleep(ITSELF_SECONDS)
 
 
 def _watch_vms(app: EntryApp) -> None:
--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -83,6 +83,7 @@
         self.parts.address = self.server.address
         self.parts.holder.listen(self._use)
         self.watch.start()
+        self.watch.on_change = self.reporter.hurry
         self.worker.on_low = self.reporter.hurry
         self.worker.start()
         self.reporter.on_reply = self._take_reply
@@ -149,6 +150,7 @@
         settings.entries,
         FAN_OUT,
         lambda: _describe(parts, gate, watch, worker),
+        parts.platform.list_vms,
     )
     worker = Worker(
         gate,
--- a/src/wigeonpier/local/upstream.py
+++ b/src/wigeonpier/local/upstream.py
@@ -29,6 +29,10 @@
     data: list[_ModelEntry]
 
 
+def _ignore_change() -> None:
+    """Do nothing before a reporter listens."""
+
+
 @dataclass(slots=True)
 class UpstreamWatch:
     """What is known of the upstream.
@@ -38,6 +42,8 @@
     :param find_kind: gives the kind of its service.
     :param is_well: whether it answered last.
     :param models: models that it serves.
+    :param on_change: called when it falls ill, is well again, or serves
+        other models.
     """
 
     caller: HttpCaller
@@ -45,6 +51,7 @@
     find_kind: Callable[[], ServiceKind]
     is_well: bool = False
     models: tuple[str, ...] = ()
+    on_change: Callable[[], None] = _ignore_change
 
     def start(self) -> None:
         """Begin to watch."""
@@ -55,7 +62,10 @@
 
         :returns: whether it answers.
         """
+        before = (self.is_well, self.models)
         self.is_well = self._ask_health() and self._ask_models()
+        if (self.is_well, self.models) != before:
+            self.on_change()
         return self.is_well
 
     def _run(self) -> None:
--- a/src/wigeonpier/membership/reporter.py
+++ b/src/wigeonpier/membership/reporter.py
@@ -8,7 +8,7 @@
 import gevent
 import msgspec
 from gevent.event import Event as Signal
-from result import Err
+from result import Err, Result
 
 from wigeonpier.loops import spawn_loop
 from wigeonpier.membership.messages import (
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wigeonpier.platform.port import Failure, Vm
     from wigeonpier.settings.holder import ConfigurationHolder
     from wigeonpier.web.client import HttpCaller
 
@@ -55,6 +56,7 @@
         seeds: tuple[str, ...],
         fan_out: int,
         describe: Callable[[], Heartbeat],
+        list_vms: Callable[[], Result[tuple[Vm, ...], Failure]],
     ) -> None:
         """Beat to at most ``fan_out`` entries, chosen by this VM's name."""
         self.neighbours = Neighbours(seeds)
@@ -64,6 +66,7 @@
         self._seeds = seeds
         self._fan_out = fan_out
         self._describe = describe
+        self._list_vms = list_vms
         self._sooner = Signal()
 
     def start(self) -> None:
@@ -75,31 +78,37 @@
 
         :param entries: ``host:port`` of live entries.
         """
-        known = set(self.neighbours.entries) | set(entries)
-        self.neighbours.entries = tuple(sorted(known))
+        known = set(self.neighbours.entries)
+        if set(entries) - known:
+            self.hurry()
+        self.neighbours.entries = tuple(sorted(known | set(entries)))
 
     def hurry(self) -> None:
         """Beat now rather than at the end of the period."""
         self._sooner.set()
 
     def beat(self) -> None:
-        """Send one heartbeat to each chosen entry and wait for answers."""
+        """Send one heartbeat to each chosen entry and take in the answers."""
         heartbeat = self._describe()
         targets = self._choose_targets(heartbeat)
         raw = msgspec.json.encode(heartbeat)
         # Only one entry is asked for work, so that offers do not add up.
         quiet = msgspec.json.encode(
-            msgspec.structs.replace(
-                heartbeat,
-                wants=0,
-            )
-        )
-        gevent.joinall(
-            [
-                gevent.spawn(self._beat_to, target, quiet if rank else raw)
-                for rank, target in enumerate(targets)
-            ]
+            msgspec.structs.replace(heartbeat, wants=0),
         )
+        workers = {
+            target: gevent.spawn(self._beat_to, target, quiet if rank else raw)
+            for rank, target in enumerate(targets)
+        }
+        gevent.joinall(list(workers.values()))
+        replies = {
+            target: worker.value
+            for target, worker in workers.items()
+            if worker.value is not None
+        }
+        self._learn(replies)
+        for reply in replies.values():
+            self.on_reply(reply)
 
     def _run(self) -> None:
         self.beat()
@@ -108,11 +117,21 @@
         self._sooner.clear()
 
     def _choose_targets(self, heartbeat: Heartbeat) -> list[str]:
-        known = set(self.neighbours.entries or self._seeds)
+        known = set(self.neighbours.entries or self._find_more())
         known.discard(heartbeat.address)
         return choose_subset(sorted(known), heartbeat.name, self._fan_out)
 
-    def _beat_to(self, target: str, raw: bytes) -> None:
+    def _find_more(self) -> tuple[str, ...]:
+        """Look for entries where none that is known answers.
+
+        The VM list does not tell an entry from other processes; those do
+        not take heartbeats.
+        """
+        listed = self._list_vms()
+        addresses = () if isinstance(listed, Err) else listed.ok_value
+        return (*self._seeds, *(vm.address for vm in addresses))
+
+    def _beat_to(self, target: str, raw: bytes) -> HeartbeatReply | None:
         called = self._caller.call(
             target,
             'POST',
@@ -122,23 +141,22 @@
         )
         if isinstance(called, Err) or not called.ok_value.is_good:
             log_event(Event.heartbeat_failed, entry=target)
-            self._forget(target)
-            return
-        reply = called.ok_value.decode(HeartbeatReply)
-        self.neighbours.entries = reply.entries or self.neighbours.entries
-        if reply.disks:
-            self.neighbours.disks = {
-                disk.incarnation: disk for disk in reply.disks
-            }
-        if reply.version > self._holder.version:
-            self._fetch_configuration(target)
-        self.on_reply(reply)
-
-    def _forget(self, target: str) -> None:
-        rest = tuple(
-            entry for entry in self.neighbours.entries if entry != target
-        )
-        self.neighbours.entries = rest or self._seeds
+            return None
+        return called.ok_value.decode(HeartbeatReply)
+
+    def _learn(self, replies: dict[str, HeartbeatReply]) -> None:
+        entries = set(replies)
+        for target, reply in replies.items():
+            entries.update(reply.entries)
+            if reply.disks:
+                self.neighbours.disks = {
+                    disk.incarnation: disk for disk in reply.disks
+                }
+            if reply.version > self._holder.version:
+                self._fetch_configuration(target)
+        if entries - set(self.neighbours.entries):
+            self.hurry()
+        self.neighbours.entries = tuple(sorted(entries))
 
     def _fetch_configuration(self, target: str) -> None:
         called = self._caller.call(target, 'GET', CONFIGURATION_PATH)
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -15,6 +15,7 @@
     work_cut = (103, 'error', 'The drain limit passed with work in hand.')
     request_done = (200, 'info', 'A request got its final answer.')
     request_failed = (201, 'error', 'A request ended on an internal error.')
+    request_broken = (204, 'warning', 'A connection broke under an answer.')
     request_retried = (202, 'info', 'A request goes to another upstream.')
     stream_resumed = (203, 'warning', 'A stream goes on at another upstream.')
     upstream_added = (300, 'info', 'An upstream is routed to.')
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -13,6 +13,8 @@
 from gevent import pywsgi
 
 from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.messages import Request, Response, answer_refusal
 
 if TYPE_CHECKING:
@@ -94,6 +96,17 @@
     return dispatch
 
 
+class _Handler(pywsgi.WSGIHandler):
+    """Logs broken connections as events instead of traces."""
+
+    def _log_error(self, kind: type, error: Exception, _trace: Any) -> None:
+        log_event(
+            Event.request_broken,
+            path=self.environ.get('PATH_INFO', ''),
+            problem=f'{kind.__name__}: {error}',
+        )
+
+
 class Server:
     """Listens on one address and counts what is in hand."""
 
@@ -107,6 +120,7 @@
             self._serve,
             log=None,
             error_log=None,
+            handler_class=_Handler,
         )
 
     @property
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out like the sources."""
