--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,22 +26,18 @@
     Ready,
     Release,
     Status,
-    decode_records,
 )
-from wigeonpier.disk.client import DiskClient, DiskFailure, read_first
+from wigeonpier.disk.client import DiskClient
 from wigeonpier.invariants import Promise, check_promise
 from wigeonpier.platform.certain import swap_certainly
 from wigeonpier.platform.keys import name_chunk
 from wigeonpier.platform.port import Failure as PlatformFailure
 from wigeonpier.policy.attempts import (
     Bounds,
-    Journal,
     Ledger,
     Step,
     apply_record,
     decide_item,
-    fold_segment,
-    note_loss,
     write_snapshot,
 )
 from wigeonpier.policy.copies import Disk, choose_copies
@@ -57,7 +53,6 @@
 TOKEN_BYTES = 8
 CLAIM_PATIENCE_SECONDS = 5.0
 MOVE_GAP_SECONDS = 0.5
-PAGE_HEAD = 'no copy of page'
 
 
 ItemRecord = Begin | Release | Failure | Outcome
@@ -139,7 +134,8 @@
     @property
     def name(self) -> str:
         """Name the chunk in logs."""
-        return f'{self.job.id}/{self.index}'
+        job = self.job
+        return f'{job.id}/{self.index}'
 
     @property
     def is_settled(self) -> bool:
@@ -153,15 +149,16 @@
         :param alone: whether nothing else of a job runs at the upstream.
         """
         ledger = self.ledgers[item.index]
+        where = f'{self.name} item {item.index}'
         check_promise(
             item.is_idempotent or not (ledger.losses or ledger.is_open),
             Promise.runs_at_most_once,
-            f'{self.name} item {item.index} begins again',
+            f'{where} begins again',
         )
         check_promise(
             ledger.outcome is None,
             Promise.exactly_one_result,
-            f'{self.name} item {item.index} has a result already',
+            f'{where} has a result already',
         )
         self.write(Begin(item.index, alone))
 
@@ -226,26 +223,6 @@
         self.write_claim(released)
         self.journal.close()
 
-    def _plan_item(self, item: Item) -> Outcome | None:
-        ledger = self.ledgers[item.index]
-        step = decide_item(ledger, item.is_idempotent, self.workshop.bounds)
-        match step:
-            case Step.run:
-                self.ready.append(item)
-            case Step.run_alone:
-                log_event(Event.item_suspect, chunk=self.name, item=item.index)
-                self.suspects.append(item)
-            case Step.fail:
-                reason = ledger.last_reason or 'its worker was lost each time'
-                return make_error(item, Status.failed, reason)
-            case Step.settle_unknown:
-                return make_error(
-                    item,
-                    Status.outcome_unknown,
-                    'it may have run and no result is kept',
-                )
-        return None
-
     def recover(
         self,
         journal: JournalWriter,
@@ -262,17 +239,7 @@
         lost = error.lost
         with self.moving:
             while self.journal is journal and not self.is_lost:
-                try:
-                    move_journal(self, lost)
-                except JournalEndedError as error:
-                    lost |= error.lost
-                except ChunkProblemError as problem:
-                    log_event(
-                        Event.chunk_failed,
-                        chunk=self.name,
-                        problem=str(problem),
-                    )
-                    gevent.sleep(MOVE_GAP_SECONDS)
+                lost |= self._try_to_move(lost)
         if self.is_lost:
             raise JournalEndedError(JournalEnd.fenced, frozenset())
 
@@ -294,6 +261,40 @@
             self.revision = wrote.ok_value
         return wrote
 
+    def _try_to_move(self, lost: frozenset[str]) -> frozenset[str]:
+        try:
+            move_journal(self, lost)
+        except JournalEndedError as error:
+            return error.lost
+        except ChunkProblemError as problem:
+            log_event(
+                Event.chunk_failed,
+                chunk=self.name,
+                problem=str(problem),
+            )
+            gevent.sleep(MOVE_GAP_SECONDS)
+        return frozenset()
+
+    def _plan_item(self, item: Item) -> Outcome | None:
+        ledger = self.ledgers[item.index]
+        step = decide_item(ledger, item.is_idempotent, self.workshop.bounds)
+        match step:
+            case Step.run:
+                self.ready.append(item)
+            case Step.run_alone:
+                log_event(Event.item_suspect, chunk=self.name, item=item.index)
+                self.suspects.append(item)
+            case Step.fail:
+                reason = ledger.last_reason or 'its worker was lost each time'
+                return make_error(item, Status.failed, reason)
+            case Step.settle_unknown:
+                return make_error(
+                    item,
+                    Status.outcome_unknown,
+                    'it may have run and no result is kept',
+                )
+        return None
+
 
 def write_claim(
     platform: Platform,
@@ -323,87 +324,6 @@
     )
 
 
-def claim_chunk(
-    workshop: Workshop,
-    job: Job,
-    index: int,
-    previous: Claim | None,
-    revision: int,
-) -> tuple[Claim, int]:
-    """Become the owner of a chunk.
-
-    :param workshop: what owners use.
-    :param job: its job.
-    :param index: position in the job.
-    :param previous: the claim that is replaced.
-    :param revision: its revision, 0 where there is none.
-    :returns: the new claim and its revision.
-    :raises ChunkProblemError: when another owner was faster, or there are too
-        few data folders.
-    """
-    fence = previous.fence + 1 if previous else 1
-    copies = _choose_folders(workshop, f'{job.id}/{index}', frozenset())
-    claim = Claim(
-        owner=workshop.owner,
-        token=draw_token(),
-        fence=fence,
-        segments=(
-            *(previous.segments if previous else ()),
-            Segment(fence, copies),
-        ),
-    )
-    wrote = write_claim(workshop.platform, job.id, index, claim, revision)
-    if isinstance(wrote, Err):
-        raise ChunkProblemError(f'the claim was not written: {wrote.err_value}')
-    event = Event.chunk_taken_over if previous else Event.chunk_claimed
-    log_event(event, job=job.id, chunk=index, fence=fence)
-    return claim, wrote.ok_value
-
-
-def open_chunk(
-    workshop: Workshop,
-    job: Job,
-    index: int,
-    claim: Claim,
-    revision: int,
-) -> Chunk:
-    """Read what is known of a claimed chunk and begin its own segment.
-
-    :param workshop: what owners use.
-    :param job: its job.
-    :param index: position in the job.
-    :param claim: this process's claim.
-    :param revision: its revision.
-    :returns: the chunk, ready to run.
-    :raises ChunkProblemError: when something cannot be read now.
-    :raises JournalEndedError: when a newer owner was faster.
-    """
-    items = _read_items(workshop, job, index)
-    ledgers = _read_ledgers(workshop, job, index, claim, items)
-    segment = claim.segments[-1]
-    journal = JournalWriter(
-        workshop.disks,
-        (job.id, index, segment.fence),
-        segment.copies,
-    )
-    chunk = Chunk(
-        workshop,
-        job,
-        index,
-        claim,
-        revision,
-        journal,
-        items,
-        ledgers,
-    )
-    try:
-        _write_snapshot(journal, ledgers)
-    except JournalEndedError as error:
-        chunk.recover(journal, error)
-    chunk.plan(*items)
-    return chunk
-
-
 def move_journal(chunk: Chunk, lost: frozenset[str]) -> None:
     """Go on in a new segment on other folders after a copy was lost.
 
@@ -414,7 +334,7 @@
     workshop = chunk.workshop
     log_event(Event.copy_lost, chunk=chunk.name, copies=sorted(lost))
     fence = chunk.claim.fence + 1
-    copies = _choose_folders(workshop, chunk.name, lost)
+    copies = choose_folders(workshop, chunk.name, lost)
     claim = msgspec.structs.replace(
         chunk.claim,
         token=draw_token(),
@@ -430,7 +350,7 @@
         (chunk.job.id, chunk.index, fence),
         copies,
     )
-    _write_snapshot(journal, chunk.ledgers)
+    write_snapshots(journal, chunk.ledgers)
     chunk.journal = journal
 
 
@@ -459,10 +379,7 @@
     :returns: the sum.
     """
     outcomes = [ledger.outcome for ledger in ledgers if ledger.outcome]
-    counts = {
-        status.value: sum(outcome.status is status for outcome in outcomes)
-        for status in Status
-    }
+    counts = Counter(outcome.status.value for outcome in outcomes)
     return Tally(
         **counts,
         prompt_tokens=sum(outcome.prompt_tokens for outcome in outcomes),
@@ -478,12 +395,19 @@
     return secrets.token_hex(TOKEN_BYTES)
 
 
-def _choose_folders(
+def choose_folders(
     workshop: Workshop,
     key: str,
     lost: frozenset[str],
 ) -> tuple[str, ...]:
-    """Choose folders for a segment, ones that failed of late last."""
+    """Choose folders for a segment, ones that failed of late last.
+
+    :param workshop: what owners use.
+    :param key: spreads the choice.
+    :param lost: folders that failed just now.
+    :returns: incarnations.
+    :raises ChunkProblemError: when there are too few.
+    """
     disks = workshop.list_disks()
     for avoided in (lost | workshop.disks.list_failing(), lost):
         chosen = choose_copies(disks, key, workshop.copies, avoided)
@@ -492,88 +416,13 @@
     raise ChunkProblemError('too few data folders')
 
 
-def _write_snapshot(journal: JournalWriter, ledgers: list[Ledger]) -> None:
+def write_snapshots(journal: JournalWriter, ledgers: list[Ledger]) -> None:
+    """Begin a segment with all that is known, and mark it whole.
+
+    :param journal: writes the segment.
+    :param ledgers: what is known of each item.
+    """
     snapshot: list[Record] = []
     for index, ledger in enumerate(ledgers):
         snapshot += write_snapshot(index, ledger)
     journal.commit([*snapshot, Ready(len(ledgers))])
-
-
-def _read_items(
-    workshop: Workshop,
-    job: Job,
-    index: int,
-) -> list[Item]:
-    page = read_first(
-        job.copies,
-        lambda copy: workshop.disks.read_page(copy, job.file, index),
-    )
-    if page is None:
-        raise ChunkProblemError(f'{PAGE_HEAD} {job.file}/{index} answers')
-    lines = [msgspec.json.decode(line, type=Line) for line in page.splitlines()]
-    return [
-        Item(
-            position,
-            line,
-            job.idempotent if line.idempotent is None else line.idempotent,
-        )
-        for position, line in enumerate(lines)
-    ]
-
-
-def _read_ledgers(
-    workshop: Workshop,
-    job: Job,
-    index: int,
-    claim: Claim,
-    items: list[Item],
-) -> list[Ledger]:
-    ledgers = [Ledger() for _ in items]
-    gone = 0
-    for segment in reversed(claim.segments[:-1]):
-        journal = _read_segment(workshop, job, index, claim, segment, items)
-        if journal is None:
-            gone += 1
-        elif journal.is_ready:
-            ledgers = journal.ledgers
-            break
-    for ledger in ledgers:
-        note_loss(ledger)
-        if ledger.outcome is None:
-            # Of a segment that is gone it is not known what ran.
-            ledger.losses += gone
-    return ledgers
-
-
-def _read_segment(
-    workshop: Workshop,
-    job: Job,
-    index: int,
-    claim: Claim,
-    segment: Segment,
-    items: list[Item],
-) -> Journal | None:
-    """Fence a segment and read the copy that has most.
-
-    All copies begin alike, and one that is fenced takes no more, so that the
-    longest of those that answer has all that counts.
-    """
-    contents: list[bytes] = []
-    for copy in segment.copies:
-        fenced = workshop.disks.fence(copy, job.id, index, claim.fence)
-        if isinstance(fenced, Err):
-            continue
-        name = (job.id, index, segment.fence)
-        read = workshop.disks.read_segment(copy, name)
-        if isinstance(read, Ok):
-            contents.append(read.ok_value)
-        elif read.err_value is DiskFailure.absent:
-            contents.append(b'')
-    if contents:
-        return fold_segment(
-            decode_records(max(contents, key=len)),
-            len(items),
-        )
-    if all(workshop.is_gone(copy) for copy in segment.copies):
-        return None
-    raise ChunkProblemError('no copy of an older segment answers')
--- a/src/wigeonpier/batch/models.py
+++ b/src/wigeonpier/batch/models.py
@@ -9,7 +9,8 @@
 
 from wigeonpier.batch.claims import Segment, Tally
 
-CustomId = Annotated[str, msgspec.Meta(min_length=1, max_length=512)]
+LONGEST_ID = 512
+CustomId = Annotated[str, msgspec.Meta(min_length=1, max_length=LONGEST_ID)]
 CHAT_PATH = '/v1/chat/completions'
 TEXT_PATH = '/v1/completions'
 
--- /dev/null
+++ b/src/wigeonpier/batch/takeover.py
@@ -0,0 +1,191 @@
+"""Becomes the owner of a chunk: claim, fence, read, go on."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok
+
+from wigeonpier.batch.chunk import (
+    Chunk,
+    ChunkProblemError,
+    Item,
+    Workshop,
+    choose_folders,
+    draw_token,
+    write_claim,
+    write_snapshots,
+)
+from wigeonpier.batch.claims import Claim, Segment
+from wigeonpier.batch.journal import JournalEndedError, JournalWriter
+from wigeonpier.batch.models import Job, Line
+from wigeonpier.batch.records import decode_records
+from wigeonpier.disk.client import DiskFailure, read_first
+from wigeonpier.policy.attempts import (
+    Journal,
+    Ledger,
+    fold_segment,
+    note_loss,
+)
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+
+def claim_chunk(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    previous: Claim | None,
+    revision: int,
+) -> tuple[Claim, int]:
+    """Become the owner of a chunk.
+
+    :param workshop: what owners use.
+    :param job: its job.
+    :param index: position in the job.
+    :param previous: the claim that is replaced.
+    :param revision: its revision, 0 where there is none.
+    :returns: the new claim and its revision.
+    :raises ChunkProblemError: when another owner was faster, or there are too
+        few data folders.
+    """
+    fence = previous.fence + 1 if previous else 1
+    copies = choose_folders(workshop, f'{job.id}/{index}', frozenset())
+    claim = Claim(
+        owner=workshop.owner,
+        token=draw_token(),
+        fence=fence,
+        segments=(
+            *(previous.segments if previous else ()),
+            Segment(fence, copies),
+        ),
+    )
+    wrote = write_claim(workshop.platform, job.id, index, claim, revision)
+    if isinstance(wrote, Err):
+        raise ChunkProblemError(f'the claim was not written: {wrote.err_value}')
+    event = Event.chunk_taken_over if previous else Event.chunk_claimed
+    log_event(event, job=job.id, chunk=index, fence=fence)
+    return claim, wrote.ok_value
+
+
+def open_chunk(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    claim: Claim,
+    revision: int,
+) -> Chunk:
+    """Read what is known of a claimed chunk and begin its own segment.
+
+    :param workshop: what owners use.
+    :param job: its job.
+    :param index: position in the job.
+    :param claim: this process's claim.
+    :param revision: its revision.
+    :returns: the chunk, ready to run.
+    :raises ChunkProblemError: when something cannot be read now.
+    :raises JournalEndedError: when a newer owner was faster.
+    """
+    items = _read_items(workshop, job, index)
+    ledgers = _read_ledgers(workshop, job, index, claim, items)
+    segment = claim.segments[-1]
+    journal = JournalWriter(
+        workshop.disks,
+        (job.id, index, segment.fence),
+        segment.copies,
+    )
+    chunk = Chunk(
+        workshop,
+        job,
+        index,
+        claim,
+        revision,
+        journal,
+        items,
+        ledgers,
+    )
+    try:
+        write_snapshots(journal, ledgers)
+    except JournalEndedError as error:
+        chunk.recover(journal, error)
+    chunk.plan(*items)
+    return chunk
+
+
+def _read_items(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+) -> list[Item]:
+    page = read_first(
+        job.copies,
+        lambda copy: workshop.disks.read_page(copy, job.file, index),
+    )
+    if page is None:
+        raise ChunkProblemError('no copy of the input page answers')
+    lines = [msgspec.json.decode(line, type=Line) for line in page.splitlines()]
+    return [
+        Item(
+            position,
+            line,
+            job.idempotent if line.idempotent is None else line.idempotent,
+        )
+        for position, line in enumerate(lines)
+    ]
+
+
+def _read_ledgers(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    claim: Claim,
+    items: list[Item],
+) -> list[Ledger]:
+    ledgers = [Ledger() for _ in items]
+    gone = 0
+    for segment in reversed(claim.segments[:-1]):
+        journal = _read_segment(workshop, job, index, claim, segment, items)
+        if journal is None:
+            gone += 1
+        elif journal.is_ready:
+            ledgers = journal.ledgers
+            break
+    for ledger in ledgers:
+        note_loss(ledger)
+        if ledger.outcome is None:
+            # Of a segment that is gone it is not known what ran.
+            ledger.losses += gone
+    return ledgers
+
+
+def _read_segment(
+    workshop: Workshop,
+    job: Job,
+    index: int,
+    claim: Claim,
+    segment: Segment,
+    items: list[Item],
+) -> Journal | None:
+    """Fence a segment and read the copy that has most.
+
+    All copies begin alike, and one that is fenced takes no more, so that the
+    longest of those that answer has all that counts.
+    """
+    contents: list[bytes] = []
+    for incarnation in segment.copies:
+        fenced = workshop.disks.fence(incarnation, job.id, index, claim.fence)
+        if isinstance(fenced, Err):
+            continue
+        name = (job.id, index, segment.fence)
+        read = workshop.disks.read_segment(incarnation, name)
+        if isinstance(read, Ok):
+            contents.append(read.ok_value)
+        elif read.err_value is DiskFailure.absent:
+            contents.append(b'')
+    if contents:
+        return fold_segment(
+            decode_records(max(contents, key=len)),
+            len(items),
+        )
+    if all(map(workshop.is_gone, segment.copies)):
+        return None
+    raise ChunkProblemError('no copy of an older segment answers')
--- a/src/wigeonpier/bench/answers.py
+++ b/src/wigeonpier/bench/answers.py
@@ -9,7 +9,8 @@
 
 SYLLABLES = ('ba', 'ko', 'ri', 'tu', 'ne', 'lo', 'sa', 'mi', 'da', 'gu')
 DEFAULT_LENGTH = 16
-SEED_BITS = 64
+WORD_STEP = 7919
+WORD_COUNT = 1009
 
 
 def make_token(model: str, prompt: str, index: int) -> str:
@@ -42,7 +43,7 @@
 
 
 def _pick_word(seed: int, index: int) -> str:
-    return _hash_word((seed + index * 7919) % 1009)
+    return _hash_word((seed + index * WORD_STEP) % WORD_COUNT)
 
 
 def _hash_prompt(model: str, prompt: str) -> int:
--- a/src/wigeonpier/bench/arrivals.py
+++ b/src/wigeonpier/bench/arrivals.py
@@ -75,7 +75,7 @@
     )
     most *= 1 + DIURNAL_DEPTH
     arrivals = []
-    at = 0.0
+    at: float = 0
     while True:
         at += draw.expovariate(most)
         if at >= plan.seconds:
--- a/src/wigeonpier/bench/batching.py
+++ b/src/wigeonpier/bench/batching.py
@@ -132,7 +132,9 @@
     def crash(self) -> None:
         """Lose every stream and all memory."""
         for sequence in (*self.running, *self.waiting):
-            sequence.tokens.put(EngineGoneError(ECONNRESET, 'the engine crashed'))
+            sequence.tokens.put(
+                EngineGoneError(ECONNRESET, 'the engine crashed')
+            )
         self.running.clear()
         self.waiting.clear()
         self.kept.clear()
--- a/src/wigeonpier/bench/engine.py
+++ b/src/wigeonpier/bench/engine.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from errno import ECONNRESET
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -176,7 +177,7 @@
         wants_usage: bool,
     ) -> Response:
         return Response(
-            200,
+            HTTPStatus.OK,
             self._render_stream(sequence, shape, wants_usage),
             EVENT_STREAM_TYPE,
         )
--- a/src/wigeonpier/bench/faults.py
+++ b/src/wigeonpier/bench/faults.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from errno import ECONNRESET
-
 from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event as Signal
@@ -49,7 +48,7 @@
         :returns: the handler to serve.
         """
 
-        def serve(request: Request) -> Response:  # noqa: WPS430
+        def serve(request: Request) -> Response:
             self.wait()
             if self.is_dead:
                 raise ConnectionResetError(ECONNRESET, 'the process is gone')
--- a/src/wigeonpier/bench/platform.py
+++ b/src/wigeonpier/bench/platform.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -201,7 +202,7 @@
         start = _decode(asked['key']).decode()
         end = _decode(asked['range_end']).decode()
         since = int(asked['start_revision'])
-        return Response(200, self._follow(start, end, since))
+        return Response(HTTPStatus.OK, self._follow(start, end, since))
 
     def _list_vms(self, _request: Request) -> Response:
         frozen = self.faults.frozen_vms
--- a/src/wigeonpier/cli/calls.py
+++ b/src/wigeonpier/cli/calls.py
@@ -36,7 +36,7 @@
     parser.add_argument(
         '--admin',
         default=os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS),
-        help='host:port of an entry\'s administration listener, also from '
+        help="host:port of an entry's administration listener, also from "
         f'{ADDRESS_VARIABLE} (default: %(default)s)',
     )
     parser.add_argument(
--- a/src/wigeonpier/cli/configure.py
+++ b/src/wigeonpier/cli/configure.py
@@ -109,9 +109,7 @@
 
 
 def _name_sources(overlays: list[str]) -> list[tuple[str, str]]:
-    return [
-        (Path(path).name.removesuffix(SUFFIX), path) for path in overlays
-    ]
+    return [(Path(path).name.removesuffix(SUFFIX), path) for path in overlays]
 
 
 def _require_base(parsed: argparse.Namespace) -> Bundle:
--- a/src/wigeonpier/cli/demo.py
+++ b/src/wigeonpier/cli/demo.py
@@ -56,8 +56,7 @@
         '--port',
         type=int,
         default=0,
-        help='port of the first entry, 0 for a free one '
-        '(default: %(default)s)',
+        help='port of the first entry, 0 for a free one (default: %(default)s)',
     )
     parser.set_defaults(run=run_demo)
 
--- a/src/wigeonpier/cli/docs.py
+++ b/src/wigeonpier/cli/docs.py
@@ -57,18 +57,20 @@
         f'| {event.number} | {event.name} | {event.level} | {event.meaning} |'
         for event in sorted(Event, key=lambda event: event.number)
     ]
-    return '\n'.join([
-        '# Log events',
-        '',
-        'Each line of a log is a JSON object with `event`, `number`, `level`,',
-        '`timestamp`, `process` and what happened. `wigeonpier docs` writes',
-        'this page from the code.',
-        '',
-        '| number | event | level | meaning |',
-        '| --- | --- | --- | --- |',
-        *rows,
-        '',
-    ])
+    return '\n'.join(
+        [
+            '# Log events',
+            '',
+            'Each line of a log is a JSON object with `event`, `number`, `level`,',
+            '`timestamp`, `process` and what happened. `wigeonpier docs` writes',
+            'this page from the code.',
+            '',
+            '| number | event | level | meaning |',
+            '| --- | --- | --- | --- |',
+            *rows,
+            '',
+        ]
+    )
 
 
 def render_errors() -> str:
@@ -82,17 +84,19 @@
         f'{answer.help_text} |'
         for kind, answer in ANSWERS.items()
     ]
-    return '\n'.join([
-        '# Errors',
-        '',
-        'A refusal has the body `{"error": {"type": KIND, "message": TEXT,',
-        '"ran": "no" or "unknown"}}`. `ran` is `no` only where it is known',
-        'that the work was not run. `Retry-After` is in seconds; where there',
-        'is none, the same request will not succeed later.',
-        '`wigeonpier docs` writes this page from the code.',
-        '',
-        '| kind | status | ran | Retry-After | what to do |',
-        '| --- | --- | --- | --- | --- |',
-        *rows,
-        '',
-    ])
+    return '\n'.join(
+        [
+            '# Errors',
+            '',
+            'A refusal has the body `{"error": {"type": KIND, "message": TEXT,',
+            '"ran": "no" or "unknown"}}`. `ran` is `no` only where it is known',
+            'that the work was not run. `Retry-After` is in seconds; where there',
+            'is none, the same request will not succeed later.',
+            '`wigeonpier docs` writes this page from the code.',
+            '',
+            '| kind | status | ran | Retry-After | what to do |',
+            '| --- | --- | --- | --- | --- |',
+            *rows,
+            '',
+        ]
+    )
--- a/src/wigeonpier/cli/main.py
+++ b/src/wigeonpier/cli/main.py
@@ -20,7 +20,7 @@
     ('jobs', 'batch jobs of all customers', operate.add_jobs),
     ('usage', 'what kept results add up to', operate.add_usage),
     ('drain', 'give a VM no new work', operate.add_drain),
-    ('key', 'draw a customer\'s key', operate.add_key),
+    ('key', "draw a customer's key", operate.add_key),
     ('config', 'check and apply configurations', configure.add_arguments),
     ('demo', 'a whole site on loopback', demo.add_arguments),
     ('docs', 'catalogues in the docs', docs.add_arguments),
--- a/src/wigeonpier/disk/client.py
+++ b/src/wigeonpier/disk/client.py
@@ -34,11 +34,13 @@
     unreachable = 'unreachable'
 
 
-_FAILINGS = frozenset((
-    DiskFailure.broken,
-    DiskFailure.other_folder,
-    DiskFailure.unreachable,
-))
+_FAILINGS = frozenset(
+    (
+        DiskFailure.broken,
+        DiskFailure.other_folder,
+        DiskFailure.unreachable,
+    )
+)
 
 
 class DiskClient:
--- a/src/wigeonpier/disk/folder.py
+++ b/src/wigeonpier/disk/folder.py
@@ -7,14 +7,18 @@
 import shutil
 import time
 from collections import defaultdict
-from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
-import gevent
 from gevent.lock import BoundedSemaphore
 
 from wigeonpier.batch.records import measure_sound_part
+from wigeonpier.disk.storage import (
+    append_lines,
+    call_in_thread,
+    read_if_there,
+    write_whole,
+)
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
@@ -28,6 +32,8 @@
 
 Chunk = tuple[str, int]
 SegmentName = tuple[str, int, int]
+Key = TypeVar('Key', Chunk, SegmentName)
+Kept = TypeVar('Kept')
 
 
 class StaleFenceError(Exception):
@@ -63,7 +69,6 @@
         self._sizes: dict[SegmentName, int] = {}
         self._fences: dict[Chunk, int] = {}
         self._touched: dict[SegmentName, float] = {}
-        self._opened = clock()
         (self._root / PAGES).mkdir(parents=True, exist_ok=True)
         (self._root / SEGMENTS).mkdir(exist_ok=True)
         self.incarnation = self._read_incarnation()
@@ -77,7 +82,7 @@
         :param content: its bytes.
         """
         folder = self._root / PAGES / file_id
-        _in_thread(_write_whole, folder / str(index), content)
+        call_in_thread(write_whole, folder / str(index), content)
 
     def read_page(self, file_id: str, index: int) -> bytes | None:
         """Read one page.
@@ -86,7 +91,7 @@
         :param index: position of the page.
         :returns: its bytes, ``None`` where this folder lacks it.
         """
-        return _read_if_there(self._root / PAGES / file_id / str(index))
+        return read_if_there(self._root / PAGES / file_id / str(index))
 
     def remove_file(self, file_id: str) -> None:
         """Delete all pages of a file.
@@ -101,9 +106,9 @@
         :param job: id of the job.
         """
         shutil.rmtree(self._root / SEGMENTS / job, ignore_errors=True)
-        for cache in (self._sizes, self._touched, self._fences, self._locks):
-            for key in [key for key in cache if key[0] == job]:  # type: ignore[attr-defined]
-                cache.pop(key, None)  # type: ignore[attr-defined]
+        self._sizes = _drop_job(self._sizes, job)
+        self._touched = _drop_job(self._touched, job)
+        self._fences = _drop_job(self._fences, job)
 
     def append(self, name: SegmentName, offset: int, lines: bytes) -> int:
         """Add lines to a segment and force them to disk.
@@ -125,13 +130,13 @@
                 raise StaleFenceError
             size = self._get_size(name)
             end = offset + len(lines)
-            if offset > size or (offset < size < end):
+            if offset > size or offset < size < end:
                 raise WrongOffsetError(size)
             if end > size:
-                _in_thread(_append_lines, self._find_segment(name), lines)
+                call_in_thread(append_lines, self._find_segment(name), lines)
                 self._sizes[name] = end
             self._touched[name] = self._clock()
-            return self._sizes.get(name, size)
+            return max(size, end)
 
     def fence(self, chunk: Chunk, fence: int) -> list[int]:
         """Refuse older owners of a chunk from now on, also after a restart.
@@ -144,8 +149,8 @@
         folder = self._root / SEGMENTS / job / str(index)
         with self._locks[chunk]:
             if fence > self._get_fence(chunk):
-                _in_thread(
-                    _write_whole,
+                call_in_thread(
+                    write_whole,
                     folder / FENCE_FILE,
                     str(fence).encode(),
                 )
@@ -160,7 +165,7 @@
         :param name: job, chunk and fencing number.
         :returns: whole lines, ``None`` where this folder lacks it.
         """
-        content = _read_if_there(self._find_segment(name))
+        content = read_if_there(self._find_segment(name))
         if content is None:
             return None
         return content[: measure_sound_part(content)]
@@ -174,21 +179,6 @@
         now = self._clock()
         return {name: now - seen for name, seen in self._touched.items()}
 
-    def get_age(self, name: SegmentName) -> float:
-        """Tell how long a segment has been silent, as far as is known.
-
-        :param name: job, chunk and fencing number.
-        :returns: seconds; since the process started where nothing came.
-        """
-        return self._clock() - self._touched.get(name, self._opened)
-
-    def forget_segment(self, name: SegmentName) -> None:
-        """Stop reporting the age of a segment whose chunk is done.
-
-        :param name: job, chunk and fencing number.
-        """
-        self._touched.pop(name, None)
-
     def _find_segment(self, name: SegmentName) -> Path:
         job, chunk, fence = name
         return self._root / SEGMENTS / job / str(chunk) / str(fence)
@@ -197,7 +187,7 @@
         if chunk not in self._fences:
             job, index = chunk
             path = self._root / SEGMENTS / job / str(index) / FENCE_FILE
-            self._fences[chunk] = int(_read_if_there(path) or b'0')
+            self._fences[chunk] = int(read_if_there(path) or b'0')
         return self._fences[chunk]
 
     def _get_size(self, name: SegmentName) -> int:
@@ -207,10 +197,10 @@
 
     def _read_incarnation(self) -> str:
         path = self._root / INCARNATION_FILE
-        kept = _read_if_there(path)
+        kept = read_if_there(path)
         if kept is None:
             kept = secrets.token_hex(8).encode()
-            _write_whole(path, kept)
+            write_whole(path, kept)
         return kept.decode()
 
 
@@ -219,20 +209,12 @@
     return time.monotonic()
 
 
-def _in_thread(function: Callable[..., None], *details: object) -> None:
-    # A forced write can take long; the loop serves others meanwhile.
-    gevent.get_hub().threadpool.apply(function, details)
-
-
-def _read_if_there(path: Path) -> bytes | None:
-    try:
-        return path.read_bytes()
-    except FileNotFoundError:
-        return None
+def _drop_job(cache: dict[Key, Kept], job: str) -> dict[Key, Kept]:
+    return {key: kept for key, kept in cache.items() if key[0] != job}
 
 
 def _repair_tail(path: Path) -> int:
-    content = _read_if_there(path)
+    content = read_if_there(path)
     if content is None:
         return 0
     sound = measure_sound_part(content)
@@ -244,49 +226,3 @@
             removed=len(content) - sound,
         )
     return sound
-
-
-def _append_lines(path: Path, lines: bytes) -> None:
-    is_new = not path.exists()
-    path.parent.mkdir(parents=True, exist_ok=True)
-    descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
-    size = os.fstat(descriptor).st_size
-    try:
-        _write_all(descriptor, lines)
-        os.fsync(descriptor)
-    except OSError:
-        # A full disk may have taken a part; it must not stay in between.
-        with suppress(OSError):
-            os.ftruncate(descriptor, size)
-        raise
-    finally:
-        os.close(descriptor)
-    if is_new:
-        _sync_folder(path.parent)
-
-
-def _write_all(descriptor: int, content: bytes) -> None:
-    rest = memoryview(content)
-    while rest:
-        rest = rest[os.write(descriptor, rest) :]
-
-
-def _write_whole(path: Path, content: bytes) -> None:
-    path.parent.mkdir(parents=True, exist_ok=True)
-    fresh = path.with_name(f'{path.name}.{secrets.token_hex(4)}.new')
-    descriptor = os.open(fresh, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o644)
-    try:
-        _write_all(descriptor, content)
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-    fresh.replace(path)
-    _sync_folder(path.parent)
-
-
-def _sync_folder(path: Path) -> None:
-    descriptor = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
--- a/src/wigeonpier/entry/admin.py
+++ b/src/wigeonpier/entry/admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -92,7 +93,7 @@
         :param _request: the operator's.
         :returns: the bundle.
         """
-        return Response(200, self.configuration.holder.raw or b'null')
+        return Response(HTTPStatus.OK, self.configuration.holder.raw or b'null')
 
     def apply(self, request: Request) -> Response:
         """Accept a configuration.
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -251,7 +251,7 @@
 def _make_views(parts: Parts, board: JobBoard) -> tuple[PrefixView, ...]:
     platform, draw = parts.platform, parts.draw
 
-    def note_configuration(change: Change) -> None:  # noqa: WPS430
+    def note_configuration(change: Change) -> None:
         if change.value is not None:
             parts.holder.adopt(change.value)
 
--- a/src/wigeonpier/entry/files.py
+++ b/src/wigeonpier/entry/files.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -86,7 +87,7 @@
             if file_id.startswith(prefix):
                 job = file_id.removeprefix(prefix)
                 lines = self._read_results(request, job, prefix == OUTPUT)
-                return Response(200, lines, JSON_LINES_TYPE)
+                return Response(HTTPStatus.OK, lines, JSON_LINES_TYPE)
         record = self.desk.read_file(request.customer, file_id)
         pages = iterate_pages(
             record.copies,
@@ -94,7 +95,7 @@
             record.id,
             len(record.pages),
         )
-        return Response(200, pages, JSON_LINES_TYPE)
+        return Response(HTTPStatus.OK, pages, JSON_LINES_TYPE)
 
     def create_batch(self, request: Request) -> Response:
         """Accept a job.
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -14,14 +14,13 @@
     Chunk,
     ChunkProblemError,
     Workshop,
-    claim_chunk,
     make_error,
-    open_chunk,
 )
 from wigeonpier.batch.claims import Claim, Tally, add_tallies
 from wigeonpier.batch.journal import JournalEndedError
 from wigeonpier.batch.models import DoneChunk, FinishedJob, JobStatus
 from wigeonpier.batch.records import Status
+from wigeonpier.batch.takeover import claim_chunk, open_chunk
 from wigeonpier.invariants import Promise, check_promise
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform import keys
--- a/src/wigeonpier/entry/peers.py
+++ b/src/wigeonpier/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import gevent
@@ -69,7 +70,7 @@
         """
         if not self.holder.raw:
             raise Refusal(ErrorKind.not_ready, 'no configuration was seen yet')
-        return Response(200, self.holder.raw)
+        return Response(HTTPStatus.OK, self.holder.raw)
 
     def _fetch_configuration(self, address: str) -> None:
         called = self.caller.call(address, 'GET', CONFIGURATION_PATH)
--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from http import HTTPStatus
 from types import MappingProxyType
 
 
@@ -72,49 +73,91 @@
             'Send a smaller body; the message gives the limit.',
         ),
         ErrorKind.unauthenticated: Answer(
-            401, Ran.no, None, 'Send a valid key as a bearer token.'
+            HTTPStatus.UNAUTHORIZED,
+            Ran.no,
+            None,
+            'Send a valid key as a bearer token.',
         ),
         ErrorKind.forbidden: Answer(
-            403, Ran.no, None, 'Ask an operator for the role that is named.'
+            HTTPStatus.FORBIDDEN,
+            Ran.no,
+            None,
+            'Ask an operator for the role that is named.',
         ),
         ErrorKind.not_found: Answer(
-            404, Ran.no, None, 'Check the path and the id.'
+            HTTPStatus.NOT_FOUND, Ran.no, None, 'Check the path and the id.'
         ),
         ErrorKind.method_not_allowed: Answer(
-            405, Ran.no, None, 'Use a method that the path takes.'
+            HTTPStatus.METHOD_NOT_ALLOWED,
+            Ran.no,
+            None,
+            'Use a method that the path takes.',
         ),
         ErrorKind.model_not_found: Answer(
-            404, Ran.no, None, 'Use a model that /v1/models lists.'
+            HTTPStatus.NOT_FOUND,
+            Ran.no,
+            None,
+            'Use a model that /v1/models lists.',
         ),
         ErrorKind.key_reused: Answer(
-            409, Ran.no, None, 'Use a new Idempotency-Key for a new request.'
+            HTTPStatus.CONFLICT,
+            Ran.no,
+            None,
+            'Use a new Idempotency-Key for a new request.',
         ),
         ErrorKind.conflict: Answer(
-            409, Ran.no, None, 'Read the current state and decide again.'
+            HTTPStatus.CONFLICT,
+            Ran.no,
+            None,
+            'Read the current state and decide again.',
         ),
         ErrorKind.limit_reached: Answer(
-            429, Ran.no, 1, 'Slow down, or ask for a higher limit.'
+            HTTPStatus.TOO_MANY_REQUESTS,
+            Ran.no,
+            1,
+            'Slow down, or ask for a higher limit.',
         ),
         ErrorKind.overloaded: Answer(
-            503, Ran.no, 1, 'Try again after the time given.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            1,
+            'Try again after the time given.',
         ),
         ErrorKind.leaving: Answer(
-            503, Ran.no, 1, 'The process is leaving; try another.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            1,
+            'The process is leaving; try another.',
         ),
         ErrorKind.not_ready: Answer(
-            503, Ran.no, 2, 'The process has no configuration yet.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            2,
+            'The process has no configuration yet.',
         ),
         ErrorKind.no_upstream: Answer(
-            503, Ran.no, 2, 'No upstream of the service takes work now.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            2,
+            'No upstream of the service takes work now.',
         ),
         ErrorKind.platform_down: Answer(
-            503, Ran.no, 10, 'The key-value service does not answer.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            10,
+            'The key-value service does not answer.',
         ),
         ErrorKind.storage_down: Answer(
-            503, Ran.no, 5, 'Too few data folders can be reached.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            5,
+            'Too few data folders can be reached.',
         ),
         ErrorKind.deadline_passed: Answer(
-            504, Ran.no, None, 'The deadline passed before work was started.'
+            HTTPStatus.GATEWAY_TIMEOUT,
+            Ran.no,
+            None,
+            'The deadline passed before work was started.',
         ),
         ErrorKind.upstream_lost: Answer(
             502,
@@ -123,13 +166,22 @@
             'The upstream was lost; resend idempotent work.',
         ),
         ErrorKind.upstream_failed: Answer(
-            502, Ran.unknown, 1, 'The upstream failed; resend idempotent work.'
+            HTTPStatus.BAD_GATEWAY,
+            Ran.unknown,
+            1,
+            'The upstream failed; resend idempotent work.',
         ),
         ErrorKind.outcome_unknown: Answer(
-            503, Ran.unknown, 2, 'Resend with the same Idempotency-Key.'
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.unknown,
+            2,
+            'Resend with the same Idempotency-Key.',
         ),
         ErrorKind.internal: Answer(
-            500, Ran.unknown, None, 'Report the trace id to the operators.'
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            Ran.unknown,
+            None,
+            'Report the trace id to the operators.',
         ),
     }
 )
--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -10,6 +10,7 @@
 from wigeonpier.local.engine import Engine
 from wigeonpier.local.gate import Gate
 from wigeonpier.local.online import OnlinePath, answer_online
+from wigeonpier.local.stock import Stock
 from wigeonpier.local.upstream import UpstreamWatch
 from wigeonpier.local.work import Worker
 from wigeonpier.membership.messages import (
@@ -101,20 +102,20 @@
         self.parts.is_leaving = True
         self.gate.is_open = False
         self.reporter.beat()
-        self.worker.leave(seconds)
+        kept = self.worker.leave(seconds)
         left = self.server.drain(max(0, give_up - time.monotonic()))
-        return left + len(self.worker.chunks)
+        return left + kept
 
     def _use(self, deployment: Deployment) -> None:
         service = deployment.services.get(_get_settings(self.parts).service)
         if service is not None:
             self.gate.target_seconds = service.between_tokens_ms / MILLISECONDS
         batch = deployment.batch
-        self.worker.workshop = Workshop(
+        self.worker.stock.workshop = Workshop(
             platform=self.parts.platform,
-            disks=self.worker.workshop.disks,
-            list_disks=self.worker.workshop.list_disks,
-            is_gone=self.worker.workshop.is_gone,
+            disks=self.worker.stock.workshop.disks,
+            list_disks=self.worker.stock.workshop.list_disks,
+            is_gone=self.worker.stock.workshop.is_gone,
             owner=self.parts.settings.name,
             copies=batch.copies,
             least_copies=batch.least_copies,
@@ -122,8 +123,8 @@
         )
 
     def _take_reply(self, reply: HeartbeatReply) -> None:
-        self.worker.take_offers(reply.offers)
-        self.worker.drop_jobs(reply.stopped)
+        self.worker.stock.take_offers(reply.offers)
+        self.worker.stock.drop_jobs(reply.stopped)
 
 
 def build_local(
@@ -156,7 +157,7 @@
         gate,
         Engine(upstream, settings.upstream, gate),
         watch,
-        _make_workshop(parts, reporter),
+        Stock(_make_workshop(parts, reporter)),
         parts.metrics,
     )
     path = OnlinePath(
@@ -177,16 +178,18 @@
 
 
 def _build_server(parts: Parts, path: OnlinePath) -> Server:
-    def complete(request: Request) -> Response:  # noqa: WPS430
+    def complete(request: Request) -> Response:
         return answer_online(path, request, request.path)
 
-    def call_service(  # noqa: WPS430
+    def call_service(
         request: Request,
         _name: str,
         rest: str | None,
     ) -> Response:
-        query = f'?{request.query}' if request.query else ''
-        return answer_online(path, request, f'{rest or "/"}{query}')
+        target = rest or '/'
+        if request.query:
+            target = f'{target}?{request.query}'
+        return answer_online(path, request, target)
 
     routes = [
         make_route('POST', '/v1/(?:chat/)?completions', complete),
@@ -204,7 +207,7 @@
 
 
 def _make_workshop(parts: Parts, reporter: Reporter) -> Workshop:
-    def list_disks() -> list[Disk]:  # noqa: WPS430
+    def list_disks() -> list[Disk]:
         return [
             Disk(
                 report.incarnation,
@@ -254,7 +257,7 @@
         ),
         disk=parts.report_disk(),
         wants=worker.count_wanted(),
-        held=worker.list_held(),
+        held=worker.stock.list_held(),
     )
 
 
--- a/src/wigeonpier/local/gate.py
+++ b/src/wigeonpier/local/gate.py
@@ -22,6 +22,10 @@
 TARGET_SECONDS = 0.028
 
 
+def _ignore_stop() -> None:
+    """Do nothing for a run that cannot be stopped, or has not started."""
+
+
 @dataclass(slots=True, eq=False)
 class BatchStream:
     """A batch item at the upstream.
@@ -34,7 +38,7 @@
 
     slack: float
     is_one_run: bool
-    stop: Callable[[], None]
+    stop: Callable[[], None] = _ignore_stop
     is_stopped: bool = False
 
 
--- /dev/null
+++ b/src/wigeonpier/local/stock.py
@@ -0,0 +1,206 @@
+"""Chunks that this process owns: claimed, finished, handed over, lost."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Ok
+
+from wigeonpier.batch.chunk import Chunk, ChunkProblemError, Workshop
+from wigeonpier.batch.journal import JournalEnd, JournalEndedError
+from wigeonpier.batch.models import Job, JobStatus
+from wigeonpier.batch.takeover import claim_chunk, open_chunk
+from wigeonpier.platform.keys import name_chunk, name_job
+from wigeonpier.platform.port import Failure as PlatformFailure
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.membership.messages import Offer
+    from wigeonpier.platform.port import Entry
+
+FINISH_GAP_SECONDS = 1.0
+LONGEST_FINISH_GAP_SECONDS = 10.0
+
+ChunkKey = tuple[str, int]
+
+
+def _ignore_chunk(_chunk: Chunk) -> None:
+    """Do nothing before a worker listens."""
+
+
+def _ignore_news() -> None:
+    """Do nothing before a worker listens."""
+
+
+@dataclass(slots=True)
+class Stock:
+    """Owns chunks.
+
+    :param workshop: what owners of chunks use; made anew by configuration.
+    :param chunks: chunks in work.
+    :param claiming: chunks that are being claimed.
+    :param is_open: false once the process leaves.
+    :param on_new: called when a chunk is ready to run.
+    :param on_drop: called with a chunk whose runs have to stop.
+    """
+
+    workshop: Workshop
+    chunks: dict[ChunkKey, Chunk] = field(default_factory=dict)
+    claiming: set[ChunkKey] = field(default_factory=set)
+    is_open: bool = True
+    on_new: Callable[[], None] = _ignore_news
+    on_drop: Callable[[Chunk], None] = _ignore_chunk
+
+    def list_held(self) -> tuple[str, ...]:
+        """List jobs of whose chunks this process owns some.
+
+        :returns: ids of jobs.
+        """
+        return tuple(sorted({job for job, _index in self.chunks}))
+
+    def count_ready(self) -> int:
+        """Count the items that could start.
+
+        :returns: items at hand.
+        """
+        return sum(len(chunk.ready) for chunk in self.chunks.values())
+
+    def take_offers(self, offers: tuple[Offer, ...]) -> None:
+        """Claim offered chunks.
+
+        :param offers: chunks from an entry.
+        """
+        for offer in offers:
+            key = (offer.job.id, offer.chunk)
+            if self.is_open and key not in self.claiming | set(self.chunks):
+                self.claiming.add(key)
+                gevent.spawn(self._claim, offer)
+
+    def drop_jobs(self, jobs: tuple[str, ...]) -> None:
+        """Stop work on cancelled jobs at once.
+
+        Their chunks are taken over by an entry, which writes the results.
+
+        :param jobs: ids of jobs.
+        """
+        for chunk in list(self.chunks.values()):
+            if chunk.job.id in jobs:
+                self.let_go(chunk)
+                gevent.spawn(chunk.give_back)
+
+    def let_go(self, chunk: Chunk) -> None:
+        """Own a chunk no more; nothing of it may run or be written.
+
+        :param chunk: the chunk.
+        """
+        chunk.is_lost = True
+        self.chunks.pop(_get_key(chunk), None)
+        self.on_drop(chunk)
+        chunk.journal.close()
+
+    def owns(self, chunk: Chunk) -> bool:
+        """Tell whether a chunk is in work here.
+
+        :param chunk: the chunk.
+        :returns: whether it is.
+        """
+        return self.chunks.get(_get_key(chunk)) is chunk
+
+    def finish_if_settled(self, chunk: Chunk) -> None:
+        """Make the results of a chunk readable once it has all of them.
+
+        :param chunk: the chunk.
+        """
+        if not self.owns(chunk) or not chunk.is_settled:
+            return
+        self.chunks.pop(_get_key(chunk))
+        pause = FINISH_GAP_SECONDS
+        while not _try_to_finish(chunk):
+            # The journal goes on to show that the owner lives meanwhile.
+            gevent.sleep(pause)
+            pause = min(LONGEST_FINISH_GAP_SECONDS, pause * 2)
+        chunk.journal.close()
+
+    def _claim(self, offer: Offer) -> None:
+        try:
+            self._claim_or_fail(offer)
+        except (ChunkProblemError, JournalEndedError) as problem:
+            log_event(
+                Event.chunk_not_opened,
+                job=offer.job.id,
+                chunk=offer.chunk,
+                problem=str(problem),
+            )
+        self.claiming.discard((offer.job.id, offer.chunk))
+        self.on_new()
+
+    def _claim_or_fail(self, offer: Offer) -> None:
+        job = offer.job
+        claim, revision = claim_chunk(
+            self.workshop,
+            job,
+            offer.chunk,
+            offer.claim,
+            offer.revision,
+        )
+        self._check_job(job, offer.chunk, revision)
+        chunk = open_chunk(self.workshop, job, offer.chunk, claim, revision)
+        self.chunks[_get_key(chunk)] = chunk
+        gevent.spawn(self._watch_journal, chunk)
+        self.finish_if_settled(chunk)
+
+    def _check_job(self, job: Job, index: int, revision: int) -> None:
+        """Look at the job after its chunk was claimed.
+
+        Cancelling lists the claims after it marks the job, so that one of
+        the two sees the other.
+        """
+        platform = self.workshop.platform
+        seen = platform.get(name_job(job.customer, job.id))
+        if not isinstance(seen, Ok):
+            raise ChunkProblemError('the job cannot be read')
+        if seen.ok_value is None:
+            platform.swap(name_chunk(job.id, index), None, revision)
+            raise ChunkProblemError('the job is finished')
+        if not _is_running(seen.ok_value):
+            raise ChunkProblemError('the job was cancelled')
+
+    def _watch_journal(self, chunk: Chunk) -> None:
+        """Let a chunk go as soon as a newer owner has fenced it."""
+        while not chunk.is_lost:
+            journal = chunk.journal
+            journal.on_end.wait()
+            ended = journal.ended
+            if ended and ended.end is JournalEnd.fenced:
+                log_event(Event.chunk_lost, chunk=chunk.name)
+                self.let_go(chunk)
+            elif not self.owns(chunk):
+                return
+            else:
+                gevent.sleep(FINISH_GAP_SECONDS)
+
+
+def _try_to_finish(chunk: Chunk) -> bool:
+    finished = chunk.finish()
+    if isinstance(finished, Ok):
+        log_event(Event.chunk_done, chunk=chunk.name)
+        return True
+    if finished.err_value is PlatformFailure.conflict:
+        log_event(Event.chunk_lost, chunk=chunk.name)
+        return True
+    return False
+
+
+def _get_key(chunk: Chunk) -> ChunkKey:
+    return chunk.job.id, chunk.index
+
+
+def _is_running(entry: Entry) -> bool:
+    job = msgspec.json.decode(entry.value, type=Job)
+    return job.status is JobStatus.in_progress
--- a/src/wigeonpier/policy/schedule.py
+++ b/src/wigeonpier/policy/schedule.py
@@ -51,7 +51,7 @@
     for job in jobs:
         in_work[job.customer] = in_work.get(job.customer, 0) + job.items_running
 
-    def rank(job: JobView) -> tuple[int, float, float, str]:  # noqa: WPS430
+    def rank(job: JobView) -> tuple[int, float, float, str]:
         slack = measure_slack(job, now, items_per_second)
         if slack <= URGENT_SHARE * (job.deadline - job.accepted):
             return 0, slack, 0, job.job
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -137,7 +137,7 @@
     :returns: the client.
     """
 
-    def find_address(incarnation: str) -> str | None:  # noqa: WPS430
+    def find_address(incarnation: str) -> str | None:
         report = find_disks().get(incarnation)
         return report.address if report else None
 
@@ -204,7 +204,7 @@
     configure_logs(settings.name, settings.log_level)
     wanted = Signal()
 
-    def note_signal() -> None:  # noqa: WPS430
+    def note_signal() -> None:
         if wanted.is_set():
             log_event(Event.work_cut, why='second signal')
             sys.stderr.flush()
--- a/src/wigeonpier/telemetry/exporters.py
+++ b/src/wigeonpier/telemetry/exporters.py
@@ -44,7 +44,7 @@
     if not exporters:
         return ignore_span
 
-    def export(record: SpanRecord) -> None:  # noqa: WPS430
+    def export(record: SpanRecord) -> None:
         for exporter in exporters:
             exporter(record)
 
@@ -62,13 +62,13 @@
     queue: Queue[SpanRecord] = Queue(MOST_QUEUED)
     caller = HttpCaller()
 
-    def export(record: SpanRecord) -> None:  # noqa: WPS430
+    def export(record: SpanRecord) -> None:
         try:
             queue.put_nowait(record)
         except Full:
             return
 
-    def send() -> None:  # noqa: WPS430
+    def send() -> None:
         while True:
             records = [queue.get()]
             gevent.sleep(GATHER_SECONDS)
--- a/src/wigeonpier/telemetry/trace.py
+++ b/src/wigeonpier/telemetry/trace.py
@@ -100,7 +100,7 @@
     """
     stream = open(path, 'ab', buffering=0)  # noqa: SIM115
 
-    def export(record: SpanRecord) -> None:  # noqa: WPS430
+    def export(record: SpanRecord) -> None:
         stream.write(msgspec.json.encode(record) + b'\n')
 
     return export
--- a/src/wigeonpier/web/filters.py
+++ b/src/wigeonpier/web/filters.py
@@ -39,7 +39,7 @@
     :returns: the filter.
     """
 
-    def trace(request: Request, following: Handler) -> Response:  # noqa: WPS430
+    def trace(request: Request, following: Handler) -> Response:
         span = start_span(process, request.headers.get(HEADER))
         request.span = span
         request.identity = (
@@ -92,7 +92,7 @@
     :returns: the filter.
     """
 
-    def bound(request: Request, following: Handler) -> Response:  # noqa: WPS430
+    def bound(request: Request, following: Handler) -> Response:
         request.body_limit = limit
         return following(request)
 
@@ -110,7 +110,7 @@
     :returns: the filter.
     """
 
-    def check(request: Request, following: Handler) -> Response:  # noqa: WPS430
+    def check(request: Request, following: Handler) -> Response:
         if request.path.startswith(prefixes):
             shown = request.headers.get(headers.PEER_KEY, '')
             if not any(hmac.compare_digest(shown, key) for key in keys):
--- a/src/wigeonpier/web/pages.py
+++ b/src/wigeonpier/web/pages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -49,16 +50,16 @@
     :returns: the routes.
     """
 
-    def show_health(_request: Request) -> Response:  # noqa: WPS430
+    def show_health(_request: Request) -> Response:
         return answer_json(describe())
 
-    def show_ready(_request: Request) -> Response:  # noqa: WPS430
+    def show_ready(_request: Request) -> Response:
         if not is_ready():
             raise Refusal(ErrorKind.not_ready, 'not ready to take work')
         return answer_json(describe())
 
-    def show_metrics(_request: Request) -> Response:  # noqa: WPS430
-        return Response(200, metrics.render().encode(), METRICS_TYPE)
+    def show_metrics(_request: Request) -> Response:
+        return Response(HTTPStatus.OK, metrics.render().encode(), METRICS_TYPE)
 
     metrics.add_gauge('broken_promises', violations.total)
     return [
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -77,7 +77,7 @@
     :returns: the handler.
     """
 
-    def dispatch(request: Request) -> Response:  # noqa: WPS430
+    def dispatch(request: Request) -> Response:
         matches = [
             (route, found)
             for route in routes
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -15,7 +15,6 @@
 sys.path.insert(0, str(Path(__file__).parents[2]))
 
 from tests.builders import Bench  # noqa: E402
-
 from wigeonpier.invariants import violations  # noqa: E402
 from wigeonpier.telemetry.logs import configure_logs  # noqa: E402
 
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -10,14 +10,15 @@
 import gevent
 import msgspec
 from behave import given, then, when
-from tests.builders import wait_for
 
+from tests.builders import wait_for
 from wigeonpier.bench.answers import make_answer
 from wigeonpier.bench.load import Client, make_lines
 from wigeonpier.web.client import HttpCaller
 
 if TYPE_CHECKING:
     from behave.runner import Context
+
     from tests.builders import Bench
 
 LENGTH = 8
@@ -56,11 +57,13 @@
 def accept_credits(context: Context, count: int) -> None:
     bench = context.bench
     lines = [
-        msgspec.json.encode({
-            'custom_id': f'item-{number}',
-            'url': '/services/billing/credits',
-            'body': {'track': f'track {number}'},
-        })
+        msgspec.json.encode(
+            {
+                'custom_id': f'item-{number}',
+                'url': '/services/billing/credits',
+                'body': {'track': f'track {number}'},
+            }
+        )
         for number in range(count)
     ]
     bench.items = count
@@ -94,7 +97,7 @@
     bench = context.bench
     name = wait_for(lambda: _find_busy_owner(bench))
     replica = bench.site.replicas[name]
-    chunks = list(replica.app.worker.chunks.values())
+    chunks = list(replica.app.worker.stock.chunks.values())
     replica.faults.freeze()
     wait_for(lambda: all(_is_taken(bench, chunk) for chunk in chunks), 20)
     replica.faults.thaw()
@@ -254,10 +257,12 @@
     context.reply = client.call(
         'POST',
         '/v1/batches',
-        msgspec.json.encode({
-            'input_file_id': file_id,
-            'endpoint': '/v1/chat/completions',
-        }),
+        msgspec.json.encode(
+            {
+                'input_file_id': file_id,
+                'endpoint': '/v1/chat/completions',
+            }
+        ),
         {'idempotency-key': key},
     )
 
@@ -328,10 +333,12 @@
     reply = context.bench.client.call(
         'POST',
         '/v1/batches',
-        msgspec.json.encode({
-            'input_file_id': 'file-x',
-            'endpoint': '/v1/chat/completions',
-        }),
+        msgspec.json.encode(
+            {
+                'input_file_id': 'file-x',
+                'endpoint': '/v1/chat/completions',
+            }
+        ),
     )
     assert reply.status == 503, reply
     assert msgspec.json.decode(reply.body)['error']['ran'] == ran
@@ -406,7 +413,7 @@
 def _find_busy_owner(bench: Bench) -> str | None:
     for name, replica in bench.site.replicas.items():
         worker = replica.app.worker
-        if worker.chunks and replica.app.gate.batch:
+        if worker.stock.chunks and replica.app.gate.batch:
             return name
     return None
 
@@ -441,5 +448,3 @@
         for replica in bench.all_replicas()
         if replica.engine
     )
-
-
--- a/tests/features/steps/online_steps.py
+++ b/tests/features/steps/online_steps.py
@@ -9,8 +9,8 @@
 import gevent
 import msgspec
 from behave import given, then, when
-from tests.builders import SLOW, wait_for
 
+from tests.builders import SLOW, wait_for
 from wigeonpier.bench.answers import make_answer
 from wigeonpier.bench.arrivals import Arrival
 from wigeonpier.bench.load import BOUNDARY, make_chat, make_lines
@@ -119,7 +119,7 @@
 
     def pay_and_die(request: object) -> None:
         pay(request)
-        raise ConnectionResetError(104, "lost")
+        raise ConnectionResetError(104, 'lost')
 
     catalogue._pay_credit = pay_and_die
     context.reply = _pay(context, track)
@@ -263,10 +263,14 @@
 
 def _upload(context: Context, lines: bytes, purpose: str = 'batch') -> Reply:
     body = (
-        f'--{BOUNDARY}\r\nContent-Disposition: form-data; name="purpose"\r\n'
-        f'\r\n{purpose}\r\n--{BOUNDARY}\r\nContent-Disposition: form-data; '
-        'name="file"; filename="x.jsonl"\r\n\r\n'
-    ).encode() + lines + f'\r\n--{BOUNDARY}--\r\n'.encode()
+        (
+            f'--{BOUNDARY}\r\nContent-Disposition: form-data; name="purpose"\r\n'
+            f'\r\n{purpose}\r\n--{BOUNDARY}\r\nContent-Disposition: form-data; '
+            'name="file"; filename="x.jsonl"\r\n\r\n'
+        ).encode()
+        + lines
+        + f'\r\n--{BOUNDARY}--\r\n'.encode()
+    )
     reply = context.bench.client.call(
         'POST',
         '/v1/files',
