--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -5,6 +5,7 @@
 import secrets
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import gevent
@@ -47,7 +48,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wigeonpier.batch.records import Record
     from wigeonpier.platform.port import Platform
 
 TOKEN_BYTES = 8
@@ -380,10 +380,12 @@
     """
     outcomes = [ledger.outcome for ledger in ledgers if ledger.outcome]
     counts = Counter(outcome.status.value for outcome in outcomes)
+    prompt_tokens = [outcome.prompt_tokens for outcome in outcomes]
+    answer_tokens = [outcome.answer_tokens for outcome in outcomes]
     return Tally(
         **counts,
-        prompt_tokens=sum(outcome.prompt_tokens for outcome in outcomes),
-        answer_tokens=sum(outcome.answer_tokens for outcome in outcomes),
+        prompt_tokens=sum(prompt_tokens),
+        answer_tokens=sum(answer_tokens),
     )
 
 
@@ -422,7 +424,7 @@
     :param journal: writes the segment.
     :param ledgers: what is known of each item.
     """
-    snapshot: list[Record] = []
-    for index, ledger in enumerate(ledgers):
-        snapshot += write_snapshot(index, ledger)
-    journal.commit([*snapshot, Ready(len(ledgers))])
+    snapshots = [
+        write_snapshot(index, ledger) for index, ledger in enumerate(ledgers)
+    ]
+    journal.commit((*chain.from_iterable(snapshots), Ready(len(ledgers))))
--- a/src/wigeonpier/batch/journal.py
+++ b/src/wigeonpier/batch/journal.py
@@ -69,7 +69,7 @@
         self._disks = disks
         self._name = name
         self._lines: list[bytes] = []
-        self._waiter: AsyncResult = AsyncResult()
+        self._waiter: AsyncResult[None] = AsyncResult()
         self._wake = Signal()
         self._ended: JournalEndedError | None = None
         self.on_end = Signal()
@@ -103,8 +103,10 @@
         while self._ended is None:
             self._wake.wait(TOUCH_SECONDS)
             self._wake.clear()
-            lines, self._lines = b''.join(self._lines), []
-            waiter, self._waiter = self._waiter, AsyncResult()
+            lines = b''.join(self._lines)
+            waiter = self._waiter
+            self._lines = []
+            self._waiter = AsyncResult()
             failure = self._write(lines)
             if failure is None:
                 self.size += len(lines)
@@ -144,7 +146,7 @@
         workers = {
             copy: gevent.spawn(self._append, copy, lines) for copy in copies
         }
-        gevent.joinall(workers.values())
+        gevent.joinall(list(workers.values()))
         return {
             copy: worker.value.err_value
             for copy, worker in workers.items()
--- a/src/wigeonpier/batch/results.py
+++ b/src/wigeonpier/batch/results.py
@@ -60,7 +60,7 @@
             if (status is Status.succeeded) == succeeded
         ]
         if wanted:
-            yield b''.join(msgspec.json.encode(line) + b'\n' for line in wanted)
+            yield _render_lines(wanted)
 
 
 def iterate_pages(
@@ -138,6 +138,11 @@
     return [outcomes[index] for index in sorted(outcomes)]
 
 
+def _render_lines(lines: list[ResultLine]) -> bytes:
+    encoded = [msgspec.json.encode(line) for line in lines]
+    return b'\n'.join((*encoded, b''))
+
+
 def _read_chunk(
     finished: FinishedJob,
     disks: DiskClient,
--- a/src/wigeonpier/bench/arrivals.py
+++ b/src/wigeonpier/bench/arrivals.py
@@ -74,7 +74,7 @@
         default=1,
     )
     most *= 1 + DIURNAL_DEPTH
-    arrivals = []
+    arrivals: list[Arrival] = []
     at: float = 0
     while True:
         at += draw.expovariate(most)
--- a/src/wigeonpier/bench/batching.py
+++ b/src/wigeonpier/bench/batching.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from errno import ECONNRESET
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent.event import Event as Signal
@@ -14,6 +14,7 @@
 
 from wigeonpier.bench.answers import make_token
 from wigeonpier.bench.prefixes import PrefixCache
+from wigeonpier.loops import spawn_loop
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -63,7 +64,7 @@
     prompt: str
     length: int
     produced: int = 0
-    tokens: Queue = field(default_factory=Queue)
+    tokens: Queue[Any] = field(default_factory=Queue)
     is_cancelled: bool = False
 
     def iterate_tokens(self) -> Iterator[str]:
@@ -72,7 +73,7 @@
         :yields: tokens in order.
         :raises EngineGoneError: when the engine crashed.
         """
-        while (token := self.tokens.get()) is not END:
+        for token in iter(self.tokens.get, END):
             if isinstance(token, EngineGoneError):
                 raise token
             yield token
@@ -92,7 +93,8 @@
         self.starts: list[tuple[str, str]] = []
         self.tokens_made = 0
         self._fresh = Signal()
-        self._loop = gevent.spawn(self._run)
+        self._due = time.monotonic()
+        self._loop = spawn_loop('engine', self._run)
 
     def add(self, sequence: Sequence) -> None:
         """Queue a stream, first come first served.
@@ -145,30 +147,28 @@
         self._loop.kill()
 
     def _run(self) -> None:
-        due = time.monotonic()
-        while True:
-            if not self.running and not self.waiting:
-                self._fresh.clear()
-                self._fresh.wait()
-                due = time.monotonic()
-            due += self._take_in() + self._measure_step()
-            gevent.sleep(max(0, due - time.monotonic()))
-            self._make_tokens()
+        if not self.running and not self.waiting:
+            self._fresh.clear()
+            self._fresh.wait()
+            self._due = time.monotonic()
+        self._due += self._take_in() + self._measure_step()
+        gevent.sleep(max(0, self._due - time.monotonic()))
+        self._make_tokens()
 
     def _take_in(self) -> float:
         uncached = 0
         while self.waiting and len(self.running) < self.shape.most_streams:
             sequence = self.waiting.popleft()
-            words = sequence.prompt.split()
-            known = (
-                self.cache.use(words)
-                if sequence.identity not in (self.kept)
-                else len(words)
-            )
-            uncached += len(words) - known + sequence.produced
+            uncached += self._count_uncached(sequence)
             self.running.append(sequence)
         return uncached * self.shape.prefill_per_token * self.slowdown
 
+    def _count_uncached(self, sequence: Sequence) -> int:
+        if sequence.identity in self.kept:
+            return 0
+        words = sequence.prompt.split()
+        return len(words) - self.cache.use(words) + sequence.produced
+
     def _measure_step(self) -> float:
         further = max(0, len(self.running) - 1) * self.shape.step_per_stream
         return (self.shape.step_seconds + further) * self.slowdown
--- /dev/null
+++ b/src/wigeonpier/bench/completions.py
@@ -0,0 +1,131 @@
+"""Completions as the published interface shapes them."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from wigeonpier.bench.batching import Sequence
+
+CHAT = 'chat.completion'
+TEXT = 'text_completion'
+
+
+def read_prompt(body: dict[str, Any]) -> str:
+    """Read the prompt of a completion request.
+
+    :param body: the request.
+    :returns: the whole prompt.
+    """
+    messages = body.get('messages') or ()
+    if messages:
+        return '\n'.join(str(part['content']) for part in messages)
+    return str(body['prompt'])
+
+
+def render_event(content: dict[str, Any]) -> bytes:
+    """Render a server-sent event.
+
+    :param content: its data.
+    :returns: the line and the blank one.
+    """
+    return b'data: %b\n\n' % msgspec.json.encode(content)
+
+
+def make_head(sequence: Sequence, shape: str) -> dict[str, Any]:
+    """Make what each part of an answer carries.
+
+    :param sequence: the stream.
+    :param shape: kind of object.
+    :returns: the common members.
+    """
+    return {
+        'id': f'cmpl-{sequence.identity}',
+        'object': shape,
+        'created': int(time.time()),
+        'model': sequence.model,
+    }
+
+
+def make_chunk(sequence: Sequence, shape: str, token: str) -> dict[str, Any]:
+    """Make the part of a stream that carries a token.
+
+    :param sequence: the stream.
+    :param shape: kind of object.
+    :param token: the text.
+    :returns: the part.
+    """
+    if shape == CHAT:
+        choice: dict[str, Any] = {
+            'delta': {'role': 'assistant', 'content': token},
+        }
+    else:
+        choice = {'text': token}
+    head = make_head(sequence, shape)
+    if shape == CHAT:
+        head['object'] = 'chat.completion.chunk'
+    return head | {'choices': [{'index': 0, 'finish_reason': None} | choice]}
+
+
+def make_last(sequence: Sequence, shape: str) -> dict[str, Any]:
+    """Make the part that ends a stream.
+
+    :param sequence: the stream.
+    :param shape: kind of object.
+    :returns: the part.
+    """
+    last = make_chunk(sequence, shape, '')
+    last['choices'][0]['finish_reason'] = 'stop'
+    return last
+
+
+def make_usage(sequence: Sequence, shape: str) -> dict[str, Any]:
+    """Make the part that counts the tokens.
+
+    :param sequence: the stream.
+    :param shape: kind of object.
+    :returns: the part.
+    """
+    last = make_chunk(sequence, shape, '')
+    return last | {'choices': [], 'usage': count_tokens(sequence)}
+
+
+def make_completion(
+    sequence: Sequence,
+    shape: str,
+    text: str,
+) -> dict[str, Any]:
+    """Make an answer that is not streamed.
+
+    :param sequence: the stream.
+    :param shape: kind of object.
+    :param text: the answer.
+    :returns: the completion.
+    """
+    if shape == CHAT:
+        choice: dict[str, Any] = {
+            'message': {'role': 'assistant', 'content': text},
+        }
+    else:
+        choice = {'text': text}
+    return make_head(sequence, shape) | {
+        'choices': [{'index': 0, 'finish_reason': 'stop'} | choice],
+        'usage': count_tokens(sequence),
+    }
+
+
+def count_tokens(sequence: Sequence) -> dict[str, int]:
+    """Count the tokens of an answer.
+
+    :param sequence: the stream.
+    :returns: usage.
+    """
+    prompt_tokens = len(sequence.prompt.split())
+    return {
+        'prompt_tokens': prompt_tokens,
+        'completion_tokens': sequence.length,
+        'total_tokens': prompt_tokens + sequence.length,
+    }
--- a/src/wigeonpier/bench/engine.py
+++ b/src/wigeonpier/bench/engine.py
@@ -5,7 +5,7 @@
 import random
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from contextlib import ExitStack
 from errno import ECONNRESET
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
@@ -20,6 +20,17 @@
     EngineShape,
     Sequence,
 )
+from wigeonpier.bench.completions import (
+    CHAT,
+    TEXT,
+    make_chunk,
+    make_completion,
+    make_last,
+    make_usage,
+    read_prompt,
+    render_event,
+)
+from wigeonpier.bench.orders import EngineState, OrderDesk
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.web import headers
 from wigeonpier.web.messages import (
@@ -33,12 +44,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wigeonpier.web.client import HttpCaller
     from wigeonpier.web.messages import Request
 
 MOST_BODY = 16_000_000
-CHAT = 'chat.completion'
-TEXT = 'text_completion'
 CRASH_MARK = '[[crash]]'
 REJECT_MARK = '[[reject]]'
 FAIL_MARK = '[[fail]]'
@@ -48,24 +56,6 @@
 EVENT_LOSS = 0.05
 
 
-@dataclass(slots=True)
-class EngineState:
-    """What orders changed.
-
-    :param models: versions by model that is loaded.
-    :param adapters: adapters that are loaded.
-    :param role: what the engine does: both, prefill or decode.
-    :param fence: highest fencing number of an order.
-    :param orders: orders that were carried out, with their numbers.
-    """
-
-    models: dict[str, str]
-    adapters: set[str] = field(default_factory=set)
-    role: str = 'both'
-    fence: int = 0
-    orders: list[dict[str, Any]] = field(default_factory=list)
-
-
 class StandInEngine:
     """One engine on one port."""
 
@@ -80,9 +70,8 @@
         """Load the models; nothing listens yet."""
         self.batcher = Batcher(shape)
         self.state = EngineState(dict.fromkeys(models, '1'))
-        self.checks_fencing = checks_fencing
+        self.orders = OrderDesk(self.state, checks_fencing)
         self.is_down = False
-        self.weights: tuple[HttpCaller, str] | None = None
         self.prompt_starts: Counter[str] = Counter()
         self._random = random.Random(seed)
         self._loads: list[tuple[float, dict[str, int]]] = []
@@ -138,7 +127,7 @@
             make_route('POST', '/v1/kv', self._import_kv),
             make_route('GET', '/v1/cache/events', self._list_events),
             make_route('GET', '/v1/load', self._report_load),
-            make_route('POST', '/v1/orders', self._obey),
+            make_route('POST', '/v1/orders', self.orders.obey),
             make_route('GET', '/healthz', _answer_health),
         ]
         return dispatch_to(routes)(request)
@@ -148,14 +137,14 @@
 
     def _complete(self, request: Request, chat: str | None) -> Response:
         body = msgspec.json.decode(request.read_body())
-        prompt = _read_prompt(body)
+        prompt = read_prompt(body)
         self._misbehave(prompt)
         sequence = Sequence(
             identity=request.headers.get(headers.REQUEST_ID) or make_identity(),
             model=body['model'],
             prompt=prompt,
             length=int(body.get('max_tokens') or DEFAULT_LENGTH),
-            produced=int(body.get('continuation', {}).get('tokens', 0)),
+            produced=_read_delivered(body),
         )
         if sequence.model not in self.state.models:
             raise Refusal(ErrorKind.model_not_found, 'model is not loaded')
@@ -163,12 +152,9 @@
         self.batcher.add(sequence)
         shape = CHAT if chat else TEXT
         if body.get('stream'):
-            wants_usage = bool(
-                (body.get('stream_options') or {}).get('include_usage'),
-            )
-            return self._stream(sequence, shape, wants_usage)
+            return self._stream(sequence, shape, _wants_usage(body))
         text = ''.join(sequence.iterate_tokens())
-        return answer_json(_make_completion(sequence, shape, text))
+        return answer_json(make_completion(sequence, shape, text))
 
     def _stream(
         self,
@@ -188,17 +174,21 @@
         shape: str,
         wants_usage: bool,
     ) -> Iterator[bytes]:
-        try:
+        with ExitStack() as held:
+            # A caller that goes away leaves its stream behind.
+            held.callback(self._drop_unfinished, sequence)
             for token in sequence.iterate_tokens():
-                yield _render_event(_make_chunk(sequence, shape, token))
-            if not sequence.is_cancelled:
-                yield _render_event(_make_last(sequence, shape))
-                if wants_usage:
-                    yield _render_event(_make_usage(sequence, shape))
-                yield b'data: [DONE]\n\n'
-        finally:
-            if sequence.produced < sequence.length:
-                self.batcher.cancel(sequence)
+                yield render_event(make_chunk(sequence, shape, token))
+            if sequence.is_cancelled:
+                return
+            yield render_event(make_last(sequence, shape))
+            if wants_usage:
+                yield render_event(make_usage(sequence, shape))
+            yield b'data: [DONE]\n\n'
+
+    def _drop_unfinished(self, sequence: Sequence) -> None:
+        if sequence.produced < sequence.length:
+            self.batcher.cancel(sequence)
 
     def _cancel(self, _request: Request, identity: str) -> Response:
         sequence = self.batcher.find(identity)
@@ -261,43 +251,6 @@
             self._loads.pop(0)
         return answer_json(self._loads[0][1])
 
-    def _obey(self, request: Request) -> Response:
-        order = msgspec.json.decode(request.read_body())
-        if self.checks_fencing and order['fence'] < self.state.fence:
-            raise Refusal(ErrorKind.conflict, 'the fencing number is old')
-        self.state.fence = max(self.state.fence, order['fence'])
-        self._carry_out(order)
-        self.state.orders.append(order)
-        return answer_json({'done': True})
-
-    def _carry_out(self, order: dict[str, Any]) -> None:
-        match order['kind']:
-            case 'load_model':
-                self._fetch_weights(order['model'], order['version'])
-                self.state.models[order['model']] = order['version']
-            case 'unload_model':
-                self.state.models.pop(order['model'], None)
-            case 'load_adapter':
-                self._fetch_weights(order['adapter'], order['version'])
-                self.state.adapters.add(order['adapter'])
-            case 'change_role':
-                self.state.role = order['role']
-            case other:
-                raise Refusal(ErrorKind.invalid_request, f'no order {other}')
-
-    def _fetch_weights(self, name: str, version: str) -> None:
-        if self.weights is None:
-            return
-        caller, address = self.weights
-        reply = caller.call(
-            address,
-            'GET',
-            f'/weights/{name}/{version}',
-            patience=60,
-        )
-        if reply.is_err() or not reply.unwrap().is_good:
-            raise Refusal(ErrorKind.overloaded, 'the weight store refused')
-
     def _list_models(self, _request: Request) -> Response:
         data = [
             {'id': name, 'object': 'model', 'version': version}
@@ -320,66 +273,11 @@
     return answer_json({'ok': True})
 
 
-def _read_prompt(body: dict[str, Any]) -> str:
-    if 'messages' in body:
-        return '\n'.join(str(part['content']) for part in body['messages'])
-    return str(body['prompt'])
-
-
-def _render_event(content: dict[str, Any]) -> bytes:
-    return b'data: %b\n\n' % msgspec.json.encode(content)
-
-
-def _make_head(sequence: Sequence, shape: str) -> dict[str, Any]:
-    return {
-        'id': f'cmpl-{sequence.identity}',
-        'object': shape,
-        'created': int(time.time()),
-        'model': sequence.model,
-    }
-
-
-def _make_chunk(sequence: Sequence, shape: str, token: str) -> dict[str, Any]:
-    if shape == CHAT:
-        choice = {'delta': {'role': 'assistant', 'content': token}}
-    else:
-        choice = {'text': token}
-    head = _make_head(sequence, shape)
-    if shape == CHAT:
-        head['object'] = 'chat.completion.chunk'
-    return head | {'choices': [{'index': 0, 'finish_reason': None} | choice]}
-
-
-def _make_last(sequence: Sequence, shape: str) -> dict[str, Any]:
-    last = _make_chunk(sequence, shape, '')
-    last['choices'][0]['finish_reason'] = 'stop'
-    return last
-
-
-def _make_usage(sequence: Sequence, shape: str) -> dict[str, Any]:
-    last = _make_chunk(sequence, shape, '')
-    return last | {'choices': [], 'usage': _count_tokens(sequence)}
-
-
-def _make_completion(
-    sequence: Sequence,
-    shape: str,
-    text: str,
-) -> dict[str, Any]:
-    if shape == CHAT:
-        choice = {'message': {'role': 'assistant', 'content': text}}
-    else:
-        choice = {'text': text}
-    return _make_head(sequence, shape) | {
-        'choices': [{'index': 0, 'finish_reason': 'stop'} | choice],
-        'usage': _count_tokens(sequence),
-    }
+def _read_delivered(body: dict[str, Any]) -> int:
+    continuation = body.get('continuation') or {}
+    return int(continuation.get('tokens', 0))
 
 
-def _count_tokens(sequence: Sequence) -> dict[str, int]:
-    prompt_tokens = len(sequence.prompt.split())
-    return {
-        'prompt_tokens': prompt_tokens,
-        'completion_tokens': sequence.length,
-        'total_tokens': prompt_tokens + sequence.length,
-    }
+def _wants_usage(body: dict[str, Any]) -> bool:
+    options = body.get('stream_options') or {}
+    return bool(options.get('include_usage'))
--- a/src/wigeonpier/bench/load.py
+++ b/src/wigeonpier/bench/load.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -12,7 +13,7 @@
 from result import Err
 
 from wigeonpier.bench.answers import make_answer
-from wigeonpier.web.client import HttpCaller, Reply
+from wigeonpier.web.client import HttpCaller, Reply, StreamReply
 from wigeonpier.web.sse import Assembler
 
 if TYPE_CHECKING:
@@ -86,26 +87,14 @@
             return answer
         reply = opened.ok_value
         answer.status = reply.status
-        assembler = Assembler()
         try:
-            if reply.status != 200:
-                answer.kind = _read_kind(reply.read())
-                return answer
-            last = 0.0
-            for line in reply.iterate_lines():
-                if assembler.feed(line):
-                    now = time.monotonic()
-                    if last:
-                        answer.gaps.append(now - last)
-                    else:
-                        answer.first_token = now - asked
-                    last = now
+            text = _read_answer(reply, answer, asked)
         except (OSError, HTTPParseError, msgspec.DecodeError):
             answer.kind = 'broken'
-        finally:
-            reply.close()
+            text = ''
+        reply.close()
         expected = make_answer(self.model, arrival.prompt, arrival.length)
-        answer.is_right = assembler.is_whole and assembler.text == expected
+        answer.is_right = text == expected
         answer.ended = time.monotonic() - started
         return answer
 
@@ -210,8 +199,8 @@
             reply = self.call('GET', f'/v1/batches/{job}')
             if reply is not None and reply.is_good:
                 batch = msgspec.json.decode(reply.body)
-                if batch['status'] in FINAL:
-                    return batch
+            if batch['status'] in FINAL:
+                break
             gevent.sleep(POLL_SECONDS)
         return batch
 
@@ -307,7 +296,26 @@
         if idempotent is not None:
             line['idempotent'] = idempotent
         lines.append(msgspec.json.encode(line))
-    return b'\n'.join(lines) + b'\n'
+    return b'\n'.join((*lines, b''))
+
+
+def _read_answer(reply: StreamReply, answer: Answer, asked: float) -> str:
+    """Read a streamed answer; an answer that is not whole is empty."""
+    if reply.status != HTTPStatus.OK:
+        answer.kind = _read_kind(reply.read())
+        return ''
+    assembler = Assembler()
+    last: float = 0
+    for line in reply.iterate_lines():
+        if not assembler.feed(line):
+            continue
+        now = time.monotonic()
+        if last:
+            answer.gaps.append(now - last)
+        else:
+            answer.first_token = now - asked
+        last = now
+    return assembler.text if assembler.is_whole else ''
 
 
 def _read_kind(body: bytes) -> str:
@@ -321,6 +329,6 @@
     if reply is None:
         raise ConnectionError('no answer')
     if not reply.is_good:
-        raise RuntimeError(f'{reply.status}: {reply.body[:500]!r}')
+        raise RuntimeError(str(reply))
     decoded: dict[str, Any] = msgspec.json.decode(reply.body)
     return decoded
--- a/src/wigeonpier/bench/platform.py
+++ b/src/wigeonpier/bench/platform.py
@@ -22,6 +22,7 @@
     from collections.abc import Iterator
 
 MOST_BODY = 2_000_000
+LEASE_BITS = 48
 WATCH_KEEPALIVE_SECONDS = 5.0
 
 
@@ -165,13 +166,11 @@
     def _swap(self, request: Request) -> Response:
         asked = msgspec.json.decode(request.read_body())
         compare = asked['compare'][0]
-        change = asked['success'][0]
-        put = change.get('request_put', {})
+        put = asked['success'][0].get('request_put', {})
         if self._random.random() < self.faults.refuse_writes:
             raise Refusal(ErrorKind.outcome_unknown, 'lost before')
         key = _decode(compare['key']).decode()
-        cell = self.cells.get(key)
-        fits = int(compare['mod_revision']) == (cell.revision if cell else 0)
+        fits = int(compare['mod_revision']) == self._get_revision(key)
         lease = int(put.get('lease', 0))
         if lease and lease not in self._leases:
             raise Refusal(ErrorKind.not_found, 'requested lease not found')
@@ -181,9 +180,13 @@
             raise Refusal(ErrorKind.outcome_unknown, 'lost after')
         return answer_json({'header': self._make_header(), 'succeeded': fits})
 
+    def _get_revision(self, key: str) -> int:
+        cell = self.cells.get(key)
+        return cell.revision if cell else 0
+
     def _grant(self, request: Request) -> Response:
         seconds = float(msgspec.json.decode(request.read_body())['TTL'])
-        lease = self._random.getrandbits(48)
+        lease = self._random.getrandbits(LEASE_BITS)
         self._leases[lease] = _Lease(seconds, time.monotonic() + seconds)
         gevent.spawn(self._end_lease_in_time, lease)
         return answer_json({'ID': str(lease), 'TTL': str(int(seconds))})
@@ -218,7 +221,8 @@
             ]
             position = len(self._history)
             # An empty line of events keeps the connection known alive.
-            yield msgspec.json.encode({'result': {'events': fresh}}) + b'\n'
+            told = msgspec.json.encode({'result': {'events': fresh}})
+            yield b'%b\n' % told
             if position == len(self._history):
                 self._changed.wait(WATCH_KEEPALIVE_SECONDS)
 
--- a/src/wigeonpier/bench/site.py
+++ b/src/wigeonpier/bench/site.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from importlib import resources
 from pathlib import Path
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -69,7 +70,7 @@
     plain='credits',
     key='dagat-demo-key-artist-uploads',
 )
-PLANS = {plan.name: plan for plan in (KORO, DAGAT)}
+PLANS = MappingProxyType({plan.name: plan for plan in (KORO, DAGAT)})
 
 
 @dataclass(slots=True)
@@ -136,12 +137,13 @@
         server = self.platform.serve()
         self._servers.append(server)
         self._platform_address = server.address
-        for number in range(self.plan.entries):
-            self.add_entry(f'entry-{number + 1}', port if number == 0 else 0)
+        plan = self.plan
+        for number in range(1, plan.entries + 1):
+            self.add_entry(f'entry-{number}', port if number == 1 else 0)
         self.apply(self.read_base(), self.read_overlays())
-        for number in range(self.plan.replicas):
-            self.add_replica(f'{self.plan.service}-{number + 1}')
-        self.add_plain(f'{self.plan.plain}-1')
+        for replica in range(1, plan.replicas + 1):
+            self.add_replica(f'{plan.service}-{replica}')
+        self.add_plain(f'{plan.plain}-1')
         self.wait_until_ready()
 
     def stop(self) -> None:
@@ -161,7 +163,7 @@
 
         :returns: the document, with this site's own batch settings.
         """
-        base = _read_example(f'{self.plan.name}/base.jsonc')
+        base = _read_example(self.plan.name)
         base['batch'] |= self.batch
         return base
 
@@ -361,7 +363,7 @@
     process.app.server.stop()
 
 
-def _read_example(path: str) -> dict[str, Any]:
-    source = resources.files('wigeonpier') / 'examples' / path
+def _read_example(name: str) -> dict[str, Any]:
+    source = resources.files('wigeonpier') / 'examples' / name / 'base.jsonc'
     content: dict[str, Any] = jsonc.loads(source.read_text())
     return content
--- a/src/wigeonpier/bench/weights.py
+++ b/src/wigeonpier/bench/weights.py
@@ -53,9 +53,7 @@
             raise Refusal(ErrorKind.limit_reached, 'too many loads at once')
         self.in_hand += 1
         self.most_in_hand = max(self.most_in_hand, self.in_hand)
-        try:
-            gevent.sleep(self._seconds)
-        finally:
-            self.in_hand -= 1
+        gevent.sleep(self._seconds)
+        self.in_hand -= 1
         self.loads.append((time.monotonic(), f'{name}:{version}'))
         return answer_json({'name': name, 'version': version})
--- a/src/wigeonpier/cli/calls.py
+++ b/src/wigeonpier/cli/calls.py
@@ -75,13 +75,13 @@
     )
     if isinstance(called, Err):
         raise CommandError(
-            f'{parsed.admin} does not answer; set --admin to an entry',
+            'the entry does not answer; set --admin to a live one',
         )
     reply = called.ok_value
     if reply.is_good:
         return reply.body
-    page = reply.decode(ErrorPage)
-    raise CommandError(f'{page.error.type}: {page.error.message}')
+    error = reply.decode(ErrorPage).error
+    raise CommandError(f'{error.type}: {error.message}')
 
 
 def write_line(line: str) -> None:
@@ -98,10 +98,8 @@
     :param head: names of the columns.
     :param rows: cells.
     """
-    texts = [head, *(tuple(str(cell) for cell in row) for row in rows)]
-    widths = [
-        max(len(row[column]) for row in texts) for column in range(len(head))
-    ]
+    texts = [head, *(tuple(map(str, row)) for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
     for row in texts:
-        cells = zip(row, widths, strict=True)
-        write_line('  '.join(f'{cell:<{width}}' for cell, width in cells))
+        padded = map(str.ljust, row, widths)
+        write_line('  '.join(padded))
--- a/src/wigeonpier/cli/configure.py
+++ b/src/wigeonpier/cli/configure.py
@@ -99,15 +99,17 @@
         try:
             make_effective(bundle, site)
         except DocumentError as error:
-            problems += [
-                f'{source}: {problem.partition(": ")[2]}'
-                for problem in error.problems
-            ]
+            problems += _name_source(source, error.problems)
     if problems:
         raise DocumentError(problems)
     return bundle
 
 
+def _name_source(source: str, problems: list[str]) -> list[str]:
+    keys = [problem.partition(': ')[2] for problem in problems]
+    return [f'{source}: {key}' for key in keys]
+
+
 def _name_sources(overlays: list[str]) -> list[tuple[str, str]]:
     return [(Path(path).name.removesuffix(SUFFIX), path) for path in overlays]
 
--- a/src/wigeonpier/cli/demo.py
+++ b/src/wigeonpier/cli/demo.py
@@ -7,14 +7,16 @@
 import tempfile
 import time
 from collections import Counter
+from contextlib import ExitStack
+from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent.event import Event as Signal
 
 from wigeonpier.bench.arrivals import LoadPlan, draw_arrivals
-from wigeonpier.bench.load import Answer, Client, make_lines
+from wigeonpier.bench.load import FINAL, Answer, Client, make_lines
 from wigeonpier.bench.quantiles import find_quantile
 from wigeonpier.bench.site import PLANS, SitePlan, StandInSite
 from wigeonpier.telemetry.logs import configure_logs
@@ -28,6 +30,13 @@
 SWEEP_TOKENS = 24
 SWEEP_SECONDS = 40.0
 MILLISECONDS = 1000
+NAME_WIDTH = 24
+CELL_WIDTH = 12
+SHARES = (
+    ('first token p50, ms', 0.5),
+    ('first token p95, ms', 0.95),
+    ('first token p99, ms', 0.99),
+)
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -71,18 +80,18 @@
     plan = PLANS[parsed.site]
     with tempfile.TemporaryDirectory() as folder:
         site = StandInSite(plan, Path(folder), parsed.seed)
-        site.start(parsed.port)
-        try:
+        with ExitStack() as stack:
+            stack.callback(site.stop)
+            site.start(parsed.port)
             if parsed.hold:
                 return _hold(site)
             return _run_load(site, parsed.seed)
-        finally:
-            site.stop()
 
 
 def _hold(site: StandInSite) -> int:
     address = site.find_entry().app.server.address
-    _write(f'ready http://{address} key={site.plan.key}')
+    key = site.plan.key
+    _write(f'ready http://{address} key={key}')
     try:
         Signal().wait()
     except KeyboardInterrupt:
@@ -90,49 +99,66 @@
     return 0
 
 
+@dataclass(slots=True)
+class Findings:
+    """What a run of the demo found.
+
+    :param alone: answers without a sweep beside them.
+    :param shared: answers with one.
+    :param status: how the sweep ended.
+    :param seconds: how long it took.
+    :param found: result lines.
+    :param once: items with exactly one result.
+    """
+
+    alone: list[Answer]
+    shared: list[Answer]
+    status: str = ''
+    seconds: float = 0
+    found: int = 0
+    once: int = 0
+
+
 def _run_load(site: StandInSite, seed: int) -> int:
     plan = site.plan
     client = Client(site.list_addresses(), plan.key, plan.service)
     draw = random.Random(seed)
     load = LoadPlan(PHASE_SECONDS, QUESTION_RATE)
-    alone = client.ask_all(draw_arrivals(load, draw))
+    findings = Findings(client.ask_all(draw_arrivals(load, draw)), [])
+    beside = gevent.spawn(client.ask_all, draw_arrivals(load, draw))
+    _run_sweep(client, findings)
+    findings.shared = beside.get()
+    return _report(plan, findings)
+
+
+def _run_sweep(client: Client, findings: Findings) -> None:
     prompts = [f'corner {number}' for number in range(SWEEP_ITEMS)]
-    file_id = client.upload(make_lines(plan.service, prompts, SWEEP_TOKENS))
+    file_id = client.upload(make_lines(client.model, prompts, SWEEP_TOKENS))
     started = time.monotonic()
     job = client.create_batch(file_id)['id']
-    beside = gevent.spawn(client.ask_all, draw_arrivals(load, draw))
     batch = client.await_batch(job, SWEEP_SECONDS)
-    seconds = time.monotonic() - started
-    shared = beside.get()
-    return _report(plan, alone, shared, batch, client, seconds)
-
-
-def _report(
-    plan: SitePlan,
-    alone: list[Answer],
-    shared: list[Answer],
-    batch: dict[str, Any],
-    client: Client,
-    seconds: float,
-) -> int:
-    ended = batch['status'] == 'completed'
-    found = client.read_results(batch) if ended else []
-    counts = Counter(line['custom_id'] for line in found)
-    once = sum(count == 1 for count in counts.values())
+    findings.seconds = time.monotonic() - started
+    findings.status = batch['status']
+    lines = client.read_results(batch) if findings.status in FINAL else []
+    counts = Counter(line['custom_id'] for line in lines)
+    findings.found = len(lines)
+    findings.once = sum(count == 1 for count in counts.values())
+
+
+def _report(plan: SitePlan, findings: Findings) -> int:
+    alone, shared = findings.alone, findings.shared
     _write(f'{plan.name}: {plan.replicas} replicas of {plan.service}')
-    _write(f'{"":24}{"alone":>12}{"with sweep":>12}')
+    _write_row('', 'alone', 'with sweep')
     _write_row('questions', len(alone), len(shared))
     _write_row('whole right answers', _count_right(alone), _count_right(shared))
-    for share in (0.5, 0.95, 0.99):
-        _write_row(
-            f'first token p{share * 100:.0f}, ms',
-            _find_first(alone, share),
-            _find_first(shared, share),
-        )
-    _write(f'sweep: {batch["status"]} in {seconds:.1f} s')
-    _write(f'items: {SWEEP_ITEMS}, with exactly one result: {once}')
+    for name, share in SHARES:
+        _write_row(name, _find_first(alone, share), _find_first(shared, share))
+    seconds = round(findings.seconds, 1)
+    _write(f'sweep: {findings.status} in {seconds} s')
+    _write(f'items: {SWEEP_ITEMS}, with exactly one result: {findings.once}')
     is_right = _count_right(alone + shared) == len(alone + shared)
-    return 0 if is_right and once == SWEEP_ITEMS == len(found) else 1
+    is_once = findings.once == SWEEP_ITEMS == findings.found
+    return 0 if is_right and is_once else 1
 
 
 def _count_right(answers: list[Answer]) -> int:
@@ -144,8 +170,9 @@
     return round(find_quantile(times, share) * MILLISECONDS)
 
 
-def _write_row(name: str, first: int, second: int) -> None:
-    _write(f'{name:24}{first:>12}{second:>12}')
+def _write_row(name: str, *cells: object) -> None:
+    texts = [str(cell).rjust(CELL_WIDTH) for cell in cells]
+    _write(''.join((name.ljust(NAME_WIDTH), *texts)))
 
 
 def _write(line: str) -> None:
--- a/src/wigeonpier/cli/docs.py
+++ b/src/wigeonpier/cli/docs.py
@@ -54,7 +54,7 @@
     :returns: the page.
     """
     rows = [
-        f'| {event.number} | {event.name} | {event.level} | {event.meaning} |'
+        _render_row(event.number, event.name, event.level, event.meaning)
         for event in sorted(Event, key=lambda event: event.number)
     ]
     return '\n'.join(
@@ -79,9 +79,13 @@
     :returns: the page.
     """
     rows = [
-        f'| {kind.value} | {answer.status} | {answer.ran.value} | '
-        f'{"-" if answer.retry_after is None else answer.retry_after} | '
-        f'{answer.help_text} |'
+        _render_row(
+            kind.value,
+            answer.status,
+            answer.ran.value,
+            '-' if answer.retry_after is None else answer.retry_after,
+            answer.help_text,
+        )
         for kind, answer in ANSWERS.items()
     ]
     return '\n'.join(
@@ -100,3 +104,8 @@
             '',
         ]
     )
+
+
+def _render_row(*cells: object) -> str:
+    joined = ' | '.join(map(str, cells))
+    return f'| {joined} |'
--- a/src/wigeonpier/cli/operate.py
+++ b/src/wigeonpier/cli/operate.py
@@ -16,6 +16,7 @@
     write_table,
 )
 from wigeonpier.entry.admin import MemberPage, UsagePage
+from wigeonpier.membership.directory import SILENT_SECONDS
 from wigeonpier.settings.deployment import hash_key
 
 if TYPE_CHECKING:
@@ -182,8 +183,9 @@
 def _name_state(member: MemberPage) -> str:
     if member.is_leaving:
         return 'leaving'
-    if member.silent_seconds > 3:
-        return f'silent {member.silent_seconds:.0f} s'
+    if member.silent_seconds > SILENT_SECONDS:
+        silent = round(member.silent_seconds)
+        return f'silent {silent} s'
     return 'live'
 
 
@@ -207,4 +209,5 @@
 def _draw_bar(job: BatchPage) -> str:
     counts = job.request_counts
     share = (counts.completed + counts.failed) / max(1, counts.total)
-    return f'[{"#" * round(share * BAR_WIDTH):<{BAR_WIDTH}}]'
+    filled = '#' * round(share * BAR_WIDTH)
+    return filled.ljust(BAR_WIDTH, '.')
--- a/src/wigeonpier/entry/board.py
+++ b/src/wigeonpier/entry/board.py
@@ -161,8 +161,11 @@
 
     def forget_ages(self) -> None:
         """Drop ages of segments of jobs that are not held."""
-        for name in [name for name in self.ages if name[0] not in self.jobs]:
-            self.ages.pop(name)
+        self.ages = {
+            name: told
+            for name, told in self.ages.items()
+            if name[0] in self.jobs
+        }
 
     def measure_silence(self, job: str, index: int, held: HeldClaim) -> float:
         """Tell how long an owner has shown no sign of life.
@@ -316,5 +319,8 @@
         return self.measure_silence(job, index, held) > SILENCE_SECONDS
 
     def _adopt_orphans(self, held_job: HeldJob) -> None:
-        for key in [key for key in self._orphans if key[0] == held_job.job.id]:
-            held_job.claims[key[1]] = self._orphans.pop(key)
+        job_id = held_job.job.id
+        for index, _items in enumerate(held_job.job.pages):
+            held = self._orphans.pop((job_id, index), None)
+            if held is not None:
+                held_job.claims[index] = held
--- a/src/wigeonpier/entry/configuration.py
+++ b/src/wigeonpier/entry/configuration.py
@@ -20,6 +20,7 @@
     from wigeonpier.settings.holder import ConfigurationHolder
 
 WRITE_SECONDS = 8.0
+VERSION_DIGITS = 9
 
 
 class Application(msgspec.Struct, forbid_unknown_fields=True):
@@ -151,8 +152,8 @@
             return
         raise Refusal(
             ErrorKind.conflict,
-            f'version {asked.edited} was edited, but {newest.version} by '
-            f'{newest.operator} is in force; see config diff',
+            f'version {asked.edited} was edited, but {newest.operator} made '
+            f'{newest.version} since; see config diff',
         )
 
     def _keep_history(self, current: Entry) -> None:
@@ -194,7 +195,8 @@
 
 
 def _name_history(version: int) -> str:
-    return f'{keys.HISTORY}{version:09d}'
+    digits = str(version).zfill(VERSION_DIGITS)
+    return f'{keys.HISTORY}{digits}'
 
 
 def _read_operation(entry: Entry) -> str:
--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -155,7 +155,7 @@
         if state is None:
             raise Refusal(
                 ErrorKind.no_upstream,
-                f'no upstream of {work.ask.service} takes work now',
+                'no upstream of the service takes work now',
             )
         check_promise(
             state.name not in self.directory.leaving_vms,
@@ -183,11 +183,10 @@
         reply = opened.ok_value
         if reply.get_header('content-type').startswith(EVENT_STREAM_TYPE):
             return Ok(self._start_stream(work, state, reply))
-        try:
-            return self._read_whole(work, state, reply)
-        finally:
-            state.in_hand -= 1
-            reply.close()
+        whole = self._read_whole(work, state, reply)
+        state.in_hand -= 1
+        reply.close()
+        return whole
 
     def _open(
         self,
@@ -207,13 +206,14 @@
             note_outcome(state, went_well=False, now=now)
             return Err(_judge_failure(opened.err_value))
         reply = opened.ok_value
+        identity = work.request.identity
         echoed = reply.get_header(headers.REQUEST_ID)
         check_promise(
-            echoed == work.request.identity,
+            echoed == identity,
             Promise.whole_answer_to_its_caller,
-            f'{work.request.identity} got the answer to {echoed}',
+            f'{identity} got the answer to {echoed}',
         )
-        if echoed != work.request.identity:
+        if echoed != identity:
             reply.close()
             return Err(_judge_failure(CallFailure.lost))
         if reply.status >= SERVER_ERROR or reply.status == OVERLOAD_STATUS:
@@ -270,7 +270,7 @@
         reply: StreamReply,
         sent: list[bytes],
     ) -> Iterator[bytes]:
-        last = 0.0
+        last: float = 0
         with suppress(OSError, HTTPParseError):
             for line in reply.iterate_lines():
                 if is_text_line(line):
--- a/src/wigeonpier/entry/jobs.py
+++ b/src/wigeonpier/entry/jobs.py
@@ -6,7 +6,8 @@
 import secrets
 import time
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeVar
+from types import MappingProxyType
+from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok
@@ -37,9 +38,13 @@
 CANCEL_TRIES = 8
 JOB_ID_BYTES = 12
 HOUR_SECONDS = 3600
-WINDOW_UNITS = {'m': 60, 'h': HOUR_SECONDS, 'd': 24 * HOUR_SECONDS}
-
-Kept = TypeVar('Kept')
+WINDOW_UNITS = MappingProxyType(
+    {
+        'm': 60,
+        'h': HOUR_SECONDS,
+        'd': 24 * HOUR_SECONDS,
+    }
+)
 
 
 @dataclass(slots=True)
@@ -217,19 +222,12 @@
         deployment: Deployment,
     ) -> Resend:
         """Agree with all other tries of this request on one job id."""
-        name = hashlib.sha256(source.encode()).hexdigest()
-        key = keys.name_resend(customer, name)
+        key = keys.name_resend(customer, _hash_text(source))
         entry = self._read(key)
-        window = deployment.batch.resend_hours * HOUR_SECONDS
-        if entry is not None:
-            resend = msgspec.json.decode(entry.value, type=Resend)
-            if time.time() - resend.created < window:
-                return _check_same(resend, digest)
-        fresh = Resend(
-            f'batch_{secrets.token_hex(JOB_ID_BYTES)}',
-            digest,
-            int(time.time()),
-        )
+        known = _read_resend(entry, deployment.batch.resend_hours)
+        if known is not None:
+            return _check_same(known, digest)
+        fresh = _make_resend(digest)
         raw = msgspec.json.encode(fresh)
         wrote = swap_certainly(
             self.platform,
@@ -334,6 +332,23 @@
     return refuse_platform()
 
 
+def _hash_text(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _read_resend(entry: Entry | None, hours: float) -> Resend | None:
+    if entry is None:
+        return None
+    resend = msgspec.json.decode(entry.value, type=Resend)
+    age = time.time() - resend.created
+    return resend if age < hours * HOUR_SECONDS else None
+
+
+def _make_resend(digest: str) -> Resend:
+    identity = secrets.token_hex(JOB_ID_BYTES)
+    return Resend(f'batch_{identity}', digest, int(time.time()))
+
+
 def _check_same(resend: Resend, digest: str) -> Resend:
     if resend.digest != digest:
         raise Refusal(
@@ -350,7 +365,7 @@
         asked.completion_window,
         msgspec.json.encode(asked.metadata, order='sorted').decode(),
     ]
-    return hashlib.sha256('\0'.join(parts).encode()).hexdigest()
+    return _hash_text('\0'.join(parts))
 
 
 def _make_job(
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import closing
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -65,6 +66,7 @@
     workshop: Callable[[], Workshop]
     address: str
     _seen_since: dict[str, float] = field(default_factory=dict)
+    _attending: set[str] = field(default_factory=set)
 
     def start(self) -> None:
         """Begin to look after jobs."""
@@ -74,7 +76,9 @@
     def _run(self) -> None:
         gevent.sleep(PERIOD_SECONDS)
         for held in list(self.board.jobs.values()):
-            self._attend(held)
+            if held.job.id not in self._attending:
+                self._attending.add(held.job.id)
+                gevent.spawn(self._attend, held)
         self._clear_orphans()
 
     def _attend(self, held: HeldJob) -> None:
@@ -92,6 +96,8 @@
                 job=held.job.id,
                 problem=str(problem),
             )
+        finally:
+            self._attending.discard(held.job.id)
 
     def _verify(self, held: HeldJob) -> None:
         """Make sure that a job that appears was not finished already.
@@ -129,19 +135,11 @@
             )
             for entry in listed.ok_value.entries
         }
-        for index, (claim, revision) in claims.items():
-            if not claim.is_done:
-                claims[index] = self._cancel_chunk(
-                    held,
-                    index,
-                    claim,
-                    revision,
-                )
-        self._write_finished(
-            held,
-            JobStatus.cancelled,
-            {index: claim for index, (claim, _revision) in claims.items()},
-        )
+        ended = {
+            index: self._cancel_chunk(held, index, *known)
+            for index, known in claims.items()
+        }
+        self._write_finished(held, JobStatus.cancelled, ended)
 
     def _cancel_chunk(
         self,
@@ -149,19 +147,19 @@
         index: int,
         claim: Claim,
         revision: int,
-    ) -> tuple[Claim, int]:
+    ) -> Claim:
         """Fence the owner and give each open item its result."""
+        if claim.is_done:
+            return claim
         workshop = self.workshop()
         mine, taken = claim_chunk(workshop, held.job, index, claim, revision)
         chunk = open_chunk(workshop, held.job, index, mine, taken)
-        try:
+        with closing(chunk.journal):
             _cancel_items(chunk)
             finished = chunk.finish()
-        finally:
-            chunk.journal.close()
         if isinstance(finished, Err):
             raise ChunkProblemError('the cancelled chunk was not written')
-        return chunk.claim, chunk.revision
+        return chunk.claim
 
     def _finish(self, held: HeldJob, status: JobStatus) -> None:
         claims = {index: kept.claim for index, kept in held.claims.items()}
--- a/src/wigeonpier/entry/limits.py
+++ b/src/wigeonpier/entry/limits.py
@@ -86,13 +86,15 @@
         :returns: rates by customer.
         """
         now = self.clock()
-        for name, account in list(self.accounts.items()):
-            if not account.in_hand and now - account.seen > IDLE_SECONDS:
-                self.accounts.pop(name)
-        return tuple(
-            Usage(name, round(_decay(account, now), 2))
+        self.accounts = {
+            name: account
             for name, account in self.accounts.items()
-            if now - account.seen < RATE_SECONDS
+            if account.in_hand or now - account.seen < IDLE_SECONDS
+        }
+        return tuple(
+            Usage(active, round(_decay(used, now), 2))
+            for active, used in self.accounts.items()
+            if now - used.seen < RATE_SECONDS
         )
 
     def note_others(self, entry: str, usage: tuple[Usage, ...]) -> None:
--- a/src/wigeonpier/entry/online.py
+++ b/src/wigeonpier/entry/online.py
@@ -5,6 +5,7 @@
 import time
 from contextlib import ExitStack
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -25,7 +26,7 @@
     from wigeonpier.web.messages import Request, Response
 
 AFFINITY_BYTES = 512
-TRUTHS = {'true': True, 'false': False}
+TRUTHS = MappingProxyType({'true': True, 'false': False})
 
 
 class CompletionHead(msgspec.Struct):
--- a/src/wigeonpier/entry/uploads.py
+++ b/src/wigeonpier/entry/uploads.py
@@ -43,6 +43,7 @@
 SERVICES = '/services/'
 SHARD_BITS = 8
 HASH_BITS = 64
+NEW_LINE = b'\n'
 FILE_ID_BYTES = 12
 
 _LINE_DECODER = msgspec.json.Decoder(Line)
@@ -90,7 +91,8 @@
         :param part: bytes as they arrive.
         :returns: whole lines without their ends.
         """
-        *lines, self.rest = (self.rest + part).split(b'\n')
+        *lines, rest = (self.rest + part).split(NEW_LINE)
+        self.rest = rest
         if len(self.rest) > self.limit:
             raise Refusal(
                 ErrorKind.body_too_large,
@@ -139,7 +141,8 @@
             return
         self.count += 1
         self._check_line(line)
-        self._digest.update(line + b'\n')
+        self._digest.update(line)
+        self._digest.update(NEW_LINE)
         self.lines.append(line)
         self._page_bytes += len(line) + 1
         is_full = len(self.lines) >= choose_page_size(len(self.pages))
@@ -189,7 +192,8 @@
         if line.method != 'POST':
             raise _refuse(f'{where}: method: expected POST')
         if self.count == 1:
-            self.url, self.model = line.url, head.model
+            self.url = line.url
+            self.model = head.model
             find_service(self.deployment, self.url, self.model)
         if (line.url, head.model) != (self.url, self.model):
             raise _refuse(
@@ -199,7 +203,7 @@
         self._ids.add(line.custom_id)
 
     def _write_page(self) -> None:
-        content = b'\n'.join(self.lines) + b'\n'
+        content = NEW_LINE.join((*self.lines, b''))
         index = len(self.pages)
         self.copies = write_everywhere(
             self.copies,
@@ -286,27 +290,46 @@
     )
 
 
+@dataclass(slots=True)
+class _Form:
+    """What has arrived of an upload's form."""
+
+    upload: Upload
+    cutter: LineCutter
+    fields: dict[str, bytes] = field(default_factory=dict)
+    filename: str = ''
+    current: str = ''
+
+    def begin_part(self, part: MultipartSegment) -> None:
+        self.current = part.name
+        self.filename = part.filename or self.filename
+
+    def feed(self, content: bytes) -> None:
+        if self.current == FILE_FIELD:
+            for line in self.cutter.feed(content):
+                self.upload.add_line(line)
+            return
+        so_far = self.fields.get(self.current, b'')
+        if len(so_far) + len(content) > MOST_FIELD:
+            raise _refuse(f'{self.current}: too long')
+        self.fields[self.current] = so_far + content
+
+    def finish(self) -> None:
+        if self.cutter.rest:
+            self.upload.add_line(self.cutter.rest)
+        if self.fields.get(PURPOSE_FIELD) != PURPOSE.encode():
+            raise _refuse('purpose: expected batch')
+
+
 def _feed_upload(request: Request, upload: Upload) -> str:
-    fields: dict[str, bytes] = {}
-    filename = ''
-    current = ''
-    cutter = LineCutter(upload.deployment.line_limit)
+    form = _Form(upload, LineCutter(upload.deployment.line_limit))
     for event in _parse_form(request):
         if isinstance(event, MultipartSegment):
-            current = event.name
-            filename = event.filename or filename
-        elif event and current == FILE_FIELD:
-            for line in cutter.feed(bytes(event)):
-                upload.add_line(line)
+            form.begin_part(event)
         elif event:
-            fields[current] = fields.get(current, b'') + bytes(event)
-            if len(fields[current]) > MOST_FIELD:
-                raise _refuse(f'{current}: too long')
-    if cutter.rest:
-        upload.add_line(cutter.rest)
-    if fields.get(PURPOSE_FIELD) != PURPOSE.encode():
-        raise _refuse('purpose: expected batch')
-    return filename
+            form.feed(bytes(event))
+    form.finish()
+    return form.filename
 
 
 def _parse_form(
--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -61,13 +61,13 @@
 ANSWERS = MappingProxyType(
     {
         ErrorKind.invalid_request: Answer(
-            400,
+            HTTPStatus.BAD_REQUEST,
             Ran.no,
             None,
             'Correct the request; the message names the field.',
         ),
         ErrorKind.body_too_large: Answer(
-            413,
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             Ran.no,
             None,
             'Send a smaller body; the message gives the limit.',
@@ -160,7 +160,7 @@
             'The deadline passed before work was started.',
         ),
         ErrorKind.upstream_lost: Answer(
-            502,
+            HTTPStatus.BAD_GATEWAY,
             Ran.unknown,
             1,
             'The upstream was lost; resend idempotent work.',
--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -182,7 +182,7 @@
         content_type = reply.get_header('content-type')
         if not content_type.startswith(EVENT_STREAM_TYPE):
             return _read_whole(run, reply)
-        last = 0.0
+        last: float = 0
         for line in reply.iterate_lines():
             if run.assembler.feed(line):
                 now = time.monotonic()
--- a/src/wigeonpier/local/online.py
+++ b/src/wigeonpier/local/online.py
@@ -27,6 +27,8 @@
 DEFAULT_DEADLINE_MS = 120_000
 MILLISECONDS = 1000
 SERVER_ERROR = 500
+PATIENCE_STEPS = (1.0, 5.0, 30.0, 120.0)
+LONGEST_PATIENCE = 600.0
 PASSED_HEADERS = ('content-type', 'accept', 'traceparent')
 
 
@@ -63,8 +65,7 @@
     arrived = time.monotonic()
     patience_ms = request.headers.get(headers.DEADLINE_MS, DEFAULT_DEADLINE_MS)
     deadline = arrived + int(patience_ms) / MILLISECONDS
-    held = ExitStack()
-    try:
+    with ExitStack() as held:
         held.enter_context(path.gate.hold_online(deadline))
         path.metrics.observe(
             'queueing',
@@ -75,9 +76,6 @@
         reply = _open_upstream(path, request, target, body, deadline)
         held.callback(reply.close)
         return _make_response(path, reply, held)
-    except BaseException:
-        held.close()
-        raise
 
 
 def _open_upstream(
@@ -121,7 +119,8 @@
             reply.status,
             _relay(path, reply),
             content_type,
-            on_close=[held.close],
+            # The slot is held until the stream is sent or given up.
+            on_close=[held.pop_all().close],
         )
     try:
         body = reply.read()
@@ -135,12 +134,11 @@
             f'the upstream answered {reply.status}',
             ran=Ran.unknown,
         )
-    held.close()
     return Response(reply.status, body, content_type)
 
 
 def _relay(path: OnlinePath, reply: StreamReply) -> Iterator[bytes]:
-    last = 0.0
+    last: float = 0
     for line in reply.iterate_lines():
         if is_text_line(line):
             now = time.monotonic()
@@ -152,7 +150,7 @@
 
 def _round_patience(seconds: float) -> float:
     # Connections are kept by patience; a few values share them.
-    for step in (1, 5, 30, 120):
-        if seconds <= step:
-            return step
-    return 600
+    return next(
+        (step for step in PATIENCE_STEPS if seconds <= step),
+        LONGEST_PATIENCE,
+    )
--- a/src/wigeonpier/local/stock.py
+++ b/src/wigeonpier/local/stock.py
@@ -7,7 +7,7 @@
 
 import gevent
 import msgspec
-from result import Ok
+from result import Err, Ok
 
 from wigeonpier.batch.chunk import Chunk, ChunkProblemError, Workshop
 from wigeonpier.batch.journal import JournalEnd, JournalEndedError
@@ -163,7 +163,7 @@
         """
         platform = self.workshop.platform
         seen = platform.get(name_job(job.customer, job.id))
-        if not isinstance(seen, Ok):
+        if isinstance(seen, Err):
             raise ChunkProblemError('the job cannot be read')
         if seen.ok_value is None:
             platform.swap(name_chunk(job.id, index), None, revision)
@@ -180,10 +180,9 @@
             if ended and ended.end is JournalEnd.fenced:
                 log_event(Event.chunk_lost, chunk=chunk.name)
                 self.let_go(chunk)
-            elif not self.owns(chunk):
+            if not self.owns(chunk):
                 return
-            else:
-                gevent.sleep(FINISH_GAP_SECONDS)
+            gevent.sleep(FINISH_GAP_SECONDS)
 
 
 def _try_to_finish(chunk: Chunk) -> bool:
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -252,8 +252,9 @@
 
     def _measure_rate(self) -> None:
         gevent.sleep(1)
-        done, self._done_since = self._done_since, 0
-        self._rate = RATE_MEMORY * self._rate + (1 - RATE_MEMORY) * done
+        newest = (1 - RATE_MEMORY) * self._done_since
+        self._rate = RATE_MEMORY * self._rate + newest
+        self._done_since = 0
 
 
 def _rank_chunk(chunk: Chunk) -> tuple[int, str, int]:
--- a/src/wigeonpier/loops.py
+++ b/src/wigeonpier/loops.py
@@ -17,7 +17,9 @@
 PAUSE_SECONDS = 1.0
 
 
-def spawn_loop(name: str, step: Callable[[], object]) -> gevent.Greenlet:
+def spawn_loop(
+    name: str, step: Callable[[], object]
+) -> gevent.Greenlet[..., None]:
     """Run a step again and again; the step itself waits.
 
     A step that fails is logged and tried again after a pause, so that one
--- a/src/wigeonpier/membership/directory.py
+++ b/src/wigeonpier/membership/directory.py
@@ -57,10 +57,9 @@
         :param heartbeat: its report.
         """
         now = self.clock()
-        known = self.members.get(heartbeat.name)
+        is_new = not self._knows_boot(heartbeat)
         self.members[heartbeat.name] = Member(heartbeat, now)
         if heartbeat.upstream is not None:
-            is_new = known is None or known.heartbeat.boot != heartbeat.boot
             self._note_upstream(heartbeat, now, is_new)
 
     def note_vms(self, vms: tuple[Vm, ...]) -> None:
@@ -81,8 +80,9 @@
         if name not in self.leaving_vms:
             self.leaving_vms.add(name)
             log_event(Event.upstream_removed, vm=name, why='leaving')
-        if name in self.upstreams:
-            self.upstreams[name].is_leaving = True
+        state = self.upstreams.get(name)
+        if state is not None:
+            state.is_leaving = True
 
     def unmark_leaving(self, name: str) -> None:
         """Let an operator take a drain back.
@@ -91,8 +91,9 @@
         """
         self.leaving_vms.discard(name)
         member = self.members.get(name)
-        if name in self.upstreams and member:
-            self.upstreams[name].is_leaving = member.heartbeat.is_leaving
+        state = self.upstreams.get(name)
+        if state is not None and member is not None:
+            state.is_leaving = member.heartbeat.is_leaving
 
     def list_upstreams(self) -> list[UpstreamState]:
         """List upstreams that were heard of lately.
@@ -170,6 +171,10 @@
             }
         )
 
+    def _knows_boot(self, heartbeat: Heartbeat) -> bool:
+        known = self.members.get(heartbeat.name)
+        return known is not None and known.heartbeat.boot == heartbeat.boot
+
     def _note_upstream(
         self,
         heartbeat: Heartbeat,
--- a/src/wigeonpier/membership/reporter.py
+++ b/src/wigeonpier/membership/reporter.py
@@ -90,15 +90,15 @@
     def beat(self) -> None:
         """Send one heartbeat to each chosen entry and take in the answers."""
         heartbeat = self._describe()
-        targets = self._choose_targets(heartbeat)
-        raw = msgspec.json.encode(heartbeat)
         # Only one entry is asked for work, so that offers do not add up.
-        quiet = msgspec.json.encode(
-            msgspec.structs.replace(heartbeat, wants=0),
-        )
+        quiet = msgspec.structs.replace(heartbeat, wants=0)
         workers = {
-            target: gevent.spawn(self._beat_to, target, quiet if rank else raw)
-            for rank, target in enumerate(targets)
+            target: gevent.spawn(
+                self._beat_to,
+                target,
+                quiet if rank else heartbeat,
+            )
+            for rank, target in enumerate(self._choose_targets(heartbeat))
         }
         gevent.joinall(list(workers.values()))
         replies = {
@@ -131,12 +131,16 @@
         addresses = () if isinstance(listed, Err) else listed.ok_value
         return (*self._seeds, *(vm.address for vm in addresses))
 
-    def _beat_to(self, target: str, raw: bytes) -> HeartbeatReply | None:
+    def _beat_to(
+        self,
+        target: str,
+        heartbeat: Heartbeat,
+    ) -> HeartbeatReply | None:
         called = self._caller.call(
             target,
             'POST',
             HEARTBEAT_PATH,
-            raw,
+            msgspec.json.encode(heartbeat),
             patience=PATIENCE_SECONDS,
         )
         if isinstance(called, Err) or not called.ok_value.is_good:
--- a/src/wigeonpier/platform/certain.py
+++ b/src/wigeonpier/platform/certain.py
@@ -46,21 +46,18 @@
     give_up = time.monotonic() + patience
     pause = FIRST_PAUSE_SECONDS
     may_stand = False
-    while True:
+    while time.monotonic() + pause < give_up:
         wrote = platform.swap(key, value, revision)
         if isinstance(wrote, Ok):
             return wrote
+        may_stand = may_stand or wrote.err_value is Failure.unknown
         if wrote.err_value is Failure.conflict:
-            if not may_stand:
-                return wrote
-            found = _find_mine(platform, key, is_mine)
+            found = _find_mine(platform, key, is_mine) if may_stand else wrote
             if found is not None:
                 return found
-        may_stand = may_stand or wrote.err_value is Failure.unknown
-        if time.monotonic() + pause > give_up:
-            return Err(Failure.unknown if may_stand else Failure.unavailable)
         gevent.sleep(pause)
         pause = min(LONGEST_PAUSE_SECONDS, pause * 2)
+    return Err(Failure.unknown if may_stand else Failure.unavailable)
 
 
 def _find_mine(
--- a/src/wigeonpier/platform/gateway.py
+++ b/src/wigeonpier/platform/gateway.py
@@ -55,8 +55,8 @@
 
 
 class _LeaseReply(msgspec.Struct):
-    ID: str = '0'
-    TTL: str = '0'
+    identity: str = msgspec.field(default='0', name='ID')
+    seconds: str = msgspec.field(default='0', name='TTL')
 
 
 class _KeepReply(msgspec.Struct):
@@ -138,7 +138,7 @@
             _LeaseReply,
             Failure.unknown,
         )
-        return granted.map(lambda reply: int(reply.ID))
+        return granted.map(lambda reply: int(reply.identity))
 
     def keep_lease(self, lease: int) -> Result[int, Failure]:
         """Keep a lease alive; the value is its time to live, 0 if lapsed."""
@@ -148,7 +148,7 @@
             _KeepReply,
             Failure.unknown,
         )
-        return kept.map(lambda reply: int(reply.result.TTL))
+        return kept.map(lambda reply: int(reply.result.seconds))
 
     def watch(self, prefix: str, revision: int) -> Iterator[Change]:
         """Yield changes after a revision; ends when the service is lost."""
--- a/src/wigeonpier/platform/keys.py
+++ b/src/wigeonpier/platform/keys.py
@@ -9,6 +9,7 @@
 RESULTS = 'wigeonpier/results/'
 FILES = 'wigeonpier/files/'
 RESENDS = 'wigeonpier/resends/'
+INDEX_DIGITS = 6
 
 
 def name_job(customer: str, job: str) -> str:
@@ -58,7 +59,8 @@
     :param index: position of the chunk in the job.
     :returns: the key; keys of one job sort by index.
     """
-    return f'{CHUNKS}{job}/{index:06d}'
+    digits = str(index).zfill(INDEX_DIGITS)
+    return f'{CHUNKS}{job}/{digits}'
 
 
 def parse_chunk(key: str) -> tuple[str, int]:
--- a/src/wigeonpier/platform/view.py
+++ b/src/wigeonpier/platform/view.py
@@ -20,6 +20,7 @@
 
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 5.0
+SPREAD = (0.5, 1.5)
 
 
 @dataclass(slots=True)
@@ -54,7 +55,7 @@
             self.pause = FIRST_PAUSE_SECONDS
         else:
             self.lost_at = self.lost_at or time.monotonic()
-        gevent.sleep(self.pause * self.draw.uniform(0.5, 1.5))
+        gevent.sleep(self.pause * self.draw.uniform(*SPREAD))
         self.pause = min(LONGEST_PAUSE_SECONDS, self.pause * 2)
 
     def _follow(self) -> bool:
--- a/src/wigeonpier/policy/copies.py
+++ b/src/wigeonpier/policy/copies.py
@@ -24,13 +24,14 @@
 
 
 LEAST_FREE_BYTES = 64_000_000
+NONE_AVOIDED: frozenset[str] = frozenset()
 
 
 def choose_copies(
     disks: list[Disk],
     key: str,
     wanted: int,
-    avoided: frozenset[str] = frozenset(),
+    avoided: frozenset[str] = NONE_AVOIDED,
 ) -> list[Disk]:
     """Choose folders in as many data centres as there are.
 
--- a/src/wigeonpier/policy/gate.py
+++ b/src/wigeonpier/policy/gate.py
@@ -19,6 +19,7 @@
 MOST_SLOTS = 1024
 ONE_RUN_SHARE = 0.25
 LONGEST_GAP_SECONDS = 2.0
+LEAST_SPREAD = 0.000001
 
 
 @dataclass(slots=True)
@@ -150,7 +151,7 @@
 def _fit_line(model: StepModel) -> tuple[float, float]:
     spread = model.weight * model.squares - model.streams**2
     mean = model.seconds / model.weight
-    if spread <= 1e-9:
+    if spread < LEAST_SPREAD:
         return mean, 0
     slope = model.weight * model.products - model.streams * model.seconds
     slope = max(0, slope / spread)
--- a/src/wigeonpier/policy/schedule.py
+++ b/src/wigeonpier/policy/schedule.py
@@ -48,8 +48,9 @@
     :returns: ids of jobs, first one first.
     """
     in_work: dict[str, float] = {}
-    for job in jobs:
-        in_work[job.customer] = in_work.get(job.customer, 0) + job.items_running
+    for each in jobs:
+        so_far = in_work.get(each.customer, 0)
+        in_work[each.customer] = so_far + each.items_running
 
     def rank(job: JobView) -> tuple[int, float, float, str]:
         slack = measure_slack(job, now, items_per_second)
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -202,6 +202,14 @@
     :returns: exit status.
     """
     configure_logs(settings.name, settings.log_level)
+    wanted = _watch_signals()
+    address = app.start()
+    log_event(Event.process_started, program=program, address=address)
+    wanted.wait()
+    return _leave(program, settings, app)
+
+
+def _watch_signals() -> Signal:
     wanted = Signal()
 
     def note_signal() -> None:
@@ -213,9 +221,10 @@
 
     gevent.signal_handler(signal.SIGTERM, note_signal)
     gevent.signal_handler(signal.SIGINT, note_signal)
-    address = app.start()
-    log_event(Event.process_started, program=program, address=address)
-    wanted.wait()
+    return wanted
+
+
+def _leave(program: str, settings: ProcessSettings, app: App) -> int:
     log_event(Event.process_leaving, program=program)
     left = app.leave(settings.drain_seconds)
     if left:
--- a/src/wigeonpier/settings/deployment.py
+++ b/src/wigeonpier/settings/deployment.py
@@ -165,8 +165,9 @@
     :raises DocumentError: naming the site and each key path.
     """
     overlay = bundle.overlays.get(site, {})
+    where = f'at site {site}' if site else 'without an overlay'
     return convert_document(
-        f'configuration {bundle.version} at site {site or "-"}',
+        f'configuration {bundle.version} {where}',
         merge_overlay(bundle.base, overlay),
         Deployment,
     )
--- a/src/wigeonpier/settings/process.py
+++ b/src/wigeonpier/settings/process.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
+SHORTEST_KEY = 16
 Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9A-Za-z.\-\[\]:]+:\d+$')]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
-PeerKey = Annotated[str, msgspec.Meta(min_length=16)]
+PeerKey = Annotated[str, msgspec.Meta(min_length=SHORTEST_KEY)]
 
 
 class ProcessSettings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
--- a/src/wigeonpier/telemetry/exporters.py
+++ b/src/wigeonpier/telemetry/exporters.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import gevent
 import msgspec
 from gevent.queue import Full, Queue
 
+from wigeonpier.loops import spawn_loop
 from wigeonpier.telemetry.trace import (
     NANOSECONDS,
     SpanRecord,
@@ -24,6 +26,7 @@
 MOST_SENT = 512
 GATHER_SECONDS = 0.5
 SERVICE_NAME = 'wigeonpier'
+JSON_TYPE = 'application/json'
 
 
 def choose_exporter(
@@ -63,26 +66,10 @@
     caller = HttpCaller()
 
     def export(record: SpanRecord) -> None:
-        try:
+        with suppress(Full):
             queue.put_nowait(record)
-        except Full:
-            return
-
-    def send() -> None:
-        while True:
-            records = [queue.get()]
-            gevent.sleep(GATHER_SECONDS)
-            while not queue.empty() and len(records) < MOST_SENT:
-                records.append(queue.get())
-            caller.call(
-                address,
-                'POST',
-                OTLP_PATH,
-                msgspec.json.encode(encode_otlp(records)),
-                headers={'content-type': 'application/json'},
-            )
-
-    gevent.spawn(send)
+
+    spawn_loop('otlp', lambda: _send_spans(queue, caller, address))
     return export
 
 
@@ -117,3 +104,21 @@
 
 def _encode_text(name: str, text: str) -> dict[str, Any]:
     return {'key': name, 'value': {'stringValue': text}}
+
+
+def _send_spans(
+    queue: Queue[SpanRecord],
+    caller: HttpCaller,
+    address: str,
+) -> None:
+    records = [queue.get()]
+    gevent.sleep(GATHER_SECONDS)
+    while not queue.empty() and len(records) < MOST_SENT:
+        records.append(queue.get())
+    caller.call(
+        address,
+        'POST',
+        OTLP_PATH,
+        msgspec.json.encode(encode_otlp(records)),
+        headers={'content-type': JSON_TYPE},
+    )
--- a/src/wigeonpier/telemetry/metrics.py
+++ b/src/wigeonpier/telemetry/metrics.py
@@ -89,19 +89,14 @@
         :returns: the page.
         """
         lines = [
-            f'wigeonpier_{name}{_render_labels(labels)} {value}'
-            for (name, labels), value in sorted(self._counters.items())
+            _render_line(name, labels, count)
+            for (name, labels), count in sorted(self._counters.items())
         ]
-        lines += [
-            f'wigeonpier_{name} {read()}'
-            for name, read in sorted(self._gauges.items())
-        ]
-        for (name, labels), histogram in sorted(
-            self._histograms.items(),
-            key=lambda entry: entry[0],
-        ):
-            lines += _render_histogram(name, labels, histogram)
-        return '\n'.join(lines) + '\n'
+        for gauge, read in sorted(self._gauges.items()):
+            lines.append(_render_line(gauge, (), read()))
+        for key in sorted(self._histograms):
+            lines.extend(_render_histogram(*key, self._histograms[key]))
+        return '\n'.join((*lines, ''))
 
 
 def _sort_labels(labels: dict[str, str]) -> Labels:
@@ -115,17 +110,23 @@
     return f'{{{pairs}}}'
 
 
+def _render_line(name: str, labels: Labels, value: float) -> str:
+    return f'wigeonpier_{name}{_render_labels(labels)} {value}'
+
+
 def _render_histogram(
     name: str,
     labels: Labels,
     histogram: HdrHistogram,
 ) -> list[str]:
-    full = f'wigeonpier_{name}_seconds'
-    lines = []
-    for share in QUANTILES:
-        with_share = (*labels, ('quantile', str(share / 100)))
-        value = histogram.get_value_at_percentile(share) / MICROSECONDS
-        lines.append(f'{full}{_render_labels(with_share)} {value}')
+    lines = [
+        _render_line(
+            f'{name}_seconds',
+            (*labels, ('quantile', str(share / 100))),
+            histogram.get_value_at_percentile(share) / MICROSECONDS,
+        )
+        for share in QUANTILES
+    ]
     total = histogram.get_total_count()
-    lines.append(f'{full}_count{_render_labels(labels)} {total}')
+    lines.append(_render_line(f'{name}_seconds_count', labels, total))
     return lines
--- a/src/wigeonpier/telemetry/trace.py
+++ b/src/wigeonpier/telemetry/trace.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -98,10 +99,10 @@
     :param path: file that is appended to.
     :returns: the exporter.
     """
-    stream = open(path, 'ab', buffering=0)  # noqa: SIM115
+    stream = Path(path).open('ab', buffering=0)  # noqa: SIM115
 
     def export(record: SpanRecord) -> None:
-        stream.write(msgspec.json.encode(record) + b'\n')
+        stream.write(b'%b\n' % msgspec.json.encode(record))
 
     return export
 
--- a/src/wigeonpier/web/client.py
+++ b/src/wigeonpier/web/client.py
@@ -186,7 +186,8 @@
 
         :param address: ``host:port``.
         """
-        for key in [key for key in self._clients if key[0] == address]:
+        keys = [key for key in self._clients if key[0] == address]
+        for key in keys:
             self._clients.pop(key).close()
 
     def _get_client(self, address: str, patience: float) -> HTTPClient:
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -5,12 +5,14 @@
 import re
 import socket
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-import gevent
 from gevent import pywsgi
+from gevent import sleep as pause
+from gevent import socket as green
 
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.telemetry.events import Event
@@ -18,7 +20,7 @@
 from wigeonpier.web.messages import Request, Response, answer_refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
     Handler = Callable[[Request], Response]
     Filter = Callable[[Request, Handler], Response]
@@ -102,7 +104,7 @@
     def _log_error(self, kind: type, error: Exception, _trace: Any) -> None:
         log_event(
             Event.request_broken,
-            path=self.environ.get('PATH_INFO', ''),
+            path=(self.environ or {}).get('PATH_INFO', ''),
             problem=f'{kind.__name__}: {error}',
         )
 
@@ -142,7 +144,7 @@
         self._server.close()
         give_up = time.monotonic() + seconds
         while self.in_hand and time.monotonic() < give_up:
-            gevent.sleep(DRAIN_STEP_SECONDS)
+            pause(DRAIN_STEP_SECONDS)
         return self.in_hand
 
     def stop(self) -> None:
@@ -153,7 +155,7 @@
         self,
         environ: dict[str, Any],
         start_response: StartResponse,
-    ) -> Iterator[bytes]:
+    ) -> Iterable[bytes]:
         self.in_hand += 1
         try:
             response = self.handler(_read_request(environ))
@@ -188,14 +190,13 @@
             yield from self._response.body
 
     def close(self) -> None:
-        close_body = getattr(self._response.body, 'close', None)
-        try:
+        with ExitStack() as stack:
+            for callback in self._response.on_close:
+                stack.callback(callback)
+            stack.callback(self._release)
+            close_body = getattr(self._response.body, 'close', None)
             if close_body is not None:
                 close_body()
-        finally:
-            self._release()
-            for callback in self._response.on_close:
-                callback()
 
 
 def _wrap_handler(current: Filter, following: Handler) -> Handler:
@@ -203,7 +204,7 @@
 
 
 def _open_listener(host: str, port: int) -> Any:
-    listener = gevent.socket.socket()
+    listener = green.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted sockets inherit it; without it each answer waits for the
     # delayed acknowledgement of its headers, 40 ms.
--- /dev/null
+++ b/tests/disk/test_folder.py
@@ -0,0 +1,94 @@
+"""Data folders: fences, repeated appends, torn tails."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wigeonpier.batch.records import (
+    Begin,
+    Release,
+    decode_records,
+    encode_record,
+    measure_sound_part,
+)
+from wigeonpier.disk.folder import (
+    DataFolder,
+    StaleFenceError,
+    WrongOffsetError,
+)
+
+LINES = [encode_record(Begin(number, alone=False)) for number in range(5)]
+NAME = ('job', 0, 3)
+
+
+@pytest.fixture
+def folder(tmp_path) -> DataFolder:
+    return DataFolder(str(tmp_path), lambda: 0)
+
+
+def _reopen(folder: DataFolder) -> DataFolder:
+    return DataFolder(str(folder._root), lambda: 0)
+
+
+def test_an_older_owner_is_refused_also_after_a_restart(folder) -> None:
+    folder.append(NAME, 0, LINES[0])
+    folder.fence(('job', 0), 4)
+    again = _reopen(folder)
+    for each in (folder, again):
+        with pytest.raises(StaleFenceError):
+            each.append(NAME, len(LINES[0]), LINES[1])
+    assert again.append(('job', 0, 4), 0, LINES[1]) == len(LINES[1])
+
+
+def test_a_fence_never_goes_back(folder) -> None:
+    folder.fence(('job', 0), 9)
+    folder.fence(('job', 0), 4)
+    with pytest.raises(StaleFenceError):
+        folder.append(('job', 0, 8), 0, LINES[0])
+
+
+def test_a_repeated_append_is_not_added_again(folder) -> None:
+    for _ in range(3):
+        assert folder.append(NAME, 0, LINES[0]) == len(LINES[0])
+    assert folder.read_segment(NAME) == LINES[0]
+
+
+def test_a_gap_is_refused(folder) -> None:
+    with pytest.raises(WrongOffsetError):
+        folder.append(NAME, 10, LINES[0])
+
+
+def test_an_emptied_folder_is_another_one(folder, tmp_path) -> None:
+    assert _reopen(folder).incarnation == folder.incarnation
+    (tmp_path / 'incarnation').unlink()
+    assert _reopen(folder).incarnation != folder.incarnation
+
+
+@given(st.integers(0, sum(map(len, LINES))), st.binary(max_size=12))
+def test_a_torn_tail_is_cut_off_and_nothing_else(cut: int, junk: bytes) -> None:
+    whole = b''.join(LINES)
+    torn = whole[:cut] + junk.replace(b'\n', b'')
+    sound = measure_sound_part(torn)
+    assert whole.startswith(torn[:sound])
+    kept = list(decode_records(torn[:sound]))
+    assert kept == [Begin(number, alone=False) for number in range(len(kept))]
+    ends = [sum(map(len, LINES[:count])) for count in range(len(LINES) + 1)]
+    assert sound >= max(end for end in ends if end <= cut)
+
+
+def test_appends_go_on_after_a_torn_tail(folder, tmp_path) -> None:
+    folder.append(NAME, 0, LINES[0] + LINES[1])
+    path = tmp_path / 'segments' / 'job' / '0' / '3'
+    path.write_bytes(path.read_bytes()[:-3])
+    again = _reopen(folder)
+    fresh = encode_record(Release(0))
+    assert again.append(NAME, len(LINES[0]), fresh) == len(LINES[0] + fresh)
+    assert again.read_segment(NAME) == LINES[0] + fresh
+
+
+def test_a_changed_byte_is_found() -> None:
+    whole = bytearray(b''.join(LINES))
+    whole[len(LINES[0]) + 12] ^= 1
+    assert measure_sound_part(bytes(whole)) == len(LINES[0])
--- /dev/null
+++ b/tests/policy/test_retry.py
@@ -0,0 +1,45 @@
+"""Retries within a budget."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wigeonpier.policy.retry import (
+    BUDGET_LEAST,
+    BUDGET_SHARE,
+    Fate,
+    RetryBudget,
+    Try,
+    may_retry,
+)
+
+
+@given(st.integers(1, 5), st.floats(-1, 10), st.floats(0, 10))
+def test_work_that_may_have_run_once_is_not_sent_again(
+    number,
+    seconds,
+    tokens,
+) -> None:
+    last = Try(
+        number, Fate.may_have_run, idempotent=False, seconds_left=seconds
+    )
+    assert not may_retry(last, RetryBudget(tokens))
+
+
+@given(st.lists(st.booleans(), max_size=400))
+def test_retries_are_a_share_of_requests(failures) -> None:
+    budget = RetryBudget()
+    retries = 0
+    for failed in failures:
+        budget.note_request()
+        last = Try(1, Fate.not_run, idempotent=True, seconds_left=1)
+        if failed and may_retry(last, budget):
+            budget.note_retry()
+            retries += 1
+    assert retries <= BUDGET_LEAST + BUDGET_SHARE * len(failures)
+
+
+def test_no_retry_after_the_deadline() -> None:
+    last = Try(1, Fate.not_run, idempotent=True, seconds_left=0)
+    assert not may_retry(last, RetryBudget())
--- /dev/null
+++ b/tests/policy/test_route.py
@@ -0,0 +1,106 @@
+"""Routing of online requests."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import build_upstream
+from wigeonpier.policy.route import (
+    Ask,
+    choose_upstream,
+    find_usable,
+    measure_cost,
+    note_outcome,
+)
+
+ASK = Ask('s', 'm', '', 'a', 'r')
+STATES = st.lists(
+    st.builds(
+        lambda leaving, ejected, in_hand, centre: {
+            'is_leaving': leaving,
+            'ejected_until': ejected,
+            'in_hand': in_hand,
+            'data_centre': centre,
+        },
+        st.booleans(),
+        st.sampled_from((0.0, 5.0, 20.0)),
+        st.integers(0, 30),
+        st.sampled_from(('a', 'b')),
+    ),
+    max_size=8,
+)
+
+
+def _build(parts):
+    return [
+        build_upstream(f'vm-{number}', **changes)
+        for number, changes in enumerate(parts)
+    ]
+
+
+@given(STATES, st.floats(0, 30), st.integers(), st.sampled_from(('', 'abc')))
+def test_leaving_upstreams_get_no_work(parts, now, seed, affinity) -> None:
+    states = _build(parts)
+    ask = Ask('s', 'm', affinity, 'a', 'r')
+    chosen = choose_upstream(states, ask, now, random.Random(seed))
+    staying = [state for state in states if not state.is_leaving]
+    assert (chosen is None) == (not staying)
+    assert chosen is None or not chosen.is_leaving
+
+
+@given(STATES, st.floats(0, 30))
+def test_never_are_all_taken_out(parts, now) -> None:
+    states = _build(parts)
+    staying = [state for state in states if not state.is_leaving]
+    usable = find_usable(states, ASK, now)
+    assert len(usable) >= len(staying) - len(staying) // 2
+
+
+@given(st.lists(st.booleans(), max_size=40))
+def test_bad_outcomes_in_a_row_take_an_upstream_out(outcomes) -> None:
+    state = build_upstream('vm-1')
+    streak = 0
+    for number, went_well in enumerate(outcomes):
+        note_outcome(state, went_well, now=float(number))
+        streak = 0 if went_well else streak + 1
+        if streak >= 3:
+            assert state.ejected_until > number
+            streak = 0
+
+
+def test_an_upstream_is_let_back_gently() -> None:
+    state = build_upstream('vm-1')
+    for _ in range(3):
+        note_outcome(state, went_well=False, now=0)
+    back = state.ejected_until
+    costs = [measure_cost(state, ASK, back + wait) for wait in (0.1, 2, 6)]
+    assert costs[0] > costs[1] > costs[2]
+
+
+def test_the_own_count_goes_before_an_old_report() -> None:
+    state = build_upstream('vm-1', in_hand=2, reported=20, reported_at=0.0)
+    fresh = measure_cost(state, ASK, now=0.0)
+    old = measure_cost(state, ASK, now=30.0)
+    assert fresh > old == (2 + 1) / 8
+
+
+def test_affinity_gives_way_to_load() -> None:
+    ask = Ask('s', 'm', 'prefix', 'a', 'r')
+    states = [build_upstream(f'vm-{number}') for number in range(4)]
+    draw = random.Random(1)
+    home = choose_upstream(states, ask, 0, draw)
+    assert choose_upstream(states, ask, 0, draw) is home
+    home.in_hand = 8
+    assert choose_upstream(states, ask, 0, draw) is not home
+
+
+def test_the_nearest_data_centre_is_left_before_queues_form() -> None:
+    near = build_upstream('near')
+    far = build_upstream('far', data_centre='b')
+    draw = random.Random(1)
+    assert choose_upstream([near, far], ASK, 0, draw) is near
+    near.in_hand = 5
+    assert choose_upstream([near, far], ASK, 0, draw) is far
