Find by randomised takeovers that a chunk could stand still for good

Ruled out: the forced writes (0.1 ms each) and the claim, which was never refused. Change: folders that failed just now are tried again where there are no others. A state machine claims, crashes, pauses, wakes, loses answers and a folder, and cancels, against a model of starts and counted results; with the fence or the acknowledgement by all copies switched off it must fail.

--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -411,7 +411,9 @@
     :raises ChunkProblemError: when there are too few.
     """
     disks = workshop.list_disks()
-    for avoided in (lost | workshop.disks.list_failing(), lost):
+    # Folders that failed just now may be well again: where there are no
+    # others, a new segment on the same ones is as good.
+    for avoided in (lost | workshop.disks.list_failing(), lost, frozenset()):
         chosen = choose_copies(disks, key, workshop.copies, avoided)
         if len(chosen) >= workshop.least_copies:
             return tuple(disk.incarnation for disk in chosen)
