--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -19,7 +19,6 @@
     JournalEndedError,
     JournalWriter,
 )
-from wigeonpier.batch.models import Job, Line
 from wigeonpier.batch.records import (
     Begin,
     Failure,
@@ -28,7 +27,6 @@
     Release,
     Status,
 )
-from wigeonpier.disk.client import DiskClient
 from wigeonpier.invariants import Promise, check_promise
 from wigeonpier.platform.certain import swap_certainly
 from wigeonpier.platform.keys import name_chunk
@@ -48,6 +46,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wigeonpier.batch.models import Job, Line
+    from wigeonpier.disk.client import DiskClient
     from wigeonpier.platform.port import Platform
 
 TOKEN_BYTES = 8
--- a/src/wigeonpier/bench/site.py
+++ b/src/wigeonpier/bench/site.py
@@ -5,7 +5,6 @@
 import secrets
 from dataclasses import dataclass, field
 from importlib import resources
-from pathlib import Path
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
@@ -23,6 +22,8 @@
 from wigeonpier.settings.process import EntrySettings, LocalSettings
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from wigeonpier.web.server import Server
 
 PEER_KEY = 'stand-in-peer-key-0123456789'
--- a/src/wigeonpier/disk/storage.py
+++ b/src/wigeonpier/disk/storage.py
@@ -5,13 +5,13 @@
 import os
 import secrets
 from contextlib import suppress
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import gevent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from pathlib import Path
 
 FILE_MODE = 0o644
 NAME_BYTES = 4
