--- a/src/wigeonpier/bench/main.py
+++ b/src/wigeonpier/bench/main.py
@@ -13,6 +13,7 @@
 import msgspec
 from gevent.event import Event as Signal
 
+from wigeonpier.bench.batchcost import measure_batch
 from wigeonpier.bench.capacity import load_slopes, render_figures, update_page
 from wigeonpier.bench.engine import StandInEngine
 from wigeonpier.bench.fleet import EngineSettings
@@ -30,6 +31,7 @@
 MIX_SECONDS = 20
 SOAK_SECONDS = 15
 SLOPE_SECONDS = 8
+BATCH_ITEMS = 4000
 
 
 def add_overhead(parser: argparse.ArgumentParser) -> None:
@@ -192,6 +194,43 @@
     return int(fresh != page)
 
 
+def add_batch(parser: argparse.ArgumentParser) -> None:
+    """Declare ``batch``.
+
+    :param parser: parser of the sub-command.
+    """
+    parser.add_argument(
+        '--items',
+        type=int,
+        default=BATCH_ITEMS,
+        help='items of each run (default: %(default)s)',
+    )
+    parser.add_argument(
+        '--takeovers',
+        type=int,
+        default=5,
+        help='how often an owner is lost (default: %(default)s)',
+    )
+    parser.set_defaults(run=run_batch)
+
+
+def run_batch(parsed: argparse.Namespace) -> int:
+    """Measure what a batch item costs, beside a write per item.
+
+    :param parsed: options.
+    :returns: exit status.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        write_json(
+            measure_batch(
+                parsed.items,
+                parsed.takeovers,
+                lambda name: _make_folder(Path(folder) / name),
+            ),
+        )
+    return 0
+
+
 def add_mix(parser: argparse.ArgumentParser) -> None:
     """Declare ``mix``.
 
@@ -256,6 +295,7 @@
     ('soak', 'load under drawn faults', add_soak),
     ('slopes', 'what control costs by size', add_slopes),
     ('capacity', 'figures of the capacity page', add_capacity),
+    ('batch', 'what a batch item costs', add_batch),
     ('overhead', 'what the processes add to a direct call', add_overhead),
 )
 
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -13,6 +13,7 @@
 from wigeonpier.entry.admin import AdminDesk
 from wigeonpier.entry.board import JobBoard
 from wigeonpier.entry.configuration import ConfigurationDesk
+from wigeonpier.entry.copies import CopyKeeper
 from wigeonpier.entry.files import FileDesk
 from wigeonpier.entry.forward import Forwarder
 from wigeonpier.entry.jobs import JobDesk
@@ -81,6 +82,7 @@
     :param configuration: accepts configurations.
     :param reporter: heartbeats to the other entries.
     :param keeper: brings jobs to their end.
+    :param copies: makes lost copies again.
     :param views: what is watched in the key-value service.
     :param server: listener for callers and peers.
     :param admin: listener for operators.
@@ -96,6 +98,7 @@
     configuration: ConfigurationDesk
     reporter: Reporter
     keeper: JobKeeper
+    copies: CopyKeeper
     views: tuple[PrefixView, ...]
     server: Server
     admin: Server
@@ -109,10 +112,10 @@
         self.parts.holder.listen(self.ring.load)
         for view in self.views:
             view.start()
-        self.keeper.start()
+        for controller in (self.keeper, self.copies, self.reporter):
+            controller.start()
         spawn_loop('vm list', lambda: _watch_vms(self))
         spawn_loop('itself', lambda: _report_itself(self))
-        self.reporter.start()
         self.server.start()
         self.admin.start()
         return self.server.address
@@ -189,6 +192,7 @@
         configuration=configuration,
         reporter=reporter,
         keeper=keeper,
+        copies=CopyKeeper(parts.platform, disks, directory, server.address),
         views=_make_views(parts, board),
         server=server,
         admin=admin,
@@ -272,7 +276,7 @@
         platform=parts.platform,
         disks=disks,
         list_disks=directory.list_disks,
-        is_gone=lambda copy: False,
+        is_gone=lambda copy: copy in directory.list_gone(),
         owner=parts.settings.name,
         copies=batch.copies,
         least_copies=batch.least_copies,
--- a/src/wigeonpier/entry/peers.py
+++ b/src/wigeonpier/entry/peers.py
@@ -57,6 +57,7 @@
                 version=self.holder.version,
                 entries=tuple(self.directory.list_entries()),
                 disks=self.directory.report_disks(),
+                gone=self.directory.list_gone(),
                 offers=self.board.offer_work(heartbeat),
                 stopped=self.board.list_stopped(heartbeat.held),
             ),
--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -227,7 +227,7 @@
             lambda: reporter.neighbours.disks,
         ),
         list_disks=list_disks,
-        is_gone=lambda copy: False,
+        is_gone=lambda copy: copy in reporter.neighbours.gone,
         owner=parts.settings.name,
         copies=1,
         least_copies=1,
--- a/src/wigeonpier/membership/directory.py
+++ b/src/wigeonpier/membership/directory.py
@@ -17,6 +17,7 @@
 
 SILENT_SECONDS = 3.0
 FORGET_SECONDS = 15.0
+GONE_SECONDS = 30.0
 UNKNOWN_REGION = ''
 
 
@@ -32,6 +33,18 @@
     seen: float
 
 
+@dataclass(frozen=True, slots=True)
+class DiskHome:
+    """Where a data folder was last heard of.
+
+    :param vm: name of its VM.
+    :param seen: when, seconds.
+    """
+
+    vm: str
+    seen: float
+
+
 @dataclass(slots=True)
 class Directory:
     """Processes, upstreams and disks that an entry knows.
@@ -42,6 +55,7 @@
     :param upstreams: upstreams by name.
     :param leaving_vms: VMs that the list or an operator says are leaving.
     :param listed_vms: VMs that the list shows.
+    :param homes: data folders that were ever heard of, by incarnation.
     """
 
     clock: Callable[[], float]
@@ -50,6 +64,7 @@
     upstreams: dict[str, UpstreamState] = field(default_factory=dict)
     leaving_vms: set[str] = field(default_factory=set)
     listed_vms: dict[str, Vm] = field(default_factory=dict)
+    homes: dict[str, DiskHome] = field(default_factory=dict)
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take in what a process says of itself.
@@ -59,6 +74,9 @@
         now = self.clock()
         is_new = not self._knows_boot(heartbeat)
         self.members[heartbeat.name] = Member(heartbeat, now)
+        if heartbeat.disk is not None:
+            incarnation = heartbeat.disk.incarnation
+            self.homes[incarnation] = DiskHome(heartbeat.name, now)
         if heartbeat.upstream is not None:
             self._note_upstream(heartbeat, now, is_new)
 
@@ -131,6 +149,20 @@
             and not member.heartbeat.is_leaving
         ]
 
+    def list_gone(self) -> tuple[str, ...]:
+        """List data folders that will not come back.
+
+        A folder is gone when its VM has shown another one, or when it has
+        been silent for long and its VM is not listed any more.
+
+        :returns: incarnations.
+        """
+        return tuple(
+            incarnation
+            for incarnation, home in self.homes.items()
+            if self._is_gone(incarnation, home)
+        )
+
     def report_disks(self) -> tuple[DiskReport, ...]:
         """List data folders for peers.
 
@@ -171,6 +203,14 @@
             }
         )
 
+    def _is_gone(self, incarnation: str, home: DiskHome) -> bool:
+        member = self.members.get(home.vm)
+        shown = member.heartbeat.disk if member else None
+        if shown is not None and shown.incarnation != incarnation:
+            return True
+        is_silent = self.clock() - home.seen > GONE_SECONDS
+        return is_silent and home.vm not in self.listed_vms
+
     def _knows_boot(self, heartbeat: Heartbeat) -> bool:
         known = self.members.get(heartbeat.name)
         return known is not None and known.heartbeat.boot == heartbeat.boot
--- a/src/wigeonpier/membership/messages.py
+++ b/src/wigeonpier/membership/messages.py
@@ -114,6 +114,7 @@
     :param version: configuration that the entry has in force.
     :param entries: ``host:port`` of live entries.
     :param disks: data folders in reach.
+    :param gone: data folders that will not come back.
     :param offers: chunks to claim.
     :param stopped: held jobs that were cancelled.
     """
@@ -121,5 +122,6 @@
     version: int
     entries: tuple[str, ...]
     disks: tuple[DiskReport, ...] = ()
+    gone: tuple[str, ...] = ()
     offers: tuple[Offer, ...] = ()
     stopped: tuple[str, ...] = ()
--- a/src/wigeonpier/membership/reporter.py
+++ b/src/wigeonpier/membership/reporter.py
@@ -40,10 +40,12 @@
 
     :param entries: addresses of live entries.
     :param disks: data folders in reach, by incarnation.
+    :param gone: data folders that will not come back.
     """
 
     entries: tuple[str, ...]
     disks: dict[str, DiskReport] = field(default_factory=dict)
+    gone: frozenset[str] = frozenset()
 
 
 class Reporter:
@@ -156,6 +158,7 @@
                 self.neighbours.disks = {
                     disk.incarnation: disk for disk in reply.disks
                 }
+            self.neighbours.gone |= frozenset(reply.gone)
             if reply.version > self._holder.version:
                 self._fetch_configuration(target)
         if entries - set(self.neighbours.entries):
--- a/tests/features/batch.feature
+++ b/tests/features/batch.feature
@@ -172,3 +172,13 @@
     Then the job ends as "completed"
     And each item has exactly one result
     And no credit was paid twice
+
+  Scenario: Copies on a lost data folder are made again, and then another is lost
+    Given a site with 4 entries that each have a data folder
+    When a job of 60 items is accepted
+    Then the job ends as "completed"
+    When the data folder of entry 1 is emptied and comes back as another
+    Then each record names 3 folders that are there
+    When the entries 2 and 3 are lost
+    Then the results can still be read
+    And each item has exactly one right answer
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 
 from tests.builders import wait_for
+from wigeonpier.batch.models import FileRecord, FinishedJob
 from wigeonpier.bench.answers import make_answer
 from wigeonpier.bench.load import Client, make_lines
 from wigeonpier.web.client import HttpCaller
@@ -30,10 +31,8 @@
     context.bench.start(
         entries=count,
         disks=count,
-        batch={'copies': 2, 'least_copies': 2},
+        batch={'copies': 3, 'least_copies': 2},
     )
-    for entry in context.bench.site.entries.values():
-        entry.app.parts.holder.deployment.batch.copies = 3
 
 
 @given('engines that take their time')
@@ -448,3 +447,52 @@
         for replica in bench.all_replicas()
         if replica.engine
     )
+
+
+@when(
+    'the data folder of entry {number:d} is emptied and comes back as another'
+)
+def empty_folder(context: Context, number: int) -> None:
+    site = context.bench.site
+    name = f'entry-{number}'
+    site.crash_entry(name)
+    (site.folder / name).rename(site.folder / f'{name}-old')
+    site.add_entry(name)
+
+
+@then('each record names {count:d} folders that are there')
+def check_copies(context: Context, count: int) -> None:
+    site = context.bench.site
+    wait_for(lambda: _are_mended(site, count), 20)
+
+
+@when('the entries {first:d} and {second:d} are lost')
+def lose_entries(context: Context, first: int, second: int) -> None:
+    for number in (first, second):
+        context.bench.site.crash_entry(f'entry-{number}')
+
+
+@then('the results can still be read')
+def read_again(context: Context) -> None:
+    bench = context.bench
+    bench.client.addresses = bench.site.list_addresses()
+    bench.results = bench.client.read_results(bench.batch)
+
+
+def _are_mended(site: Any, count: int) -> bool:
+    there = {
+        entry.app.parts.folder.incarnation for entry in site.entries.values()
+    }
+    copies = []
+    for key, cell in site.platform.cells.items():
+        if '/results/' in key:
+            finished = msgspec.json.decode(cell.value, type=FinishedJob)
+            copies += [chunk.segment.copies for chunk in finished.chunks]
+            copies.append(finished.job.copies)
+        elif '/files/' in key:
+            copies.append(
+                msgspec.json.decode(cell.value, type=FileRecord).copies
+            )
+    return bool(copies) and all(
+        len(set(each) & there) == count for each in copies
+    )
