--- a/src/wigeonpier/bench/main.py
+++ b/src/wigeonpier/bench/main.py
@@ -17,6 +17,7 @@
 from wigeonpier.bench.capacity import load_slopes, render_figures, update_page
 from wigeonpier.bench.engine import StandInEngine
 from wigeonpier.bench.fleet import EngineSettings
+from wigeonpier.bench.largefile import measure_uploads
 from wigeonpier.bench.mix import run_mix
 from wigeonpier.bench.overhead import measure_overhead
 from wigeonpier.bench.site import PLANS
@@ -231,6 +232,36 @@
     return 0
 
 
+def add_upload(parser: argparse.ArgumentParser) -> None:
+    """Declare ``upload``.
+
+    :param parser: parser of the sub-command.
+    """
+    parser.add_argument(
+        '--items',
+        default='10000,100000,530000',
+        help='lines of each file (default: %(default)s)',
+    )
+    parser.set_defaults(run=run_upload)
+
+
+def run_upload(parsed: argparse.Namespace) -> int:
+    """Measure an entry's memory while it takes in large files.
+
+    :param parsed: options.
+    :returns: exit status.
+    """
+    sizes = tuple(map(int, parsed.items.split(',')))
+    with tempfile.TemporaryDirectory() as folder:
+        write_json(
+            measure_uploads(
+                sizes,
+                lambda name: _make_folder(Path(folder) / name),
+            ),
+        )
+    return 0
+
+
 def add_mix(parser: argparse.ArgumentParser) -> None:
     """Declare ``mix``.
 
@@ -296,6 +327,7 @@
     ('slopes', 'what control costs by size', add_slopes),
     ('capacity', 'figures of the capacity page', add_capacity),
     ('batch', 'what a batch item costs', add_batch),
+    ('upload', 'memory of an entry and large files', add_upload),
     ('overhead', 'what the processes add to a direct call', add_overhead),
 )
 
--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -18,7 +18,7 @@
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web import headers
-from wigeonpier.web.client import CallFailure
+from wigeonpier.web.client import CallFailure, round_patience
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, ErrorPage, Response
 from wigeonpier.web.sse import (
     Whole,
@@ -41,7 +41,6 @@
 MILLISECONDS = 1000
 OVERLOAD_STATUS = 429
 SERVER_ERROR = 500
-HEAD_SECONDS = 600.0
 FORWARDED_HEADERS = ('content-type', 'accept')
 
 
@@ -170,6 +169,7 @@
         state: UpstreamState,
     ) -> Result[Response, BadTry]:
         work.tries += 1
+        self._note_added(work)
         check_promise(
             work.is_idempotent or not work.may_have_run,
             Promise.runs_at_most_once,
@@ -188,6 +188,15 @@
         reply.close()
         return whole
 
+    def _note_added(self, work: Work) -> None:
+        if work.tries == 1:
+            self.metrics.observe(
+                'added_latency',
+                time.monotonic() - work.arrived,
+                service=work.ask.service,
+                work='online',
+            )
+
     def _open(
         self,
         work: Work,
@@ -199,7 +208,7 @@
             work.path,
             work.body,
             headers=_make_headers(work),
-            patience=HEAD_SECONDS,
+            patience=round_patience(work.seconds_left),
         )
         now = self.directory.clock()
         if isinstance(opened, Err):
--- a/src/wigeonpier/entry/peers.py
+++ b/src/wigeonpier/entry/peers.py
@@ -52,12 +52,13 @@
             self.limits.note_others(heartbeat.name, heartbeat.usage)
         if heartbeat.version > self.holder.version:
             gevent.spawn(self._fetch_configuration, heartbeat.address)
+        news = self.directory.tell_news()
         return answer_json(
             HeartbeatReply(
                 version=self.holder.version,
-                entries=tuple(self.directory.list_entries()),
-                disks=self.directory.report_disks(),
-                gone=self.directory.list_gone(),
+                entries=news.entries,
+                disks=news.disks,
+                gone=news.gone,
                 offers=self.board.offer_work(heartbeat),
                 stopped=self.board.list_stopped(heartbeat.held),
             ),
--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -157,7 +157,13 @@
     )
     worker = Worker(
         gate,
-        Engine(upstream, settings.upstream, gate),
+        Engine(
+            upstream,
+            settings.upstream,
+            gate,
+            parts.metrics,
+            settings.service,
+        ),
         watch,
         Stock(_make_workshop(parts, reporter)),
         parts.metrics,
--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -19,6 +20,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.local.gate import Gate
+    from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import HttpCaller, StreamReply
 
 SILENCE_SECONDS = 60.0
@@ -78,11 +80,15 @@
     :param caller: connections to it.
     :param address: ``host:port``.
     :param gate: learns from the gaps between tokens.
+    :param metrics: numbers of this process.
+    :param service: service that the upstream is a replica of.
     """
 
     caller: HttpCaller
     address: str
     gate: Gate
+    metrics: Metrics
+    service: str
 
     def advance(self, run: Run) -> RunEnd:
         """Run until the answer is whole or the stream ends otherwise.
@@ -160,6 +166,15 @@
             return None
         return opened
 
+    def _note_token(self, last: float) -> None:
+        if last:
+            self.metrics.observe(
+                'between_tokens',
+                time.monotonic() - last,
+                service=self.service,
+                work='batch',
+            )
+
     def _post(
         self,
         path: str,
@@ -186,6 +201,7 @@
         with self.gate.watch_tokens() as watch:
             for line in reply.iterate_lines():
                 if run.assembler.feed(line):
+                    self._note_token(watch.last)
                     watch.note_token()
         if not run.assembler.is_whole:
             return RunEnd.stopped if run.is_paused else RunEnd.lost
--- a/src/wigeonpier/local/online.py
+++ b/src/wigeonpier/local/online.py
@@ -12,7 +12,7 @@
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.web import headers
-from wigeonpier.web.client import CallFailure
+from wigeonpier.web.client import CallFailure, round_patience
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 from wigeonpier.web.sse import is_text_line
 
@@ -27,8 +27,6 @@
 DEFAULT_DEADLINE_MS = 120_000
 MILLISECONDS = 1000
 SERVER_ERROR = 500
-PATIENCE_STEPS = (1.0, 5.0, 30.0, 120.0)
-LONGEST_PATIENCE = 600.0
 PASSED_HEADERS = ('content-type', 'accept', 'traceparent')
 
 
@@ -99,7 +97,7 @@
         target,
         body,
         headers=passed,
-        patience=_round_patience(deadline - time.monotonic()),
+        patience=round_patience(deadline - time.monotonic()),
     )
     if isinstance(opened, Err):
         if opened.err_value is CallFailure.not_sent:
@@ -143,11 +141,3 @@
             if is_text_line(line):
                 watch.note_token()
             yield line
-
-
-def _round_patience(seconds: float) -> float:
-    # Connections are kept by patience; a few values share them.
-    return next(
-        (step for step in PATIENCE_STEPS if seconds <= step),
-        LONGEST_PATIENCE,
-    )
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -194,7 +194,14 @@
 
     def _run_or_lose(self, turn: Turn, alone: bool) -> None:
         chunk = turn.chunk
+        started = time.monotonic()
         chunk.begin(turn.item, alone=alone)
+        self.metrics.observe(
+            'added_latency',
+            time.monotonic() - started,
+            service=chunk.job.service,
+            work='batch',
+        )
         run = _make_run(turn)
         if run.is_stream:
             turn.stream.stop = lambda: self.engine.stop(run)
@@ -213,8 +220,15 @@
                 return end
             self.gate.remove_batch(turn.stream)
             turn.go.clear()
+            paused = time.monotonic()
             self._paused.append(turn)
             turn.go.wait()
+            self.metrics.observe(
+                'queueing',
+                time.monotonic() - paused,
+                service=turn.chunk.job.service,
+                work='batch',
+            )
             if self._is_over(turn):
                 return RunEnd.stopped
 
--- a/src/wigeonpier/membership/directory.py
+++ b/src/wigeonpier/membership/directory.py
@@ -18,6 +18,7 @@
 SILENT_SECONDS = 3.0
 FORGET_SECONDS = 15.0
 GONE_SECONDS = 30.0
+NEWS_SECONDS = 0.2
 UNKNOWN_REGION = ''
 
 
@@ -45,6 +46,22 @@
     seen: float
 
 
+@dataclass(frozen=True, slots=True)
+class News:
+    """What each reply to a heartbeat tells of the fleet.
+
+    :param made: when it was put together, seconds.
+    :param entries: addresses of live entries.
+    :param disks: data folders in reach.
+    :param gone: data folders that will not come back.
+    """
+
+    made: float
+    entries: tuple[str, ...]
+    disks: tuple[DiskReport, ...]
+    gone: tuple[str, ...]
+
+
 @dataclass(slots=True)
 class Directory:
     """Processes, upstreams and disks that an entry knows.
@@ -65,6 +82,7 @@
     leaving_vms: set[str] = field(default_factory=set)
     listed_vms: dict[str, Vm] = field(default_factory=dict)
     homes: dict[str, DiskHome] = field(default_factory=dict)
+    _news: News | None = None
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take in what a process says of itself.
@@ -163,6 +181,23 @@
             if self._is_gone(incarnation, home)
         )
 
+    def tell_news(self) -> News:
+        """Give what replies tell, put together a few times a second.
+
+        Doing it for each heartbeat would cost the square of the fleet.
+
+        :returns: the news.
+        """
+        now = self.clock()
+        if self._news is None or now - self._news.made > NEWS_SECONDS:
+            self._news = News(
+                now,
+                tuple(self.list_entries()),
+                self.report_disks(),
+                self.list_gone(),
+            )
+        return self._news
+
     def report_disks(self) -> tuple[DiskReport, ...]:
         """List data folders for peers.
 
--- a/src/wigeonpier/web/client.py
+++ b/src/wigeonpier/web/client.py
@@ -16,7 +16,8 @@
 
 CONNECT_SECONDS = 1.0
 MOST_CONNECTIONS = 2048
-OK_STATUS = 200
+PATIENCE_STEPS = (1.0, 5.0, 30.0, 60.0, 120.0)
+LONGEST_PATIENCE = 600.0
 FIRST_ERROR_STATUS = 300
 
 Model = TypeVar('Model')
@@ -221,3 +222,17 @@
             client._connection_pool.size = -1  # noqa: SLF001, WPS437
             self._clients[key] = client
         return client
+
+
+def round_patience(seconds: float) -> float:
+    """Round the time that is left up to one of a few values.
+
+    Connections are kept by patience, so that a few values share them.
+
+    :param seconds: time until a deadline.
+    :returns: longest silence on the connection, seconds.
+    """
+    return next(
+        (step for step in PATIENCE_STEPS if seconds <= step),
+        LONGEST_PATIENCE,
+    )
--- a/src/wigeonpier/web/filters.py
+++ b/src/wigeonpier/web/filters.py
@@ -23,6 +23,7 @@
     from wigeonpier.web.messages import Request, Response
     from wigeonpier.web.server import Filter, Handler
 
+CONTROL_PATHS = ('/peer/', '/disk/')
 QUIET_PATHS = frozenset(('/healthz', '/readyz', '/metrics'))
 
 
@@ -33,6 +34,8 @@
 ) -> Filter:
     """Make the filter that gives each request an id and a span.
 
+    Control between processes is not a request of anybody and has none.
+
     :param process: name of the hop.
     :param export: takes the finished span.
     :param metrics: counts answers by status.
@@ -40,6 +43,8 @@
     """
 
     def trace(request: Request, following: Handler) -> Response:
+        if request.path.startswith(CONTROL_PATHS):
+            return following(request)
         span = start_span(process, request.headers.get(HEADER))
         request.span = span
         request.identity = (
--- a/tests/local/test_engine.py
+++ b/tests/local/test_engine.py
@@ -12,6 +12,7 @@
 from wigeonpier.bench.load import make_chat
 from wigeonpier.local.engine import Engine, Run, RunEnd, prepare_body
 from wigeonpier.local.gate import Gate
+from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.client import HttpCaller
 
 MODEL = 'm'
@@ -27,6 +28,10 @@
     engine.stop()
 
 
+def _make_engine(address: str) -> Engine:
+    return Engine(HttpCaller(), address, Gate(), Metrics(), 's')
+
+
 def _make_run(prompt: str) -> Run:
     body = msgspec.json.encode(make_chat(MODEL, prompt, LENGTH))
     return Run(
@@ -47,7 +52,7 @@
     delivered,
     is_kept,
 ) -> None:
-    engine = Engine(HttpCaller(), stand_in.address, Gate())
+    engine = _make_engine(stand_in.address)
     run = _make_run('a prompt of some words')
     running = gevent.spawn(engine.advance, run)
     batcher = stand_in.batcher
@@ -69,7 +74,7 @@
 def test_a_cancel_that_overtakes_its_request_stops_it_all_the_same(
     stand_in,
 ) -> None:
-    engine = Engine(HttpCaller(), stand_in.address, Gate())
+    engine = _make_engine(stand_in.address)
     run = _make_run('another prompt')
     running = gevent.spawn(engine.advance, run)
     gevent.sleep(0)
@@ -78,12 +83,12 @@
 
 
 def test_an_upstream_that_is_down_did_not_run_it() -> None:
-    engine = Engine(HttpCaller(), '127.0.0.1:1', Gate())
+    engine = _make_engine('127.0.0.1:1')
     assert engine.advance(_make_run('a prompt')) is RunEnd.not_run
 
 
 def test_an_upstream_that_dies_midway_lost_it(stand_in) -> None:
-    engine = Engine(HttpCaller(), stand_in.address, Gate())
+    engine = _make_engine(stand_in.address)
     running = gevent.spawn(engine.advance, _make_run('a prompt'))
     while not stand_in.batcher.work.tokens:
         gevent.sleep(0.001)
