Never run a finished job again; make copies also on an entry just started

A finished job was cleared away claim by claim, and its own key last: in between it looked like a job of which nothing had run, and its chunks were offered again. And a process paused while it accepted a job could write the job's key again after the job had ended. Ruled out: the fence and the claims (no owner was ever in doubt). Change: the job's key becomes a small mark first and stays, then one call deletes all claims. An entry learns from the others which folders are gone: when it was the one to act but had started later, nobody acted.

--- a/src/wigeonpier/batch/models.py
+++ b/src/wigeonpier/batch/models.py
@@ -122,6 +122,24 @@
         return sum(self.pages)
 
 
+ENDED = frozenset((JobStatus.completed, JobStatus.cancelled))
+
+
+def mark_ended(job: Job) -> Job:
+    """Make the small mark that stays of a job whose results are kept.
+
+    :param job: the job.
+    :returns: its mark, without pages and copies.
+    """
+    return msgspec.structs.replace(
+        job,
+        status=JobStatus.completed,
+        pages=(),
+        copies=(),
+        metadata={},
+    )
+
+
 class DoneChunk(msgspec.Struct, array_like=True):
     """Where the results of a chunk are.
 
--- a/src/wigeonpier/bench/main.py
+++ b/src/wigeonpier/bench/main.py
@@ -221,6 +221,8 @@
     :param parsed: options.
     :returns: exit status.
     """
+    # Owners that were lost on purpose would fill the log.
+    configure_logs('batch', 'critical')
     with tempfile.TemporaryDirectory() as folder:
         write_json(
             measure_batch(
--- a/src/wigeonpier/bench/platform.py
+++ b/src/wigeonpier/bench/platform.py
@@ -85,6 +85,7 @@
         routes = [
             make_route('POST', '/v3/kv/range', self._range),
             make_route('POST', '/v3/kv/txn', self._swap),
+            make_route('POST', '/v3/kv/deleterange', self._delete),
             make_route('POST', '/v3/lease/grant', self._grant),
             make_route('POST', '/v3/lease/keepalive', self._keep),
             make_route('POST', '/v3/watch', self._watch),
@@ -163,6 +164,15 @@
         ]
         return answer_json({'header': self._make_header(), 'kvs': found})
 
+    def _delete(self, request: Request) -> Response:
+        asked = msgspec.json.decode(request.read_body())
+        start = _decode(asked['key']).decode()
+        end = _decode(asked['range_end']).decode()
+        doomed = [key for key in self.cells if start <= key < end]
+        for key in doomed:
+            self._write(key, None, 0)
+        return answer_json({'header': self._make_header()})
+
     def _swap(self, request: Request) -> Response:
         asked = msgspec.json.decode(request.read_body())
         compare = asked['compare'][0]
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -23,7 +23,12 @@
 from wigeonpier.entry.peers import PeerDesk
 from wigeonpier.loops import spawn_loop
 from wigeonpier.membership.directory import Directory
-from wigeonpier.membership.messages import DiskReport, Heartbeat, Role
+from wigeonpier.membership.messages import (
+    DiskReport,
+    Heartbeat,
+    HeartbeatReply,
+    Role,
+)
 from wigeonpier.membership.reporter import (
     CONFIGURATION_PATH,
     HEARTBEAT_PATH,
@@ -110,6 +115,7 @@
         """
         self.parts.address = self.server.address
         self.parts.holder.listen(self.ring.load)
+        self.reporter.on_reply = self._take_reply
         for view in self.views:
             view.start()
         for controller in (self.keeper, self.copies, self.reporter):
@@ -132,6 +138,9 @@
         self.admin.drain(0)
         return left
 
+    def _take_reply(self, reply: HeartbeatReply) -> None:
+        self.directory.note_gone(reply.gone)
+
 
 def build_entry(
     settings: EntrySettings,
--- a/src/wigeonpier/entry/board.py
+++ b/src/wigeonpier/entry/board.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from wigeonpier.batch.claims import Claim
-from wigeonpier.batch.models import Job, JobStatus
+from wigeonpier.batch.models import ENDED, Job, JobStatus
 from wigeonpier.membership.messages import Heartbeat, Offer
 from wigeonpier.platform.keys import JOBS, parse_chunk
 from wigeonpier.policy.schedule import JobView, order_jobs
@@ -47,14 +47,12 @@
     :param job: the job.
     :param revision: revision of its key.
     :param seen: monotonic seconds.
-    :param is_new: until it is known that it is not finished already.
     :param claims: claims of its chunks by index.
     """
 
     job: Job
     revision: int
     seen: float
-    is_new: bool = True
     claims: dict[int, HeldClaim] = field(default_factory=dict)
 
     @property
@@ -115,10 +113,12 @@
         :param change: what the watch saw.
         """
         _customer, job_id = change.key.removeprefix(JOBS).split('/')
-        if change.value is None:
+        job = None
+        if change.value is not None:
+            job = msgspec.json.decode(change.value, type=Job)
+        if job is None or job.status in ENDED:
             self.jobs.pop(job_id, None)
             return
-        job = msgspec.json.decode(change.value, type=Job)
         held = self.jobs.get(job_id)
         if held is None:
             held = HeldJob(job, change.revision, self.clock())
@@ -209,7 +209,6 @@
             held.job.id: held
             for held in self.jobs.values()
             if held.job.status is JobStatus.in_progress
-            and not held.is_new
             and held.job.service == report.service
             and (not held.job.model or held.job.model in report.models)
         }
--- a/src/wigeonpier/entry/jobs.py
+++ b/src/wigeonpier/entry/jobs.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from wigeonpier.batch.models import (
+    ENDED,
     BatchPage,
     BatchRequest,
     FileRecord,
@@ -147,6 +148,8 @@
             if entry is None:
                 return self.show(customer, job_id)
             job = msgspec.json.decode(entry.value, type=Job)
+            if job.status in ENDED:
+                return self.show(customer, job_id)
             if job.status is JobStatus.cancelling:
                 return self._show_held(job)
             job.status = JobStatus.cancelling
@@ -201,11 +204,13 @@
         held = self.board.jobs.get(job_id)
         if held is not None and held.job.customer == customer:
             return self._show_held(held.job)
-        # Results are written before the job's key goes, so in this order
-        # one of the two is seen.
+        # Results are written before the job is marked as ended, so in this
+        # order one of the two is seen.
         entry = self._read(keys.name_job(customer, job_id))
         if entry is not None:
-            return self._show_held(msgspec.json.decode(entry.value, type=Job))
+            job = msgspec.json.decode(entry.value, type=Job)
+            if job.status not in ENDED:
+                return self._show_held(job)
         finished = self.read_finished(customer, job_id)
         return show_finished(finished) if finished else None
 
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -19,7 +19,12 @@
 )
 from wigeonpier.batch.claims import Claim, Tally, add_tallies
 from wigeonpier.batch.journal import JournalEndedError
-from wigeonpier.batch.models import DoneChunk, FinishedJob, JobStatus
+from wigeonpier.batch.models import (
+    DoneChunk,
+    FinishedJob,
+    JobStatus,
+    mark_ended,
+)
 from wigeonpier.batch.records import Status
 from wigeonpier.batch.takeover import claim_chunk, open_chunk
 from wigeonpier.invariants import Promise, check_promise
@@ -83,9 +88,7 @@
 
     def _attend(self, held: HeldJob) -> None:
         try:
-            if held.is_new:
-                self._verify(held)
-            elif held.job.status is JobStatus.cancelling:
+            if held.job.status is JobStatus.cancelling:
                 if self._is_my_turn(held.job.id):
                     self._end_cancelled(held)
             elif held.is_all_done and self._is_my_turn(held.job.id):
@@ -99,22 +102,6 @@
         finally:
             self._attending.discard(held.job.id)
 
-    def _verify(self, held: HeldJob) -> None:
-        """Make sure that a job that appears was not finished already.
-
-        A process that was paused while it accepted a job may write the
-        job's key again after the job has ended.
-        """
-        platform = self.workshop().platform
-        job = held.job
-        read = platform.get(keys.name_results(job.customer, job.id))
-        if isinstance(read, Err):
-            return
-        if read.ok_value is None:
-            held.is_new = False
-        else:
-            self._clear(held)
-
     def _is_my_turn(self, job: str) -> bool:
         entries = self.directory.list_entries()
         if not entries or rank_by_key(entries, job)[0] == self.address:
@@ -124,8 +111,7 @@
 
     def _end_cancelled(self, held: HeldJob) -> None:
         platform = self.workshop().platform
-        prefix = keys.name_chunk(held.job.id, 0).rpartition('/')[0]
-        listed = platform.list_prefix(f'{prefix}/')
+        listed = platform.list_prefix(keys.name_claims(held.job.id))
         if isinstance(listed, Err):
             return
         claims = {
@@ -201,17 +187,24 @@
             self._clear(held)
 
     def _clear(self, held: HeldJob) -> None:
-        """Delete the keys of a job whose results are kept."""
+        """Mark a job as ended, then delete its claims.
+
+        The key of the job stays, as a small mark: were it deleted, a process
+        that was paused while it accepted the job could write it again, and
+        all of it would run anew.  The claims go last, since a job without
+        them looks as if nothing of it had run.
+        """
         platform = self.workshop().platform
         job = held.job
-        for index, kept in list(held.claims.items()):
-            platform.swap(keys.name_chunk(job.id, index), None, kept.revision)
-        platform.swap(
+        wrote = platform.swap(
             keys.name_job(job.customer, job.id),
-            None,
+            msgspec.json.encode(mark_ended(job)),
             held.revision,
         )
-        self._seen_since.pop(job.id, None)
+        if isinstance(wrote, Ok):
+            # One call for all claims; who claims one now finds the mark.
+            platform.delete_prefix(keys.name_claims(job.id))
+            self._seen_since.pop(job.id, None)
 
     def _clear_orphans(self) -> None:
         platform = self.workshop().platform
--- a/src/wigeonpier/membership/directory.py
+++ b/src/wigeonpier/membership/directory.py
@@ -73,6 +73,7 @@
     :param leaving_vms: VMs that the list or an operator says are leaving.
     :param listed_vms: VMs that the list shows.
     :param homes: data folders that were ever heard of, by incarnation.
+    :param told_gone: folders that other entries know to be gone.
     """
 
     clock: Callable[[], float]
@@ -82,6 +83,7 @@
     leaving_vms: set[str] = field(default_factory=set)
     listed_vms: dict[str, Vm] = field(default_factory=dict)
     homes: dict[str, DiskHome] = field(default_factory=dict)
+    told_gone: set[str] = field(default_factory=set)
     _news: News | None = None
 
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -175,11 +177,23 @@
 
         :returns: incarnations.
         """
-        return tuple(
+        seen_gone = {
             incarnation
             for incarnation, home in self.homes.items()
             if self._is_gone(incarnation, home)
-        )
+        }
+        there = {disk.incarnation for disk in self.report_disks()}
+        return tuple(sorted((seen_gone | self.told_gone) - there))
+
+    def note_gone(self, gone: tuple[str, ...]) -> None:
+        """Take in what another entry knows to be gone.
+
+        An entry that has just started may be the one that has to act, and
+        has never heard of the folder itself.
+
+        :param gone: incarnations.
+        """
+        self.told_gone.update(gone)
 
     def tell_news(self) -> News:
         """Give what replies tell, put together a few times a second.
--- a/src/wigeonpier/platform/gateway.py
+++ b/src/wigeonpier/platform/gateway.py
@@ -130,6 +130,16 @@
             return Err(Failure.conflict)
         return Ok(int(wrote.ok_value.header.revision))
 
+    def delete_prefix(self, prefix: str) -> Result[int, Failure]:
+        """Delete all keys under a prefix; the value is the revision."""
+        deleted = self._call(
+            '/v3/kv/deleterange',
+            _span_prefix(prefix),
+            _RangeReply,
+            Failure.unknown,
+        )
+        return deleted.map(lambda reply: int(reply.header.revision))
+
     def grant_lease(self, seconds: int) -> Result[int, Failure]:
         """Get a lease that lapses unless it is kept alive."""
         granted = self._call(
--- a/src/wigeonpier/platform/keys.py
+++ b/src/wigeonpier/platform/keys.py
@@ -52,6 +52,15 @@
     return f'{RESENDS}{customer}/{digest}'
 
 
+def name_claims(job: str) -> str:
+    """Name the prefix of all claims of a job.
+
+    :param job: id of the job.
+    :returns: the prefix.
+    """
+    return f'{CHUNKS}{job}/'
+
+
 def name_chunk(job: str, index: int) -> str:
     """Name the key of a chunk's claim.
 
@@ -60,7 +69,7 @@
     :returns: the key; keys of one job sort by index.
     """
     digits = str(index).zfill(INDEX_DIGITS)
-    return f'{CHUNKS}{job}/{digits}'
+    return f'{name_claims(job)}{digits}'
 
 
 def parse_chunk(key: str) -> tuple[str, int]:
--- a/src/wigeonpier/platform/port.py
+++ b/src/wigeonpier/platform/port.py
@@ -108,6 +108,9 @@
         Revision 0 creates the key if it is absent; no value deletes it.
         """
 
+    def delete_prefix(self, prefix: str) -> Result[int, Failure]:
+        """Delete all keys under a prefix; the value is the revision."""
+
     def grant_lease(self, seconds: int) -> Result[int, Failure]:
         """Get a lease that lapses unless it is kept alive."""
 
--- a/tests/features/batch.feature
+++ b/tests/features/batch.feature
@@ -182,3 +182,21 @@
     When the entries 2 and 3 are lost
     Then the results can still be read
     And each item has exactly one right answer
+
+  Scenario: A process that was paused while it accepted a job writes it again
+    Given a site
+    When a job of 40 items that run at most once is accepted
+    Then the job ends as "completed"
+    When the job is written once more as it was accepted
+    And all entries read the jobs anew
+    Then that write is refused
+    And no item was started twice
+
+  Scenario: A finished job is cleared away slowly
+    Given a site
+    When the key-value service takes 200 ms for each call
+    And a job of 300 items that run at most once is accepted
+    Then the job ends as "completed"
+    And each item has exactly one result
+    When all entries read the jobs anew
+    Then no item was started twice
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -10,11 +10,14 @@
 import gevent
 import msgspec
 from behave import given, then, when
+from result import Err
 
-from tests.builders import wait_for
+from tests.builders import build_job, wait_for
 from wigeonpier.batch.models import FileRecord, FinishedJob
 from wigeonpier.bench.answers import make_answer
 from wigeonpier.bench.load import Client, make_lines
+from wigeonpier.platform.keys import name_job
+from wigeonpier.platform.port import Failure
 from wigeonpier.web.client import HttpCaller
 
 if TYPE_CHECKING:
@@ -496,3 +499,42 @@
     return bool(copies) and all(
         len(set(each) & there) == count for each in copies
     )
+
+
+@when('the job is written once more as it was accepted')
+def write_again(context: Context) -> None:
+    bench = context.bench
+    site = bench.site
+    job = build_job(
+        id=bench.job,
+        customer='suva-design-shop',
+        file=bench.batch['input_file_id'],
+        pages=(32, 8),
+        model='netlist-llm',
+        service='netlist-llm',
+        idempotent=False,
+    )
+    context.wrote = site.find_entry().app.parts.platform.swap(
+        name_job(job.customer, job.id),
+        msgspec.json.encode(job),
+        0,
+    )
+
+
+@when('all entries read the jobs anew')
+def read_anew(context: Context) -> None:
+    faults = context.bench.site.platform.faults
+    faults.down = True
+    gevent.sleep(0.5)
+    faults.down = False
+    gevent.sleep(2)
+
+
+@then('that write is refused')
+def check_write_refused(context: Context) -> None:
+    assert context.wrote == Err(Failure.conflict), context.wrote
+
+
+@when('the key-value service takes {delay:d} ms for each call')
+def slow_service(context: Context, delay: int) -> None:
+    context.bench.site.platform.faults.delay = delay / 1000
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -127,3 +127,13 @@
         ]
         assert winners == [platform.cells[f'k{number}'].value]
         assert Err(Failure.conflict) in outcomes
+
+
+def test_a_prefix_is_deleted_in_one_call(stand_in) -> None:
+    platform, port = stand_in
+    for key in ('p/a', 'p/b', 'q/a'):
+        port.swap(key, b'1', 0)
+    platform.calls.clear()
+    port.delete_prefix('p/').unwrap()
+    assert set(platform.cells) == {'q/a'}
+    assert platform.calls.total() == 1
