Let a leaving entry take requests until the balancer has seen it

Cause: a leaving entry closed its listener at once, while the balancer still sent callers there; and a kept connection could bring a request just as the process ended. Change: for a grace time /readyz says not ready and requests are taken; each answer closes its connection.

--- a/src/wigeonpier/bench/fleet.py
+++ b/src/wigeonpier/bench/fleet.py
@@ -30,6 +30,7 @@
 READY_SECONDS = 60.0
 POLL_SECONDS = 0.2
 STOP_SECONDS = 20.0
+GRACE_SECONDS = 0.5
 
 
 class EngineSettings(msgspec.Struct):
@@ -197,6 +198,7 @@
             data_folder=str(self.folder / name) if has_disk else '',
             entries=addresses,
             admin=admin,
+            grace_seconds=GRACE_SECONDS,
             log_level='error',
             drain_seconds=5,
         )
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -91,6 +91,7 @@
     :param views: what is watched in the key-value service.
     :param server: listener for callers and peers.
     :param admin: listener for operators.
+    :param grace_seconds: how long it takes requests while it leaves.
     """
 
     parts: Parts
@@ -107,6 +108,7 @@
     views: tuple[PrefixView, ...]
     server: Server
     admin: Server
+    grace_seconds: float
 
     def start(self) -> str:
         """Listen, and begin to watch, beat and look after jobs.
@@ -132,9 +134,12 @@
         :param seconds: longest wait.
         :returns: requests still in hand.
         """
+        give_up = time.monotonic() + seconds
         self.parts.is_leaving = True
+        self.server.is_closing = True
         self.reporter.hurry()
-        left = self.server.drain(seconds)
+        gevent.sleep(min(self.grace_seconds, seconds))
+        left = self.server.drain(max(0, give_up - time.monotonic()))
         self.admin.drain(0)
         return left
 
@@ -205,6 +210,7 @@
         views=_make_views(parts, board),
         server=server,
         admin=admin,
+        grace_seconds=settings.grace_seconds,
     )
 
 
--- a/src/wigeonpier/settings/process.py
+++ b/src/wigeonpier/settings/process.py
@@ -48,9 +48,12 @@
     """What an entry process is told.
 
     :param admin: ``host:port`` of the administration listener.
+    :param grace_seconds: how long a leaving entry still takes requests, so
+        that the balancer can see that it is not ready.
     """
 
     admin: Address = '127.0.0.1:0'
+    grace_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5
 
 
 class LocalSettings(ProcessSettings, kw_only=True, forbid_unknown_fields=True):
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -115,6 +115,7 @@
     def __init__(self, host: str, port: int, handler: Handler) -> None:
         """Bind the address; port 0 takes a free one."""
         self.in_hand = 0
+        self.is_closing = False
         self.handler = handler
         self._listener = _open_listener(host, port)
         self._server = pywsgi.WSGIServer(
@@ -141,6 +142,7 @@
         :param seconds: longest wait.
         :returns: how many requests were still in hand at the end.
         """
+        self.is_closing = True
         self._server.close()
         give_up = time.monotonic() + seconds
         while self.in_hand and time.monotonic() < give_up:
@@ -168,6 +170,10 @@
         headers += response.headers.items()
         if isinstance(response.body, bytes):
             headers.append(('Content-Length', str(len(response.body))))
+        if self.is_closing:
+            # Whoever keeps this connection has to come back on another one,
+            # at another process.
+            headers.append(('Connection', 'close'))
         phrase = HTTPStatus(response.status).phrase
         start_response(f'{response.status} {phrase}', headers)
         return _Body(response, self._release)
--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -14,6 +14,12 @@
     Then each question got its own whole answer
     And that process ended with status 0
 
+  Scenario: A leaving entry takes requests until the balancer has seen it
+    Given a fleet of 2 entries and 1 local process
+    When callers go on asking an entry that gets SIGTERM until it is not ready
+    Then each question got its own whole answer
+    And that process ended with status 0
+
   Scenario: A second SIGTERM says what it cuts
     Given a fleet of 1 entry and 1 local process
     When a stream runs and the local process gets SIGTERM twice
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -54,6 +54,21 @@
     _stop_under_load(context, count, context.fleet.entries['entry-1'])
 
 
+@when(
+    'callers go on asking an entry that gets SIGTERM until it is not ready',
+)
+def ask_leaving(context: Context) -> None:
+    entry = context.fleet.entries['entry-1']
+    client = Client([entry.address], KORO.key, KORO.service)
+    context.answers = [client.ask(Arrival(0, 'before', 2))]
+    entry.process.send_signal(signal.SIGTERM)
+    caller = HttpCaller()
+    while caller.call(entry.address, 'GET', '/readyz').unwrap().is_good:
+        context.answers.append(client.ask(Arrival(0, 'meanwhile', 2)))
+    context.answers.append(client.ask(Arrival(0, 'just after', 2)))
+    context.stopped = entry
+
+
 @when('a stream runs and the local process gets SIGTERM twice')
 def stop_twice(context: Context) -> None:
     local = context.fleet.replicas['replica-1']
