Say ran no only where no try of a request may have run

Cause: a refusal spoke for the last try only. An idempotent question whose first try was lost midway and whose second one was refused before it ran got ran no, though it had run in part. Found while looking for the invariants that three promises did not have yet.

--- a/src/wigeonpier/cli/configure.py
+++ b/src/wigeonpier/cli/configure.py
@@ -28,52 +28,56 @@
 if TYPE_CHECKING:
     import argparse
 
-ACTIONS = ('check', 'diff', 'show', 'apply', 'history')
+FILE_ACTIONS = frozenset(('check', 'diff', 'apply'))
 SUFFIX = '.jsonc'
 TRIES = 3
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
-    """Declare ``config``.
+    """Declare ``config`` and its actions.
 
     :param parser: parser of the sub-command.
     """
-    parser.add_argument('action', choices=ACTIONS)
-    parser.add_argument('base', nargs='?', help='base file')
+    actions = parser.add_subparsers(required=True, metavar='action')
+    for name, help_text, run in ACTIONS:
+        action = actions.add_parser(
+            name,
+            help=help_text,
+            description=help_text,
+        )
+        add_connection(action)
+        if name in FILE_ACTIONS:
+            _add_files(action)
+        action.set_defaults(run=run, site='', effective=False)
+        if name == 'show':
+            _add_view(action)
+
+
+def _add_files(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('base', help='base file')
     parser.add_argument(
         'overlays',
         nargs='*',
         help='overlay files; the name of each is its site',
     )
-    parser.add_argument('--site', default='', help='site for show')
-    parser.add_argument(
-        '--effective',
-        action='store_true',
-        help='show base and overlay merged',
-    )
     parser.add_argument(
         '--edited',
         type=int,
         help='version that was edited (default: the one in force)',
     )
-    add_connection(parser)
-    parser.set_defaults(run=run_config)
 
 
-def run_config(parsed: argparse.Namespace) -> int:
-    """Run ``config``.
-
-    :param parsed: options.
-    :returns: exit status.
-    """
-    runners = {
-        'check': _check,
-        'diff': _diff,
-        'show': _show,
-        'apply': _apply,
-        'history': _list_history,
-    }
-    return runners[parsed.action](parsed)
+def _add_view(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--site',
+        default='',
+        help='site whose overlay is shown (default: the base document)',
+    )
+    parser.add_argument(
+        '--effective',
+        action='store_true',
+        help='show base and overlay merged',
+    )
 
 
 def read_files(base: str, overlays: list[str]) -> Bundle:
@@ -114,20 +118,14 @@
     return [(Path(path).name.removesuffix(SUFFIX), path) for path in overlays]
 
 
-def _require_base(parsed: argparse.Namespace) -> Bundle:
-    if not parsed.base:
-        raise CommandError(f'config {parsed.action} needs a base file')
-    return read_files(parsed.base, parsed.overlays)
-
-
 def _check(parsed: argparse.Namespace) -> int:
-    bundle = _require_base(parsed)
+    bundle = read_files(parsed.base, parsed.overlays)
     write_line(f'good, with {len(bundle.overlays)} overlays')
     return 0
 
 
 def _diff(parsed: argparse.Namespace) -> int:
-    bundle = _require_base(parsed)
+    bundle = read_files(parsed.base, parsed.overlays)
     current = _read_current(parsed)
     for line in render_diff(current, bundle):
         write_line(line)
@@ -149,7 +147,7 @@
 
 
 def _apply(parsed: argparse.Namespace) -> int:
-    bundle = _require_base(parsed)
+    bundle = read_files(parsed.base, parsed.overlays)
     current = _read_current(parsed)
     newest = current.version if current else 0
     asked = Application(
@@ -237,3 +235,12 @@
 def _render(content: Any) -> str:
     raw = msgspec.json.encode(content, order='sorted')
     return msgspec.json.format(raw, indent=2).decode()
+
+
+ACTIONS = (
+    ('check', 'check files as each site would', _check),
+    ('diff', 'show what files would change', _diff),
+    ('show', 'show what is in force', _show),
+    ('apply', 'put files in force at every site', _apply),
+    ('history', 'list accepted versions', _list_history),
+)
--- a/src/wigeonpier/cli/demo.py
+++ b/src/wigeonpier/cli/demo.py
@@ -18,7 +18,7 @@
 from wigeonpier.bench.arrivals import LoadPlan, draw_arrivals
 from wigeonpier.bench.load import FINAL, Answer, Client, make_lines
 from wigeonpier.bench.quantiles import find_quantile
-from wigeonpier.bench.site import PLANS, SitePlan, StandInSite
+from wigeonpier.bench.site import PEER_KEY, PLANS, SitePlan, StandInSite
 from wigeonpier.telemetry.logs import configure_logs
 
 if TYPE_CHECKING:
@@ -89,9 +89,11 @@
 
 
 def _hold(site: StandInSite) -> int:
-    address = site.find_entry().app.server.address
+    entry = site.find_entry().app
+    callers, operators = entry.server.address, entry.admin.address
     key = site.plan.key
-    _write(f'ready http://{address} key={key}')
+    _write(f'ready http://{callers} key={key}')
+    _write(f'operators: --admin {operators} --key {PEER_KEY}')
     try:
         Signal().wait()
     except KeyboardInterrupt:
--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -134,6 +134,12 @@
         :raises Refusal: when no try may be made any more.
         """
         self.budget.note_request()
+        try:
+            return self._try_until_answered(work)
+        except Refusal as refusal:
+            raise _own_up(work, refusal) from refusal
+
+    def _try_until_answered(self, work: Work) -> Response:
         while True:
             state = self._choose(work)
             outcome = self._try_once(work, state)
@@ -271,7 +277,7 @@
                 hold.release()
                 hold.take(*self._resume(work, hold.state, sent))
         except Refusal as refusal:
-            yield _render_error(refusal)
+            yield _render_error(_own_up(work, refusal))
 
     def _relay_part(
         self,
@@ -314,6 +320,8 @@
             delivered.text,
             len(delivered.parts),
         )
+        # Whatever is refused from here on, a part of it has run.
+        work.may_have_run = True
         rest = replace(work, body=body)
         while True:
             bad = _judge_failure(CallFailure.lost)
@@ -356,6 +364,23 @@
         )
 
 
+def _own_up(work: Work, refusal: Refusal) -> Refusal:
+    """Let a refusal speak for all tries, not only for the last one."""
+    if work.may_have_run and refusal.ran is Ran.no:
+        refusal = Refusal(
+            refusal.kind,
+            refusal.message,
+            ran=Ran.unknown,
+            retry_after=refusal.retry_after,
+        )
+    check_promise(
+        refusal.ran is not Ran.no or not work.may_have_run,
+        Promise.refused_means_not_run,
+        work.request.identity,
+    )
+    return refusal
+
+
 def _count_tokens(work: Work, body: bytes) -> int:
     if not work.ask.model:
         return 0
--- a/src/wigeonpier/local/stock.py
+++ b/src/wigeonpier/local/stock.py
@@ -45,6 +45,7 @@
     :param workshop: what owners of chunks use; made anew by configuration.
     :param chunks: chunks in work.
     :param claiming: chunks that are being claimed.
+    :param stopped: jobs that are known to be cancelled.
     :param is_open: false once the process leaves.
     :param on_new: called when a chunk is ready to run.
     :param on_drop: called with a chunk whose runs have to stop.
@@ -53,6 +54,7 @@
     workshop: Workshop
     chunks: dict[ChunkKey, Chunk] = field(default_factory=dict)
     claiming: set[ChunkKey] = field(default_factory=set)
+    stopped: set[str] = field(default_factory=set)
     is_open: bool = True
     on_new: Callable[[], None] = _ignore_news
     on_drop: Callable[[Chunk], None] = _ignore_chunk
@@ -89,6 +91,7 @@
 
         :param jobs: ids of jobs.
         """
+        self.stopped.update(jobs)
         for chunk in list(self.chunks.values()):
             if chunk.job.id in jobs:
                 self.let_go(chunk)
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -14,6 +14,7 @@
 from wigeonpier.batch.journal import JournalEndedError
 from wigeonpier.batch.models import CHAT_PATH, TEXT_PATH, Job
 from wigeonpier.batch.records import Failure, Outcome, Release, Status
+from wigeonpier.invariants import Promise, check_promise
 from wigeonpier.local.engine import Engine, Run, RunEnd, prepare_body
 from wigeonpier.local.gate import BatchStream, Gate
 from wigeonpier.loops import spawn_loop
@@ -194,6 +195,11 @@
 
     def _run_or_lose(self, turn: Turn, alone: bool) -> None:
         chunk = turn.chunk
+        check_promise(
+            chunk.job.id not in self.stock.stopped,
+            Promise.cancelled_job_stops,
+            f'{chunk.name} starts an item',
+        )
         started = time.monotonic()
         chunk.begin(turn.item, alone=alone)
         self.metrics.observe(
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -17,7 +17,7 @@
 from wigeonpier.disk.client import DiskClient
 from wigeonpier.disk.folder import DataFolder, measure_time
 from wigeonpier.disk.routes import make_disk_routes
-from wigeonpier.invariants import violations
+from wigeonpier.invariants import Promise, check_promise, violations
 from wigeonpier.membership.messages import DiskReport
 from wigeonpier.platform.gateway import GatewayPlatform
 from wigeonpier.settings.document import DocumentError, load_document
@@ -231,6 +231,11 @@
 def _leave(program: str, settings: ProcessSettings, app: App) -> int:
     log_event(Event.process_leaving, program=program)
     left = app.leave(settings.drain_seconds)
+    check_promise(
+        not left,
+        Promise.shutdown_cuts_nothing,
+        f'{left} in hand at the limit of the settings',
+    )
     if left:
         log_event(Event.work_cut, why='drain limit', in_hand=left)
         return 1
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of the same name."""
--- /dev/null
+++ b/tests/entry/test_forward.py
@@ -0,0 +1,97 @@
+"""What a caller is told when no try of its request went well."""
+
+from __future__ import annotations
+
+import io
+import random
+import time
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from tests.builders import build_upstream
+from wigeonpier.entry.forward import Forwarder, Work
+from wigeonpier.errors import Ran, Refusal
+from wigeonpier.membership.directory import Directory, Member
+from wigeonpier.membership.messages import Heartbeat, Role
+from wigeonpier.policy.route import Ask
+from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.client import CallFailure
+from wigeonpier.web.messages import Request
+
+FAILURES = st.lists(
+    st.sampled_from(CallFailure),
+    min_size=3,
+    max_size=3,
+)
+
+
+class FailingCaller:
+    """Connections that fail one way after the other."""
+
+    def __init__(self, failures: list[CallFailure]) -> None:
+        self.failures = list(failures)
+        self.met: list[CallFailure] = []
+        self.addresses: list[str] = []
+
+    def open(self, address: str, *_details, **_options):
+        self.addresses.append(address)
+        self.met.append(self.failures.pop(0))
+        return Err(self.met[-1])
+
+
+def _make_directory(count: int) -> Directory:
+    directory = Directory(time.monotonic, lambda _name: 'r')
+    for number in range(count):
+        name = f'vm-{number}'
+        address = f'10.0.0.{number}:1'
+        state = build_upstream(name, address=address)
+        directory.upstreams[name] = state
+        beat = Heartbeat(
+            name=name,
+            boot='b',
+            role=Role.local,
+            address=address,
+            data_centre='a',
+            is_leaving=False,
+            version=1,
+        )
+        directory.members[name] = Member(beat, time.monotonic())
+    return directory
+
+
+def _make_work(*, is_idempotent: bool) -> Work:
+    request = Request('POST', '/x', '', {}, io.BytesIO(), identity='r-1')
+    return Work(
+        request,
+        '/x',
+        b'',
+        Ask('s', 'm', '', 'a', 'r'),
+        is_idempotent,
+        time.monotonic() + 60,
+    )
+
+
+@given(FAILURES, st.booleans(), st.integers(1, 3))
+def test_a_refusal_speaks_for_all_tries(failures, is_idempotent, count) -> None:
+    caller = FailingCaller(failures)
+    forwarder = Forwarder(
+        _make_directory(count),
+        caller,
+        Metrics(),
+        random.Random(1),
+    )
+    work = _make_work(is_idempotent=is_idempotent)
+    with pytest.raises(Refusal) as caught:
+        forwarder.send(work)
+    may_have_run = CallFailure.lost in caller.met
+    assert (caught.value.ran is Ran.unknown) == may_have_run
+    assert len(set(caller.addresses)) == len(caller.addresses)
+    if not is_idempotent:
+        assert caller.met.count(CallFailure.lost) <= 1
+        assert CallFailure.lost not in caller.met[:-1]
+    assert all(
+        state.in_hand == 0 for state in forwarder.directory.upstreams.values()
+    )
