--- a/src/wigeonpier/bench/main.py
+++ b/src/wigeonpier/bench/main.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import argparse
-import signal
 import sys
 import tempfile
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import gevent
 import msgspec
-from gevent.event import Event as Signal
 
 from wigeonpier.bench.capacity import load_slopes, render_figures, update_page
 from wigeonpier.bench.engine import StandInEngine
 from wigeonpier.bench.experiments import EXPERIMENTS, Experiment, Option
 from wigeonpier.bench.fleet import EngineSettings
+from wigeonpier.process import watch_signals
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.logs import configure_logs
 
@@ -128,9 +126,7 @@
     told = msgspec.json.decode(parsed.settings, type=EngineSettings)
     engine = StandInEngine((told.model,), told.shape, seed=told.seed)
     engine.serve(*split_address(told.address))
-    wanted = Signal()
-    gevent.signal_handler(signal.SIGTERM, wanted.set)
-    wanted.wait()
+    watch_signals().wait()
     return 0
 
 
--- a/src/wigeonpier/cli/demo.py
+++ b/src/wigeonpier/cli/demo.py
@@ -13,12 +13,12 @@
 from typing import TYPE_CHECKING
 
 import gevent
-from gevent.event import Event as Signal
 
 from wigeonpier.bench.arrivals import LoadPlan, draw_arrivals
 from wigeonpier.bench.load import FINAL, Answer, Client, make_lines
 from wigeonpier.bench.quantiles import find_quantile
 from wigeonpier.bench.site import PEER_KEY, PLANS, SitePlan, StandInSite
+from wigeonpier.process import watch_signals
 from wigeonpier.telemetry.logs import configure_logs
 
 if TYPE_CHECKING:
@@ -94,10 +94,7 @@
     key = site.plan.key
     _write(f'ready http://{callers} key={key}')
     _write(f'operators: --admin {operators} --key {PEER_KEY}')
-    try:
-        Signal().wait()
-    except KeyboardInterrupt:
-        return 0
+    watch_signals().wait()
     return 0
 
 
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -206,14 +206,18 @@
     :param app: the daemon.
     :returns: exit status.
     """
-    wanted = _watch_signals()
+    wanted = watch_signals()
     address = app.start()
     log_event(Event.process_started, program=program, address=address)
     wanted.wait()
     return _leave(program, settings, app)
 
 
-def _watch_signals() -> Signal:
+def watch_signals() -> Signal:
+    """Wait for SIGTERM or SIGINT, also where the starter ignored them.
+
+    :returns: set by the first signal; the second one ends the process.
+    """
     wanted = Signal()
 
     def note_signal() -> None:
