Keep results readable while the key-value service is down

Cause: the record of a finished job was in the service only, so that during an outage no batch was shown and no result read, which the promise of readable results does not allow. Change: the record that won is kept beside the data too, and read from there while the service does not answer.

--- a/src/wigeonpier/batch/results.py
+++ b/src/wigeonpier/batch/results.py
@@ -82,6 +82,15 @@
         yield read_page(copies, disks, file_id, index)
 
 
+def name_kept_results(job: str) -> str:
+    """Name the file that keeps the record of a finished job on disks.
+
+    :param job: id of the job.
+    :returns: id of the file, which has one page.
+    """
+    return f'results-{job}'
+
+
 def read_page(
     copies: tuple[str, ...],
     disks: DiskClient,
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -9,6 +9,7 @@
 import gevent
 
 from wigeonpier.batch.chunk import Workshop
+from wigeonpier.disk.client import read_first
 from wigeonpier.entry.accounts import KeyRing
 from wigeonpier.entry.admin import AdminDesk
 from wigeonpier.entry.board import JobBoard
@@ -169,7 +170,11 @@
         lambda: _list_weights(parts),
         directory.list_entries,
     )
-    desk = JobDesk(parts.platform, board)
+    desk = JobDesk(
+        parts.platform,
+        board,
+        lambda file_id: _read_on_disks(directory, disks, file_id),
+    )
     limits = CustomerLimits(clock, lambda: len(directory.list_entries()))
     ring = KeyRing()
     reporter = Reporter(
@@ -338,6 +343,15 @@
     }
 
 
+def _read_on_disks(
+    directory: Directory,
+    disks: DiskClient,
+    file_id: str,
+) -> bytes | None:
+    there = tuple(disk.incarnation for disk in directory.list_disks())
+    return read_first(there, lambda copy: disks.read_page(copy, file_id, 0))
+
+
 def _find_region(parts: Parts, data_centre: str) -> str:
     if not parts.holder.version:
         return ''
--- a/src/wigeonpier/entry/jobs.py
+++ b/src/wigeonpier/entry/jobs.py
@@ -23,6 +23,7 @@
     Resend,
 )
 from wigeonpier.batch.pages import show_finished, show_job
+from wigeonpier.batch.results import name_kept_results
 from wigeonpier.entry.uploads import find_service
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.platform import keys
@@ -32,6 +33,8 @@
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wigeonpier.entry.board import JobBoard
     from wigeonpier.settings.deployment import Deployment
 
@@ -54,10 +57,12 @@
 
     :param platform: the port.
     :param board: jobs that are not finished.
+    :param read_on_disks: reads a file of one page from any data folder.
     """
 
     platform: Platform
     board: JobBoard
+    read_on_disks: Callable[[str], bytes | None]
 
     def create(
         self,
@@ -195,10 +200,20 @@
         :param job_id: id of the job.
         :returns: the job, ``None`` where it is not finished.
         """
-        entry = self._read(keys.name_results(customer, job_id))
-        if entry is None:
+        read = self.platform.get(keys.name_results(customer, job_id))
+        if isinstance(read, Err):
+            return self._read_kept(customer, job_id)
+        if read.ok_value is None:
             return None
-        return msgspec.json.decode(entry.value, type=FinishedJob)
+        return msgspec.json.decode(read.ok_value.value, type=FinishedJob)
+
+    def _read_kept(self, customer: str, job_id: str) -> FinishedJob | None:
+        """Read a finished job beside its data, while the service is down."""
+        raw = self.read_on_disks(name_kept_results(job_id))
+        if raw is None:
+            raise refuse_platform()
+        finished = msgspec.json.decode(raw, type=FinishedJob)
+        return finished if finished.job.customer == customer else None
 
     def _find_page(self, customer: str, job_id: str) -> BatchPage | None:
         held = self.board.jobs.get(job_id)
@@ -206,9 +221,9 @@
             return self._show_held(held.job)
         # Results are written before the job is marked as ended, so in this
         # order one of the two is seen.
-        entry = self._read(keys.name_job(customer, job_id))
-        if entry is not None:
-            job = msgspec.json.decode(entry.value, type=Job)
+        read = self.platform.get(keys.name_job(customer, job_id))
+        if isinstance(read, Ok) and read.ok_value is not None:
+            job = msgspec.json.decode(read.ok_value.value, type=Job)
             if job.status not in ENDED:
                 return self._show_held(job)
         finished = self.read_finished(customer, job_id)
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -26,7 +26,9 @@
     mark_ended,
 )
 from wigeonpier.batch.records import Status
+from wigeonpier.batch.results import name_kept_results
 from wigeonpier.batch.takeover import claim_chunk, open_chunk
+from wigeonpier.disk.client import write_everywhere
 from wigeonpier.invariants import Promise, check_promise
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform import keys
@@ -183,9 +185,25 @@
         )
         if isinstance(wrote, Ok):
             log_event(Event.job_finished, job=job.id, status=status.value)
+            self._keep_on_disks(job, raw)
         if isinstance(wrote, Ok) or wrote.err_value is Failure.conflict:
             self._clear(held)
 
+    def _keep_on_disks(self, job: Job, raw: bytes) -> None:
+        """Keep the record beside the data, for when the service is down.
+
+        Only what won in the service is kept, so that the two never differ.
+        """
+        write_everywhere(
+            list(job.copies),
+            lambda copy: self.disks.write_page(
+                copy,
+                name_kept_results(job.id),
+                0,
+                raw,
+            ),
+        )
+
     def _clear(self, held: HeldJob) -> None:
         """Mark a job as ended, then delete its claims.
 
--- a/tests/features/batch.feature
+++ b/tests/features/batch.feature
@@ -200,3 +200,22 @@
     And each item has exactly one result
     When all entries read the jobs anew
     Then no item was started twice
+
+  Scenario: Results stay readable while the key-value service is down
+    Given a site
+    When a job of 60 items is accepted
+    Then the job ends as "completed"
+    When the key-value service is down from now on
+    Then the batch is shown as "completed" by both entries
+    And the results can still be read
+    And each item has exactly one right answer
+    And another customer cannot see them
+
+  Scenario: A whole data centre is lost while items run
+    Given a site with 3 entries that each have a data folder
+    And engines that take their time
+    When a job of 120 items that run at most once is accepted
+    And all VMs of data centre "suva-b" are lost
+    Then the job ends as "completed"
+    And each item has exactly one result
+    And no item was started twice
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -538,3 +538,45 @@
 @when('the key-value service takes {delay:d} ms for each call')
 def slow_service(context: Context, delay: int) -> None:
     context.bench.site.platform.faults.delay = delay / 1000
+
+
+@when('the key-value service is down from now on')
+def down_from_now(context: Context) -> None:
+    context.bench.site.platform.faults.down = True
+
+
+@when('all VMs of data centre "{name}" are lost')
+def lose_data_centre(context: Context, name: str) -> None:
+    bench = context.bench
+    wait_for(lambda: _find_busy_owner(bench))
+    site = bench.site
+    for vm, replica in list(site.replicas.items()):
+        if replica.settings.data_centre == name:
+            bench.crash_replica(vm)
+    for vm, entry in site.entries.items():
+        if entry.settings.data_centre == name:
+            site.crash_entry(vm)
+
+
+@then('the batch is shown as "{status}" by both entries')
+def check_shown(context: Context, status: str) -> None:
+    for _ in range(2):
+        page = context.bench.client.read_batch(context.bench.job)
+        assert page['status'] == status, page
+        assert page['request_counts']['completed'] == context.bench.items
+
+
+@then('another customer cannot see them')
+def check_isolation(context: Context) -> None:
+    bench = context.bench
+    other = Client(
+        bench.client.addresses,
+        'koro-demo-key-university-lab',
+        'netlist-llm',
+    )
+    for path in (
+        f'/v1/batches/{bench.job}',
+        f'/v1/files/{bench.batch["output_file_id"]}/content',
+        f'/v1/files/{bench.batch["input_file_id"]}',
+    ):
+        assert other.call('GET', path).status in {404, 503}, path
