Forget silent segments, so that a data folder's memory stays flat

Change: segments silent for a minute are forgotten; the disk tells their size and fence again when they are asked for. Figures: 50 segments, one of them live: 50 kept before, 1 after; the forgotten fence still refuses.

--- a/src/wigeonpier/disk/folder.py
+++ b/src/wigeonpier/disk/folder.py
@@ -27,6 +27,7 @@
 
 INCARNATION_FILE = 'incarnation'
 FENCE_FILE = 'fence'
+FORGET_SECONDS = 60.0
 PAGES = 'pages'
 SEGMENTS = 'segments'
 
@@ -173,12 +174,27 @@
     def list_ages(self) -> dict[SegmentName, float]:
         """Tell how long ago each segment was last appended to.
 
-        :returns: seconds by segment, only for segments that were appended
-            to since the process started.
+        Segments that have been silent for long are forgotten here; what is
+        on disk tells all that is needed of them.
+
+        :returns: seconds by segment that was appended to of late.
         """
         now = self._clock()
+        for name, seen in list(self._touched.items()):
+            if now - seen > FORGET_SECONDS:
+                self._forget(name)
         return {name: now - seen for name, seen in self._touched.items()}
 
+    def _forget(self, name: SegmentName) -> None:
+        job, chunk, _fence = name
+        lock = self._locks[job, chunk]
+        if lock.locked():
+            return
+        self._touched.pop(name, None)
+        self._sizes.pop(name, None)
+        self._fences.pop((job, chunk), None)
+        self._locks.pop((job, chunk), None)
+
     def _find_segment(self, name: SegmentName) -> Path:
         job, chunk, fence = name
         return self._root / SEGMENTS / job / str(chunk) / str(fence)
--- a/tests/disk/test_folder.py
+++ b/tests/disk/test_folder.py
@@ -92,3 +92,20 @@
     whole = bytearray(b''.join(LINES))
     whole[len(LINES[0]) + 12] ^= 1
     assert measure_sound_part(bytes(whole)) == len(LINES[0])
+
+
+def test_silent_segments_are_forgotten_and_known_again(tmp_path) -> None:
+    now = [0.0]
+    folder = DataFolder(str(tmp_path), lambda: now[0])
+    for chunk in range(50):
+        folder.append(('job', chunk, 2), 0, LINES[0])
+    folder.fence(('job', 0), 3)
+    now[0] = 30
+    folder.append(('job', 1, 2), len(LINES[0]), LINES[1])
+    now[0] = 70
+    assert folder.list_ages() == {('job', 1, 2): 40}
+    assert len(folder._sizes) == len(folder._locks) == 1
+    with pytest.raises(StaleFenceError):
+        folder.append(('job', 0, 2), len(LINES[0]), LINES[1])
+    size = folder.append(('job', 2, 2), len(LINES[0]), LINES[1])
+    assert size == len(LINES[0] + LINES[1])
