--- a/src/wigeonpier/disk/folder.py
+++ b/src/wigeonpier/disk/folder.py
@@ -180,9 +180,9 @@
         :returns: seconds by segment that was appended to of late.
         """
         now = self._clock()
-        for name, seen in list(self._touched.items()):
-            if now - seen > FORGET_SECONDS:
-                self._forget(name)
+        for silent, touched in list(self._touched.items()):
+            if now - touched > FORGET_SECONDS:
+                self._forget(silent)
         return {name: now - seen for name, seen in self._touched.items()}
 
     def _forget(self, name: SegmentName) -> None:
