Let no fault of one process hold a job up, and no slow folder cost a chunk

And an owner that waited for one frozen folder did not touch the others, so that after 3 s its chunk was taken from it. Change: after a fault a chunk goes back at once; claims are always let go; a chunk lost while it moved is let go; a retried append goes to all copies.

--- a/src/wigeonpier/batch/journal.py
+++ b/src/wigeonpier/batch/journal.py
@@ -122,9 +122,10 @@
 
     def _write(self, lines: bytes) -> JournalEndedError | None:
         give_up = time.monotonic() + COPY_PATIENCE_SECONDS
-        missing = self.copies
         while True:
-            answers = self._write_once(missing, lines)
+            # Copies that have the lines already are written to again, which
+            # adds nothing there but shows that the owner lives.
+            answers = self._write_once(lines)
             if DiskFailure.fenced in answers.values():
                 return JournalEndedError(JournalEnd.fenced, frozenset())
             missing = tuple(answers)
@@ -138,13 +139,10 @@
                 )
             gevent.sleep(RETRY_GAP_SECONDS)
 
-    def _write_once(
-        self,
-        copies: tuple[str, ...],
-        lines: bytes,
-    ) -> dict[str, DiskFailure]:
+    def _write_once(self, lines: bytes) -> dict[str, DiskFailure]:
         workers = {
-            copy: gevent.spawn(self._append, copy, lines) for copy in copies
+            copy: gevent.spawn(self._append, copy, lines)
+            for copy in self.copies
         }
         gevent.joinall(list(workers.values()))
         return {
--- a/src/wigeonpier/disk/client.py
+++ b/src/wigeonpier/disk/client.py
@@ -17,7 +17,7 @@
 
     from wigeonpier.web.client import HttpCaller, Reply
 
-APPEND_SECONDS = 2.0
+APPEND_SECONDS = 1.5
 READ_SECONDS = 10.0
 FAILING_SECONDS = 30.0
 
--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -96,7 +96,10 @@
         :param run: the run; keeps what came, for the next time.
         :returns: how it ended.
         """
-        opened = self._open(run)
+        try:
+            opened = self._open(run)
+        except (OSError, HTTPParseError):
+            return RunEnd.lost
         if isinstance(opened, Err):
             if opened.err_value is CallFailure.not_sent:
                 return RunEnd.not_run
--- a/src/wigeonpier/local/stock.py
+++ b/src/wigeonpier/local/stock.py
@@ -107,6 +107,17 @@
         self.on_drop(chunk)
         chunk.journal.close()
 
+    def hand_back(self, chunk: Chunk, problem: str) -> None:
+        """Give a chunk to another owner after a fault here.
+
+        :param chunk: the chunk.
+        :param problem: what happened, for the log.
+        """
+        log_event(Event.chunk_failed, chunk=chunk.name, problem=problem)
+        if self.owns(chunk):
+            self.let_go(chunk)
+            chunk.give_back()
+
     def owns(self, chunk: Chunk) -> bool:
         """Tell whether a chunk is in work here.
 
@@ -140,7 +151,8 @@
                 chunk=offer.chunk,
                 problem=str(problem),
             )
-        self.claiming.discard((offer.job.id, offer.chunk))
+        finally:
+            self.claiming.discard((offer.job.id, offer.chunk))
         self.on_new()
 
     def _claim_or_fail(self, offer: Offer) -> None:
@@ -175,7 +187,7 @@
             raise ChunkProblemError('the job was cancelled')
 
     def _watch_journal(self, chunk: Chunk) -> None:
-        """Let a chunk go as soon as a newer owner has fenced it."""
+        """Let a chunk go as soon as a newer owner has it."""
         while not chunk.is_lost:
             journal = chunk.journal
             journal.on_end.wait()
@@ -186,6 +198,10 @@
             if not self.owns(chunk):
                 return
             gevent.sleep(FINISH_GAP_SECONDS)
+        if self.owns(chunk):
+            # Another owner was faster while the journal went on elsewhere.
+            log_event(Event.chunk_lost, chunk=chunk.name)
+            self.let_go(chunk)
 
 
 def _try_to_finish(chunk: Chunk) -> bool:
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -14,7 +15,11 @@
 from wigeonpier.batch.journal import JournalEndedError
 from wigeonpier.batch.models import CHAT_PATH, TEXT_PATH, Job
 from wigeonpier.batch.records import Failure, Outcome, Release, Status
-from wigeonpier.invariants import Promise, check_promise
+from wigeonpier.invariants import (
+    BrokenPromiseError,
+    Promise,
+    check_promise,
+)
 from wigeonpier.local.engine import Engine, Run, RunEnd, prepare_body
 from wigeonpier.local.gate import BatchStream, Gate
 from wigeonpier.loops import spawn_loop
@@ -187,6 +192,11 @@
         except JournalEndedError:
             # A newer owner goes on; nothing more may be done here.
             turn.chunk.is_lost = True
+        except BrokenPromiseError:
+            raise
+        except Exception:
+            # The item would be waited for in vain; another owner goes on.
+            self.stock.hand_back(turn.chunk, traceback.format_exc())
         finally:
             self.gate.remove_batch(turn.stream)
             self._running.discard(turn)
--- a/tests/features/batch.feature
+++ b/tests/features/batch.feature
@@ -219,3 +219,18 @@
     Then the job ends as "completed"
     And each item has exactly one result
     And no item was started twice
+
+  Scenario: A local process has a fault of its own in the middle of an item
+    Given a site with slow engines
+    When a job of 60 items is accepted
+    And the next run of one local process ends in a fault of its own
+    Then the job ends as "completed"
+    And each item has exactly one right answer
+
+  Scenario: A data folder is frozen, and its owners do not lose their chunks
+    Given a site with 3 entries that each have a data folder
+    And engines that take their time
+    When a job of 60 items that run at most once is accepted
+    And entry 3 is frozen for 6 s
+    Then the job ends as "completed"
+    And each item has exactly one right answer
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -580,3 +580,47 @@
         f'/v1/files/{bench.batch["input_file_id"]}',
     ):
         assert other.call('GET', path).status in {404, 503}, path
+
+
+@when('the next run of one local process ends in a fault of its own')
+def break_runs(context: Context) -> None:
+    bench = context.bench
+    name = wait_for(lambda: _find_busy_owner(bench))
+    worker = bench.site.replicas[name].app.worker
+    advance = worker.engine.advance
+    left = [1]
+
+    def advance_or_break(run: Any) -> Any:
+        if left[0]:
+            left[0] -= 1
+            raise ZeroDivisionError
+        return advance(run)
+
+    worker.engine = _Breaking(worker.engine, advance_or_break)
+    wait_for(lambda: not left[0])
+
+
+@when('entry {number:d} is frozen for {seconds:d} s')
+def freeze_entry(context: Context, number: int, seconds: int) -> None:
+    bench = context.bench
+    wait_for(lambda: _find_busy_owner(bench))
+    entry = bench.site.entries[f'entry-{number}']
+    entry.faults.freeze()
+    bench.client.addresses = [
+        address
+        for address in bench.client.addresses
+        if address != entry.app.server.address
+    ]
+    gevent.sleep(seconds)
+    entry.faults.thaw()
+
+
+class _Breaking:
+    """An engine's client with another way to run."""
+
+    def __init__(self, engine: Any, advance: Any) -> None:
+        self._engine = engine
+        self.advance = advance
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._engine, name)
