Run a keyed request once, on whichever entry it is sent again

Cause: an online resend with the same Idempotency-Key ran again on another entry, also where the work may run once only. Change: such a request is begun by creating a key in the key-value service before it is sent; who finds the key gets the kept answer or outcome_unknown.

--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -22,6 +22,7 @@
 from wigeonpier.entry.limits import CustomerLimits
 from wigeonpier.entry.online import OnlineDesk
 from wigeonpier.entry.peers import PeerDesk
+from wigeonpier.entry.resends import OnlineResends
 from wigeonpier.loops import spawn_loop
 from wigeonpier.membership.directory import Directory
 from wigeonpier.membership.messages import (
@@ -186,7 +187,13 @@
         parts.platform.list_vms,
     )
     forwarder = Forwarder(directory, parts.caller, parts.metrics, parts.draw)
-    online = OnlineDesk(parts.holder, forwarder, limits, settings.data_centre)
+    online = OnlineDesk(
+        parts.holder,
+        forwarder,
+        limits,
+        OnlineResends(parts.platform),
+        settings.data_centre,
+    )
     files = FileDesk(parts.holder, desk, disks, directory)
     peers = PeerDesk(parts.holder, directory, board, limits, parts.caller)
     server = _build_server(parts, ring, online, files, peers)
--- a/src/wigeonpier/entry/online.py
+++ b/src/wigeonpier/entry/online.py
@@ -13,6 +13,11 @@
 
 from wigeonpier.batch.models import ListPage
 from wigeonpier.entry.forward import Forwarder, Work
+from wigeonpier.entry.resends import (
+    OnlineResends,
+    digest_parts,
+    name_online,
+)
 from wigeonpier.entry.uploads import find_service
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.policy.route import Ask
@@ -60,12 +65,14 @@
     :param holder: configuration in force.
     :param forwarder: sends requests to upstreams.
     :param limits: limits of customers.
+    :param resends: runs requests that carry a key once.
     :param data_centre: where this entry stands.
     """
 
     holder: ConfigurationHolder
     forwarder: Forwarder
     limits: CustomerLimits
+    resends: OnlineResends
     data_centre: str
 
     def complete(self, request: Request) -> Response:
@@ -156,7 +163,21 @@
             is_idempotent=read_idempotent(request, service),
             deadline=time.monotonic() + service.deadline_seconds,
         )
-        limits = deployment.customers[request.customer].limits
+        key = request.headers.get(headers.IDEMPOTENCY_KEY, '')
+        if not key or work.is_idempotent:
+            return self._admit(work)
+        return self.resends.run_once(
+            name_online(request.customer, key),
+            digest_parts(request.method.encode(), path.encode(), body),
+            deployment.batch.resend_hours,
+            lambda: self._admit(work),
+        )
+
+    def _admit(self, work: Work) -> Response:
+        """Send a request within the customer's limits."""
+        request = work.request
+        customers = self.holder.deployment.customers
+        limits = customers[request.customer].limits
         held = ExitStack()
         account = held.enter_context(self.limits.hold(request.customer, limits))
         try:
--- a/tests/features/online.feature
+++ b/tests/features/online.feature
@@ -77,3 +77,30 @@
     Then the metrics of an entry show first tokens
     And the metrics of a local process show queueing
     And every daemon is healthy and ready
+
+  Scenario: A resend with the same key on another entry does not run it again
+    Given a site
+    When a credit for "t3" is paid 6 times at once with key "k3" on all entries
+    Then the service was paid 1 time for "t3"
+    And each answer is the same, or says that it is not known whether it ran
+    When a credit for "t3" is paid again with key "k3"
+    Then the answer is the first one
+    When a credit for "t4" is paid again with key "k3"
+    Then the answer has status 409, kind "key_reused" and says ran "no"
+    And the service was paid 0 times for "t4"
+
+  Scenario: A keyed request is not run while the key-value service is down
+    Given a site
+    And the key-value service is down
+    When a credit for "t5" is paid again with key "k5"
+    Then the answer has status 503, kind "platform_down" and says ran "no"
+    And the service was paid 0 times for "t5"
+
+  Scenario: A keyed request that was refused before it ran may be sent again
+    Given a site
+    When no upstream of the plain service takes work
+    And a credit for "t6" is paid again with key "k6"
+    Then the answer has status 503, kind "no_upstream" and says ran "no"
+    When the plain service takes work again
+    And a credit for "t6" is paid again with key "k6"
+    Then the service was paid 1 time for "t6"
--- a/tests/features/steps/online_steps.py
+++ b/tests/features/steps/online_steps.py
@@ -370,3 +370,59 @@
     ),
     'other endpoint': _send_other_endpoint,
 }
+
+
+@when(
+    'a credit for "{track}" is paid {count:d} times at once with key "{key}" on all entries'
+)
+def pay_at_once(context: Context, track: str, count: int, key: str) -> None:
+    sent = [gevent.spawn(_pay_keyed, context, track, key) for _ in range(count)]
+    context.replies = [greenlet.get() for greenlet in sent]
+
+
+@when('a credit for "{track}" is paid again with key "{key}"')
+def pay_again(context: Context, track: str, key: str) -> None:
+    context.reply = _pay_keyed(context, track, key)
+
+
+@when('no upstream of the plain service takes work')
+def drain_plain(context: Context) -> None:
+    for entry in context.bench.site.entries.values():
+        entry.app.directory.mark_leaving('billing-1')
+
+
+@when('the plain service takes work again')
+def undrain_plain(context: Context) -> None:
+    for entry in context.bench.site.entries.values():
+        entry.app.directory.unmark_leaving('billing-1')
+
+
+@then('each answer is the same, or says that it is not known whether it ran')
+def check_same_or_unknown(context: Context) -> None:
+    good = [reply for reply in context.replies if reply.is_good]
+    context.first = good[0]
+    assert {reply.body for reply in good} == {good[0].body}
+    for reply in context.replies:
+        if not reply.is_good:
+            error = msgspec.json.decode(reply.body)['error']
+            assert error['type'] == 'outcome_unknown', error
+            assert error['ran'] == 'unknown', error
+
+
+@then('the answer is the first one')
+def check_first(context: Context) -> None:
+    assert context.reply == context.first, context.reply
+
+
+@then('the service was paid {count:d} times for "{track}"')
+def check_paid_times(context: Context, count: int, track: str) -> None:
+    assert context.bench.site.catalogue.credits[track] == count
+
+
+def _pay_keyed(context: Context, track: str, key: str) -> Reply | None:
+    return context.bench.client.call(
+        'POST',
+        '/services/billing/credits',
+        msgspec.json.encode({'track': track}),
+        {'idempotency-key': key},
+    )
