Leave claims alone whose job has not been seen yet

Cause: an entry deleted claims of which it knew no job, after 2 s. Where its watch of jobs lagged behind that of claims, the claims were of a live job: their owners could not finish, new owners began at fencing number 1 on folders that had seen higher ones, and the job dragged on; work that runs at most once could have begun again. Change: nobody deletes claims but who ends the job, and a claimer that finds its job ended.

--- a/src/wigeonpier/entry/board.py
+++ b/src/wigeonpier/entry/board.py
@@ -247,18 +247,6 @@
             if held.job.customer == customer
         )
 
-    def list_orphans(self) -> list[tuple[str, int, int]]:
-        """List claims of which no job is known.
-
-        :returns: job, index and revision of each that is old enough.
-        """
-        now = self.clock()
-        return [
-            (*key, held.revision)
-            for key, held in self._orphans.items()
-            if now - held.seen > OFFER_SECONDS
-        ]
-
     def _order(self, fitting: dict[str, HeldJob]) -> list[str]:
         views = [
             JobView(
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -86,7 +86,6 @@
             if held.job.id not in self._attending:
                 self._attending.add(held.job.id)
                 gevent.spawn(self._attend, held)
-        self._clear_orphans()
 
     def _attend(self, held: HeldJob) -> None:
         try:
@@ -224,12 +223,6 @@
             platform.delete_prefix(keys.name_claims(job.id))
             self._seen_since.pop(job.id, None)
 
-    def _clear_orphans(self) -> None:
-        platform = self.workshop().platform
-        for job, index, revision in self.board.list_orphans():
-            if self._is_my_turn(job):
-                platform.swap(keys.name_chunk(job, index), None, revision)
-
     def _poll_ages(self) -> None:
         gevent.sleep(AGES_SECONDS)
         self.board.forget_ages()
--- a/src/wigeonpier/local/stock.py
+++ b/src/wigeonpier/local/stock.py
@@ -11,7 +11,7 @@
 
 from wigeonpier.batch.chunk import Chunk, ChunkProblemError, Workshop
 from wigeonpier.batch.journal import JournalEnd, JournalEndedError
-from wigeonpier.batch.models import Job, JobStatus
+from wigeonpier.batch.models import ENDED, Job, JobStatus
 from wigeonpier.batch.takeover import claim_chunk, open_chunk
 from wigeonpier.platform.keys import name_chunk, name_job
 from wigeonpier.platform.port import Failure as PlatformFailure
@@ -180,11 +180,11 @@
         seen = platform.get(name_job(job.customer, job.id))
         if isinstance(seen, Err):
             raise ChunkProblemError('the job cannot be read')
-        if seen.ok_value is None:
+        status = _read_status(seen.ok_value)
+        if status in ENDED:
             platform.swap(name_chunk(job.id, index), None, revision)
-            raise ChunkProblemError('the job is finished')
-        if not _is_running(seen.ok_value):
-            raise ChunkProblemError('the job was cancelled')
+        if status is not JobStatus.in_progress:
+            raise ChunkProblemError(f'the job is {status}')
 
     def _watch_journal(self, chunk: Chunk) -> None:
         """Let a chunk go as soon as a newer owner has it."""
@@ -219,6 +219,7 @@
     return chunk.job.id, chunk.index
 
 
-def _is_running(entry: Entry) -> bool:
-    job = msgspec.json.decode(entry.value, type=Job)
-    return job.status is JobStatus.in_progress
+def _read_status(entry: Entry | None) -> JobStatus:
+    if entry is None:
+        return JobStatus.completed
+    return msgspec.json.decode(entry.value, type=Job).status
--- a/tests/features/batch.feature
+++ b/tests/features/batch.feature
@@ -234,3 +234,8 @@
     And entry 3 is frozen for 6 s
     Then the job ends as "completed"
     And each item has exactly one right answer
+
+  Scenario: An entry that sees a claim before its job leaves it alone
+    Given a site
+    When a claim is seen whose job has not been seen yet
+    Then the claim is still there after 4 s
--- a/tests/features/steps/batch_steps.py
+++ b/tests/features/steps/batch_steps.py
@@ -12,11 +12,11 @@
 from behave import given, then, when
 from result import Err
 
-from tests.builders import build_job, wait_for
+from tests.builders import build_claim, build_job, wait_for
 from wigeonpier.batch.models import FileRecord, FinishedJob
 from wigeonpier.bench.answers import make_answer
 from wigeonpier.bench.load import Client, make_lines
-from wigeonpier.platform.keys import name_job
+from wigeonpier.platform.keys import name_chunk, name_job
 from wigeonpier.platform.port import Failure
 from wigeonpier.web.client import HttpCaller
 
@@ -624,3 +624,20 @@
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._engine, name)
+
+
+@when('a claim is seen whose job has not been seen yet')
+def write_early_claim(context: Context) -> None:
+    platform = context.bench.site.find_entry().app.parts.platform
+    context.early = name_chunk('batch_early', 0)
+    platform.swap(
+        context.early,
+        msgspec.json.encode(build_claim()),
+        0,
+    ).unwrap()
+
+
+@then('the claim is still there after {seconds:d} s')
+def check_claim(context: Context, seconds: int) -> None:
+    gevent.sleep(seconds)
+    assert context.early in context.bench.site.platform.cells
