--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -194,6 +194,7 @@
     :param message: what was wrong and what to do.
     :param ran: overrides the kind's own statement where more is known.
     :param retry_after: overrides the kind's own advice, in seconds.
+    :param retry_seconds: the same with fractions, for callers that take them.
     """
 
     def __init__(
@@ -203,6 +204,7 @@
         *,
         ran: Ran | None = None,
         retry_after: int | None = None,
+        retry_seconds: float | None = None,
     ) -> None:
         """Keep the kind and fill the gaps from the table."""
         super().__init__(message)
@@ -211,6 +213,7 @@
         self.message = message
         self.status = answer.status
         self.ran = ran or answer.ran
+        self.retry_seconds = retry_seconds
         self.retry_after = (
             answer.retry_after if retry_after is None else retry_after
         )
--- /dev/null
+++ b/src/wigeonpier/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons as they run on the users' platform."""
--- /dev/null
+++ b/src/wigeonpier/hosted/app.py
@@ -0,0 +1,266 @@
+"""Composition roots of the daemons on the users' platform."""
+
+from __future__ import annotations
+
+import random
+import re
+import time
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import gevent
+
+from wigeonpier.errors import Refusal
+from wigeonpier.hosted.configuration import ConfigurationWatch
+from wigeonpier.hosted.jobs import JobDesk
+from wigeonpier.hosted.ledger import JobLedger
+from wigeonpier.hosted.membership import Membership
+from wigeonpier.hosted.questions import QuestionDesk
+from wigeonpier.hosted.replicas import ReplicaRegister
+from wigeonpier.hosted.retire import RetireDesk
+from wigeonpier.hosted.upstream import OwnUpstream
+from wigeonpier.hosted.work import BatchWorker
+from wigeonpier.loops import spawn_loop
+from wigeonpier.models import Member
+from wigeonpier.platform import ingress
+from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.settings.process import split_address
+from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.exchange import ConnectionPool
+from wigeonpier.web.messages import Response, answer_refusal
+from wigeonpier.web.pages import METRICS_TYPE
+from wigeonpier.web.server import Server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.models import HostSettings
+    from wigeonpier.web.messages import Request
+
+    Page = Callable[[Request, str], Response]
+
+# The balancer asks once a second and takes a process out after two misses.
+NOTICED_SECONDS = 2.6
+# Left for the last bytes before the platform kills the process.
+KILL_MARGIN_SECONDS = 0.6
+METRICS_PATH = '/metrics'
+JOB_PATTERN = re.compile(ingress.JOB_PATTERN)
+ITEM_PATTERN = re.compile(ingress.ITEM_PATTERN)
+
+
+@dataclass(slots=True)
+class Common:
+    """Parts that every hosted daemon has.
+
+    :param settings: what the process was told.
+    :param metrics: its numbers.
+    :param pool: connections to others.
+    :param store: the key-value service.
+    :param draw: source of randomness.
+    """
+
+    settings: HostSettings
+    metrics: Metrics = field(default_factory=Metrics)
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    draw: random.Random = field(default_factory=random.Random)
+    store: KeyValueStore = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Connect to the store of the settings."""
+        self.store = KeyValueStore(
+            self.pool,
+            self.settings.store,
+            self.metrics,
+        )
+
+    def serve_metrics(self) -> Server:
+        """Serve the numbers of the process.
+
+        :returns: the server, started.
+        """
+        self.metrics.add_gauge('connections', lambda: self.pool.opened)
+        server = Server(
+            *split_address(self.settings.metrics),
+            lambda _request: Response(
+                HTTPStatus.OK,
+                self.metrics.render().encode(),
+                METRICS_TYPE,
+            ),
+        )
+        server.start()
+        return server
+
+
+class EntryApp:
+    """The entry: questions and the calls of batch jobs."""
+
+    def __init__(self, common: Common) -> None:
+        """Wire the entry; nothing runs yet."""
+        settings = common.settings
+        self._common = common
+        self._is_leaving = False
+        self._configuration = ConfigurationWatch(common.store, common.draw)
+        self._replicas = ReplicaRegister(
+            common.store,
+            settings,
+            common.draw,
+            common.pool.forget,
+        )
+        self._questions = QuestionDesk(
+            settings,
+            self._configuration,
+            self._replicas,
+            common.pool,
+            common.metrics,
+            common.draw,
+        )
+        self._jobs = JobDesk(
+            self._configuration,
+            JobLedger(common.store),
+            common.metrics,
+            common.draw,
+        )
+        self._callers = Server(*split_address(settings.callers), self._answer)
+        self._balancer = Server(
+            *split_address(settings.readiness),
+            self._answer_ready,
+        )
+
+    def start(self) -> str:
+        """Listen and follow the store.
+
+        :returns: address for callers.
+        """
+        self._common.serve_metrics()
+        self._balancer.start()
+        self._configuration.start()
+        self._replicas.start()
+        self._callers.start()
+        return self._callers.address
+
+    def leave(self, seconds: float) -> int:
+        """Take requests until the balancer has noticed, then drain.
+
+        :param seconds: longest time.
+        :returns: requests that are still in hand.
+        """
+        give_up = time.monotonic() + seconds
+        self._is_leaving = True
+        self._callers.is_closing = True
+        gevent.sleep(min(NOTICED_SECONDS, seconds))
+        return self._callers.drain(give_up - time.monotonic())
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether new callers may be sent here."""
+        is_known = self._replicas.view.is_complete
+        return bool(
+            self._configuration.current and is_known and not self._is_leaving,
+        )
+
+    def _answer_ready(self, _request: Request) -> Response:
+        if self.is_ready:
+            return Response(HTTPStatus.OK, b'{}')
+        return Response(HTTPStatus.SERVICE_UNAVAILABLE, b'{}')
+
+    def _answer(self, request: Request) -> Response:
+        try:
+            return self._dispatch(request)
+        except Refusal as refusal:
+            return answer_refusal(refusal)
+
+    def _dispatch(self, request: Request) -> Response:
+        job = JOB_PATTERN.fullmatch(request.path)
+        if job and request.method == 'GET':
+            return self._jobs.read(request, job.group(1))
+        if job and request.method == 'DELETE':
+            return self._jobs.end(request, job.group(1))
+        item = ITEM_PATTERN.fullmatch(request.path)
+        if item and request.method == 'GET':
+            return self._jobs.fetch_body(request, item.group(1))
+        route = self._jobs.find_route(request)
+        if route is not None:
+            return self._jobs.hand_in(request, route)
+        return self._questions.answer(request)
+
+
+class WorkerApp:
+    """The process beside an upstream: batch items."""
+
+    def __init__(self, common: Common) -> None:
+        """Wire the worker; nothing runs yet."""
+        settings = common.settings
+        self._common = common
+        self._upstream = OwnUpstream(
+            common.store,
+            common.pool,
+            settings.upstream,
+        )
+        self._worker = BatchWorker(
+            settings,
+            JobLedger(common.store),
+            self._upstream,
+            common.pool,
+            common.metrics,
+            common.draw,
+        )
+        self._membership = Membership(
+            common.store,
+            Member(settings.name, settings.service, settings.data_centre),
+        )
+
+    def start(self) -> str:
+        """Follow the upstream and the board.
+
+        :returns: address of the numbers.
+        """
+        server = self._common.serve_metrics()
+        spawn_loop('upstream', self._upstream.follow)
+        self._worker.start()
+        self._membership.start()
+        spawn_loop('membership wanted', self._follow_usable)
+        return server.address
+
+    def leave(self, seconds: float) -> int:
+        """Hand items back and write what is done.
+
+        :param seconds: longest time.
+        :returns: 1 where results are left unwritten.
+        """
+        give_up = time.monotonic() + seconds
+        self._worker.leave()
+        self._membership.leave()
+        while not self._worker.writer.is_idle and time.monotonic() < give_up:
+            gevent.sleep(0.05)
+        return int(not self._worker.writer.is_idle)
+
+    def _follow_usable(self) -> None:
+        self._membership.is_wanted = self._upstream.is_usable
+        gevent.sleep(0.1)
+
+
+class StorageApp:
+    """The process on a VM with a disk: says that it may be taken away."""
+
+    def __init__(self, common: Common) -> None:
+        """Wire the process; nothing runs yet."""
+        self._common = common
+        self._retire = RetireDesk(common.store, common.draw)
+
+    def start(self) -> str:
+        """Follow the operator's orders.
+
+        :returns: address of the numbers.
+        """
+        server = self._common.serve_metrics()
+        self._retire.start()
+        return server.address
+
+    def leave(self, _seconds: float) -> int:
+        """Leave at once; nothing is in hand.
+
+        :param _seconds: longest time.
+        :returns: 0.
+        """
+        return 0
--- /dev/null
+++ b/src/wigeonpier/hosted/configuration.py
@@ -0,0 +1,69 @@
+"""The operator's configuration in force, followed by a watch."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wigeonpier.platform.operator import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+)
+from wigeonpier.platform.view import PrefixView
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    import random
+
+    from wigeonpier.models import ServedConfiguration
+    from wigeonpier.platform.port import Change, WatchedStore
+
+# A configuration has to be in force within 2 s of its confirmation, also
+# when the store has just come back.
+LONGEST_PAUSE_SECONDS = 0.6
+
+
+class ConfigurationWatch:
+    """Holds the newest configuration that this process has seen."""
+
+    def __init__(self, store: WatchedStore, draw: random.Random) -> None:
+        """Watch the operator's key once started."""
+        self.current: ServedConfiguration | None = None
+        self.applied_at = 0.0
+        self.view = PrefixView(
+            store,
+            CONFIGURATION_KEY,
+            self._apply,
+            draw,
+            longest_pause=LONGEST_PAUSE_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self.view.start()
+
+    def _apply(self, change: Change) -> None:
+        if change.key != CONFIGURATION_KEY or change.value is None:
+            return
+        try:
+            found = decode_configuration(change.value)
+        except msgspec.DecodeError as error:
+            log_event(
+                Event.configuration_refused,
+                revision=change.revision,
+                problem=str(error),
+            )
+            return
+        if self.current is not None and found.version <= self.current.version:
+            return
+        self.current = found
+        self.applied_at = time.monotonic()
+        log_event(
+            Event.configuration_applied,
+            version=found.version,
+            revision=change.revision,
+            routes=len(found.routes),
+        )
--- /dev/null
+++ b/src/wigeonpier/hosted/events.py
@@ -0,0 +1,65 @@
+"""Events of an upstream's stream, each taken whole or not at all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wigeonpier.web.exchange import Exchange
+
+IDENTITY = b'id:'
+DATA = b'data:'
+BLANK = frozenset((b'\n', b'\r\n'))
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One event.
+
+    :param raw: its bytes, with the blank line that ends it.
+    :param identity: its id, empty where it has none.
+    :param text: its data, lines separated by line feeds.
+    """
+
+    raw: bytes
+    identity: str
+    text: str
+
+
+class EventReader:
+    """Reads whole events off an answer."""
+
+    def __init__(self, answer: Exchange) -> None:
+        """Read from where the answer's body stands."""
+        self._answer = answer
+
+    def read(self, patience: float) -> StreamEvent | None:
+        """Read the next event.
+
+        :param patience: longest silence, seconds.
+        :returns: the event, ``None`` at the end of a whole stream.
+        :raises OSError: when the stream breaks off, also within an event.
+        """
+        lines: list[bytes] = []
+        while True:
+            line = self._answer.read_line(patience)
+            if not line:
+                if lines:
+                    raise ConnectionResetError('the last event is not whole')
+                return None
+            lines.append(line)
+            if line in BLANK:
+                return _make_event(lines)
+
+
+def _make_event(lines: list[bytes]) -> StreamEvent:
+    identity = ''
+    texts = []
+    for line in lines:
+        if line.startswith(IDENTITY):
+            identity = line[len(IDENTITY) :].strip().decode()
+        elif line.startswith(DATA):
+            text = line[len(DATA) :].rstrip(b'\r\n')
+            texts.append(text.removeprefix(b' ').decode())
+    return StreamEvent(b''.join(lines), identity, '\n'.join(texts))
--- /dev/null
+++ b/src/wigeonpier/hosted/items.py
@@ -0,0 +1,148 @@
+"""Runs one batch item at the upstream, in as many parts as it takes."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from wigeonpier.hosted.events import EventReader
+from wigeonpier.platform import ingress
+from wigeonpier.web.exchange import make_request
+
+if TYPE_CHECKING:
+    from wigeonpier.models import JobItem, OpenJob, Replica
+    from wigeonpier.web.exchange import ConnectionPool, Exchange
+
+# An item waits for a slot behind questions; a silent upstream is left, and
+# the item goes on from its last event.
+HEAD_SECONDS = 3.0
+SILENCE_SECONDS = 2.0
+CANNOT_BE_DONE = 422
+
+
+class RunEnd(StrEnum):
+    """How one run of an item ended."""
+
+    whole = 'whole'
+    paused = 'paused'
+    not_run = 'not_run'
+    broken = 'broken'
+    failed = 'failed'
+    impossible = 'impossible'
+
+
+@dataclass(slots=True)
+class ItemWork:
+    """An item that this process runs.
+
+    :param job: its job.
+    :param index: its position in the job.
+    :param item: the request.
+    :param due_at: when it is due, seconds of the steady clock.
+    :param keep_until: until when it must be tried, likewise.
+    :param texts: data of the events so far.
+    :param last_event: id of the last of them.
+    :param failures: runs that the upstream failed.
+    :param retry_at: not started before then.
+    :param run_seconds: how long it ran so far.
+    :param is_running: whether it is at the upstream.
+    :param is_paused: whether its run was told to give way.
+    :param is_dropped: whether it is no longer this process's.
+    :param answer: the answer that is read now.
+    """
+
+    job: OpenJob
+    index: int
+    item: JobItem
+    due_at: float
+    keep_until: float
+    texts: list[str] = field(default_factory=list)
+    last_event: str = ''
+    failures: int = 0
+    retry_at: float = 0
+    run_seconds: float = 0
+    is_running: bool = False
+    is_paused: bool = False
+    is_dropped: bool = False
+    answer: Exchange | None = None
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Give the job's id and the position."""
+        return (self.job.name, self.index)
+
+    def stop(self) -> None:
+        """Make the item give way; its text so far is kept."""
+        self.is_paused = True
+        if self.answer is not None:
+            self.answer.abort()
+
+
+def run_item(
+    work: ItemWork,
+    replica: Replica,
+    pool: ConnectionPool,
+) -> RunEnd:
+    """Run an item from its last event on.
+
+    :param work: the item; its texts grow.
+    :param replica: the upstream.
+    :param pool: connections.
+    :returns: how the run ended.
+    """
+    began = time.monotonic()
+    begun = pool.begin(replica.address, HEAD_SECONDS)
+    if isinstance(begun, Err):
+        return RunEnd.not_run
+    answer = begun.ok_value
+    work.answer = answer
+    try:
+        return _read_run(work, replica, answer)
+    except (OSError, UnicodeDecodeError):
+        return RunEnd.paused if work.is_paused else RunEnd.broken
+    finally:
+        if not answer.is_whole:
+            answer.abort()
+        answer.close()
+        work.answer = None
+        work.run_seconds += time.monotonic() - began
+
+
+def _read_run(work: ItemWork, replica: Replica, answer: Exchange) -> RunEnd:
+    headers = ingress.list_item_headers(
+        work.job.host,
+        work.item,
+        replica.name,
+        work.last_event,
+    )
+    raw = make_request('POST', work.item.path, headers, work.item.body)
+    answer.send(raw, HEAD_SECONDS)
+    if ingress.has_not_run(answer):
+        answer.read(SILENCE_SECONDS)
+        return RunEnd.not_run
+    if not ingress.is_own_answer(answer, work.item.name):
+        answer.abort()
+        return RunEnd.broken
+    if not ingress.is_success(answer):
+        answer.read(SILENCE_SECONDS)
+        if answer.status == CANNOT_BE_DONE:
+            return RunEnd.impossible
+        return RunEnd.failed
+    return _read_events(work, answer)
+
+
+def _read_events(work: ItemWork, answer: Exchange) -> RunEnd:
+    reader = EventReader(answer)
+    while True:
+        event = reader.read(SILENCE_SECONDS)
+        if event is None:
+            # Without a length the end of a connection does not prove that
+            # the text is whole; the next run is told what is there.
+            return RunEnd.broken if answer.is_unframed else RunEnd.whole
+        if event.identity:
+            work.texts.append(event.text)
+            work.last_event = event.identity
--- /dev/null
+++ b/src/wigeonpier/hosted/main.py
@@ -0,0 +1,66 @@
+"""Starts one of the daemons on the users' platform."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from wigeonpier.hosted.app import (
+    KILL_MARGIN_SECONDS,
+    Common,
+    EntryApp,
+    StorageApp,
+    WorkerApp,
+)
+from wigeonpier.platform.process import find_settings, read_settings
+from wigeonpier.process import run_until_signal
+from wigeonpier.settings.document import DocumentError
+from wigeonpier.telemetry.logs import configure_logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.process import App
+
+USAGE_STATUS = 2
+ROLES: MappingProxyType[str, Callable[[Common], App]] = MappingProxyType(
+    {'entry': EntryApp, 'worker': WorkerApp, 'storage': StorageApp},
+)
+
+
+def main() -> int:
+    """Run a daemon until it is told to stop.
+
+    :returns: exit status.
+    """
+    parser = argparse.ArgumentParser('wigeonpier-hosted')
+    parser.add_argument('role', choices=sorted(ROLES), help='what to run')
+    parser.add_argument(
+        '--settings',
+        default=find_settings(),
+        help='settings file of the platform (default: %(default)s)',
+    )
+    parser.add_argument(
+        '--log-level',
+        default='info',
+        choices=('debug', 'info', 'warning', 'error'),
+        help='lowest level that is logged (default: %(default)s)',
+    )
+    parsed = parser.parse_args()
+    try:
+        settings = read_settings(parsed.settings)
+    except DocumentError as error:
+        sys.stderr.write(f'{error}\n')
+        return USAGE_STATUS
+    configure_logs(settings.name, parsed.log_level, sys.stdout)
+    return run_until_signal(
+        parsed.role,
+        settings.bounds.grace - KILL_MARGIN_SECONDS,
+        ROLES[parsed.role](Common(settings)),
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/wigeonpier/hosted/membership.py
@@ -0,0 +1,70 @@
+"""Tells others that this process runs batch items, by a lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Err, Ok
+
+from wigeonpier.loops import spawn_loop
+from wigeonpier.platform import keys
+from wigeonpier.platform.port import Commit
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from wigeonpier.models import Member
+    from wigeonpier.platform.store import KeyValueStore
+
+# A lost process is replaced after this time; a renewal may be lost twice.
+LEASE_SECONDS = 3.0
+RENEWAL_SECONDS = 1.0
+
+
+class Membership:
+    """Keeps this process on the board while it can run items."""
+
+    def __init__(self, store: KeyValueStore, member: Member) -> None:
+        """Stay off the board until started and wanted."""
+        self.is_wanted = False
+        self._store = store
+        self._member = member
+        self._lease = 0
+
+    def start(self) -> None:
+        """Begin to join and to renew."""
+        spawn_loop('membership', self._step)
+
+    def leave(self) -> None:
+        """Leave the board at once, without waiting to be missed."""
+        self.is_wanted = False
+        if self._lease:
+            self._store.end_lease(self._lease)
+            self._lease = 0
+            log_event(Event.member_left, vm=self._member.name, why='leaving')
+
+    def _step(self) -> None:
+        if self.is_wanted and not self._lease:
+            self._join()
+        elif self._lease and not self.is_wanted:
+            self.leave()
+        elif self._lease:
+            kept = self._store.keep_lease(self._lease)
+            if isinstance(kept, Ok) and not kept.ok_value:
+                log_event(Event.member_left, vm=self._member.name, why='lapsed')
+                self._lease = 0
+                return
+        gevent.sleep(RENEWAL_SECONDS)
+
+    def _join(self) -> None:
+        granted = self._store.grant_lease(LEASE_SECONDS)
+        if isinstance(granted, Err):
+            return
+        key = keys.name_member(self._member.name)
+        writes = {key: msgspec.json.encode(self._member)}
+        change = Commit(writes=writes, lease=granted.ok_value)
+        if isinstance(self._store.commit(change), Ok):
+            self._lease = granted.ok_value
+            log_event(Event.member_joined, vm=self._member.name)
--- /dev/null
+++ b/src/wigeonpier/hosted/upstream.py
@@ -0,0 +1,128 @@
+"""What a process knows of the upstream on its own VM."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Err
+
+from wigeonpier.models import Replica, UpstreamReport
+from wigeonpier.platform import ingress, register
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.exchange import make_request
+
+if TYPE_CHECKING:
+    from wigeonpier.platform.store import KeyValueStore
+    from wigeonpier.web.exchange import ConnectionPool
+
+REPORT_SECONDS = 0.4
+# The register is read until the upstream stands in it.
+SEARCH_SECONDS = 0.7
+FAILURES_TO_DISTRUST = 3
+
+
+class OwnUpstream:
+    """Follows the upstream on this VM: its entry and its load."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        pool: ConnectionPool,
+        address: str,
+    ) -> None:
+        """Know nothing yet of the upstream at ``host:port``."""
+        self.address = address
+        self.replica: Replica | None = None
+        self.report: UpstreamReport | None = None
+        self._store = store
+        self._pool = pool
+        self._failures = 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether it takes new work."""
+        if self.replica is None or self.report is None:
+            return False
+        return not (self.replica.is_leaving or self.report.is_leaving)
+
+    def follow(self) -> None:
+        """Find the upstream's entry and follow it until it is gone."""
+        listed = self._store.list_prefix(register.REGISTER)
+        if isinstance(listed, Err):
+            gevent.sleep(SEARCH_SECONDS)
+            return
+        for entry in listed.ok_value.entries:
+            found = self._decode(entry.key, entry.value)
+            if found is not None and found.address == self.address:
+                self._take(found)
+                self._watch(found.name, listed.ok_value.revision)
+                return
+        self._lose('not in the register')
+        gevent.sleep(SEARCH_SECONDS)
+
+    def look(self) -> None:
+        """Ask the upstream for its load; free of cost on the same VM."""
+        headers = [('Host', self.address)]
+        raw = make_request('GET', ingress.REPORT_PATH, headers)
+        called = self._pool.call(self.address, raw, REPORT_SECONDS)
+        if isinstance(called, Err) or not called.ok_value.is_good:
+            self._failures += 1
+            if self._failures >= FAILURES_TO_DISTRUST:
+                self.report = None
+            return
+        try:
+            self.report = register.decode_report(called.ok_value.body)
+        except msgspec.DecodeError as error:
+            log_event(
+                Event.upstream_unreadable,
+                upstream=self.address,
+                problem=str(error),
+            )
+        self._failures = 0
+
+    def _watch(self, name: str, revision: int) -> None:
+        key = register.name_replica(name)
+        for change in self._store.watch(key, revision):
+            if change.key != key:
+                continue
+            if change.value is None:
+                self._lose('its entry is gone')
+                return
+            found = self._decode(change.key, change.value)
+            if found is not None:
+                self._take(found)
+
+    def _take(self, found: Replica) -> None:
+        known = self.replica
+        if known is None or known.name != found.name:
+            log_event(
+                Event.upstream_added,
+                upstream=found.name,
+                address=found.address,
+            )
+        elif found.is_leaving and not known.is_leaving:
+            log_event(Event.upstream_leaving, upstream=found.name)
+        self.replica = found
+
+    def _lose(self, why: str) -> None:
+        if self.replica is not None:
+            log_event(
+                Event.upstream_removed,
+                upstream=self.replica.name,
+                why=why,
+            )
+        self.replica = None
+
+    def _decode(self, key: str, raw: bytes) -> Replica | None:
+        try:
+            return register.decode_replica(key, raw)
+        except msgspec.DecodeError as error:
+            log_event(
+                Event.upstream_unreadable,
+                upstream=key,
+                problem=str(error),
+            )
+            return None
--- /dev/null
+++ b/src/wigeonpier/models.py
@@ -0,0 +1,243 @@
+"""What the hosted daemons know, without the platform's names."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times that the site promises, in seconds.
+
+    :param grace: from SIGTERM to SIGKILL.
+    :param catch_up: until a process that is back counts as recovered.
+    :param job_readable: how long a job stays readable after it was sent.
+    """
+
+    grace: float
+    catch_up: float
+    job_readable: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What a process on the platform is told.
+
+    :param name: name of its VM.
+    :param data_centre: where it stands.
+    :param region: region of its data centre.
+    :param regions: region of each data centre.
+    :param store: ``host:port`` of the key-value service.
+    :param largest_value: bytes that one key may hold.
+    :param bounds: times that the site promises.
+    :param callers: ``host:port`` for callers, empty where it has none.
+    :param readiness: ``host:port`` for the balancer, empty for none.
+    :param upstream: ``host:port`` of the upstream on its VM, or empty.
+    :param service: service of that upstream.
+    :param metrics: ``host:port`` for numbers.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    regions: dict[str, str]
+    store: str
+    largest_value: int
+    bounds: Bounds
+    callers: str = ''
+    readiness: str = ''
+    upstream: str = ''
+    service: str = ''
+    metrics: str = ''
+
+
+class RouteKind(StrEnum):
+    """What may be done with the requests of a route."""
+
+    repeatable = 'repeatable'
+    once = 'once'
+    stream = 'stream'
+    batch = 'batch'
+
+
+@dataclass(frozen=True, slots=True)
+class ServedRoute:
+    """One route of the operator's configuration.
+
+    :param name: its name.
+    :param host: host that callers name.
+    :param prefix: start of the paths.
+    :param kind: what may be done with its requests.
+    :param services: services with their weights.
+    :param timeout: longest time a caller is kept waiting, seconds.
+    :param objective: latency objective, seconds.
+    :param tries: most upstreams that may run one request.
+    :param is_resumable: whether a stream may go on at another upstream.
+    :param priority: rank, 0 is the highest.
+    :param run_objective: how long after its first send a job is due, seconds.
+    :param retention: how long an item must be tried, seconds.
+    :param most_tokens: tokens that may wait on the route, 0 for no limit.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[tuple[str, float], ...]
+    timeout: float
+    objective: float
+    tries: int
+    is_resumable: bool
+    priority: int
+    run_objective: float
+    retention: float
+    most_tokens: int
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RouteKind.stream:
+            return self.is_resumable
+        return self.kind is not RouteKind.once
+
+
+@dataclass(frozen=True, slots=True)
+class ServedConfiguration:
+    """The operator's configuration.
+
+    :param version: grows with each change.
+    :param routes: all routes.
+    :param body_limit: most bytes of a body.
+    """
+
+    version: int
+    routes: tuple[ServedRoute, ...]
+    body_limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """An upstream as the register shows it.
+
+    :param name: its id; a new one at each start.
+    :param address: ``host:port``.
+    :param service: service that it is a replica of.
+    :param data_centre: where it stands.
+    :param slots: requests that it runs at once.
+    :param is_leaving: takes no new work.
+    """
+
+    name: str
+    address: str
+    service: str
+    data_centre: str
+    slots: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """What an upstream says of its load.
+
+    :param running: requests that run.
+    :param waiting: requests that wait for a slot.
+    :param is_leaving: takes no new work.
+    """
+
+    running: int
+    waiting: int
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobItem:
+    """One request of a batch job.
+
+    :param name: its id, unique in the job.
+    :param path: path at the upstream.
+    :param headers: headers of the request.
+    :param body: its bytes.
+    :param tokens: tokens of the prompt and most tokens of the output.
+    """
+
+    name: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    tokens: int
+
+
+class ItemState(StrEnum):
+    """How an item ended."""
+
+    completed = 'completed'
+    abandoned = 'abandoned'
+
+
+@dataclass(frozen=True, slots=True)
+class ItemResult:
+    """Final state of an item; it never changes.
+
+    :param name: id of the item.
+    :param state: how it ended.
+    :param output: text of all events, separated by line feeds.
+    """
+
+    name: str
+    state: ItemState
+    output: str
+
+
+@dataclass(frozen=True, slots=True)
+class OpenJob:
+    """What every process knows of a job with items left.
+
+    :param name: id of the job.
+    :param route: name of its route.
+    :param host: host that the caller named.
+    :param service: service that runs it.
+    :param sent_at: when it was accepted, seconds of the day's clock.
+    :param run_objective: seconds after which it is due.
+    :param retention: seconds that an item must be tried.
+    :param tries: failed runs after which an item is given up.
+    :param tokens: tokens of all items.
+    :param owners: VM that should run each item, by position in the job.
+    """
+
+    name: str
+    route: str
+    host: str
+    service: str
+    sent_at: float
+    run_objective: float
+    retention: float
+    tries: int
+    tokens: int
+    owners: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A process that runs batch items beside its upstream.
+
+    :param name: name of its VM.
+    :param service: service of its upstream.
+    :param data_centre: where it stands.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """A job as it was handed in.
+
+    :param name: id of the job.
+    :param items: all items.
+    """
+
+    name: str
+    items: list[JobItem] = field(default_factory=list)
--- /dev/null
+++ b/src/wigeonpier/platform/ingress.py
@@ -0,0 +1,302 @@
+"""Requests and answers of callers and upstreams, as the platform frames them."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from wigeonpier.models import (
+    ItemResult,
+    ItemState,
+    JobItem,
+)
+from wigeonpier.platform import wire
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.messages import Request
+
+READY_PATH = wire.READY_PATH
+REPORT_PATH = wire.REPORT_PATH
+JOB_PATTERN = f'{wire.JOB_PATH}([^/]+)'
+ITEM_PATTERN = f'{wire.ITEM_PATH}([^/]+)'
+RETRY_AFTER = wire.RETRY_AFTER
+MILLISECONDS = 1000
+MOST_WAIT_SECONDS = 1.0
+MISDIRECTED = 421
+FIRST_ERROR_STATUS = 300
+# Headers of the caller's that each send sets anew or leaves out.
+OWN_HEADERS = frozenset(
+    (
+        wire.DEADLINE_MS.lower(),
+        wire.RESUME_AFTER.lower(),
+        wire.EXPECTED_INSTANCE.lower(),
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    ),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class QuestionHead:
+    """What the headers of a question say.
+
+    :param identity: id of the caller's attempt.
+    :param host: host that the caller named, lower case.
+    :param seconds: how long the caller waits, ``None`` where it says not.
+    :param prompt_parts: ids of the parts of the prompt, shared ones first.
+    :param resume_after: last event that the caller has, or empty.
+    """
+
+    identity: str
+    host: str
+    seconds: float | None
+    prompt_parts: tuple[str, ...]
+    resume_after: str
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """What one send of a question adds to the caller's headers.
+
+    :param instance: id of the upstream that is meant.
+    :param seconds: how long the upstream may work.
+    :param resume_after: last event that the caller has, or empty.
+    """
+
+    instance: str
+    seconds: float
+    resume_after: str
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    body: str
+    headers: dict[str, str] = {}
+    tokens: int = 0
+
+
+class _Job(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Result(msgspec.Struct):
+    id: str
+    state: str
+    output: str
+
+
+class _ResultPage(msgspec.Struct):
+    total: int
+    next: int
+    results: list[_Result]
+
+
+def read_question(request: Request) -> QuestionHead:
+    """Read the headers of a question.
+
+    :param request: the caller's.
+    :returns: what they say.
+    """
+    found = request.headers
+    deadline = found.get(wire.DEADLINE_MS.lower(), '')
+    parts = found.get(wire.PROMPT_PARTS.lower(), '')
+    return QuestionHead(
+        identity=found.get(wire.REQUEST_ID.lower(), ''),
+        host=found.get('host', '').lower(),
+        seconds=int(deadline) / MILLISECONDS if deadline.isdigit() else None,
+        prompt_parts=tuple(
+            part.partition(':')[0].strip() for part in parts.split(',') if part
+        ),
+        resume_after=found.get(wire.RESUME_AFTER.lower(), ''),
+    )
+
+
+def list_onward_headers(
+    received: dict[str, str],
+    send: Send,
+) -> list[tuple[str, str]]:
+    """List the headers with which a question goes to an upstream.
+
+    :param received: the caller's, by lower-case name.
+    :param send: what this send adds.
+    :returns: names and values.
+    """
+    listed = [
+        (name.title(), value)
+        for name, value in received.items()
+        if name not in OWN_HEADERS
+    ]
+    milliseconds = max(1, int(send.seconds * MILLISECONDS))
+    listed.append((wire.DEADLINE_MS, str(milliseconds)))
+    return listed + _list_send_headers(send.instance, send.resume_after)
+
+
+def list_item_headers(
+    host: str,
+    item: JobItem,
+    instance: str,
+    resume_after: str,
+) -> list[tuple[str, str]]:
+    """List the headers with which an item goes to an upstream.
+
+    :param host: host of the item's route.
+    :param item: the item.
+    :param instance: id of the upstream that is meant.
+    :param resume_after: last event that was kept, or empty.
+    :returns: names and values.
+    """
+    own = {name.lower() for name in item.headers}
+    listed = list(item.headers.items())
+    if 'host' not in own:
+        listed.append(('Host', host))
+    listed = [
+        pair
+        for pair in listed
+        if pair[0].lower() not in OWN_HEADERS
+        and pair[0].lower() != wire.REQUEST_ID.lower()
+    ]
+    listed.append((wire.REQUEST_ID, item.name))
+    return listed + _list_send_headers(instance, resume_after)
+
+
+def has_not_run(answer: Exchange) -> bool:
+    """Tell whether the upstream says that it did not run the request.
+
+    :param answer: its answer.
+    :returns: true only where it says so.
+    """
+    if answer.status == MISDIRECTED:
+        return True
+    return bool(answer.get_header(wire.NOT_RUN))
+
+
+def is_own_answer(answer: Exchange, identity: str) -> bool:
+    """Tell whether an answer is the upstream's, to this very request.
+
+    :param answer: what came.
+    :param identity: id that was sent.
+    :returns: false for another request's answer, or an unsigned one.
+    """
+    return answer.get_header(wire.REQUEST_ID) == identity and bool(
+        answer.get_header(wire.SIGNATURE),
+    )
+
+
+def is_success(answer: Exchange) -> bool:
+    """Tell whether the status is one of success.
+
+    :param answer: what came.
+    :returns: true for 2xx.
+    """
+    return answer.status < FIRST_ERROR_STATUS
+
+
+def get_load(answer: Exchange) -> str:
+    """Read the load that comes with an answer.
+
+    :param answer: what came.
+    :returns: value of the header, empty where it is absent.
+    """
+    return answer.get_header(wire.LOAD)
+
+
+def get_instance(answer: Exchange) -> str:
+    """Read which instance answered.
+
+    :param answer: what came.
+    :returns: its id, empty where it is absent.
+    """
+    return answer.get_header(wire.INSTANCE)
+
+
+def read_wait(request: Request) -> float:
+    """Read how long a reader may be kept waiting.
+
+    :param request: the caller's.
+    :returns: seconds.
+    """
+    text = request.headers.get(wire.WAIT_MS.lower(), '')
+    seconds = int(text) / MILLISECONDS if text.isdigit() else 0
+    return min(seconds, MOST_WAIT_SECONDS)
+
+
+def get_job_identity(request: Request) -> str:
+    """Read the id of a job that is handed in.
+
+    :param request: the caller's.
+    :returns: the id, empty where it is absent.
+    """
+    return request.headers.get(wire.REQUEST_ID.lower(), '')
+
+
+def decode_items(raw: bytes) -> list[JobItem]:
+    """Read the items of a job.
+
+    :param raw: the body.
+    :returns: the items.
+    :raises ValueError: when it is no job.
+    """
+    job = msgspec.json.decode(raw, type=_Job)
+    try:
+        return [
+            JobItem(
+                item.id,
+                item.path,
+                item.headers,
+                base64.b64decode(item.body),
+                item.tokens,
+            )
+            for item in job.items
+        ]
+    except binascii.Error as error:
+        raise ValueError(str(error)) from error
+
+
+def encode_results(
+    total: int,
+    following: int,
+    results: Iterable[ItemResult],
+) -> bytes:
+    """Write a page of results.
+
+    :param total: items of the job.
+    :param following: position after the last result of the page.
+    :param results: results in order.
+    :returns: the body.
+    """
+    states: dict[ItemState, Any] = {
+        ItemState.completed: 'completed',
+        ItemState.abandoned: 'abandoned',
+    }
+    listed = [
+        _Result(found.name, states[found.state], found.output)
+        for found in results
+    ]
+    return msgspec.json.encode(_ResultPage(total, following, listed))
+
+
+def _list_send_headers(
+    instance: str,
+    resume_after: str,
+) -> list[tuple[str, str]]:
+    listed = []
+    if instance:
+        listed.append((wire.EXPECTED_INSTANCE, instance))
+    if resume_after:
+        listed.append((wire.RESUME_AFTER, resume_after))
+    return listed
--- a/src/wigeonpier/platform/keys.py
+++ b/src/wigeonpier/platform/keys.py
@@ -80,3 +80,77 @@
     """
     job, index = key.removeprefix(CHUNKS).split('/')
     return job, int(index)
+
+
+HOSTED = 'wigeonpier/hosted/'
+# One watch covers the jobs with items left and the processes that run them.
+BOARD = f'{HOSTED}board/'
+OPEN_JOBS = f'{BOARD}jobs/'
+MEMBERS = f'{BOARD}members/'
+RECORDS = f'{HOSTED}records/'
+ITEM_RESULTS = f'{HOSTED}results/'
+
+
+def name_open_job(job: str) -> str:
+    """Name the key that stands while a job has items left.
+
+    :param job: id of the job.
+    :returns: the key.
+    """
+    return f'{OPEN_JOBS}{job}'
+
+
+def name_member(vm: str) -> str:
+    """Name the key of a process that runs items.
+
+    :param vm: name of its VM.
+    :returns: the key.
+    """
+    return f'{MEMBERS}{vm}'
+
+
+def name_record(job: str) -> str:
+    """Name the key that holds a job's head.
+
+    :param job: id of the job.
+    :returns: the key.
+    """
+    return f'{RECORDS}{job}'
+
+
+def name_record_part(job: str, number: int) -> str:
+    """Name the key that holds some items of a job.
+
+    :param job: id of the job.
+    :param number: number of the part.
+    :returns: the key.
+    """
+    return f'{RECORDS}{job}/{number}'
+
+
+def name_item_results(job: str) -> str:
+    """Name the prefix of all results of a job.
+
+    :param job: id of the job.
+    :returns: the prefix.
+    """
+    return f'{ITEM_RESULTS}{job}/'
+
+
+def name_item_result(job: str, index: int) -> str:
+    """Name the key of one result.
+
+    :param job: id of the job.
+    :param index: position of the item in the job.
+    :returns: the key.
+    """
+    return f'{name_item_results(job)}{index}'
+
+
+def parse_item_result(key: str) -> int:
+    """Take the key of a result apart.
+
+    :param key: key that :func:`name_item_result` made.
+    :returns: position of the item in the job.
+    """
+    return int(key.rpartition('/')[2])
--- /dev/null
+++ b/src/wigeonpier/platform/operator.py
@@ -0,0 +1,110 @@
+"""What the operator writes to the store."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+import msgspec
+
+from wigeonpier.models import (
+    RouteKind,
+    ServedConfiguration,
+    ServedRoute,
+)
+from wigeonpier.platform import wire
+
+CONFIGURATION_KEY = wire.OPERATOR_CONFIGURATION
+RETIRE_ORDERS = wire.RETIRE_ORDERS
+MILLISECONDS = 1000
+KINDS = MappingProxyType(
+    {
+        'safe': RouteKind.repeatable,
+        'unsafe': RouteKind.once,
+        'streaming': RouteKind.stream,
+        'batch_run': RouteKind.batch,
+    },
+)
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float = 1
+
+
+class _Route(msgspec.Struct):
+    host: str
+    prefix: str = msgspec.field(name='pathPrefix')
+    kind: str
+    name: str = ''
+    service: str = ''
+    split: list[_Share] = []
+    timeout_ms: float = msgspec.field(name='timeoutMs', default=0)
+    aim_ms: float = msgspec.field(name='targetLatencyMs', default=0)
+    attempts: int = msgspec.field(name='maxAttempts', default=1)
+    resumable: bool = False
+    priority: int = 0
+    run_aim_ms: float = msgspec.field(name='runAimMs', default=0)
+    retention_s: float = msgspec.field(name='retentionS', default=0)
+    # On a route of batch work this counts tokens that may wait.
+    most: int = msgspec.field(name='maxCount', default=0)
+
+
+class _Limits(msgspec.Struct):
+    body_bytes: int = msgspec.field(name='maxBodyBytes')
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    limits: _Limits
+
+
+def decode_configuration(raw: bytes) -> ServedConfiguration:
+    """Read a configuration of the operator.
+
+    :param raw: value of its key.
+    :returns: the configuration.
+    :raises msgspec.DecodeError: when it is none.
+    """
+    found = msgspec.json.decode(raw, type=_Configuration)
+    return ServedConfiguration(
+        found.version,
+        tuple(_make_route(route) for route in found.routes),
+        found.limits.body_bytes,
+    )
+
+
+def name_retire_state(order: str) -> str:
+    """Name the key that tells how far an order to empty a VM is.
+
+    :param order: key of the order.
+    :returns: key of its state.
+    """
+    return wire.RETIRE_STATES + order.removeprefix(wire.RETIRE_ORDERS)
+
+
+def encode_retired() -> bytes:
+    """Say that a VM holds nothing any more.
+
+    :returns: value of the state's key.
+    """
+    return msgspec.json.encode({'state': 'completed'})
+
+
+def _make_route(route: _Route) -> ServedRoute:
+    services = [(share.service, share.weight) for share in route.split]
+    return ServedRoute(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=KINDS.get(route.kind, RouteKind.once),
+        services=tuple(services or [(route.service, 1.0)]),
+        timeout=route.timeout_ms / MILLISECONDS,
+        objective=route.aim_ms / MILLISECONDS,
+        tries=route.attempts,
+        is_resumable=route.resumable,
+        priority=route.priority,
+        run_objective=route.run_aim_ms / MILLISECONDS,
+        retention=route.retention_s,
+        most_tokens=route.most,
+    )
--- a/src/wigeonpier/platform/port.py
+++ b/src/wigeonpier/platform/port.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
@@ -22,6 +22,7 @@
     conflict = 'conflict'
     unavailable = 'unavailable'
     unknown = 'unknown'
+    lapsed = 'lapsed'
 
 
 class VmState(StrEnum):
@@ -38,11 +39,13 @@
     :param key: its name.
     :param value: its bytes, at most 1 MB.
     :param revision: revision of its last change.
+    :param created: revision of its creation, 0 where it is not known.
     """
 
     key: str
     value: bytes
     revision: int
+    created: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,11 +55,29 @@
     :param key: key that changed.
     :param value: new bytes, ``None`` where the key was deleted.
     :param revision: revision of the change.
+    :param created: revision of the key's creation, 0 where it is not known.
     """
 
     key: str
     value: bytes | None
     revision: int
+    created: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """Changes of which all take effect or none.
+
+    :param guards: revision that each key must have, 0 for absent.
+    :param writes: new values.
+    :param deletes: keys to remove.
+    :param lease: lease that the written keys end with, 0 for none.
+    """
+
+    guards: dict[str, int] = field(default_factory=dict)
+    writes: dict[str, bytes] = field(default_factory=dict)
+    deletes: tuple[str, ...] = ()
+    lease: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +108,16 @@
     state: VmState
 
 
+class WatchedStore(Protocol):
+    """What a view of keys needs of a key-value service."""
+
+    def list_prefix(self, prefix: str) -> Result[Snapshot, Failure]:
+        """Read all keys under a prefix."""
+
+    def watch(self, prefix: str, revision: int) -> Iterator[Change]:
+        """Yield changes after a revision; ends when the service is lost."""
+
+
 class Platform(Protocol):
     """The narrow port to the platform's services."""
 
--- /dev/null
+++ b/src/wigeonpier/platform/process.py
@@ -0,0 +1,87 @@
+"""The settings file of a process on the platform."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from wigeonpier.models import Bounds, HostSettings
+from wigeonpier.settings.document import DocumentError
+
+FILE_VARIABLE = 'WIGEONPIER_NODE_FILE'
+USUAL_FILE = '/etc/wigeonpier/settings.toml'
+
+
+class _Listen(msgspec.Struct):
+    frontend: str = ''
+    readiness: str = ''
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = msgspec.field(name='graceS')
+    catch_up_s: float = msgspec.field(name='catchUpS')
+    status_s: float = msgspec.field(name='statusS', default=120)
+
+
+class _Platform(msgspec.Struct):
+    address: str
+    value_bytes: int = msgspec.field(name='valueBytes')
+
+
+class _Settings(msgspec.Struct):
+    node: str
+    zone: str
+    region: str
+    ip: str
+    inner_ports: tuple[int, int] = msgspec.field(name='internalPorts')
+    zones: dict[str, str]
+    bounds: _Bounds
+    platform: _Platform
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    # The upstream on the same VM is called an app.
+    app: str = ''
+    service: str = ''
+
+
+def find_settings() -> str:
+    """Find the settings file.
+
+    :returns: its path.
+    """
+    return os.environ.get(FILE_VARIABLE) or USUAL_FILE
+
+
+def read_settings(path: str) -> HostSettings:
+    """Read and validate the settings file.
+
+    :param path: the file.
+    :returns: the settings.
+    :raises DocumentError: when it cannot be used; the message names the
+        field.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+        found = msgspec.toml.decode(text, type=_Settings)
+    except (OSError, msgspec.DecodeError, tomllib.TOMLDecodeError) as error:
+        raise DocumentError([f'{path}: {error}']) from error
+    return HostSettings(
+        name=found.node,
+        data_centre=found.zone,
+        region=found.region,
+        regions=found.zones,
+        store=found.platform.address,
+        largest_value=found.platform.value_bytes,
+        bounds=Bounds(
+            grace=found.bounds.grace_s,
+            catch_up=found.bounds.catch_up_s,
+            job_readable=found.bounds.status_s,
+        ),
+        callers=found.listen.frontend,
+        readiness=found.listen.readiness,
+        upstream=found.app,
+        service=found.service,
+        metrics=f'{found.ip}:{found.inner_ports[0]}',
+    )
--- /dev/null
+++ b/src/wigeonpier/platform/store.py
@@ -0,0 +1,299 @@
+"""Client of the platform's key-value service."""
+
+from __future__ import annotations
+
+import base64
+import time
+from typing import TYPE_CHECKING, Any, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from result import Err, Ok, Result
+
+from wigeonpier.platform import wire
+from wigeonpier.platform.port import (
+    Change,
+    Commit,
+    Entry,
+    Failure,
+    Snapshot,
+)
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.client import CallFailure
+from wigeonpier.web.exchange import ConnectionPool, make_request
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.web.client import Reply
+
+# A slowed service answers within 0.3 s; one that takes longer is away.
+CALL_SECONDS = 1.2
+WATCH_SECONDS = 30.0
+WATCH_SLACK_SECONDS = 2.0
+CONFLICT = 412
+LAPSED = 404
+MILLISECONDS = 1000
+NOT_DONE = frozenset((400, 403, 404, 410, 412, 429, 503))
+
+Model = TypeVar('Model')
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ''
+    revision: int = 0
+    # The service writes the revision of the key's creation here.
+    created: int = msgspec.field(default=0, name='createRev')
+    tombstone: bool = False
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item] = []
+    more: bool = msgspec.field(default=False, name='morePages')
+    revision: int = msgspec.field(default=0, name='storeRevision')
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item] = []
+    revision: int = msgspec.field(default=0, name='storeRevision')
+
+
+class _Committed(msgspec.Struct):
+    revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+class KeyValueStore:
+    """Calls of the key-value service, one outcome each."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        address: str,
+        metrics: Metrics,
+    ) -> None:
+        """Call the service at ``host:port``."""
+        self._pool = pool
+        self._address = address
+        self._metrics = metrics
+
+    def get(self, key: str) -> Result[Entry | None, Failure]:
+        """Read one key.
+
+        :param key: its name.
+        :returns: the key, ``None`` where it does not exist.
+        """
+        replied = self._send('GET', wire.KEY_PATH, {'key': key})
+        if isinstance(replied, Err):
+            return Err(Failure.unavailable)
+        reply = replied.ok_value
+        if reply.status == LAPSED:
+            return Ok(None)
+        if not reply.is_good:
+            return Err(Failure.unavailable)
+        return Ok(_make_entry(reply.decode(_Item)))
+
+    def list_prefix(self, prefix: str) -> Result[Snapshot, Failure]:
+        """Read all keys under a prefix.
+
+        Pages are not a snapshot: keys of later pages may be newer than the
+        revision that is given, which is that of the first page.
+
+        :param prefix: start of the keys.
+        :returns: the keys, and the revision from which a watch goes on.
+        """
+        entries: list[Entry] = []
+        revision = 0
+        query = {'pathPrefix': prefix}
+        while True:
+            replied = self._send('GET', wire.RANGE_PATH, query)
+            if isinstance(replied, Err) or not replied.ok_value.is_good:
+                return Err(Failure.unavailable)
+            page = replied.ok_value.decode(_Page)
+            revision = revision or page.revision
+            entries += [_make_entry(found) for found in page.items]
+            if not page.more:
+                return Ok(Snapshot(tuple(entries), revision))
+            query = {'pathPrefix': prefix, 'after': page.items[-1].key}
+
+    def commit(self, change: Commit) -> Result[int, Failure]:
+        """Change keys, all or none of them.
+
+        :param change: conditions and changes.
+        :returns: the new revision; ``unknown`` where the answer was lost.
+        """
+        body = {
+            'ifRevision': [
+                {'key': key, 'revision': revision}
+                for key, revision in change.guards.items()
+            ],
+            'setKeys': [
+                {
+                    'key': key,
+                    'value': base64.b64encode(value).decode(),
+                    'lease': change.lease,
+                }
+                for key, value in change.writes.items()
+            ],
+            'remove': list(change.deletes),
+        }
+        replied = self._send('POST', wire.COMMIT_PATH, {}, body)
+        return _judge(replied).map(
+            lambda reply: reply.decode(_Committed).revision,
+        )
+
+    def grant_lease(self, seconds: float) -> Result[int, Failure]:
+        """Get a lease that ends unless it is renewed.
+
+        :param seconds: its time to live.
+        :returns: its id.
+        """
+        body = {'ttlMs': int(seconds * MILLISECONDS)}
+        replied = self._send('POST', wire.LEASE_PATH, {}, body)
+        return _judge(replied).map(lambda reply: reply.decode(_Lease).lease)
+
+    def keep_lease(self, lease: int) -> Result[bool, Failure]:
+        """Renew a lease.
+
+        :param lease: its id.
+        :returns: false where it has ended.
+        """
+        replied = self._send('POST', f'{wire.KEEP_PATH}{lease}', {}, {})
+        if isinstance(replied, Ok) and replied.ok_value.status == LAPSED:
+            return Ok(False)
+        return _judge(replied).map(lambda _reply: True)
+
+    def end_lease(self, lease: int) -> Result[bool, Failure]:
+        """End a lease and remove its keys.
+
+        :param lease: its id.
+        :returns: true where the service confirmed it.
+        """
+        replied = self._send('DELETE', f'{wire.END_PATH}{lease}', {})
+        return _judge(replied).map(lambda _reply: True)
+
+    def watch(self, prefix: str, revision: int) -> Iterator[Change]:
+        """Yield changes after a revision; ends when the service is lost.
+
+        :param prefix: start of the keys.
+        :param revision: revision that was seen last.
+        :yields: changes in order.
+        """
+        while True:
+            heard = self.await_changes(prefix, revision, WATCH_SECONDS)
+            if isinstance(heard, Err):
+                return
+            changes, revision = heard.ok_value
+            yield from changes
+
+    def await_changes(
+        self,
+        prefix: str,
+        revision: int,
+        seconds: float,
+    ) -> Result[tuple[list[Change], int], Failure]:
+        """Wait for changes after a revision.
+
+        :param prefix: start of the keys.
+        :param revision: revision that was seen last.
+        :param seconds: longest wait.
+        :returns: the changes, none where the time is up, and the revision
+            to go on from; a failure also where this history is gone.
+        """
+        query = {
+            'pathPrefix': prefix,
+            'after': revision,
+            'waitMs': int(seconds * MILLISECONDS),
+        }
+        replied = self._send(
+            'GET',
+            wire.WATCH_PATH,
+            query,
+            patience=seconds + WATCH_SLACK_SECONDS,
+        )
+        if isinstance(replied, Err) or not replied.ok_value.is_good:
+            return Err(Failure.unavailable)
+        heard = replied.ok_value.decode(_Events)
+        changes = [_make_change(event) for event in heard.events]
+        return Ok((changes, heard.revision or revision))
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: object = None,
+        *,
+        patience: float = CALL_SECONDS,
+    ) -> Result[Reply, CallFailure]:
+        target = f'{path}?{urlencode(query)}' if query else path
+        content = b'' if body is None else msgspec.json.encode(body)
+        headers = [
+            ('Host', self._address),
+            ('Content-Type', 'application/json'),
+        ]
+        raw = make_request(method, target, headers, content)
+        began = time.monotonic()
+        replied = self._pool.call(self._address, raw, patience)
+        self._note(path, replied, time.monotonic() - began)
+        return replied
+
+    def _note(
+        self,
+        path: str,
+        replied: Result[Reply, CallFailure],
+        seconds: float,
+    ) -> None:
+        if isinstance(replied, Err):
+            outcome = replied.err_value.value
+        else:
+            outcome = str(replied.ok_value.status)
+        call = '/'.join(path.split('/')[:3])
+        self._metrics.count('store_calls_total', call=call, outcome=outcome)
+        if call != wire.WATCH_PATH:
+            self._metrics.observe('store_call', seconds, call=call)
+        if outcome in {'429', '503'} or isinstance(replied, Err):
+            log_event(
+                Event.platform_failed,
+                call=call,
+                outcome=outcome,
+                seconds=round(seconds, 3),
+            )
+
+
+def _judge(
+    replied: Result[Reply, CallFailure],
+) -> Result[Reply, Failure]:
+    if isinstance(replied, Err):
+        not_sent = replied.err_value is CallFailure.not_sent
+        return Err(Failure.unavailable if not_sent else Failure.unknown)
+    reply = replied.ok_value
+    if reply.is_good:
+        return Ok(reply)
+    if reply.status == CONFLICT:
+        return Err(Failure.conflict)
+    if reply.status == LAPSED:
+        return Err(Failure.lapsed)
+    if reply.status in NOT_DONE:
+        return Err(Failure.unavailable)
+    return Err(Failure.unknown)
+
+
+def _make_entry(found: _Item) -> Entry:
+    return Entry(
+        found.key,
+        base64.b64decode(found.value),
+        found.revision,
+        found.created,
+    )
+
+
+def _make_change(event: _Item) -> Change:
+    value = None if event.tombstone else base64.b64decode(event.value)
+    return Change(event.key, value, event.revision, event.created)
--- a/src/wigeonpier/platform/view.py
+++ b/src/wigeonpier/platform/view.py
@@ -16,7 +16,7 @@
     import random
     from collections.abc import Callable
 
-    from wigeonpier.platform.port import Platform
+    from wigeonpier.platform.port import WatchedStore
 
 FIRST_PAUSE_SECONDS = 0.2
 LONGEST_PAUSE_SECONDS = 5.0
@@ -35,9 +35,11 @@
     :param is_complete: whether all keys were read once.
     :param lost_at: since when the service does not answer, 0 while it does.
     :param pause: seconds until it is tried again.
+    :param longest_pause: most seconds until it is tried again.
+    :param regained_at: when it last answered again after a loss.
     """
 
-    platform: Platform
+    platform: WatchedStore
     prefix: str
     on_change: Callable[[Change], None]
     draw: random.Random
@@ -45,6 +47,8 @@
     is_complete: bool = False
     lost_at: float = 0
     pause: float = FIRST_PAUSE_SECONDS
+    longest_pause: float = LONGEST_PAUSE_SECONDS
+    regained_at: float = 0
 
     def start(self) -> None:
         """Begin to watch."""
@@ -56,13 +60,15 @@
         else:
             self.lost_at = self.lost_at or time.monotonic()
         gevent.sleep(self.pause * self.draw.uniform(*SPREAD))
-        self.pause = min(LONGEST_PAUSE_SECONDS, self.pause * 2)
+        self.pause = min(self.longest_pause, self.pause * 2)
 
     def _follow(self) -> bool:
         listed = self.platform.list_prefix(self.prefix)
         if isinstance(listed, Err):
             return False
         snapshot = listed.ok_value
+        if self.lost_at:
+            self.regained_at = time.monotonic()
         self.lost_at = 0
         fresh = {entry.key: entry for entry in snapshot.entries}
         for key in set(self.entries) - set(fresh):
@@ -84,5 +90,6 @@
                 change.key,
                 change.value,
                 change.revision,
+                change.created,
             )
         self.on_change(change)
--- /dev/null
+++ b/src/wigeonpier/platform/wire.py
@@ -0,0 +1,41 @@
+"""Names on the platform's wire, each beside what it means inside.
+
+Nothing outside this folder knows these names.
+"""
+
+from __future__ import annotations
+
+REQUEST_ID = 'X-Attempt-Id'
+DEADLINE_MS = 'X-Deadline-Ms'
+# The parts of a prompt, shared ones first, as ID:TOKENS.
+PROMPT_PARTS = 'X-Prompt-Prefix'
+# Proof by the upstream that the answer is its own.
+SIGNATURE = 'X-Response-Signature'
+EXPECTED_INSTANCE = 'X-Expect-Instance'
+INSTANCE = 'X-Instance-Id'
+# Running, waiting and slots of an upstream, separated by commas.
+LOAD = 'X-Server-Load'
+NOT_RUN = 'X-Not-Executed'
+RETRY_AFTER = 'Retry-After'
+RESUME_AFTER = 'Last-Event-Id'
+# Longest time that a call may be kept waiting.
+WAIT_MS = 'X-Wait-Ms'
+
+READY_PATH = '/-/ready'
+REPORT_PATH = '/-/report'
+# The platform calls a batch job a lot on these paths.
+JOB_PATH = '/-/lots/'
+ITEM_PATH = '/-/items/'
+
+KEY_PATH = '/-/kv-key'
+RANGE_PATH = '/-/kv-range'
+WATCH_PATH = '/-/kv-watch'
+COMMIT_PATH = '/-/kv-txn'
+LEASE_PATH = '/-/kv-lease'
+KEEP_PATH = '/-/kv-keep/'
+END_PATH = '/-/kv-lease-end/'
+
+OPERATOR_CONFIGURATION = 'op/config'
+RETIRE_ORDERS = 'op/retire/'
+RETIRE_STATES = 'status/retire/'
+REGISTER = 'servers/'
--- /dev/null
+++ b/src/wigeonpier/policy/pacing.py
@@ -0,0 +1,149 @@
+"""Decides which batch items run beside the questions of one upstream.
+
+The load that it answers: questions that come in waves, 0.4 and 1.9 times the
+mean in turns of 2 to 4 seconds, at an engine that admits in order of arrival,
+knows no priorities, and whose step hardly slows as its slots fill.  So items
+fill the troughs and give way in the crests: a paused item costs the reading
+of its prompt and text so far, some 20 ms, while a question that waits for a
+slot waits up to a whole answer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Slots kept free for the next questions.
+RESERVED_SLOTS = 1
+# A run of an item alone, until some have been seen.
+FIRST_RUN_SECONDS = 6.0
+RUN_WEIGHT = 0.2
+# Items wait for pauses and slots as well; this much more than the run itself
+# is planned for.
+RUN_SLACK = 1.35
+URGENT_SLACK_SECONDS = 1.0
+# An item that is late already earns little; it must not hold questions up.
+LATE_SECONDS = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ItemView:
+    """What pacing knows of one item.
+
+    :param key: its identity.
+    :param seconds_left: until it is due.
+    :param done_share: share of its events that are kept.
+    """
+
+    key: tuple[str, int]
+    seconds_left: float
+    done_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamView:
+    """What pacing knows of the upstream.
+
+    :param slots: requests that it runs at once.
+    :param running: requests that run, items included.
+    :param waiting: requests that wait for a slot.
+    :param run_seconds: how long a whole item takes.
+    """
+
+    slots: int
+    running: int
+    waiting: int
+    run_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """What to do now.
+
+    :param start: items to start.
+    :param pause: items to stop and go on with later.
+    """
+
+    start: tuple[tuple[str, int], ...] = ()
+    pause: tuple[tuple[str, int], ...] = ()
+
+
+def set_pace(
+    upstream: UpstreamView,
+    running: list[ItemView],
+    waiting: list[ItemView],
+) -> Pace:
+    """Decide which items start and which give way.
+
+    :param upstream: load of the upstream.
+    :param running: items that run there.
+    :param waiting: items that could run there.
+    :returns: what to do now.
+    """
+    questions = max(0, upstream.running + upstream.waiting - len(running))
+    room = upstream.slots - questions - RESERVED_SLOTS
+    excess = len(running) - max(0, room)
+    if excess > 0 and not waiting_is_own(upstream, len(running)):
+        return Pace(pause=_choose_to_pause(upstream, running, excess))
+    return Pace(start=_choose_to_start(upstream, running, waiting, room))
+
+
+def waiting_is_own(upstream: UpstreamView, running: int) -> bool:
+    """Tell whether nobody but items is at the upstream.
+
+    :param upstream: load of the upstream.
+    :param running: items that run there.
+    :returns: true where pausing would help nobody.
+    """
+    return upstream.running + upstream.waiting <= running
+
+
+def measure_slack(upstream: UpstreamView, item: ItemView) -> float:
+    """Measure how long an item may still wait.
+
+    :param upstream: load of the upstream.
+    :param item: the item.
+    :returns: seconds, negative where it will be late.
+    """
+    left = upstream.run_seconds * (1 - item.done_share) * RUN_SLACK
+    return item.seconds_left - left
+
+
+def learn_run(known: float, seconds: float) -> float:
+    """Learn how long an item takes.
+
+    :param known: seconds known so far.
+    :param seconds: what the last one took while it ran.
+    :returns: the new mean.
+    """
+    return known + RUN_WEIGHT * (seconds - known)
+
+
+def _is_urgent(upstream: UpstreamView, item: ItemView) -> bool:
+    slack = measure_slack(upstream, item)
+    return slack < URGENT_SLACK_SECONDS and item.seconds_left > LATE_SECONDS
+
+
+def _choose_to_pause(
+    upstream: UpstreamView,
+    running: list[ItemView],
+    excess: int,
+) -> tuple[tuple[str, int], ...]:
+    patient = [item for item in running if not _is_urgent(upstream, item)]
+    patient.sort(key=lambda item: -measure_slack(upstream, item))
+    return tuple(item.key for item in patient[:excess])
+
+
+def _choose_to_start(
+    upstream: UpstreamView,
+    running: list[ItemView],
+    waiting: list[ItemView],
+    room: int,
+) -> tuple[tuple[str, int], ...]:
+    ordered = sorted(
+        waiting,
+        key=lambda item: measure_slack(upstream, item),
+    )
+    free = max(0, min(room, upstream.slots) - len(running))
+    urgent = sum(_is_urgent(upstream, item) for item in ordered)
+    spare = max(0, upstream.slots - len(running))
+    return tuple(item.key for item in ordered[: max(free, min(urgent, spare))])
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -188,12 +188,16 @@
         sys.stderr.write(f'{error}\n')
         return USAGE_STATUS
     configure_logs(settings.name, settings.log_level)
-    return run_until_signal(program, settings, build(settings))
+    return run_until_signal(
+        program,
+        settings.drain_seconds,
+        build(settings),
+    )
 
 
 def run_until_signal(
     program: str,
-    settings: ProcessSettings,
+    drain_seconds: float,
     app: App,
 ) -> int:
     """Run a daemon until it is told to stop.
@@ -202,7 +206,7 @@
     cuts off what is left and says what.
 
     :param program: name of the program.
-    :param settings: what the process was told.
+    :param drain_seconds: longest wait for work in hand.
     :param app: the daemon.
     :returns: exit status.
     """
@@ -210,7 +214,7 @@
     address = app.start()
     log_event(Event.process_started, program=program, address=address)
     wanted.wait()
-    return _leave(program, settings, app)
+    return _leave(program, drain_seconds, app)
 
 
 def watch_signals() -> Signal:
@@ -232,9 +236,9 @@
     return wanted
 
 
-def _leave(program: str, settings: ProcessSettings, app: App) -> int:
+def _leave(program: str, drain_seconds: float, app: App) -> int:
     log_event(Event.process_leaving, program=program)
-    left = app.leave(settings.drain_seconds)
+    left = app.leave(drain_seconds)
     check_promise(
         not left,
         Promise.shutdown_cuts_nothing,
--- a/src/wigeonpier/telemetry/logs.py
+++ b/src/wigeonpier/telemetry/logs.py
@@ -4,7 +4,7 @@
 
 import logging
 import sys
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO
 
 import msgspec
 import structlog
@@ -15,11 +15,16 @@
 _LOGGER = structlog.get_logger()
 
 
-def configure_logs(process: str, level: str) -> None:
-    """Send events as JSON lines to standard error.
+def configure_logs(
+    process: str,
+    level: str,
+    stream: TextIO = sys.stderr,
+) -> None:
+    """Send events as JSON lines to a stream.
 
     :param process: name that each line carries.
     :param level: lowest level that is written, as in ``logging``.
+    :param stream: where the lines go.
     """
     structlog.configure(
         processors=[
@@ -31,7 +36,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()],
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.bind_contextvars(process=process)
--- /dev/null
+++ b/src/wigeonpier/web/exchange.py
@@ -0,0 +1,381 @@
+"""One request and its answer on a connection that our own code owns.
+
+The pooled client resends on its own and puts a connection back before it has
+seen what follows an answer.  Calls that may not be repeated, and upstreams
+that may send bytes after a whole answer, need a connection whose reuse is
+decided here.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections import defaultdict
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent import socket as green
+from gevent.select import select
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+from result import Err, Ok, Result
+
+from wigeonpier.web.client import CallFailure, Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# A healthy connection within a region opens in a few ms.
+CONNECT_SECONDS = 0.4
+# The kernel finds a silent peer after IDLE + INTERVAL * COUNT seconds, so
+# that a watch may wait long without hiding a dead connection.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_COUNT = 2
+UNACKNOWLEDGED_MS = 2500
+READ_BYTES = 16_384
+# Upstreams close idle connections; one that rested longer is not trusted.
+LONGEST_IDLE_SECONDS = 4.0
+MOST_IDLE = 32
+INTERIM_STATUSES = 200
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+    ),
+)
+
+
+class BrokenAnswerError(OSError):
+    """The answer ended before its end, or is no answer."""
+
+
+class _Parser(HTTPResponse):
+    """Takes one answer; anything that follows it is refused."""
+
+    def _on_message_begin(self) -> None:
+        whole = self.message_complete and self.headers_complete
+        if whole and self.get_code() >= INTERIM_STATUSES:
+            raise HTTPParseError('bytes after a whole answer')
+        super()._on_message_begin()
+
+
+class Exchange:
+    """A request that was sent, and its answer as it arrives."""
+
+    def __init__(self, pool: ConnectionPool, address: str, sock: Any) -> None:
+        """Own the connection until :meth:`close`."""
+        self._pool = pool
+        self._address = address
+        self._sock = sock
+        self._parser = _Parser()
+        self._is_spoilt = False
+        self._is_closed = False
+        self._ended_by_close = False
+
+    @property
+    def status(self) -> int:
+        """Give the status of the answer."""
+        return int(self._parser.get_code())
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the answer ended as its framing says."""
+        return bool(self._parser.message_complete)
+
+    @property
+    def is_unframed(self) -> bool:
+        """Tell whether only the end of the connection ended the answer."""
+        return self._ended_by_close
+
+    def get_header(self, name: str) -> str:
+        """Read one header.
+
+        :param name: its name.
+        :returns: its value, empty where it is absent or repeated.
+        """
+        value = self._parser.get(name)
+        return value if isinstance(value, str) else ''
+
+    def list_headers(self) -> list[tuple[str, str]]:
+        """List the headers that are not of this connection only.
+
+        :returns: names and values.
+        """
+        return [
+            (str(name), str(value))
+            for name, value in self._parser.items()
+            if str(name).lower() not in HOP_HEADERS
+        ]
+
+    def send(self, raw: bytes, patience: float) -> None:
+        """Send a request and read the head of its answer.
+
+        :param raw: the request as it goes on the wire.
+        :param patience: longest silence, seconds.
+        :raises OSError: when the connection is lost or silent.
+        """
+        self._sock.settimeout(patience)
+        self._sock.sendall(raw)
+        while not self._has_head():
+            self._receive(patience)
+
+    def read_line(self, patience: float) -> bytes:
+        """Read one line of the body.
+
+        :param patience: longest silence, seconds.
+        :returns: the line with its end, what is left at the end of the
+            body, empty after it.
+        :raises OSError: when the body breaks off.
+        """
+        buffer = self._parser._body_buffer  # noqa: SLF001, WPS437
+        while True:
+            end = buffer.find(b'\n')
+            if end >= 0:
+                line = bytes(buffer[: end + 1])
+                del buffer[: end + 1]  # noqa: WPS420
+                return line
+            if self.is_whole:
+                rest = bytes(buffer)
+                buffer.clear()
+                return rest
+            self._receive(patience)
+
+    def read(self, patience: float) -> bytes:
+        """Read the rest of the body.
+
+        :param patience: longest silence, seconds.
+        :returns: the bytes.
+        :raises OSError: when the body breaks off.
+        """
+        while not self.is_whole:
+            self._receive(patience)
+        buffer = self._parser._body_buffer  # noqa: SLF001, WPS437
+        body = bytes(buffer)
+        buffer.clear()
+        return body
+
+    def abort(self) -> None:
+        """Break the connection, also under a greenlet that reads it."""
+        self._is_spoilt = True
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer was faster; the reader sees the same end.
+            return
+
+    def close(self) -> None:
+        """Let go; only a clean connection after a whole answer is kept."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        is_clean = not (self._is_spoilt or self._ended_by_close)
+        if is_clean and not self._parser.should_close():
+            self._pool.keep(self._address, self._sock)
+        else:
+            self._sock.close()
+
+    def _has_head(self) -> bool:
+        return bool(
+            self._parser.headers_complete and self.status >= INTERIM_STATUSES,
+        )
+
+    def _receive(self, patience: float) -> None:
+        self._sock.settimeout(max(patience, 0.001))
+        data = self._sock.recv(READ_BYTES)
+        had_whole = self.is_whole
+        try:
+            self._parser.feed(data)
+        except HTTPParseError as error:
+            self._is_spoilt = True
+            if not self.is_whole:
+                raise BrokenAnswerError(str(error)) from error
+        if not data and not had_whole:
+            self._ended_by_close = True
+            if not self.is_whole:
+                raise BrokenAnswerError('the connection ended early')
+
+
+class ConnectionPool:
+    """Connections to other processes, kept by address while clean."""
+
+    def __init__(self) -> None:
+        """Begin with no connections."""
+        self._idle: defaultdict[str, list[tuple[Any, float]]] = defaultdict(
+            list,
+        )
+        self.opened = 0
+
+    def exchange(
+        self,
+        address: str,
+        raw: bytes,
+        patience: float,
+    ) -> Result[Exchange, CallFailure]:
+        """Send a request once and read the head of its answer.
+
+        :param address: ``host:port``.
+        :param raw: the request as it goes on the wire.
+        :param patience: longest silence, seconds.
+        :returns: the exchange; ``not_sent`` only where nothing was sent.
+        """
+        opened = self.begin(address, patience)
+        if isinstance(opened, Err):
+            return opened
+        current = opened.ok_value
+        try:
+            current.send(raw, patience)
+        except OSError:
+            current.abort()
+            current.close()
+            return Err(CallFailure.lost)
+        return Ok(current)
+
+    def begin(
+        self,
+        address: str,
+        patience: float,
+    ) -> Result[Exchange, CallFailure]:
+        """Take a connection without sending anything yet.
+
+        :param address: ``host:port``.
+        :param patience: longest wait for a new connection, seconds.
+        :returns: the exchange, ``not_sent`` where none could be made.
+        """
+        sock = self._take_idle(address)
+        if sock is None:
+            try:
+                sock = _connect(address, min(patience, CONNECT_SECONDS))
+            except OSError:
+                return Err(CallFailure.not_sent)
+            self.opened += 1
+        return Ok(Exchange(self, address, sock))
+
+    def call(
+        self,
+        address: str,
+        raw: bytes,
+        patience: float,
+    ) -> Result[Reply, CallFailure]:
+        """Send a request once and read its whole answer.
+
+        :param address: ``host:port``.
+        :param raw: the request as it goes on the wire.
+        :param patience: longest silence, seconds.
+        :returns: the answer.
+        """
+        opened = self.exchange(address, raw, patience)
+        if isinstance(opened, Err):
+            return opened
+        current = opened.ok_value
+        try:
+            return Ok(Reply(current.status, current.read(patience)))
+        except OSError:
+            return Err(CallFailure.lost)
+        finally:
+            current.close()
+
+    def keep(self, address: str, sock: Any) -> None:
+        """Keep a clean connection for the next request.
+
+        :param address: ``host:port``.
+        :param sock: the connection.
+        """
+        idle = self._idle[address]
+        if len(idle) >= MOST_IDLE:
+            sock.close()
+        else:
+            idle.append((sock, time.monotonic()))
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address.
+
+        :param address: ``host:port``.
+        """
+        for sock, _since in self._idle.pop(address, []):
+            sock.close()
+
+    def _take_idle(self, address: str) -> Any:
+        idle = self._idle[address]
+        while idle:
+            sock, since = idle.pop()
+            rested = time.monotonic() - since
+            if rested < LONGEST_IDLE_SECONDS and not _has_news(sock):
+                return sock
+            sock.close()
+        return None
+
+
+def make_request(
+    method: str,
+    target: str,
+    headers: Iterator[tuple[str, str]] | list[tuple[str, str]],
+    body: bytes = b'',
+) -> bytes:
+    """Write a request as it goes on the wire.
+
+    :param method: HTTP method.
+    :param target: path with query, as it came.
+    :param headers: names and values; ``Content-Length`` is added.
+    :param body: whole body.
+    :returns: the bytes.
+    """
+    lines = [f'{method} {target} HTTP/1.1']
+    lines += [f'{name}: {value}' for name, value in headers]
+    lines += [f'Content-Length: {len(body)}', '', '']
+    return '\r\n'.join(lines).encode('latin-1') + body
+
+
+def watch_close(sock: Any, on_close: Any) -> gevent.Greenlet[..., None]:
+    """Call back when the other side closes a connection.
+
+    :param sock: the connection; nothing is read off it.
+    :param on_close: called once; not called where data comes first.
+    :returns: the greenlet that watches.
+    """
+    return gevent.spawn(_watch_close, sock, on_close)
+
+
+def _watch_close(sock: Any, on_close: Any) -> None:
+    try:
+        green.wait_read(sock.fileno())
+        is_closed = not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        is_closed = True
+    if is_closed:
+        on_close()
+
+
+def _connect(address: str, patience: float) -> Any:
+    host, _, port = address.rpartition(':')
+    sock = green.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        _set_options(sock)
+        sock.settimeout(patience)
+        sock.connect((host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _set_options(sock: Any) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, setting)
+
+
+def _has_news(sock: Any) -> bool:
+    readable, _, _ = select([sock], [], [], 0)
+    return bool(readable)
--- a/src/wigeonpier/web/messages.py
+++ b/src/wigeonpier/web/messages.py
@@ -53,6 +53,8 @@
     :param customer: name of the customer, set by the key filter.
     :param span: span of this hop, set by the trace filter.
     :param body_limit: most bytes that a handler may read.
+    :param target: path with query as it came, not decoded.
+    :param connection: the caller's connection, to see whether it left.
     """
 
     method: str
@@ -64,6 +66,8 @@
     customer: str = ''
     span: Span | None = None
     body_limit: int = 0
+    target: str = ''
+    connection: Any = None
 
     def read_body(self) -> bytes:
         """Read the whole body within the limit.
@@ -144,7 +148,9 @@
         ErrorBody(refusal.kind.value, refusal.message, refusal.ran.value),
     )
     response = answer_json(page, refusal.status)
-    if refusal.retry_after is not None:
+    if refusal.retry_seconds is not None:
+        response.headers['Retry-After'] = f'{refusal.retry_seconds:g}'
+    elif refusal.retry_after is not None:
         response.headers['Retry-After'] = str(refusal.retry_after)
     return response
 
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -28,6 +28,8 @@
 
 BACKLOG = 1024
 DRAIN_STEP_SECONDS = 0.02
+TARGET = 'wigeonpier.target'
+CONNECTION = 'wigeonpier.connection'
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,12 @@
 class _Handler(pywsgi.WSGIHandler):
     """Logs broken connections as events instead of traces."""
 
+    def get_environ(self) -> dict[str, Any]:
+        environ: dict[str, Any] = super().get_environ()
+        environ[TARGET] = self.path
+        environ[CONNECTION] = self.socket
+        return environ
+
     def _log_error(self, kind: type, error: Exception, _trace: Any) -> None:
         log_event(
             Event.request_broken,
@@ -235,4 +243,6 @@
         query=environ['QUERY_STRING'],
         headers=headers,
         stream=environ['wsgi.input'],
+        target=environ.get(TARGET, ''),
+        connection=environ.get(CONNECTION),
     )
