--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -22,7 +22,7 @@
     make_request,
     watch_close,
 )
-from wigeonpier.web.messages import Response
+from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 
 if TYPE_CHECKING:
     import random
@@ -315,7 +315,7 @@
         headers = dict(answer.list_headers())
         kind = headers.pop('Content-Type', headers.pop('content-type', ''))
         body: bytes | Iterator[bytes]
-        if ingress.is_success(answer):
+        if ingress.is_success(answer) and kind.startswith(EVENT_STREAM_TYPE):
             body = self._stream(question)
         else:
             body = self._read_whole(question, answer)
