--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -50,6 +50,9 @@
 PAGE_BYTES = 900_000
 # Readers of one job within this time share one look at the store.
 FRESH_SECONDS = 0.05
+# A slowed store answers within 0.3 s; a look that takes longer waits for
+# results that do not exist yet.
+SHARED_LOOK_SECONDS = 0.6
 MOST_CACHED_JOBS = 64
 OCTETS = 'application/octet-stream'
 
@@ -272,9 +275,7 @@
     def _has_room(self, board: Board, route: ServedRoute, tokens: int) -> bool:
         if not route.most_tokens:
             return True
-        others = [
-            job for job in board.jobs.values() if job.route == route.name
-        ]
+        others = [job for job in board.jobs.values() if job.route == route.name]
         # Items that are done count here until their job is; only where that
         # does not fit, the results of each job are looked at.
         waiting = sum(job.tokens for job in others) + tokens
@@ -316,8 +317,9 @@
 
     def _look(self, view: JobView, known: int, wait: float) -> None:
         """Read new results, once for all readers that ask at the time."""
-        # Whoever waits for results right now adds them as they come.
-        if not view.lock.acquire(blocking=bool(wait)):
+        # Whoever looks right now adds results as they come.  Until its call
+        # has been with the store for a while, what is known may be old.
+        if not view.lock.acquire(timeout=max(wait, SHARED_LOOK_SECONDS)):
             return
         try:
             self._read_on(view, known, wait)
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -402,4 +402,3 @@
             outcome='gone' if question.is_gone else outcome,
         )
         self._metrics.observe('question', seconds, route=question.route.name)
-
--- a/src/wigeonpier/policy/pacing.py
+++ b/src/wigeonpier/policy/pacing.py
@@ -14,6 +14,8 @@
 
 # Slots kept free for the next questions.
 RESERVED_SLOTS = 1
+# Slots that items which would else be late may hold against questions.
+URGENT_SLOTS = 2
 # A run of an item alone, until some have been seen.
 FIRST_RUN_SECONDS = 6.0
 RUN_WEIGHT = 0.2
@@ -21,8 +23,8 @@
 # is planned for.
 RUN_SLACK = 1.35
 URGENT_SLACK_SECONDS = 1.0
-# An item that is late already earns little; it must not hold questions up.
-LATE_SECONDS = 0.0
+
+Key = tuple[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +36,7 @@
     :param done_share: share of its events that are kept.
     """
 
-    key: tuple[str, int]
+    key: Key
     seconds_left: float
     done_share: float
 
@@ -63,8 +65,8 @@
     :param pause: items to stop and go on with later.
     """
 
-    start: tuple[tuple[str, int], ...] = ()
-    pause: tuple[tuple[str, int], ...] = ()
+    start: tuple[Key, ...] = ()
+    pause: tuple[Key, ...] = ()
 
 
 def set_pace(
@@ -80,23 +82,14 @@
     :returns: what to do now.
     """
     questions = max(0, upstream.running + upstream.waiting - len(running))
-    room = upstream.slots - questions - RESERVED_SLOTS
-    excess = len(running) - max(0, room)
-    if excess > 0 and not waiting_is_own(upstream, len(running)):
-        return Pace(pause=_choose_to_pause(upstream, running, excess))
+    room = max(0, upstream.slots - RESERVED_SLOTS - questions)
+    urgent = sum(is_urgent(upstream, item) for item in running)
+    allowed = max(room, min(urgent, URGENT_SLOTS))
+    if questions and len(running) > allowed:
+        return Pace(pause=_choose_to_pause(upstream, running, allowed))
     return Pace(start=_choose_to_start(upstream, running, waiting, room))
 
 
-def waiting_is_own(upstream: UpstreamView, running: int) -> bool:
-    """Tell whether nobody but items is at the upstream.
-
-    :param upstream: load of the upstream.
-    :param running: items that run there.
-    :returns: true where pausing would help nobody.
-    """
-    return upstream.running + upstream.waiting <= running
-
-
 def measure_slack(upstream: UpstreamView, item: ItemView) -> float:
     """Measure how long an item may still wait.
 
@@ -118,19 +111,32 @@
     return known + RUN_WEIGHT * (seconds - known)
 
 
-def _is_urgent(upstream: UpstreamView, item: ItemView) -> bool:
-    slack = measure_slack(upstream, item)
-    return slack < URGENT_SLACK_SECONDS and item.seconds_left > LATE_SECONDS
+def is_urgent(upstream: UpstreamView, item: ItemView) -> bool:
+    """Tell whether an item is late unless it runs now.
+
+    :param upstream: load of the upstream.
+    :param item: the item.
+    :returns: false also where it is late already: it earns little then, and
+        must not hold questions up.
+    """
+    if item.seconds_left < upstream.run_seconds * (1 - item.done_share):
+        return False
+    return measure_slack(upstream, item) < URGENT_SLACK_SECONDS
+
+
+def _rank(upstream: UpstreamView, item: ItemView) -> tuple[bool, float]:
+    """Rank an item: what can be in time goes first, least slack first."""
+    left = upstream.run_seconds * (1 - item.done_share)
+    return (item.seconds_left < left, measure_slack(upstream, item))
 
 
 def _choose_to_pause(
     upstream: UpstreamView,
     running: list[ItemView],
-    excess: int,
-) -> tuple[tuple[str, int], ...]:
-    patient = [item for item in running if not _is_urgent(upstream, item)]
-    patient.sort(key=lambda item: -measure_slack(upstream, item))
-    return tuple(item.key for item in patient[:excess])
+    allowed: int,
+) -> tuple[Key, ...]:
+    ranked = sorted(running, key=lambda item: _rank(upstream, item))
+    return tuple(item.key for item in ranked[allowed:])
 
 
 def _choose_to_start(
@@ -138,12 +144,9 @@
     running: list[ItemView],
     waiting: list[ItemView],
     room: int,
-) -> tuple[tuple[str, int], ...]:
-    ordered = sorted(
-        waiting,
-        key=lambda item: measure_slack(upstream, item),
-    )
-    free = max(0, min(room, upstream.slots) - len(running))
-    urgent = sum(_is_urgent(upstream, item) for item in ordered)
-    spare = max(0, upstream.slots - len(running))
-    return tuple(item.key for item in ordered[: max(free, min(urgent, spare))])
+) -> tuple[Key, ...]:
+    ranked = sorted(waiting, key=lambda item: _rank(upstream, item))
+    urgent = sum(is_urgent(upstream, item) for item in ranked)
+    free = room - len(running)
+    against = min(urgent, URGENT_SLOTS - len(running))
+    return tuple(item.key for item in ranked[: max(free, against, 0)])
