--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -12,15 +12,19 @@
 import gevent
 
 from wigeonpier.errors import Refusal
+from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.configuration import ConfigurationWatch
+from wigeonpier.hosted.dealer import Dealer
 from wigeonpier.hosted.jobs import JobDesk
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.membership import Membership
+from wigeonpier.hosted.progress import ProgressKeeper
 from wigeonpier.hosted.questions import QuestionDesk
 from wigeonpier.hosted.replicas import ReplicaRegister
+from wigeonpier.hosted.results import ResultWriter
 from wigeonpier.hosted.retire import RetireDesk
+from wigeonpier.hosted.runner import ItemRunner
 from wigeonpier.hosted.upstream import OwnUpstream
-from wigeonpier.hosted.work import BatchWorker
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import Member
 from wigeonpier.platform import ingress
@@ -44,6 +48,8 @@
 NOTICED_SECONDS = 2.6
 # Left for the last bytes before the platform kills the process.
 KILL_MARGIN_SECONDS = 0.6
+LEAVE_STEP_SECONDS = 0.05
+USABLE_STEP_SECONDS = 0.1
 METRICS_PATH = '/metrics'
 JOB_PATTERN = re.compile(ingress.JOB_PATTERN)
 ITEM_PATTERN = re.compile(ingress.ITEM_PATTERN)
@@ -72,6 +78,7 @@
             self.pool,
             self.settings.store,
             self.metrics,
+            self.settings.store_history,
         )
 
     def serve_metrics(self) -> Server:
@@ -191,18 +198,25 @@
     def __init__(self, common: Common) -> None:
         """Wire the worker; nothing runs yet."""
         settings = common.settings
+        ledger = JobLedger(common.store)
         self._common = common
         self._upstream = OwnUpstream(
             common.store,
             common.pool,
             settings.upstream,
         )
-        self._worker = BatchWorker(
-            settings,
-            JobLedger(common.store),
+        self._writer = ResultWriter(ledger)
+        self._runner = ItemRunner(
             self._upstream,
+            self._writer,
             common.pool,
             common.metrics,
+        )
+        self._progress = ProgressKeeper(ledger, self._runner.work)
+        self._assignments = AssignmentFollower(
+            settings.name,
+            ledger,
+            self._runner,
             common.draw,
         )
         self._membership = Membership(
@@ -211,50 +225,56 @@
         )
 
     def start(self) -> str:
-        """Follow the upstream and the board.
+        """Follow the upstream and the assignments.
 
         :returns: address of the numbers.
         """
         server = self._common.serve_metrics()
         spawn_loop('upstream', self._upstream.follow)
-        self._worker.start()
+        self._assignments.start()
+        self._writer.start()
+        self._runner.start()
+        self._progress.start()
         self._membership.start()
         spawn_loop('membership wanted', self._follow_usable)
         return server.address
 
     def leave(self, seconds: float) -> int:
-        """Hand items back and write what is done.
+        """Stop items, and keep what they have so far.
 
         :param seconds: longest time.
         :returns: 1 where results are left unwritten.
         """
         give_up = time.monotonic() + seconds
-        self._worker.leave()
+        self._runner.leave()
+        self._progress.save(1)
+        while not self._writer.is_idle and time.monotonic() < give_up:
+            gevent.sleep(LEAVE_STEP_SECONDS)
         self._membership.leave()
-        while not self._worker.writer.is_idle and time.monotonic() < give_up:
-            gevent.sleep(0.05)
-        return int(not self._worker.writer.is_idle)
+        return int(not self._writer.is_idle)
 
     def _follow_usable(self) -> None:
         self._membership.is_wanted = self._upstream.is_usable
-        gevent.sleep(0.1)
+        gevent.sleep(USABLE_STEP_SECONDS)
 
 
 class StorageApp:
-    """The process on a VM with a disk: says that it may be taken away."""
+    """The process on a VM with a disk: moves items, answers retire orders."""
 
     def __init__(self, common: Common) -> None:
         """Wire the process; nothing runs yet."""
         self._common = common
         self._retire = RetireDesk(common.store, common.draw)
+        self._dealer = Dealer(JobLedger(common.store), common.draw)
 
     def start(self) -> str:
-        """Follow the operator's orders.
+        """Follow the members and the operator's orders.
 
         :returns: address of the numbers.
         """
         server = self._common.serve_metrics()
         self._retire.start()
+        self._dealer.start()
         return server.address
 
     def leave(self, _seconds: float) -> int:
--- /dev/null
+++ b/src/wigeonpier/hosted/assignments.py
@@ -0,0 +1,162 @@
+"""Follows what this process has to run, and reads what it needs for it."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Err, Ok, Result
+
+from wigeonpier.hosted.items import ItemWork
+from wigeonpier.hosted.ledger import decode_assignment
+from wigeonpier.models import ItemProgress
+from wigeonpier.platform import keys
+from wigeonpier.platform.view import PrefixView
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    import random
+
+    from wigeonpier.hosted.ledger import JobLedger
+    from wigeonpier.hosted.runner import ItemRunner
+    from wigeonpier.models import Assignment, JobItem, OpenJob
+    from wigeonpier.platform.port import Change, Failure
+
+LONGEST_PAUSE_SECONDS = 0.7
+READ_PAUSE_SECONDS = 0.3
+# The day's clock may differ between VMs, and jump by a few seconds; an item
+# must not be given up too early.
+RETENTION_SLACK_SECONDS = 6.0
+NOTHING_YET = ItemProgress((), '', 0)
+
+Past = tuple[frozenset[int], dict[int, ItemProgress]]
+
+
+class AssignmentFollower:
+    """Gives the runner the items that are assigned to this process."""
+
+    def __init__(
+        self,
+        vm: str,
+        ledger: JobLedger,
+        runner: ItemRunner,
+        draw: random.Random,
+    ) -> None:
+        """Follow the assignments of a VM once started."""
+        self._ledger = ledger
+        self._runner = runner
+        self._assigned: dict[str, Assignment] = {}
+        self.view = PrefixView(
+            ledger.store,
+            keys.name_assignments(vm),
+            self._apply,
+            draw,
+            longest_pause=LONGEST_PAUSE_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.view.start()
+
+    def _apply(self, change: Change) -> None:
+        _vm, name = keys.parse_assignment(change.key)
+        if change.value is None:
+            self._assigned.pop(name, None)
+            self._runner.drop_job(name)
+            return
+        try:
+            assignment = decode_assignment(change.value)
+        except msgspec.DecodeError as error:
+            log_event(Event.assignment_unreadable, job=name, why=str(error))
+            return
+        self._assigned[name] = assignment
+        # Only what is first seen here and now cannot have run before.
+        is_new = self.view.is_complete and not assignment.is_moved
+        if is_new and assignment.items:
+            self._take_up(assignment, list(assignment.items), (frozenset(), {}))
+        else:
+            gevent.spawn(self._load, assignment, is_new=is_new)
+
+    def _load(self, assignment: Assignment, *, is_new: bool) -> None:
+        name = assignment.job.name
+        while self._assigned.get(name) is assignment:
+            items = self._read_items(assignment)
+            past = self._read_past(name, is_new=is_new)
+            if isinstance(items, Ok) and isinstance(past, Ok):
+                # The job may have ended while it was read.
+                if self._assigned.get(name) is assignment:
+                    self._take_up(assignment, items.ok_value, past.ok_value)
+                return
+            gevent.sleep(READ_PAUSE_SECONDS)
+
+    def _read_items(
+        self,
+        assignment: Assignment,
+    ) -> Result[list[JobItem], Failure]:
+        if assignment.items:
+            return Ok(list(assignment.items))
+        return self._ledger.read_items(assignment.job).map(
+            lambda items: [items[index] for index in assignment.indexes],
+        )
+
+    def _read_past(self, job: str, *, is_new: bool) -> Result[Past, Failure]:
+        """Read which items are done, and how far the others are."""
+        if is_new:
+            return Ok((frozenset(), {}))
+        listed = self._ledger.read_results(job)
+        if isinstance(listed, Err):
+            return listed
+        done = frozenset(placed.index for placed in listed.ok_value[0])
+        return self._ledger.read_progress(job).map(
+            lambda progress: (done, progress),
+        )
+
+    def _take_up(
+        self,
+        assignment: Assignment,
+        items: list[JobItem],
+        past: Past,
+    ) -> None:
+        done, progress = past
+        job = assignment.job
+        age = max(0, time.time() - job.sent_at)
+        taken = []
+        for index, item in zip(assignment.indexes, items, strict=True):
+            if index in done:
+                continue
+            known = progress.get(index, NOTHING_YET)
+            if self._runner.add(_make_work(job, index, item, known, age)):
+                taken.append(item.name)
+        log_event(
+            Event.item_adopted,
+            job=job.name,
+            items=taken,
+            done=len(done),
+            resumed=len(progress),
+            moved=assignment.is_moved,
+            age=round(age, 3),
+        )
+
+
+def _make_work(
+    job: OpenJob,
+    index: int,
+    item: JobItem,
+    known: ItemProgress,
+    age: float,
+) -> ItemWork:
+    now = time.monotonic()
+    return ItemWork(
+        job,
+        index,
+        item,
+        due_at=now + job.run_objective - age,
+        keep_until=now + job.retention - age + RETENTION_SLACK_SECONDS,
+        texts=list(known.texts),
+        last_event=known.last_event,
+        failures=known.failures,
+        saved_events=len(known.texts),
+    )
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -49,6 +49,7 @@
     :param failures: runs that the upstream failed.
     :param retry_at: not started before then.
     :param run_seconds: how long it ran so far.
+    :param saved_events: events of which the text is kept elsewhere too.
     :param is_running: whether it is at the upstream.
     :param is_paused: whether its run was told to give way.
     :param is_dropped: whether it is no longer this process's.
@@ -65,6 +66,7 @@
     failures: int = 0
     retry_at: float = 0
     run_seconds: float = 0
+    saved_events: int = 0
     is_running: bool = False
     is_paused: bool = False
     is_dropped: bool = False
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -13,7 +13,7 @@
 from result import Err, Ok
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
-from wigeonpier.models import JobRecord, OpenJob, RouteKind
+from wigeonpier.models import OpenJob, RouteKind
 from wigeonpier.platform import ingress
 from wigeonpier.platform.port import Failure
 from wigeonpier.policy.matching import draw_service, match_route
@@ -48,8 +48,9 @@
 RETRY_AFTER_SECONDS = 1.0
 # One page of results holds at most 1 MB.
 PAGE_BYTES = 900_000
-# Readers of one job within this time share one look at the store.
-FRESH_SECONDS = 0.05
+# Readers of one job within this time share one look at the store; what has
+# been read anywhere must be readable everywhere a second later.
+FRESH_SECONDS = 0.7
 # A slowed store answers within 0.3 s; a look that takes longer waits for
 # results that do not exist yet.
 SHARED_LOOK_SECONDS = 0.6
@@ -189,7 +190,7 @@
         """
         view = self._find_view(name)
         if view.items is None:
-            read = self._ledger.read_items(view.head)
+            read = self._ledger.read_items(view.head.job)
             if isinstance(read, Err):
                 raise _refuse_unread()
             view.items = read.ok_value
@@ -240,7 +241,7 @@
                 return Failure.conflict
             raise self._refuse_full(name, tokens, route)
         job = self._plan(name, items, route, head, board)
-        created = self._ledger.create(job, JobRecord(name, items))
+        created = self._ledger.create(job, items)
         return created.err_value if isinstance(created, Err) else None
 
     def _plan(
@@ -291,7 +292,7 @@
         view = self._find_view(job.name)
         self._look(view, len(view.results), 0)
         if view.items is None:
-            read = self._ledger.read_items(view.head)
+            read = self._ledger.read_items(view.head.job)
             if isinstance(read, Err):
                 raise _refuse_unread()
             view.items = read.ok_value
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -8,37 +8,43 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok, Result
 
-from wigeonpier.models import ItemResult, JobItem, Member, OpenJob
+from wigeonpier.models import (
+    Assignment,
+    ItemProgress,
+    ItemResult,
+    JobItem,
+    Member,
+    OpenJob,
+)
 from wigeonpier.platform import keys
 from wigeonpier.platform.port import Change, Commit, Entry, Failure
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wigeonpier.models import JobRecord
     from wigeonpier.platform.store import KeyValueStore
 
 # Items are kept as base64 in a value; a part stays well below the limit.
 PART_BYTES = 500_000
+# Larger items are read from the record by whoever runs them.
+LARGEST_ASSIGNMENT = 100_000
 
 
 class RecordHead(msgspec.Struct):
     """What the first key of a record holds.
 
-    :param job: what the board shows of the job.
+    :param job: the job as it was accepted.
     :param names: ids of the items by position.
-    :param parts: how many keys hold the items.
     """
 
     job: OpenJob
     names: list[str]
-    parts: int
 
 
 @dataclass(slots=True)
@@ -46,33 +52,27 @@
     """Jobs with items left, and who runs items.
 
     :param jobs: by id.
+    :param revisions: revisions of the jobs' keys, by id.
     :param members: by name of their VM.
     """
 
     jobs: dict[str, OpenJob] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
 
-    def put(self, key: str, value: bytes) -> None:
+    def put(self, entry: Entry) -> None:
         """Take in a key of the board.
 
-        :param key: its name.
-        :param value: its bytes.
+        :param entry: the key.
         """
-        if key.startswith(keys.OPEN_JOBS):
-            job = msgspec.json.decode(value, type=OpenJob)
+        if entry.key.startswith(keys.OPEN_JOBS):
+            job = msgspec.json.decode(entry.value, type=OpenJob)
             self.jobs[job.name] = job
-        elif key.startswith(keys.MEMBERS):
-            member = msgspec.json.decode(value, type=Member)
+            self.revisions[job.name] = entry.revision
+        elif entry.key.startswith(keys.MEMBERS):
+            member = msgspec.json.decode(entry.value, type=Member)
             self.members[member.name] = member
 
-    def remove(self, key: str) -> None:
-        """Take a key off the board.
-
-        :param key: its name.
-        """
-        self.jobs.pop(key.removeprefix(keys.OPEN_JOBS), None)
-        self.members.pop(key.removeprefix(keys.MEMBERS), None)
-
     def list_members(self, service: str) -> list[Member]:
         """List who runs items of a service.
 
@@ -117,19 +117,23 @@
             return listed
         board = Board()
         for entry in listed.ok_value.entries:
-            board.put(entry.key, entry.value)
+            board.put(entry)
         return Ok(board)
 
-    def create(self, job: OpenJob, record: JobRecord) -> Result[int, Failure]:
-        """Write a new job, whole or not at all.
+    def create(
+        self,
+        job: OpenJob,
+        items: list[JobItem],
+    ) -> Result[int, Failure]:
+        """Write a new job, whole or not at all, and hand its items out.
 
         :param job: what the board shows.
-        :param record: all items.
+        :param items: all items.
         :returns: the revision; ``conflict`` where the job stands already.
         """
-        parts = list(_split_items(record.items))
-        names = [item.name for item in record.items]
-        head = RecordHead(job, names, len(parts))
+        parts = list(_split_items(items))
+        job = replace(job, parts=len(parts))
+        head = RecordHead(job, [item.name for item in items])
         first = keys.name_record(job.name)
         writes = {
             first: msgspec.json.encode(head),
@@ -138,8 +142,66 @@
         for number, part in enumerate(parts):
             key = keys.name_record_part(job.name, number)
             writes[key] = msgspec.json.encode(part)
+        for owner in set(job.owners):
+            key = keys.name_assignment(owner, job.name)
+            assignment = _assign(job, owner, items)
+            writes[key] = msgspec.json.encode(assignment)
         return self.store.commit(Commit({first: 0}, writes))
 
+    def move(
+        self,
+        job: OpenJob,
+        revision: int,
+        lost: str,
+        owners: tuple[str, ...],
+    ) -> Result[int, Failure]:
+        """Hand the items of a lost process to others.
+
+        :param job: the job as the board shows it.
+        :param revision: revision of its key on the board.
+        :param lost: name of the lost process's VM.
+        :param owners: new owners of all items.
+        :returns: the revision; ``conflict`` where somebody was faster.
+        """
+        moved = replace(job, owners=owners)
+        key = keys.name_open_job(job.name)
+        writes = {key: msgspec.json.encode(moved)}
+        for owner in set(owners) - {lost}:
+            name = keys.name_assignment(owner, job.name)
+            assignment = replace(_assign(moved, owner, []), is_moved=True)
+            writes[name] = msgspec.json.encode(assignment)
+        deletes = (keys.name_assignment(lost, job.name),)
+        return self.store.commit(Commit({key: revision}, writes, deletes))
+
+    def drop_assignment(self, vm: str, job: str) -> Result[int, Failure]:
+        """Remove an assignment whose job is closed.
+
+        :param vm: name of the VM.
+        :param job: id of the job.
+        :returns: the revision.
+        """
+        key = keys.name_assignment(vm, job)
+        return self.store.commit(Commit(deletes=(key,)))
+
+    def read_assignments(
+        self,
+        vm: str,
+    ) -> Result[dict[str, Assignment], Failure]:
+        """Read what a process runs.
+
+        :param vm: name of its VM.
+        :returns: assignments by id of their job.
+        """
+        listed = self.store.list_prefix(keys.name_assignments(vm))
+        return listed.map(
+            lambda snapshot: {
+                keys.parse_assignment(entry.key)[1]: decode_assignment(
+                    entry.value,
+                )
+                for entry in snapshot.entries
+            },
+        )
+
     def read_head(self, job: str) -> Result[RecordHead | None, Failure]:
         """Read the head of a job's record.
 
@@ -148,15 +210,15 @@
         """
         return self.store.get(keys.name_record(job)).map(_decode_head)
 
-    def read_items(self, head: RecordHead) -> Result[list[JobItem], Failure]:
+    def read_items(self, job: OpenJob) -> Result[list[JobItem], Failure]:
         """Read all items of a job.
 
-        :param head: head of its record.
+        :param job: the job.
         :returns: the items by position.
         """
         items: list[JobItem] = []
-        for number in range(head.parts):
-            key = keys.name_record_part(head.job.name, number)
+        for number in range(job.parts):
+            key = keys.name_record_part(job.name, number)
             read = self.store.get(key)
             if isinstance(read, Err):
                 return read
@@ -169,12 +231,67 @@
         return Ok(items)
 
     def close(self, job: str) -> Result[int, Failure]:
-        """Take a job off the board.
+        """Take a job off the board, and its items from who runs them.
 
         :param job: id of the job.
+        :returns: the revision, 0 where it was closed before.
+        """
+        key = keys.name_open_job(job)
+        while True:
+            read = self.store.get(key)
+            if isinstance(read, Err):
+                return read
+            entry = read.ok_value
+            if entry is None:
+                return Ok(0)
+            found = msgspec.json.decode(entry.value, type=OpenJob)
+            assignments = [
+                keys.name_assignment(owner, job) for owner in set(found.owners)
+            ]
+            closed = self.store.commit(
+                Commit(
+                    {key: entry.revision},
+                    deletes=(key, *assignments),
+                ),
+            )
+            # A conflict says that items moved meanwhile.
+            if closed != Err(Failure.conflict):
+                return closed
+
+    def write_progress(
+        self,
+        progress: dict[tuple[str, int], ItemProgress],
+    ) -> Result[int, Failure]:
+        """Keep how far unfinished items are.
+
+        :param progress: by job and position of the item.
         :returns: the revision.
         """
-        return self.store.commit(Commit(deletes=(keys.name_open_job(job),)))
+        writes = {
+            keys.name_progress(*key): msgspec.json.encode(found)
+            for key, found in progress.items()
+        }
+        return self.store.commit(Commit(writes=writes))
+
+    def read_progress(
+        self,
+        job: str,
+    ) -> Result[dict[int, ItemProgress], Failure]:
+        """Read how far the unfinished items of a job are.
+
+        :param job: id of the job.
+        :returns: progress by position of the item.
+        """
+        listed = self.store.list_prefix(f'{keys.PROGRESS}{job}/')
+        return listed.map(
+            lambda snapshot: {
+                keys.parse_item_result(entry.key): msgspec.json.decode(
+                    entry.value,
+                    type=ItemProgress,
+                )
+                for entry in snapshot.entries
+            },
+        )
 
     def write_results(
         self,
@@ -239,6 +356,25 @@
         return Ok((_place(changes), following))
 
 
+def decode_assignment(value: bytes) -> Assignment:
+    """Read an assignment.
+
+    :param value: value of its key.
+    :returns: the assignment.
+    """
+    return msgspec.json.decode(value, type=Assignment)
+
+
+def _assign(job: OpenJob, owner: str, items: list[JobItem]) -> Assignment:
+    indexes = tuple(
+        index for index, name in enumerate(job.owners) if name == owner
+    )
+    own = tuple(items[index] for index in indexes) if items else ()
+    if sum(len(item.body) for item in own) > LARGEST_ASSIGNMENT:
+        own = ()
+    return Assignment(job, indexes, own)
+
+
 def _decode_head(entry: Entry | None) -> RecordHead | None:
     if entry is None:
         return None
--- a/src/wigeonpier/hosted/membership.py
+++ b/src/wigeonpier/hosted/membership.py
@@ -21,6 +21,7 @@
 # A lost process is replaced after this time; a renewal may be lost twice.
 LEASE_SECONDS = 3.0
 RENEWAL_SECONDS = 1.0
+RETRY_SECONDS = 0.2
 
 
 class Membership:
@@ -46,17 +47,21 @@
             log_event(Event.member_left, vm=self._member.name, why='leaving')
 
     def _step(self) -> None:
-        if self.is_wanted and not self._lease:
+        if self.is_wanted and self._lease:
+            self._renew()
+            gevent.sleep(RENEWAL_SECONDS)
+        elif self.is_wanted:
             self._join()
-        elif self._lease and not self.is_wanted:
+            gevent.sleep(RETRY_SECONDS)
+        else:
             self.leave()
-        elif self._lease:
-            kept = self._store.keep_lease(self._lease)
-            if isinstance(kept, Ok) and not kept.ok_value:
-                log_event(Event.member_left, vm=self._member.name, why='lapsed')
-                self._lease = 0
-                return
-        gevent.sleep(RENEWAL_SECONDS)
+            gevent.sleep(RETRY_SECONDS)
+
+    def _renew(self) -> None:
+        kept = self._store.keep_lease(self._lease)
+        if isinstance(kept, Ok) and not kept.ok_value:
+            log_event(Event.member_left, vm=self._member.name, why='lapsed')
+            self._lease = 0
 
     def _join(self) -> None:
         granted = self._store.grant_lease(LEASE_SECONDS)
--- /dev/null
+++ b/src/wigeonpier/hosted/progress.py
@@ -0,0 +1,89 @@
+"""Keeps the text of unfinished items, so that a lost process costs little."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from result import Err
+
+from wigeonpier.loops import spawn_loop
+from wigeonpier.models import ItemProgress
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wigeonpier.hosted.items import ItemWork
+    from wigeonpier.hosted.ledger import JobLedger
+
+# An item runs for about 5 s alone; a lost process then costs half of that.
+SAVE_SECONDS = 2.5
+# Less than a second of new text is not worth a call.
+LEAST_EVENTS = 40
+# Below the limits of one call to the store.
+MOST_ITEMS = 24
+MOST_CHARACTERS = 400_000
+
+
+class ProgressKeeper:
+    """Writes how far items are, now and then and when the process leaves."""
+
+    def __init__(
+        self,
+        ledger: JobLedger,
+        work: dict[tuple[str, int], ItemWork],
+    ) -> None:
+        """Keep the progress of the runner's items."""
+        self._ledger = ledger
+        self._work = work
+
+    def start(self) -> None:
+        """Begin to save."""
+        spawn_loop('progress', self._step)
+
+    def save(self, least_events: int) -> None:
+        """Save items that have new text.
+
+        :param least_events: events below which an item is left out.
+        """
+        worth = [
+            work
+            for work in self._work.values()
+            if len(work.texts) - work.saved_events >= least_events
+        ]
+        batch = list(_limit(worth))
+        if not batch:
+            return
+        progress = {
+            work.key: ItemProgress(
+                tuple(work.texts),
+                work.last_event,
+                work.failures,
+            )
+            for work in batch
+        }
+        written = self._ledger.write_progress(progress)
+        if isinstance(written, Err):
+            log_event(
+                Event.progress_unsaved,
+                items=len(batch),
+                why=written.err_value.value,
+            )
+            return
+        for work in batch:
+            work.saved_events = len(progress[work.key].texts)
+
+    def _step(self) -> None:
+        gevent.sleep(SAVE_SECONDS)
+        self.save(LEAST_EVENTS)
+
+
+def _limit(worth: Iterable[ItemWork]) -> Iterable[ItemWork]:
+    size = 0
+    for number, work in enumerate(worth):
+        size += sum(len(text) for text in work.texts)
+        if number and (number >= MOST_ITEMS or size > MOST_CHARACTERS):
+            return
+        yield work
--- /dev/null
+++ b/src/wigeonpier/hosted/runner.py
@@ -0,0 +1,202 @@
+"""Runs batch items at the upstream on this VM, beside its questions."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+
+from wigeonpier.hosted.items import ItemWork, RunEnd, run_item
+from wigeonpier.loops import spawn_loop
+from wigeonpier.models import ItemResult, ItemState
+from wigeonpier.policy import pacing
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from wigeonpier.hosted.results import ResultWriter
+    from wigeonpier.hosted.upstream import OwnUpstream
+    from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.web.exchange import ConnectionPool
+
+    Key = tuple[str, int]
+
+# A question that waits for a slot waits for the next tick at most.
+TICK_SECONDS = 0.05
+IDLE_TICK_SECONDS = 0.25
+RETRY_SECONDS = 0.25
+FAILED_RETRY_SECONDS = 0.5
+# Events of an item, for the share that is done, until some have been seen.
+USUAL_EVENTS = 190.0
+
+
+class ItemRunner:
+    """Starts, pauses and finishes items as the pace says."""
+
+    def __init__(
+        self,
+        upstream: OwnUpstream,
+        writer: ResultWriter,
+        pool: ConnectionPool,
+        metrics: Metrics,
+    ) -> None:
+        """Run items at the upstream once started."""
+        self.work: dict[Key, ItemWork] = {}
+        self._upstream = upstream
+        self._writer = writer
+        self._pool = pool
+        self._metrics = metrics
+        self._finished: set[Key] = set()
+        self._run_seconds = pacing.FIRST_RUN_SECONDS
+        self._is_leaving = False
+
+    def start(self) -> None:
+        """Begin to run items."""
+        spawn_loop('pace', self._tick)
+
+    def leave(self) -> None:
+        """Start no item any more, and stop those that run."""
+        self._is_leaving = True
+        for work in self.work.values():
+            work.stop()
+
+    def add(self, work: ItemWork) -> bool:
+        """Take up an item unless it is known.
+
+        :param work: the item.
+        :returns: whether it is new here.
+        """
+        if work.key in self.work or work.key in self._finished:
+            return False
+        self.work[work.key] = work
+        return True
+
+    def drop_job(self, job: str) -> None:
+        """Stop all items of a job that ended or runs elsewhere now.
+
+        :param job: id of the job.
+        """
+        for key in list(self.work):
+            if key[0] == job:
+                work = self.work.pop(key)
+                work.is_dropped = True
+                work.stop()
+        self._finished = {key for key in self._finished if key[0] != job}
+
+    def _tick(self) -> None:
+        if not self.work:
+            gevent.sleep(IDLE_TICK_SECONDS)
+            if not self._upstream.is_usable or not self._upstream.report:
+                self._upstream.look()
+            return
+        self._upstream.look()
+        self._expire()
+        if self._upstream.is_usable and not self._is_leaving:
+            self._set_pace()
+        gevent.sleep(TICK_SECONDS)
+
+    def _set_pace(self) -> None:
+        report = self._upstream.report
+        replica = self._upstream.replica
+        if report is None or replica is None:
+            return
+        now = time.monotonic()
+        running = [work for work in self.work.values() if work.is_running]
+        waiting = [
+            work
+            for work in self.work.values()
+            if not work.is_running and work.retry_at <= now
+        ]
+        view = pacing.UpstreamView(
+            replica.slots,
+            report.running,
+            report.waiting,
+            self._run_seconds,
+        )
+        pace = pacing.set_pace(
+            view,
+            [_view_item(work, now) for work in running],
+            [_view_item(work, now) for work in waiting],
+        )
+        for key in pace.pause:
+            work = self.work[key]
+            self._log_item(Event.item_paused, work)
+            work.stop()
+        for key in pace.start:
+            self._start(self.work[key])
+
+    def _start(self, work: ItemWork) -> None:
+        work.is_running = True
+        work.is_paused = False
+        self._log_item(Event.item_started, work)
+        gevent.spawn(self._run, work)
+
+    def _run(self, work: ItemWork) -> None:
+        replica = self._upstream.replica
+        try:
+            if replica is None:
+                end = RunEnd.not_run
+            else:
+                end = run_item(work, replica, self._pool)
+        finally:
+            work.is_running = False
+        if work.is_dropped:
+            return
+        self._metrics.count('item_runs_total', end=end.value)
+        if end is RunEnd.whole:
+            self._run_seconds = pacing.learn_run(
+                self._run_seconds,
+                work.run_seconds,
+            )
+            self._finish(work, ItemState.completed)
+        elif end is RunEnd.impossible:
+            self._finish(work, ItemState.abandoned)
+        elif end is not RunEnd.paused:
+            self._note_bad_run(work, end)
+
+    def _note_bad_run(self, work: ItemWork, end: RunEnd) -> None:
+        pause = RETRY_SECONDS
+        if end is RunEnd.failed:
+            work.failures += 1
+            pause = FAILED_RETRY_SECONDS
+        self._log_item(Event.item_broken, work, end=end.value)
+        if work.failures >= work.job.tries:
+            self._finish(work, ItemState.abandoned)
+        work.retry_at = time.monotonic() + pause
+
+    def _finish(self, work: ItemWork, state: ItemState) -> None:
+        self.work.pop(work.key, None)
+        output = '\n'.join(work.texts) if state is ItemState.completed else ''
+        self._finished.add(work.key)
+        self._writer.add(work.key, ItemResult(work.item.name, state, output))
+        self._log_item(Event.item_done, work, state=state.value)
+        self._metrics.count('items_total', state=state.value)
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for work in list(self.work.values()):
+            if now > work.keep_until and not work.is_running:
+                self._finish(work, ItemState.abandoned)
+
+    def _log_item(self, event: Event, work: ItemWork, **fields: str) -> None:
+        report = self._upstream.report
+        log_event(
+            event,
+            job=work.job.name,
+            item=work.item.name,
+            events=len(work.texts),
+            failures=work.failures,
+            due_in=round(work.due_at - time.monotonic(), 3),
+            running=report.running if report else -1,
+            waiting=report.waiting if report else -1,
+            **fields,
+        )
+
+
+def _view_item(work: ItemWork, now: float) -> pacing.ItemView:
+    return pacing.ItemView(
+        work.key,
+        work.due_at - now,
+        min(1.0, len(work.texts) / USUAL_EVENTS),
+    )
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 
 
@@ -29,7 +29,7 @@
     :param region: region of its data centre.
     :param regions: region of each data centre.
     :param store: ``host:port`` of the key-value service.
-    :param largest_value: bytes that one key may hold.
+    :param store_history: seconds for which it keeps old changes.
     :param bounds: times that the site promises.
     :param callers: ``host:port`` for callers, empty where it has none.
     :param readiness: ``host:port`` for the balancer, empty for none.
@@ -43,7 +43,7 @@
     region: str
     regions: dict[str, str]
     store: str
-    largest_value: int
+    store_history: float
     bounds: Bounds
     callers: str = ''
     readiness: str = ''
@@ -202,7 +202,8 @@
     :param retention: seconds that an item must be tried.
     :param tries: failed runs after which an item is given up.
     :param tokens: tokens of all items.
-    :param owners: VM that should run each item, by position in the job.
+    :param owners: VM that runs each item, by position in the job.
+    :param parts: how many keys hold the items.
     """
 
     name: str
@@ -215,6 +216,7 @@
     tries: int
     tokens: int
     owners: tuple[str, ...]
+    parts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,13 +233,31 @@
     data_centre: str
 
 
-@dataclass(slots=True)
-class JobRecord:
-    """A job as it was handed in.
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """Items of one job that one process runs.
 
-    :param name: id of the job.
-    :param items: all items.
+    :param job: their job.
+    :param indexes: positions of the items.
+    :param items: the items, none where they are too large for one key.
+    :param is_moved: whether another process may have run them before.
     """
 
-    name: str
-    items: list[JobItem] = field(default_factory=list)
+    job: OpenJob
+    indexes: tuple[int, ...]
+    items: tuple[JobItem, ...]
+    is_moved: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ItemProgress:
+    """How far an unfinished item is.
+
+    :param texts: data of its events so far.
+    :param last_event: id of the last of them.
+    :param failures: runs that an upstream failed.
+    """
+
+    texts: tuple[str, ...]
+    last_event: str
+    failures: int
--- a/src/wigeonpier/platform/keys.py
+++ b/src/wigeonpier/platform/keys.py
@@ -83,10 +83,14 @@
 
 
 HOSTED = 'wigeonpier/hosted/'
-# One watch covers the jobs with items left and the processes that run them.
+# One read covers the jobs with items left and the processes that run them.
 BOARD = f'{HOSTED}board/'
 OPEN_JOBS = f'{BOARD}jobs/'
 MEMBERS = f'{BOARD}members/'
+# Each process watches its own assignments only, so that a job wakes those
+# who run it and nobody else.
+ASSIGNMENTS = f'{HOSTED}work/'
+PROGRESS = f'{HOSTED}progress/'
 RECORDS = f'{HOSTED}records/'
 ITEM_RESULTS = f'{HOSTED}results/'
 
@@ -109,6 +113,45 @@
     return f'{MEMBERS}{vm}'
 
 
+def name_assignments(vm: str) -> str:
+    """Name the prefix of what a process runs.
+
+    :param vm: name of its VM.
+    :returns: the prefix.
+    """
+    return f'{ASSIGNMENTS}{vm}/'
+
+
+def name_assignment(vm: str, job: str) -> str:
+    """Name the key of the items of one job that a process runs.
+
+    :param vm: name of its VM.
+    :param job: id of the job.
+    :returns: the key.
+    """
+    return f'{name_assignments(vm)}{job}'
+
+
+def parse_assignment(key: str) -> tuple[str, str]:
+    """Take the key of an assignment apart.
+
+    :param key: key that :func:`name_assignment` made.
+    :returns: name of the VM and id of the job.
+    """
+    vm, _slash, job = key.removeprefix(ASSIGNMENTS).partition('/')
+    return vm, job
+
+
+def name_progress(job: str, index: int) -> str:
+    """Name the key of the text that an unfinished item has so far.
+
+    :param job: id of the job.
+    :param index: position of the item in the job.
+    :returns: the key.
+    """
+    return f'{PROGRESS}{job}/{index}'
+
+
 def name_record(job: str) -> str:
     """Name the key that holds a job's head.
 
--- a/src/wigeonpier/platform/process.py
+++ b/src/wigeonpier/platform/process.py
@@ -28,7 +28,7 @@
 
 class _Platform(msgspec.Struct):
     address: str
-    value_bytes: int = msgspec.field(name='valueBytes')
+    history_s: float = msgspec.field(name='historyS')
 
 
 class _Settings(msgspec.Struct):
@@ -73,7 +73,7 @@
         region=found.region,
         regions=found.zones,
         store=found.platform.address,
-        largest_value=found.platform.value_bytes,
+        store_history=found.platform.history_s,
         bounds=Bounds(
             grace=found.bounds.grace_s,
             catch_up=found.bounds.catch_up_s,
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -31,7 +31,9 @@
 
 # A slowed service answers within 0.3 s; one that takes longer is away.
 CALL_SECONDS = 1.2
-WATCH_SECONDS = 30.0
+# A watch that waits longer than the history is kept has to begin anew.
+HISTORY_SHARE = 0.75
+LONGEST_WATCH_SECONDS = 30.0
 WATCH_SLACK_SECONDS = 2.0
 CONFLICT = 412
 LAPSED = 404
@@ -77,8 +79,13 @@
         pool: ConnectionPool,
         address: str,
         metrics: Metrics,
+        history_seconds: float,
     ) -> None:
-        """Call the service at ``host:port``."""
+        """Call the service at ``host:port``, which keeps so much history."""
+        self._watch_seconds = min(
+            LONGEST_WATCH_SECONDS,
+            history_seconds * HISTORY_SHARE,
+        )
         self._pool = pool
         self._address = address
         self._metrics = metrics
@@ -186,7 +193,11 @@
         :yields: changes in order.
         """
         while True:
-            heard = self.await_changes(prefix, revision, WATCH_SECONDS)
+            heard = self.await_changes(
+                prefix,
+                revision,
+                self._watch_seconds,
+            )
             if isinstance(heard, Err):
                 return
             changes, revision = heard.ok_value
--- a/src/wigeonpier/policy/pacing.py
+++ b/src/wigeonpier/policy/pacing.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 # Slots kept free for the next questions.
-RESERVED_SLOTS = 1
+RESERVED_SLOTS = 0
 # Slots that items which would else be late may hold against questions.
 URGENT_SLOTS = 2
 # A run of an item alone, until some have been seen.
--- a/src/wigeonpier/policy/placement.py
+++ b/src/wigeonpier/policy/placement.py
@@ -1,9 +1,10 @@
 """Decides which process runs an item of a batch job.
 
 The load that it answers: jobs of about ten items that arrive in bursts at
-entries which do not talk to each other.  Items are dealt out when the job is
-accepted, to whoever has least left; later only the items of an owner that is
-gone move, each on its own, so that a lost process does not move the rest.
+entries which do not talk to each other.  Items are handed out when the job
+is accepted, to whoever has least left; a few to each, since every process
+that a job wakes costs calls to the store.  Later only the items of a process
+that is gone move.
 """
 
 from __future__ import annotations
@@ -18,6 +19,11 @@
 # An item runs for about 5 s, and most of them begin at once; one of a job
 # older than this is most probably done.
 WORK_FADES_SECONDS = 12.0
+# Items of a job that one process gets together; of 28 processes a job of ten
+# then wakes four.
+ITEMS_TOGETHER = 3
+# Stands for the owner of items that nobody runs yet.
+NOBODY = '-'
 
 
 def deal_items(
@@ -34,39 +40,54 @@
     :param members: processes that run items of its service.
     :param jobs: jobs with items left.
     :param now: seconds of the day's clock.
-    :returns: owners by position, none of them where nobody is there.
+    :returns: owners by position; nobody where there are no members.
     """
     if not members:
-        return ('',) * count
+        return (NOBODY,) * count
     names = rank_by_key([member.name for member in members], job)
-    load = dict.fromkeys(names, 0.0)
-    for other in jobs:
-        age = max(0.0, now - other.sent_at)
-        weight = max(0.0, 1 - age / WORK_FADES_SECONDS)
-        for owner in other.owners:
-            if owner in load:
-                load[owner] += weight
-    owners = []
-    for _position in range(count):
-        chosen = min(names, key=lambda name: load[name])
-        load[chosen] += 1
-        owners.append(chosen)
-    return tuple(owners)
+    load = _measure_load(names, jobs, now)
+    owners: list[str] = []
+    while len(owners) < count:
+        chosen = min(names, key=load.__getitem__)
+        load[chosen] += ITEMS_TOGETHER
+        owners += [chosen] * ITEMS_TOGETHER
+    return tuple(owners[:count])
 
 
-def find_owner(
+def move_items(
     job: OpenJob,
-    index: int,
-    members: list[str],
-) -> str:
-    """Find who runs an item now.
+    lost: str,
+    members: list[Member],
+    jobs: list[OpenJob],
+    now: float,
+) -> tuple[str, ...]:
+    """Choose new owners for the items of a process that is gone.
 
-    :param job: its job.
-    :param index: its position.
-    :param members: processes that are there for its service.
-    :returns: the owner, empty where nobody is there.
+    :param job: the job.
+    :param lost: who is gone.
+    :param members: processes that run items of its service.
+    :param jobs: jobs with items left.
+    :param now: seconds of the day's clock.
+    :returns: owners of all items; others keep theirs.
     """
-    planned = job.owners[index]
-    if planned in members or not members:
-        return planned if members else ''
-    return rank_by_key(members, f'{job.name}/{index}')[0]
+    orphans = sum(owner == lost for owner in job.owners)
+    others = [member for member in members if member.name != lost]
+    fresh = iter(deal_items(job.name, orphans, others, jobs, now))
+    return tuple(
+        next(fresh) if owner == lost else owner for owner in job.owners
+    )
+
+
+def _measure_load(
+    names: list[str],
+    jobs: list[OpenJob],
+    now: float,
+) -> dict[str, float]:
+    load = dict.fromkeys(names, 0.0)
+    for job in jobs:
+        age = max(0, now - job.sent_at)
+        weight = max(0, 1 - age / WORK_FADES_SECONDS)
+        for owner in job.owners:
+            if owner in load:
+                load[owner] += weight
+    return load
