Part the question's path, test the hosted daemons over stand-ins

Cause of a new failing test: a reader that asks from an earlier position got what the entry had cached and never more. Ruled out: the watch, the order of results.

--- /dev/null
+++ b/src/wigeonpier/bench/store.py
@@ -0,0 +1,276 @@
+"""Stand-in of the users' key-value service, with leases and watches."""
+
+from __future__ import annotations
+
+import base64
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+from gevent.event import Event as Signal
+
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.loops import spawn_loop
+from wigeonpier.platform import wire
+from wigeonpier.web.messages import Request, Response, answer_json
+from wigeonpier.web.server import Server, dispatch_to, make_route
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MOST_BODY = 4_000_000
+PAGE_KEYS = 500
+EXPIRY_STEP_SECONDS = 0.05
+MILLISECONDS = 1000
+NUMBER = '([0-9]+)'
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What the stand-in does wrong now.
+
+    :param is_down: answers every call with 503.
+    :param is_silent: answers nothing until this is taken back.
+    :param lost_writes: so many writes take effect without an answer.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+    lost_writes: int = 0
+
+
+@dataclass(slots=True)
+class _Cell:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclass(slots=True)
+class _Lease:
+    seconds: float
+    ends_at: float
+
+
+@dataclass(slots=True)
+class StandInStore:
+    """The service, in memory.
+
+    :param faults: what it does wrong now.
+    :param calls: calls by path.
+    """
+
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: Counter[str] = field(default_factory=Counter)
+    _cells: dict[str, _Cell] = field(default_factory=dict)
+    _history: list[dict[str, Any]] = field(default_factory=list)
+    _leases: dict[int, _Lease] = field(default_factory=dict)
+    _revision: int = 1
+    _compacted: int = 0
+    _changed: Signal = field(default_factory=Signal)
+    _server: Server | None = None
+
+    def start(self) -> str:
+        """Listen on a free port of loopback.
+
+        :returns: ``host:port``.
+        """
+        routes = [
+            make_route('GET', wire.KEY_PATH, self._get),
+            make_route('GET', wire.RANGE_PATH, self._list),
+            make_route('GET', wire.WATCH_PATH, self._watch),
+            make_route('POST', wire.COMMIT_PATH, self._commit),
+            make_route('POST', wire.LEASE_PATH, self._grant),
+            make_route('POST', wire.KEEP_PATH + NUMBER, self._keep),
+            make_route('DELETE', wire.END_PATH + NUMBER, self._end),
+        ]
+        self._server = Server('127.0.0.1', 0, self._guard(dispatch_to(routes)))
+        self._server.start()
+        spawn_loop('expiry', self._expire)
+        return self._server.address
+
+    def put(self, key: str, content: Any) -> int:
+        """Write a key as the operator and replicas do.
+
+        :param key: its name.
+        :param content: anything that msgspec encodes.
+        :returns: the revision.
+        """
+        raw = base64.b64encode(msgspec.json.encode(content)).decode()
+        return self._apply({key: raw}, (), 0)
+
+    def remove(self, key: str) -> None:
+        """Remove a key as replicas that left do.
+
+        :param key: its name.
+        """
+        self._apply({}, (key,), 0)
+
+    def list_keys(self, prefix: str) -> list[str]:
+        """List keys for a test.
+
+        :param prefix: start of the keys.
+        :returns: the keys in order.
+        """
+        return sorted(key for key in self._cells if key.startswith(prefix))
+
+    def compact(self) -> None:
+        """Forget the history; watches from before it begin anew."""
+        self._compacted = self._revision
+        self._history.clear()
+        self._wake()
+
+    def _guard(
+        self,
+        handle: Callable[[Request], Response],
+    ) -> Callable[[Request], Response]:
+        def guard(request: Request) -> Response:
+            self.calls[request.path] += 1
+            while self.faults.is_silent:
+                gevent.sleep(EXPIRY_STEP_SECONDS)
+            if self.faults.is_down:
+                raise Refusal(ErrorKind.platform_down, 'down')
+            request.body_limit = MOST_BODY
+            response = handle(request)
+            if request.method == 'POST' and self.faults.lost_writes:
+                self.faults.lost_writes -= 1
+                raise ConnectionAbortedError('the answer is lost')
+            return response
+
+        return guard
+
+    def _get(self, request: Request) -> Response:
+        key = _read_query(request)['key']
+        if key not in self._cells:
+            return answer_json({}, HTTPStatus.NOT_FOUND)
+        return answer_json(
+            self._show(key) | {'storeRevision': self._revision},
+        )
+
+    def _list(self, request: Request) -> Response:
+        query = _read_query(request)
+        found = [
+            key
+            for key in self.list_keys(query.get('pathPrefix', ''))
+            if key > query.get('after', '')
+        ]
+        page = [self._show(key) for key in found[:PAGE_KEYS]]
+        return answer_json(
+            {
+                'items': page,
+                'morePages': len(found) > PAGE_KEYS,
+                'storeRevision': self._revision,
+            },
+        )
+
+    def _watch(self, request: Request) -> Response:
+        query = _read_query(request)
+        after = int(query['after'])
+        give_up = time.monotonic() + int(query['waitMs']) / MILLISECONDS
+        while True:
+            if after < self._compacted:
+                return answer_json({}, HTTPStatus.GONE)
+            events = [
+                event
+                for event in self._history
+                if event['revision'] > after
+                and event['key'].startswith(query['pathPrefix'])
+            ]
+            left = give_up - time.monotonic()
+            if events or left <= 0:
+                return answer_json(
+                    {'events': events, 'storeRevision': self._revision},
+                )
+            self._changed.wait(left)
+
+    def _commit(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.read_body())
+        for guard in body['ifRevision']:
+            cell = self._cells.get(guard['key'])
+            revision = cell.revision if cell else 0
+            if revision != guard['revision']:
+                return answer_json({}, HTTPStatus.PRECONDITION_FAILED)
+        leases = {put['lease'] for put in body['setKeys']} - {0}
+        if leases - set(self._leases):
+            return answer_json({}, HTTPStatus.NOT_FOUND)
+        writes = {put['key']: put['value'] for put in body['setKeys']}
+        lease = next(iter(leases), 0)
+        changed = self._apply(writes, body['remove'], lease)
+        return answer_json({'revision': changed})
+
+    def _grant(self, request: Request) -> Response:
+        seconds = msgspec.json.decode(request.read_body())['ttlMs']
+        seconds /= MILLISECONDS
+        lease = len(self._leases) + 1
+        self._leases[lease] = _Lease(seconds, time.monotonic() + seconds)
+        return answer_json({'lease': lease, 'ttlMs': seconds * MILLISECONDS})
+
+    def _keep(self, _request: Request, lease: str) -> Response:
+        found = self._leases.get(int(lease))
+        if found is None:
+            return answer_json({}, HTTPStatus.NOT_FOUND)
+        found.ends_at = time.monotonic() + found.seconds
+        return answer_json({'ttlMs': found.seconds * MILLISECONDS})
+
+    def _end(self, _request: Request, lease: str) -> Response:
+        self._end_lease(int(lease))
+        return answer_json({})
+
+    def _end_lease(self, lease: int) -> None:
+        if self._leases.pop(lease, None) is not None:
+            gone = [
+                key for key, cell in self._cells.items() if cell.lease == lease
+            ]
+            self._apply({}, gone, 0)
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for lease, found in list(self._leases.items()):
+            if found.ends_at < now:
+                self._end_lease(lease)
+        gevent.sleep(EXPIRY_STEP_SECONDS)
+
+    def _apply(
+        self,
+        writes: dict[str, str],
+        removes: Any,
+        lease: int,
+    ) -> int:
+        self._revision += 1
+        revision = self._revision
+        for key, value in writes.items():
+            known = self._cells.get(key)
+            created = known.created if known else revision
+            self._cells[key] = _Cell(value, revision, created, lease)
+            self._history.append(self._show(key))
+        for key in removes:
+            if self._cells.pop(key, None) is not None:
+                self._history.append(
+                    {'key': key, 'revision': revision, 'tombstone': True},
+                )
+        self._wake()
+        return revision
+
+    def _show(self, key: str) -> dict[str, Any]:
+        cell = self._cells[key]
+        return {
+            'key': key,
+            'value': cell.value,
+            'revision': cell.revision,
+            'createRev': cell.created,
+            'lease': cell.lease,
+        }
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed.clear()
+
+
+def _read_query(request: Request) -> dict[str, str]:
+    return {name: found[0] for name, found in parse_qs(request.query).items()}
--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -24,6 +24,7 @@
 from wigeonpier.hosted.results import ResultWriter
 from wigeonpier.hosted.retire import RetireDesk
 from wigeonpier.hosted.runner import ItemRunner
+from wigeonpier.hosted.sender import QuestionSender
 from wigeonpier.hosted.upstream import OwnUpstream
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import Member
@@ -115,10 +116,13 @@
             common.pool.forget,
         )
         self._questions = QuestionDesk(
-            settings,
             self._configuration,
-            self._replicas,
-            common.pool,
+            QuestionSender(
+                settings,
+                self._replicas,
+                common.pool,
+                common.draw,
+            ),
             common.metrics,
             common.draw,
         )
--- a/src/wigeonpier/hosted/configuration.py
+++ b/src/wigeonpier/hosted/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -32,7 +31,6 @@
     def __init__(self, store: WatchedStore, draw: random.Random) -> None:
         """Watch the operator's key once started."""
         self.current: ServedConfiguration | None = None
-        self.applied_at = 0.0
         self.view = PrefixView(
             store,
             CONFIGURATION_KEY,
@@ -60,7 +58,6 @@
         if self.current is not None and found.version <= self.current.version:
             return
         self.current = found
-        self.applied_at = time.monotonic()
         log_event(
             Event.configuration_applied,
             version=found.version,
--- a/src/wigeonpier/hosted/dealer.py
+++ b/src/wigeonpier/hosted/dealer.py
@@ -88,11 +88,9 @@
             gevent.spawn_later(RETURN_SECONDS, self._move_all, owner)
 
     def _move_all(self, lost: str) -> None:
-        try:
-            while not self._try_move_all(lost):
-                gevent.sleep(RETRY_SECONDS)
-        finally:
-            self._gone.discard(lost)
+        while not self._try_move_all(lost):
+            gevent.sleep(RETRY_SECONDS)
+        self._gone.discard(lost)
 
     def _try_move_all(self, lost: str) -> bool:
         """Move what a lost process has; false where it must be tried again."""
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -103,15 +103,15 @@
     answer = begun.ok_value
     work.answer = answer
     try:
-        return _read_run(work, replica, answer)
+        end = _read_run(work, replica, answer)
     except (OSError, UnicodeDecodeError):
-        return RunEnd.paused if work.is_paused else RunEnd.broken
-    finally:
-        if not answer.is_whole:
-            answer.abort()
-        answer.close()
-        work.answer = None
-        work.run_seconds += time.monotonic() - began
+        end = RunEnd.paused if work.is_paused else RunEnd.broken
+    if not answer.is_whole:
+        answer.abort()
+    answer.close()
+    work.answer = None
+    work.run_seconds += time.monotonic() - began
+    return end
 
 
 def _read_run(work: ItemWork, replica: Replica, answer: Exchange) -> RunEnd:
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import time
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import gevent
 import msgspec
-from gevent.lock import RLock
-from result import Err, Ok
+from gevent.lock import BoundedSemaphore
+from result import Err, Ok, Result
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.models import OpenJob, RouteKind
@@ -32,8 +33,7 @@
         PlacedResult,
         RecordHead,
     )
-    from wigeonpier.models import JobItem, ServedRoute
-    from wigeonpier.platform.ingress import QuestionHead
+    from wigeonpier.models import ItemResult, JobItem, ServedRoute
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.messages import Request
 
@@ -76,7 +76,7 @@
     looked_at: float = 0
     items: list[JobItem] | None = None
     is_closed: bool = False
-    lock: RLock = field(default_factory=RLock)
+    lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
 
     @property
     def is_finished(self) -> bool:
@@ -136,21 +136,12 @@
             raise Refusal(ErrorKind.invalid_request, str(error)) from error
         head = ingress.read_question(request)
         began = time.monotonic()
-        may_stand = False
-        while True:
-            outcome = self._try_hand_in(name, items, route, head)
-            if outcome is None or outcome is Failure.conflict:
-                break
-            may_stand = may_stand or outcome is Failure.unknown
-            patience = CERTAIN_SECONDS if may_stand else HAND_IN_SECONDS
-            if time.monotonic() - began > patience:
-                raise self._refuse_unsure(name, may_stand=may_stand)
-            gevent.sleep(PAUSE_SECONDS)
+        is_again = self._keep(name, items, route, head)
         log_event(
             Event.job_accepted,
             job=name,
             items=len(items),
-            again=outcome is Failure.conflict,
+            again=is_again,
             seconds=round(time.monotonic() - began, 3),
         )
         self._metrics.count('jobs_total', outcome='accepted')
@@ -165,9 +156,8 @@
         """
         view = self._find_view(name)
         after = _read_after(request.query)
-        if len(view.results) <= after:
-            self._look(view, after, ingress.read_wait(request))
-        page = []
+        self._look(view, after, ingress.read_wait(request))
+        page: list[ItemResult] = []
         size = 0
         for placed in view.results[after:]:
             size += len(placed.found.output)
@@ -219,12 +209,32 @@
                 gevent.sleep(PAUSE_SECONDS)
         return Response(HTTPStatus.OK, b'{}')
 
+    def _keep(
+        self,
+        name: str,
+        items: list[JobItem],
+        route: ServedRoute,
+        head: ingress.QuestionHead,
+    ) -> bool:
+        """Try until the job is kept; tell whether it was before."""
+        began = time.monotonic()
+        may_stand = False
+        while True:
+            outcome = self._try_hand_in(name, items, route, head)
+            if outcome is None or outcome is Failure.conflict:
+                return outcome is Failure.conflict
+            may_stand = may_stand or outcome is Failure.unknown
+            patience = CERTAIN_SECONDS if may_stand else HAND_IN_SECONDS
+            if time.monotonic() - began > patience:
+                raise self._refuse_unsure(name, may_stand=may_stand)
+            gevent.sleep(PAUSE_SECONDS)
+
     def _try_hand_in(
         self,
         name: str,
         items: list[JobItem],
         route: ServedRoute,
-        head: QuestionHead,
+        head: ingress.QuestionHead,
     ) -> Failure | None:
         read = self._ledger.read_board()
         if isinstance(read, Err):
@@ -249,7 +259,7 @@
         name: str,
         items: list[JobItem],
         route: ServedRoute,
-        head: QuestionHead,
+        head: ingress.QuestionHead,
         board: Board,
     ) -> OpenJob:
         now = time.time()
@@ -318,36 +328,53 @@
 
     def _look(self, view: JobView, known: int, wait: float) -> None:
         """Read new results, once for all readers that ask at the time."""
+        has_news = len(view.results) > known
         # Whoever looks right now adds results as they come.  Until its call
         # has been with the store for a while, what is known may be old.
-        if not view.lock.acquire(timeout=max(wait, SHARED_LOOK_SECONDS)):
+        patience = 0 if has_news else max(wait, SHARED_LOOK_SECONDS)
+        if not view.lock.acquire(timeout=patience):
             return
-        try:
+        with ExitStack() as stack:
+            stack.callback(view.lock.release)
             self._read_on(view, known, wait)
-        finally:
-            view.lock.release()
 
     def _read_on(self, view: JobView, known: int, wait: float) -> None:
+        has_news = len(view.results) > known
         age = time.monotonic() - view.looked_at
-        is_new = len(view.results) > known
-        if is_new or view.is_finished or (age < FRESH_SECONDS and not wait):
+        is_enough = has_news or not wait
+        if view.is_finished or (age < FRESH_SECONDS and is_enough):
             return
-        name = view.head.job.name
-        read = None
-        if view.revision:
-            read = self._ledger.await_results(name, view.revision, wait)
-        if read is None or isinstance(read, Err):
-            read = self._ledger.read_results(name)
-            if isinstance(read, Err):
-                raise _refuse_unread()
-            view.results.clear()
-        placed, view.revision = read.ok_value
-        view.results += placed
+        read = self._read_results(view, 0 if has_news else wait)
         view.looked_at = time.monotonic()
+        if isinstance(read, Err):
+            if has_news:
+                # What is known never changes; more comes with the store.
+                return
+            raise _refuse_unread()
+        placed, revision = read.ok_value
+        view.revision = revision
+        view.results += placed
         if view.is_finished and not view.is_closed:
+            name = view.head.job.name
             view.is_closed = isinstance(self._ledger.close(name), Ok)
             log_event(Event.job_finished, job=name)
 
+    def _read_results(
+        self,
+        view: JobView,
+        wait: float,
+    ) -> Result[tuple[list[PlacedResult], int], Failure]:
+        name = view.head.job.name
+        if view.revision:
+            heard = self._ledger.await_results(name, view.revision, wait)
+            if isinstance(heard, Ok):
+                return heard
+        # The history from that revision on may be gone.
+        read = self._ledger.read_results(name)
+        if isinstance(read, Ok):
+            view.results.clear()
+        return read
+
     def _refuse_unsure(self, name: str, *, may_stand: bool) -> Refusal:
         log_event(Event.job_refused, job=name, may_stand=may_stand)
         self._metrics.count('jobs_total', outcome='store away')
--- /dev/null
+++ b/src/wigeonpier/hosted/question.py
@@ -0,0 +1,109 @@
+"""One question of a caller on its way."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wigeonpier.policy.silence import limit_silence
+
+if TYPE_CHECKING:
+    import gevent
+
+    from wigeonpier.models import ServedRoute
+    from wigeonpier.platform.ingress import QuestionHead
+    from wigeonpier.policy.route import UpstreamState
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.messages import Request
+
+
+@dataclass(slots=True)
+class Question:
+    """One attempt of a caller.
+
+    :param request: as it came.
+    :param head: what its headers say.
+    :param route: its route.
+    :param service: service that was drawn.
+    :param body: its bytes.
+    :param began_at: when it was read, seconds of the steady clock.
+    :param give_up_at: deadline or timeout, whichever is sooner.
+    :param resume_after: last event that the caller has, or empty.
+    :param tried: upstreams that got it.
+    :param runs: sends that may have run.
+    :param upstream: where it is now.
+    :param answer: the answer that is read now.
+    :param is_gone: whether the caller has left.
+    :param watcher: watches the caller's connection.
+    """
+
+    request: Request
+    head: QuestionHead
+    route: ServedRoute
+    service: str
+    body: bytes
+    began_at: float
+    give_up_at: float
+    resume_after: str
+    tried: set[str] = field(default_factory=set)
+    runs: int = 0
+    upstream: UpstreamState | None = None
+    answer: Exchange | None = None
+    is_gone: bool = False
+    watcher: gevent.Greenlet[..., None] | None = None
+
+    @property
+    def seconds_left(self) -> float:
+        """Give the time until it is given up."""
+        return self.give_up_at - time.monotonic()
+
+    @property
+    def may_run_again(self) -> bool:
+        """Tell whether one more upstream may run it."""
+        if self.runs == 0:
+            return True
+        return self.route.is_idempotent and self.runs < self.route.tries
+
+    def limit_silence(self, *, has_events: bool) -> float:
+        """Limit how long the next byte of its answer is waited for.
+
+        :param has_events: whether an event of this send has arrived.
+        :returns: seconds.
+        """
+        return limit_silence(
+            self.seconds_left,
+            may_go_elsewhere=self.may_run_again,
+            has_events=has_events,
+        )
+
+    def hold(self, upstream: UpstreamState, answer: Exchange) -> None:
+        """Note where it is now, and that it may run there.
+
+        :param upstream: the upstream.
+        :param answer: the answer that is read.
+        """
+        upstream.in_hand += 1
+        self.runs += 1
+        self.upstream = upstream
+        self.answer = answer
+
+    def release(self, *, is_broken: bool = False) -> None:
+        """Let go of the upstream and of the connection to it.
+
+        :param is_broken: whether the upstream's work must end now.
+        """
+        if self.upstream is not None:
+            self.upstream.in_hand -= 1
+            self.upstream = None
+        if self.answer is not None:
+            if is_broken or not self.answer.is_whole:
+                self.answer.abort()
+            self.answer.close()
+            self.answer = None
+
+    def leave(self) -> None:
+        """Stop the upstream's work, since the caller has left."""
+        self.is_gone = True
+        if self.answer is not None:
+            self.answer.abort()
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -77,12 +77,12 @@
 
         :param job: id of the job.
         """
-        for key in list(self.work):
-            if key[0] == job:
-                work = self.work.pop(key)
+        for work in list(self.work.values()):
+            if work.job.name == job:
+                self.work.pop(work.key)
                 work.is_dropped = True
                 work.stop()
-        self._finished = {key for key in self._finished if key[0] != job}
+        self._finished = {known for known in self._finished if known[0] != job}
 
     def _tick(self) -> None:
         if not self.work:
@@ -134,13 +134,11 @@
 
     def _run(self, work: ItemWork) -> None:
         replica = self._upstream.replica
-        try:
-            if replica is None:
-                end = RunEnd.not_run
-            else:
-                end = run_item(work, replica, self._pool)
-        finally:
-            work.is_running = False
+        if replica is None:
+            end = RunEnd.not_run
+        else:
+            end = run_item(work, replica, self._pool)
+        work.is_running = False
         if work.is_dropped:
             return
         self._metrics.count('item_runs_total', end=end.value)
--- /dev/null
+++ b/src/wigeonpier/hosted/sender.py
@@ -0,0 +1,200 @@
+"""Sends questions to upstreams and judges the head of each answer."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from wigeonpier.platform import ingress, register
+from wigeonpier.policy.route import Ask, choose_upstream, note_outcome
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.exchange import make_request
+
+if TYPE_CHECKING:
+    import random
+
+    from wigeonpier.hosted.question import Question
+    from wigeonpier.hosted.replicas import ReplicaRegister
+    from wigeonpier.models import HostSettings
+    from wigeonpier.policy.route import UpstreamState
+    from wigeonpier.web.exchange import ConnectionPool, Exchange
+
+# Sends that were turned away unrun cost a few ms each; more than these say
+# that the service is full.
+MOST_SENDS = 4
+
+
+class CallerGoneError(OSError):
+    """The caller has closed its connection."""
+
+
+class SendFailure(StrEnum):
+    """Why a send gave no answer that may be passed on."""
+
+    no_upstream = 'no upstream takes it'
+    no_time = 'no time is left'
+    no_connection = 'no connection'
+    turned_away = 'turned away'
+    foreign_answer = 'not its answer'
+    failed = 'the upstream failed'
+    lost = 'lost'
+    silent = 'silent'
+
+
+@dataclass(slots=True)
+class QuestionSender:
+    """Chooses upstreams and sends questions to them.
+
+    :param settings: what the process was told.
+    :param replicas: upstreams that may be routed to.
+    :param pool: connections to them.
+    :param draw: source of randomness.
+    """
+
+    settings: HostSettings
+    replicas: ReplicaRegister
+    pool: ConnectionPool
+    draw: random.Random
+
+    def send(self, question: Question) -> Result[Exchange, SendFailure]:
+        """Send a question until an upstream answers it, or may have run it.
+
+        :param question: the question; it holds the upstream that answered.
+        :returns: the answer, with its head read.
+        :raises CallerGoneError: when the caller has left.
+        """
+        outcome: Result[Exchange, SendFailure] = Err(SendFailure.no_upstream)
+        while len(question.tried) < MOST_SENDS and question.may_run_again:
+            if question.seconds_left <= 0:
+                return Err(SendFailure.no_time)
+            upstream = self._choose(question)
+            if upstream is None:
+                break
+            outcome = self._send_once(question, upstream)
+            if isinstance(outcome, Ok):
+                break
+            self.note_failure(question, upstream, outcome.err_value)
+        return outcome
+
+    def note_failure(
+        self,
+        question: Question,
+        upstream: UpstreamState,
+        why: SendFailure,
+    ) -> None:
+        """Learn from a send that failed.
+
+        :param question: what was sent.
+        :param upstream: where to.
+        :param why: what went wrong.
+        :raises CallerGoneError: when it went wrong because the caller left.
+        """
+        if question.is_gone:
+            raise CallerGoneError('the caller has left')
+        if why is not SendFailure.turned_away:
+            note_outcome(upstream, went_well=False, now=time.monotonic())
+        log_event(
+            Event.request_retried,
+            request=question.head.identity,
+            route=question.route.name,
+            upstream=upstream.name,
+            in_hand=upstream.in_hand,
+            reported=upstream.reported,
+            report_age=round(time.monotonic() - upstream.reported_at, 3),
+            failures=upstream.failures,
+            runs=question.runs,
+            seconds_left=round(question.seconds_left, 3),
+            why=why.value,
+        )
+
+    def _choose(self, question: Question) -> UpstreamState | None:
+        shared = question.head.prompt_parts[:-1]
+        ask = Ask(
+            service=question.service,
+            model='',
+            affinity=shared[-1] if shared else '',
+            data_centre=self.settings.data_centre,
+            region=self.settings.region,
+            excluded=frozenset(question.tried),
+        )
+        return choose_upstream(
+            self.replicas.list_upstreams(),
+            ask,
+            time.monotonic(),
+            self.draw,
+        )
+
+    def _send_once(
+        self,
+        question: Question,
+        upstream: UpstreamState,
+    ) -> Result[Exchange, SendFailure]:
+        question.tried.add(upstream.name)
+        begun = self.pool.begin(upstream.address, question.seconds_left)
+        if isinstance(begun, Err):
+            return Err(SendFailure.no_connection)
+        answer = begun.ok_value
+        question.hold(upstream, answer)
+        try:
+            answer.send(
+                _encode(question, upstream),
+                question.limit_silence(has_events=False),
+            )
+        except OSError as error:
+            question.release(is_broken=True)
+            return Err(name_break(error))
+        _note_load(upstream, answer)
+        failure = _judge(question, answer)
+        if failure is not None:
+            question.release(is_broken=failure is SendFailure.foreign_answer)
+            return Err(failure)
+        return Ok(answer)
+
+
+def name_break(error: OSError) -> SendFailure:
+    """Name how a connection broke.
+
+    :param error: what reading it raised.
+    :returns: silent where no byte came in time.
+    """
+    if isinstance(error, TimeoutError):
+        return SendFailure.silent
+    return SendFailure.lost
+
+
+def _judge(question: Question, answer: Exchange) -> SendFailure | None:
+    """Judge the head of an answer; nothing is wrong with what goes back."""
+    if ingress.has_not_run(answer):
+        question.runs -= 1
+        return SendFailure.turned_away
+    if not ingress.is_own_answer(answer, question.head.identity):
+        return SendFailure.foreign_answer
+    if not ingress.is_success(answer) and question.may_run_again:
+        return SendFailure.failed
+    return None
+
+
+def _encode(question: Question, upstream: UpstreamState) -> bytes:
+    send = ingress.Send(
+        upstream.name,
+        question.seconds_left,
+        question.resume_after,
+    )
+    return make_request(
+        question.request.method,
+        question.request.target,
+        ingress.list_onward_headers(question.request.headers, send),
+        question.body,
+    )
+
+
+def _note_load(upstream: UpstreamState, answer: Exchange) -> None:
+    load = register.parse_load(ingress.get_load(answer))
+    if load is not None:
+        upstream.reported = load.running + load.waiting
+        upstream.reported_at = time.monotonic()
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -8,13 +8,13 @@
 import msgspec
 from result import Err
 
-from wigeonpier.models import Replica, UpstreamReport
 from wigeonpier.platform import ingress, register
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
+    from wigeonpier.models import Replica, UpstreamReport
     from wigeonpier.platform.store import KeyValueStore
     from wigeonpier.web.exchange import ConnectionPool
 
--- a/src/wigeonpier/platform/process.py
+++ b/src/wigeonpier/platform/process.py
@@ -13,6 +13,7 @@
 
 FILE_VARIABLE = 'WIGEONPIER_NODE_FILE'
 USUAL_FILE = '/etc/wigeonpier/settings.toml'
+USUAL_STATUS_SECONDS = 120.0
 
 
 class _Listen(msgspec.Struct):
@@ -23,7 +24,9 @@
 class _Bounds(msgspec.Struct):
     grace_s: float = msgspec.field(name='graceS')
     catch_up_s: float = msgspec.field(name='catchUpS')
-    status_s: float = msgspec.field(name='statusS', default=120)
+    status_s: float = msgspec.field(
+        name='statusS', default=USUAL_STATUS_SECONDS
+    )
 
 
 class _Platform(msgspec.Struct):
--- a/src/wigeonpier/policy/placement.py
+++ b/src/wigeonpier/policy/placement.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from itertools import repeat
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.ranking import rank_by_key
@@ -50,7 +51,7 @@
     while len(owners) < count:
         chosen = min(names, key=load.__getitem__)
         load[chosen] += ITEMS_TOGETHER
-        owners += [chosen] * ITEMS_TOGETHER
+        owners.extend(repeat(chosen, ITEMS_TOGETHER))
     return tuple(owners[:count])
 
 
@@ -83,11 +84,10 @@
     jobs: list[OpenJob],
     now: float,
 ) -> dict[str, float]:
-    load = dict.fromkeys(names, 0.0)
+    load: dict[str, float] = dict.fromkeys(names, 0)
     for job in jobs:
         age = max(0, now - job.sent_at)
         weight = max(0, 1 - age / WORK_FADES_SECONDS)
-        for owner in job.owners:
-            if owner in load:
-                load[owner] += weight
+        for owner in load.keys() & set(job.owners):
+            load[owner] += weight * job.owners.count(owner)
     return load
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -23,6 +23,7 @@
     request_broken = (204, ODD, 'A connection broke under an answer.')
     request_retried = (202, NOTE, 'A request goes to another upstream.')
     stream_resumed = (203, ODD, 'A stream goes on at another upstream.')
+    request_unanswered = (205, ODD, 'A request got no answer of an upstream.')
     upstream_added = (300, NOTE, 'An upstream is routed to.')
     upstream_removed = (301, ODD, 'An upstream is no longer routed to.')
     upstream_leaving = (303, NOTE, 'An upstream takes no new work.')
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -36,6 +36,7 @@
 # Upstreams close idle connections; one that rested longer is not trusted.
 LONGEST_IDLE_SECONDS = 4.0
 MOST_IDLE = 32
+LEAST_PATIENCE_SECONDS = 0.001
 INTERIM_STATUSES = 200
 HOP_HEADERS = frozenset(
     (
@@ -55,7 +56,7 @@
     """The answer ended before its end, or is no answer."""
 
 
-class _Parser(HTTPResponse):
+class _Parser(HTTPResponse):  # type: ignore[misc]
     """Takes one answer; anything that follows it is refused."""
 
     def _on_message_begin(self) -> None:
@@ -186,7 +187,7 @@
         )
 
     def _receive(self, patience: float) -> None:
-        self._sock.settimeout(max(patience, 0.001))
+        self._sock.settimeout(max(patience, LEAST_PATIENCE_SECONDS))
         data = self._sock.recv(READ_BYTES)
         had_whole = self.is_whole
         try:
--- a/src/wigeonpier/web/messages.py
+++ b/src/wigeonpier/web/messages.py
@@ -149,7 +149,7 @@
     )
     response = answer_json(page, refusal.status)
     if refusal.retry_seconds is not None:
-        response.headers['Retry-After'] = f'{refusal.retry_seconds:g}'
+        response.headers['Retry-After'] = str(refusal.retry_seconds)
     elif refusal.retry_after is not None:
         response.headers['Retry-After'] = str(refusal.retry_after)
     return response
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -103,7 +103,7 @@
 class _Handler(pywsgi.WSGIHandler):
     """Logs broken connections as events instead of traces."""
 
-    def get_environ(self) -> dict[str, Any]:
+    def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         environ: dict[str, Any] = super().get_environ()
         environ[TARGET] = self.path
         environ[CONNECTION] = self.socket
--- /dev/null
+++ b/tests/hosted/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemons on the users' platform."""
--- /dev/null
+++ b/tests/hosted/builders.py
@@ -0,0 +1,214 @@
+"""Builders of a small site on loopback with stand-ins of the platform."""
+
+from __future__ import annotations
+
+import base64
+import socket
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+
+from wigeonpier.bench.replica import StandInReplica
+from wigeonpier.bench.store import StandInStore
+from wigeonpier.hosted.app import Common, EntryApp, StorageApp, WorkerApp
+from wigeonpier.models import Bounds, HostSettings, OpenJob
+from wigeonpier.web.exchange import ConnectionPool, make_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.web.client import Reply
+
+HOST = 'site.example'
+SERVICE = 'assistant'
+DATA_CENTRE = 'suva-a'
+PATIENCE_SECONDS = 10.0
+STEP_SECONDS = 0.02
+
+
+def make_route_entry(kind: str, prefix: str, **changes: Any) -> dict[str, Any]:
+    """Write a route as the operator does."""
+    return {
+        'name': f'r{prefix.strip("/")}',
+        'host': HOST,
+        'pathPrefix': prefix,
+        'kind': kind,
+        'service': SERVICE,
+        'timeoutMs': 5000,
+        'targetLatencyMs': 300,
+        'maxAttempts': 2,
+        'resumable': True,
+        'runAimMs': 18000,
+        'retentionS': 60,
+    } | changes
+
+
+def make_configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Write a configuration as the operator does."""
+    return {
+        'version': version,
+        'routes': [
+            make_route_entry('streaming', '/ask/'),
+            make_route_entry(
+                'streaming', '/once/', resumable=False, maxAttempts=1
+            ),
+            make_route_entry('batch_run', '/jobs/', maxAttempts=3),
+        ],
+        'limits': {'maxBodyBytes': 4_000_000},
+    } | changes
+
+
+def make_settings(name: str, store: str, upstream: str = '') -> HostSettings:
+    """Make the settings of a process on loopback, on free ports."""
+    return HostSettings(
+        name=name,
+        data_centre=DATA_CENTRE,
+        region='viti-levu',
+        regions={DATA_CENTRE: 'viti-levu'},
+        store=store,
+        store_history=20,
+        bounds=Bounds(grace=8, catch_up=4.7, job_readable=120),
+        callers=f'127.0.0.1:{take_port()}',
+        readiness=f'127.0.0.1:{take_port()}',
+        metrics=f'127.0.0.1:{take_port()}',
+        upstream=upstream,
+        service=SERVICE,
+    )
+
+
+def make_open_job(name: str = 'j', **changes: Any) -> OpenJob:
+    """Make a job as the board shows it."""
+    known = {
+        'name': name,
+        'route': 'rjobs',
+        'host': HOST,
+        'service': SERVICE,
+        'sent_at': 0.0,
+        'run_objective': 18.0,
+        'retention': 60.0,
+        'tries': 3,
+        'tokens': 100,
+        'owners': (),
+    }
+    return OpenJob(**(known | changes))
+
+
+def take_port() -> int:
+    """Find a free port."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return int(sock.getsockname()[1])
+
+
+def wait_for(is_so: Callable[[], object], what: str) -> None:
+    """Wait until something holds; fail by its name after a while."""
+    give_up = time.monotonic() + PATIENCE_SECONDS
+    while not is_so():
+        assert time.monotonic() < give_up, f'never: {what}'
+        gevent.sleep(STEP_SECONDS)
+
+
+@dataclass
+class HostedSite:
+    """A site: a store, replicas with workers, entries, one dealer."""
+
+    store: StandInStore = field(default_factory=StandInStore)
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    replicas: list[StandInReplica] = field(default_factory=list)
+    workers: list[WorkerApp] = field(default_factory=list)
+    entries: list[EntryApp] = field(default_factory=list)
+    addresses: list[str] = field(default_factory=list)
+    store_address: str = ''
+
+    def start(self, replicas: int = 2, entries: int = 1, **shape: Any) -> None:
+        """Start everything and wait until it is ready."""
+        self.store_address = self.store.start()
+        self.store.put('op/config', make_configuration())
+        for number in range(replicas):
+            self.add_replica(f'i-{number}', **shape)
+        for number in range(entries):
+            app = EntryApp(self._make_common(f'edge-{number}'))
+            self.addresses.append(app.start())
+            self.entries.append(app)
+        StorageApp(self._make_common('storage-0')).start()
+        wait_for(
+            lambda: all(app.is_ready for app in self.entries),
+            'entries are ready',
+        )
+        wait_for(
+            lambda: len(self.list_members()) == replicas,
+            'workers are members',
+        )
+
+    def add_replica(self, name: str, **shape: Any) -> StandInReplica:
+        """Start a replica with the worker beside it."""
+        replica = StandInReplica(name, SERVICE, self.store, **shape)
+        replica.start(DATA_CENTRE)
+        common = self._make_common(f'side-{name}', replica.address)
+        worker = WorkerApp(common)
+        worker.start()
+        self.replicas.append(replica)
+        self.workers.append(worker)
+        return replica
+
+    def _make_common(self, name: str, upstream: str = '') -> Common:
+        return Common(make_settings(name, self.store_address, upstream))
+
+    def list_members(self) -> list[str]:
+        """List who runs items."""
+        return self.store.list_keys('wigeonpier/hosted/board/members/')
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        identity: str = '',
+        body: bytes = b'',
+        *,
+        entry: int = 0,
+        **headers: str,
+    ) -> Reply:
+        """Call an entry and read its whole answer."""
+        listed = [('Host', HOST), ('X-Deadline-Ms', '5000')]
+        if identity:
+            listed.append(('X-Attempt-Id', identity))
+        listed += [
+            (name.replace('_', '-'), text) for name, text in headers.items()
+        ]
+        raw = make_request(method, target, listed, body)
+        called = self.pool.call(self.addresses[entry], raw, PATIENCE_SECONDS)
+        return called.unwrap()
+
+    def hand_in(self, job: str, items: int = 4, *, entry: int = 0) -> Reply:
+        """Hand in a job."""
+        content = {
+            'items': [
+                {
+                    'id': f'{job}{number}',
+                    'path': f'/jobs/{job}/{number}',
+                    'headers': {'X-Token-Counts': '10,20'},
+                    'body': base64.b64encode(b'{}').decode(),
+                    'tokens': 30,
+                }
+                for number in range(items)
+            ],
+        }
+        body = msgspec.json.encode(content)
+        return self.call('POST', '/jobs/x', job, body, entry=entry)
+
+    def read_results(self, job: str, *, entry: int = 0) -> dict[str, Any]:
+        """Read all results of a job."""
+        reply = self.call('GET', f'/-/lots/{job}?after=0', entry=entry)
+        assert reply.status == 200, reply
+        return msgspec.json.decode(reply.body)
+
+    def wait_for_results(self, job: str, count: int) -> list[dict[str, Any]]:
+        """Wait until a job has so many results."""
+        wait_for(
+            lambda: len(self.read_results(job)['results']) >= count,
+            f'{count} results of {job}',
+        )
+        return self.read_results(job)['results']
--- /dev/null
+++ b/tests/hosted/test_whole_path.py
@@ -0,0 +1,226 @@
+"""Questions and jobs through the real daemons, over loopback."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from tests.hosted.builders import (
+    HostedSite,
+    make_configuration,
+    make_route_entry,
+    wait_for,
+)
+
+
+@pytest.fixture
+def site() -> HostedSite:
+    """Make a site; each test starts it as it needs."""
+    return HostedSite()
+
+
+def test_question_is_streamed_whole(site: HostedSite) -> None:
+    site.start()
+    reply = site.call('POST', '/ask/1', 'q1', b'{}')
+    assert reply.status == 200
+    assert reply.body.count(b'data: q1-') == 10
+
+
+def test_unknown_route_is_404_and_no_configuration_503(
+    site: HostedSite,
+) -> None:
+    site.start()
+    assert site.call('POST', '/nowhere/1', 'q1').status == 404
+    site.entries[0]._configuration.current = None
+    assert site.call('POST', '/nowhere/1', 'q2').status == 503
+
+
+def test_resumable_stream_goes_on_elsewhere(site: HostedSite) -> None:
+    site.start()
+    for replica in site.replicas:
+        replica.faults.break_after = 1
+    site.replicas[1].faults.break_after = 0
+    site.replicas[1].faults.turn_away = 0
+    for number in range(4):
+        reply = site.call('POST', '/ask/1', f'q{number}', b'{}')
+        texts = [line for line in reply.body.splitlines() if b'data' in line]
+        assert texts == [
+            f'data: q{number}-{event}'.encode() for event in range(1, 11)
+        ]
+
+
+def test_unrepeatable_request_never_runs_twice(site: HostedSite) -> None:
+    site.start()
+    for replica in site.replicas:
+        replica.faults.fail = 1
+    reply = site.call('POST', '/once/1', 'q1', b'{}')
+    assert reply.status == 500
+    assert sum(replica.runs['q1'] for replica in site.replicas) == 1
+
+
+def test_request_turned_away_runs_elsewhere(site: HostedSite) -> None:
+    site.start()
+    site.replicas[0].faults.turn_away = 1
+    site.replicas[1].faults.turn_away = 0
+    for number in range(3):
+        assert site.call('POST', '/once/1', f'q{number}').status == 200
+
+
+def test_refusal_says_not_run_where_all_turned_away(site: HostedSite) -> None:
+    site.start()
+    for replica in site.replicas:
+        replica.faults.turn_away = 9
+    assert site.call('POST', '/once/1', 'q1', b'{}').status == 503
+    assert not any(replica.runs['q1'] for replica in site.replicas)
+
+
+def test_plain_answer_is_passed_on_whole(site: HostedSite) -> None:
+    """Not every answer of an upstream is an event stream."""
+    site.start()
+    site.replicas[0].faults.impossible.add('q1')
+    site.replicas[1].faults.impossible.add('q1')
+    reply = site.call('POST', '/once/1', 'q1', b'{}')
+    assert (reply.status, reply.body) == (422, b'{}')
+
+
+def test_leaving_upstream_gets_nothing_new(site: HostedSite) -> None:
+    site.start()
+    site.replicas[0].state = 'draining'
+    site.replicas[0].register('suva-a')
+    gevent.sleep(0.1)
+    for number in range(6):
+        assert site.call('POST', '/ask/1', f'q{number}').status == 200
+    assert not site.replicas[0].runs
+
+
+def test_older_configuration_is_not_applied(site: HostedSite) -> None:
+    site.start()
+    newer = make_configuration(
+        3, routes=[make_route_entry('streaming', '/new/')]
+    )
+    site.store.put('op/config', newer)
+    wait_for(
+        lambda: site.call('POST', '/new/1', 'q1').status == 200,
+        'the new route is in force',
+    )
+    site.store.put('op/config', make_configuration(2))
+    gevent.sleep(0.2)
+    assert site.call('POST', '/new/1', 'q2').status == 200
+
+
+def test_job_runs_each_item_and_keeps_positions(site: HostedSite) -> None:
+    site.start(entries=2)
+    assert site.hand_in('j', 7).status == 202
+    results = site.wait_for_results('j', 7)
+    assert {found['id'] for found in results} == {f'j{n}' for n in range(7)}
+    for found in results:
+        assert found['state'] == 'completed'
+        expected = site.replicas[0].make_output(found['id'])
+        assert found['output'] == expected
+    assert site.read_results('j', entry=1)['results'] == results
+
+
+def test_resent_job_is_accepted_once(site: HostedSite) -> None:
+    site.start(entries=2)
+    assert site.hand_in('j').status == 202
+    assert site.hand_in('j', entry=1).status == 202
+    site.wait_for_results('j', 4)
+    runs = sum(
+        count for replica in site.replicas for count in replica.runs.values()
+    )
+    assert runs == 4
+
+
+def test_lost_answer_of_the_store_accepts_once(site: HostedSite) -> None:
+    site.start()
+    site.store.faults.lost_writes = 1
+    assert site.hand_in('j').status == 202
+    assert len(site.wait_for_results('j', 4)) == 4
+
+
+def test_store_away_refuses_and_keeps_nothing(site: HostedSite) -> None:
+    site.start()
+    site.store.faults.is_down = True
+    assert site.hand_in('j').status == 503
+    site.store.faults.is_down = False
+    assert site.call('GET', '/-/lots/j?after=0').status == 404
+
+
+def test_body_is_given_and_unknown_job_is_404(site: HostedSite) -> None:
+    site.start()
+    site.hand_in('j')
+    assert site.call('GET', '/-/items/j?id=j1').body == b'{}'
+    assert site.call('GET', '/-/items/j?id=none').status == 404
+    assert site.call('GET', '/-/lots/none?after=0').status == 404
+
+
+def test_ended_job_stops(site: HostedSite) -> None:
+    site.start(event_seconds=0.3)
+    site.hand_in('j', 4)
+    wait_for(
+        lambda: any(replica.running for replica in site.replicas),
+        'items run',
+    )
+    assert site.call('DELETE', '/-/lots/j').status == 200
+    assert site.call('DELETE', '/-/lots/j').status == 200
+    wait_for(
+        lambda: not any(replica.running for replica in site.replicas),
+        'items have stopped',
+    )
+    assert not site.store.list_keys('wigeonpier/hosted/work/')
+
+
+def test_impossible_item_is_abandoned(site: HostedSite) -> None:
+    site.start()
+    for replica in site.replicas:
+        replica.faults.impossible.add('j0')
+    site.hand_in('j', 2)
+    results = site.wait_for_results('j', 2)
+    states = {found['id']: found['state'] for found in results}
+    assert states == {'j0': 'abandoned', 'j1': 'completed'}
+    assert sum(replica.runs['j0'] for replica in site.replicas) == 1
+
+
+def test_item_that_always_fails_is_abandoned_after_its_tries(
+    site: HostedSite,
+) -> None:
+    site.start(replicas=1)
+    site.replicas[0].faults.fail = 9
+    site.hand_in('j', 1)
+    results = site.wait_for_results('j', 1)
+    assert results[0]['state'] == 'abandoned'
+    assert site.replicas[0].runs['j0'] == 3
+
+
+def test_items_of_a_lost_worker_run_elsewhere(site: HostedSite) -> None:
+    site.start(event_seconds=0.2)
+    site.hand_in('j', 6)
+    wait_for(
+        lambda: all(replica.running for replica in site.replicas),
+        'items run at both',
+    )
+    site.replicas[0].stop()
+    site.store.remove('servers/i-0')
+    results = site.wait_for_results('j', 6)
+    assert {found['state'] for found in results} == {'completed'}
+
+
+def test_quota_refuses_what_does_not_fit(site: HostedSite) -> None:
+    site.start(event_seconds=0.2)
+    routes = [make_route_entry('batch_run', '/jobs/', maxCount=200)]
+    site.store.put('op/config', make_configuration(2, routes=routes))
+    gevent.sleep(0.1)
+    assert site.hand_in('j', 4).status == 202
+    assert site.hand_in('k', 4).status == 429
+    assert site.hand_in('j', 4).status == 202
+    site.wait_for_results('j', 4)
+    assert site.hand_in('k', 4).status == 202
+
+
+def test_history_that_is_gone_loses_nothing(site: HostedSite) -> None:
+    site.start()
+    site.hand_in('j', 4)
+    site.store.compact()
+    site.wait_for_results('j', 4)
+    site.hand_in('k', 4)
+    site.wait_for_results('k', 4)
