--- a/src/wigeonpier/policy/pacing.py
+++ b/src/wigeonpier/policy/pacing.py
@@ -125,9 +125,15 @@
 
 
 def _rank(upstream: UpstreamView, item: ItemView) -> tuple[bool, float]:
-    """Rank an item: what can be in time goes first, least slack first."""
-    left = upstream.run_seconds * (1 - item.done_share)
-    return (item.seconds_left < left, measure_slack(upstream, item))
+    """Rank an item: what can be in time goes first, soonest due first.
+
+    What has run already goes before what is due as soon, as if it were due
+    earlier by the time that it ran: to share slots evenly among all would
+    finish each of them late.
+    """
+    ran = upstream.run_seconds * item.done_share
+    left = upstream.run_seconds - ran
+    return (item.seconds_left < left, item.seconds_left - ran)
 
 
 def _choose_to_pause(
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,134 @@
+"""What the operator, replicas and callers write, decoded once."""
+
+from __future__ import annotations
+
+import base64
+
+import msgspec
+import pytest
+
+from tests.hosted.builders import make_configuration, make_route_entry
+from wigeonpier.models import (
+    ItemResult,
+    ItemState,
+    JobItem,
+    RouteKind,
+    UpstreamReport,
+)
+from wigeonpier.platform import ingress, operator, register
+from wigeonpier.platform.process import read_settings
+from wigeonpier.settings.document import DocumentError
+from wigeonpier.web.messages import Request
+
+SETTINGS = """
+node = "side-1"
+zone = "suva-a"
+region = "viti-levu"
+ip = "10.1.0.12"
+internalPorts = [7720, 7735]
+app = "10.1.0.12:8165"
+service = "s"
+somethingNew = 1
+[zones]
+suva-a = "viti-levu"
+[listen]
+[bounds]
+graceS = 8
+catchUpS = 4.7
+[platform]
+address = "10.200.1.7:8169"
+historyS = 20
+"""
+
+
+def test_settings_are_read_and_unknown_fields_left(tmp_path) -> None:
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS)
+    settings = read_settings(str(path))
+    assert settings.upstream == '10.1.0.12:8165'
+    assert settings.metrics == '10.1.0.12:7720'
+    assert settings.store_history == 20
+
+
+def test_a_mistake_in_settings_is_named(tmp_path) -> None:
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS.replace('graceS = 8', 'graceS = "long"'))
+    with pytest.raises(DocumentError, match='graceS'):
+        read_settings(str(path))
+
+
+def test_kinds_of_routes_say_what_may_be_repeated() -> None:
+    routes = [
+        make_route_entry('safe', '/a/'),
+        make_route_entry('unsafe', '/b/'),
+        make_route_entry('streaming', '/c/', resumable=True),
+        make_route_entry('streaming', '/d/', resumable=False),
+        make_route_entry('some-new-kind', '/e/'),
+    ]
+    raw = msgspec.json.encode(make_configuration(routes=routes))
+    found = operator.decode_configuration(raw).routes
+    assert [route.is_idempotent for route in found] == [
+        True,
+        False,
+        True,
+        False,
+        False,
+    ]
+    assert found[4].kind is RouteKind.once
+
+
+def test_load_of_an_upstream_is_read_or_left() -> None:
+    assert register.parse_load('3,1,8') == UpstreamReport(3, 1)
+    assert register.parse_load('') is None
+    assert register.parse_load('x,1,8') is None
+
+
+def test_headers_of_a_send_replace_the_callers() -> None:
+    received = {
+        'host': 'h',
+        'x-deadline-ms': '5000',
+        'x-expect-instance': 'forged',
+        'last-event-id': '3',
+        'connection': 'close',
+        'x-model': 'm',
+    }
+    send = ingress.Send('i-1', 1.5, '7')
+    listed = ingress.list_onward_headers(received, send)
+    assert sorted(listed) == [
+        ('Host', 'h'),
+        ('Last-Event-Id', '7'),
+        ('X-Deadline-Ms', '1500'),
+        ('X-Expect-Instance', 'i-1'),
+        ('X-Model', 'm'),
+    ]
+
+
+def test_parts_of_a_prompt_are_read() -> None:
+    headers = {'x-prompt-prefix': 'a:800,b:410', 'x-deadline-ms': '250'}
+    head = ingress.read_question(Request('POST', '/', '', headers, None))
+    assert head.prompt_parts == ('a', 'b')
+    assert head.seconds == 0.25
+
+
+def test_items_are_decoded_and_nonsense_is_refused() -> None:
+    body = base64.b64encode(b'\x00').decode()
+    item = {'id': 'i', 'path': '/p', 'body': body, 'tokens': 3}
+    raw = msgspec.json.encode({'items': [item]})
+    assert ingress.decode_items(raw) == [JobItem('i', '/p', {}, b'\x00', 3)]
+    for bad in (
+        b'{}',
+        b'[]',
+        msgspec.json.encode({'items': [item | {'body': 'a'}]}),
+    ):
+        with pytest.raises(ValueError):
+            ingress.decode_items(bad)
+
+
+def test_results_are_written_as_the_pages_say() -> None:
+    found = ItemResult('i', ItemState.abandoned, '')
+    page = msgspec.json.decode(ingress.encode_results(4, 2, [found]))
+    assert page == {
+        'total': 4,
+        'next': 2,
+        'results': [{'id': 'i', 'state': 'abandoned', 'output': ''}],
+    }
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,111 @@
+"""Client of the key-value service against its stand-in."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from result import Err, Ok
+
+from wigeonpier.bench.store import StandInStore
+from wigeonpier.platform.port import Commit, Failure
+from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.exchange import ConnectionPool
+
+
+@pytest.fixture
+def stand_in() -> StandInStore:
+    """Make a stand-in."""
+    return StandInStore()
+
+
+@pytest.fixture
+def store(stand_in: StandInStore) -> KeyValueStore:
+    """Make a client of it."""
+    address = stand_in.start()
+    return KeyValueStore(ConnectionPool(), address, Metrics(), 20)
+
+
+def test_written_keys_are_read_back(store: KeyValueStore) -> None:
+    revision = store.commit(Commit({'a/1': 0}, {'a/1': b'\x00x'})).unwrap()
+    entry = store.get('a/1').unwrap()
+    assert entry is not None
+    assert (entry.value, entry.revision) == (b'\x00x', revision)
+    assert entry.created == revision
+    assert store.get('a/2') == Ok(None)
+    assert [one.key for one in store.list_prefix('a/').unwrap().entries] == [
+        'a/1'
+    ]
+
+
+def test_a_guard_that_does_not_hold_changes_nothing(
+    store: KeyValueStore,
+) -> None:
+    store.commit(Commit({'a': 0}, {'a': b'1'}))
+    outcome = store.commit(Commit({'a': 0}, {'a': b'2', 'b': b'2'}))
+    assert outcome == Err(Failure.conflict)
+    assert store.get('b') == Ok(None)
+
+
+def test_a_lost_answer_is_unknown_and_may_stand(
+    store: KeyValueStore, stand_in: StandInStore
+) -> None:
+    stand_in.faults.lost_writes = 1
+    outcome = store.commit(Commit({'a': 0}, {'a': b'1'}))
+    assert outcome == Err(Failure.unknown)
+    assert store.get('a').unwrap() is not None
+
+
+def test_a_refusal_did_nothing(
+    store: KeyValueStore, stand_in: StandInStore
+) -> None:
+    stand_in.faults.is_down = True
+    assert store.commit(Commit({}, {'a': b'1'})) == Err(Failure.unavailable)
+    assert store.get('a') == Err(Failure.unavailable)
+    stand_in.faults.is_down = False
+    assert store.get('a') == Ok(None)
+
+
+def test_many_pages_are_read_whole(
+    store: KeyValueStore, stand_in: StandInStore
+) -> None:
+    for number in range(600):
+        stand_in.put(f'k/{number}', number)
+    snapshot = store.list_prefix('k/').unwrap()
+    assert len(snapshot.entries) == 600
+
+
+def test_a_watch_sees_each_change_in_order(store: KeyValueStore) -> None:
+    seen = []
+    start = store.list_prefix('w/').unwrap().revision
+
+    def follow() -> None:
+        for change in store.watch('w/', start):
+            seen.append((change.key, change.value))
+
+    greenlet = gevent.spawn(follow)
+    for number in range(5):
+        store.commit(Commit(writes={f'w/{number}': b'x'}))
+    store.commit(Commit(deletes=('w/0',)))
+    gevent.sleep(0.2)
+    greenlet.kill()
+    assert seen == [(f'w/{n}', b'x') for n in range(5)] + [('w/0', None)]
+
+
+def test_history_that_is_gone_is_told(
+    store: KeyValueStore, stand_in: StandInStore
+) -> None:
+    stand_in.put('w/1', 1)
+    stand_in.compact()
+    assert store.await_changes('w/', 1, 0) == Err(Failure.unavailable)
+
+
+def test_keys_go_with_their_lease(store: KeyValueStore) -> None:
+    lease = store.grant_lease(1).unwrap()
+    store.commit(Commit(writes={'m': b'1'}, lease=lease))
+    assert store.keep_lease(lease) == Ok(True)
+    store.end_lease(lease)
+    assert store.get('m') == Ok(None)
+    assert store.keep_lease(lease) == Ok(False)
+    late = store.commit(Commit(writes={'m': b'1'}, lease=lease))
+    assert late == Err(Failure.lapsed)
--- /dev/null
+++ b/tests/web/test_exchange.py
@@ -0,0 +1,117 @@
+"""One request and its answer on a connection of our own."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+from result import Err
+
+from wigeonpier.hosted.events import EventReader
+from wigeonpier.web.client import CallFailure
+from wigeonpier.web.exchange import ConnectionPool, make_request, watch_close
+
+REQUEST = make_request('GET', '/', [('Host', 'h')])
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Peer:
+    """Sends given bytes to whoever asks, then waits or closes."""
+
+    def __init__(self, *answers: bytes, closes: bool = False) -> None:
+        """Answer each request of a connection with the next bytes."""
+        self.connections = 0
+        self._answers = answers
+        self._closes = closes
+        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+
+    def _serve(self, sock, _address) -> None:
+        self.connections += 1
+        for answer in self._answers:
+            if not sock.recv(65536):
+                return
+            sock.sendall(answer)
+        if not self._closes:
+            sock.recv(65536)
+
+
+def test_a_clean_connection_is_used_again() -> None:
+    peer = Peer(WHOLE, WHOLE)
+    pool = ConnectionPool()
+    for _call in range(2):
+        assert pool.call(peer.address, REQUEST, 1).unwrap().body == b'ok'
+    assert peer.connections == 1
+
+
+@pytest.mark.parametrize('extra', [WHOLE, b'garbage'])
+def test_bytes_after_an_answer_reach_nobody(extra: bytes) -> None:
+    """A second answer right behind the first belongs to no request."""
+    peer = Peer(WHOLE + extra)
+    pool = ConnectionPool()
+    for _call in range(2):
+        assert pool.call(peer.address, REQUEST, 1).unwrap().body == b'ok'
+    assert peer.connections == 2
+
+
+def test_bytes_that_come_late_reach_nobody() -> None:
+    peer = Peer(WHOLE)
+    pool = ConnectionPool()
+    opened = pool.exchange(peer.address, REQUEST, 1).unwrap()
+    opened.read(1)
+    opened.close()
+    pool.call(peer.address, REQUEST, 1)
+    gevent.sleep(0.05)
+    assert pool.call(peer.address, REQUEST, 1).unwrap().body == b'ok'
+
+
+def test_an_answer_that_ends_early_is_lost() -> None:
+    peer = Peer(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok', closes=True)
+    called = ConnectionPool().call(peer.address, REQUEST, 1)
+    assert called == Err(CallFailure.lost)
+
+
+def test_an_answer_without_length_ends_with_its_connection() -> None:
+    peer = Peer(b'HTTP/1.1 200 OK\r\n\r\nok', closes=True)
+    opened = ConnectionPool().exchange(peer.address, REQUEST, 1).unwrap()
+    assert opened.read(1) == b'ok'
+    assert opened.is_unframed
+
+
+def test_a_silent_peer_is_given_up_in_time() -> None:
+    peer = Peer(b'')
+    called = ConnectionPool().call(peer.address, REQUEST, 0.1)
+    assert called == Err(CallFailure.lost)
+
+
+def test_nobody_listening_is_not_sent() -> None:
+    called = ConnectionPool().call('127.0.0.1:1', REQUEST, 0.5)
+    assert called == Err(CallFailure.not_sent)
+
+
+def test_events_are_taken_whole_or_not_at_all() -> None:
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n'
+    peer = Peer(head + b'id: 1\ndata: a\n\nid: 2\ndata', closes=True)
+    opened = ConnectionPool().exchange(peer.address, REQUEST, 1).unwrap()
+    reader = EventReader(opened)
+    event = reader.read(1)
+    assert event is not None
+    assert (event.identity, event.text) == ('1', 'a')
+    with pytest.raises(OSError):
+        reader.read(1)
+
+
+def test_a_caller_that_leaves_is_seen() -> None:
+    gone = []
+    server = StreamServer(
+        ('127.0.0.1', 0),
+        lambda sock, _address: watch_close(sock, lambda: gone.append(1)).join(),
+    )
+    server.start()
+    caller = gevent.socket.create_connection(('127.0.0.1', server.server_port))
+    gevent.sleep(0.05)
+    assert not gone
+    caller.close()
+    gevent.sleep(0.05)
+    assert gone
