--- a/src/wigeonpier/bench/store.py
+++ b/src/wigeonpier/bench/store.py
@@ -95,6 +95,11 @@
         spawn_loop('expiry', self._expire)
         return self._server.address
 
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
     def put(self, key: str, content: Any) -> int:
         """Write a key as the operator and replicas do.
 
--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -12,9 +12,12 @@
 import gevent
 
 from wigeonpier.errors import Refusal
+from wigeonpier.hosted.acceptance import JobAcceptor
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.configuration import ConfigurationWatch
 from wigeonpier.hosted.dealer import Dealer
+from wigeonpier.hosted.holder import JobHolder
+from wigeonpier.hosted.intake import Intake
 from wigeonpier.hosted.jobs import JobDesk
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.membership import Membership
@@ -26,16 +29,17 @@
 from wigeonpier.hosted.runner import ItemRunner
 from wigeonpier.hosted.sender import QuestionSender
 from wigeonpier.hosted.upstream import OwnUpstream
+from wigeonpier.hosted.views import JobViews
 from wigeonpier.loops import spawn_loop
-from wigeonpier.models import Member
-from wigeonpier.platform import ingress
+from wigeonpier.models import DiskMember, Member
+from wigeonpier.platform import ingress, keys
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.exchange import ConnectionPool
 from wigeonpier.web.messages import Response, answer_refusal
 from wigeonpier.web.pages import METRICS_TYPE
-from wigeonpier.web.server import Server
+from wigeonpier.web.server import Server, dispatch_to
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,11 +130,15 @@
             common.metrics,
             common.draw,
         )
+        ledger = JobLedger(common.store)
+        self._holder = JobHolder(settings, ledger, common.pool)
+        views = JobViews(ledger, self._holder.is_held)
         self._jobs = JobDesk(
             self._configuration,
-            JobLedger(common.store),
+            ledger,
+            views,
+            JobAcceptor(ledger, views, self._holder, common.draw),
             common.metrics,
-            common.draw,
         )
         self._callers = Server(*split_address(settings.callers), self._answer)
         self._balancer = Server(
@@ -147,6 +155,7 @@
         self._balancer.start()
         self._configuration.start()
         self._replicas.start()
+        self._holder.start()
         self._callers.start()
         return self._callers.address
 
@@ -225,6 +234,7 @@
         )
         self._membership = Membership(
             common.store,
+            keys.name_member(settings.name),
             Member(settings.name, settings.service, settings.data_centre),
         )
 
@@ -263,28 +273,56 @@
 
 
 class StorageApp:
-    """The process on a VM with a disk: moves items, answers retire orders."""
+    """The process on a VM with a disk.
+
+    It keeps accepted jobs while the store is away, hands the items of lost
+    processes to others, and answers for its disk when it is to be emptied.
+    """
 
     def __init__(self, common: Common) -> None:
         """Wire the process; nothing runs yet."""
+        settings = common.settings
+        ledger = JobLedger(common.store)
         self._common = common
-        self._retire = RetireDesk(common.store, common.draw)
-        self._dealer = Dealer(JobLedger(common.store), common.draw)
+        self._intake = Intake(settings.data_folder, ledger, common.draw)
+        self._dealer = Dealer(ledger, common.draw)
+        self._disk = Membership(
+            common.store,
+            keys.name_disk(settings.name),
+            DiskMember(settings.name, settings.peers),
+        )
+        self._retire = RetireDesk(
+            settings.name,
+            ledger,
+            self._intake,
+            self._disk,
+            common.draw,
+        )
+        self._server = Server(
+            *split_address(settings.peers),
+            dispatch_to(self._intake.make_routes()),
+        )
 
     def start(self) -> str:
-        """Follow the members and the operator's orders.
+        """Listen, and follow the members and the operator's orders.
 
-        :returns: address of the numbers.
+        :returns: address for entries.
         """
-        server = self._common.serve_metrics()
+        self._common.serve_metrics()
+        self._server.start()
+        self._disk.is_wanted = True
+        self._disk.start()
+        self._intake.start()
         self._retire.start()
         self._dealer.start()
-        return server.address
+        return self._server.address
 
-    def leave(self, _seconds: float) -> int:
-        """Leave at once; nothing is in hand.
+    def leave(self, seconds: float) -> int:
+        """Take no job any more; what is held stays on the disk.
 
-        :param _seconds: longest time.
-        :returns: 0.
+        :param seconds: longest time.
+        :returns: requests that are still in hand.
         """
-        return 0
+        self._intake.is_closed = True
+        self._disk.leave()
+        return self._server.drain(seconds)
--- /dev/null
+++ b/src/wigeonpier/hosted/holder.py
@@ -0,0 +1,125 @@
+"""Has jobs kept on disks while the store does not take them."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Ok
+
+from wigeonpier.hosted.intake import INTAKE_PATH
+from wigeonpier.hosted.ledger import Board
+from wigeonpier.loops import spawn_loop
+from wigeonpier.models import HeldJob
+from wigeonpier.web.exchange import make_request
+
+if TYPE_CHECKING:
+    from wigeonpier.hosted.ledger import JobLedger
+    from wigeonpier.models import DiskMember, HostSettings, JobItem, OpenJob
+    from wigeonpier.web.exchange import ConnectionPool
+
+# A disk syncs in 1 to 2 ms; one that takes longer than this is not waited
+# for, since a caller wants its answer within 0.4 s.
+KEEP_SECONDS = 0.15
+# Disks that came are known by then, at one call to the store.
+BOARD_SECONDS = 20.0
+BOARD_STEP_SECONDS = 1.0
+# A job that disks hold is in the store within seconds of its return.
+HELD_SECONDS = 20.0
+
+
+@dataclass(slots=True)
+class Holding:
+    """How a job was kept on disks.
+
+    :param copies: disks that confirmed it.
+    :param may_stand: whether any disk may have it.
+    """
+
+    copies: int = 0
+    may_stand: bool = False
+
+
+@dataclass(slots=True)
+class JobHolder:
+    """Sends jobs to the processes with disks.
+
+    :param settings: what the process was told.
+    :param ledger: jobs in the store, to learn who has a disk.
+    :param pool: connections to the disks.
+    :param board: the board as last read.
+    :param read_at: when it was read.
+    :param held: when jobs were held, by id.
+    """
+
+    settings: HostSettings
+    ledger: JobLedger
+    pool: ConnectionPool
+    board: Board = field(default_factory=Board)
+    read_at: float = 0
+    held: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def copies_needed(self) -> int:
+        """Count the copies of which one survives the loss allowed."""
+        return self.settings.disks_lost + 1
+
+    def start(self) -> None:
+        """Begin to follow who has a disk."""
+        spawn_loop('board', self._step)
+
+    def note_board(self, board: Board) -> None:
+        """Take in the board that somebody read.
+
+        :param board: the board.
+        """
+        self.board = board
+        self.read_at = time.monotonic()
+
+    def is_held(self, name: str) -> bool:
+        """Tell whether disks may hold a job that the store lacks.
+
+        :param name: id of the job.
+        :returns: true for a while after it was held.
+        """
+        held_at = self.held.get(name)
+        return held_at is not None and time.monotonic() - held_at < HELD_SECONDS
+
+    def hold(self, job: OpenJob, items: list[JobItem]) -> Holding:
+        """Have a job kept on all disks in reach.
+
+        :param job: the job.
+        :param items: its items.
+        :returns: how many confirmed it in time.
+        """
+        disks = list(self.board.disks.values())
+        if len(disks) < self.copies_needed:
+            return Holding()
+        body = msgspec.json.encode(HeldJob(job, tuple(items)))
+        sends = [
+            gevent.spawn(self._send, disk, job.name, body) for disk in disks
+        ]
+        gevent.joinall(sends, timeout=2 * KEEP_SECONDS)
+        confirmed = [bool(send.value) for send in sends]
+        gevent.killall(sends, block=False)
+        holding = Holding(sum(confirmed), may_stand=True)
+        if holding.copies >= self.copies_needed:
+            self.held[job.name] = time.monotonic()
+        return holding
+
+    def _send(self, disk: DiskMember, name: str, body: bytes) -> bool:
+        headers = [('Host', disk.address)]
+        raw = make_request('PUT', INTAKE_PATH + name, headers, body)
+        called = self.pool.call(disk.address, raw, KEEP_SECONDS)
+        return isinstance(called, Ok) and called.ok_value.is_good
+
+    def _step(self) -> None:
+        age = time.monotonic() - self.read_at
+        if age > BOARD_SECONDS or len(self.board.disks) < self.copies_needed:
+            read = self.ledger.read_board()
+            if isinstance(read, Ok):
+                self.note_board(read.ok_value)
+        gevent.sleep(BOARD_STEP_SECONDS)
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -16,6 +16,7 @@
 
 from wigeonpier.models import (
     Assignment,
+    DiskMember,
     ItemProgress,
     ItemResult,
     JobItem,
@@ -24,6 +25,7 @@
 )
 from wigeonpier.platform import keys
 from wigeonpier.platform.port import Change, Commit, Entry, Failure
+from wigeonpier.platform.store import CALL_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -53,12 +55,14 @@
 
     :param jobs: by id.
     :param revisions: revisions of the jobs' keys, by id.
-    :param members: by name of their VM.
+    :param members: who runs items, by name of their VM.
+    :param disks: who keeps jobs on a disk, by name of their VM.
     """
 
     jobs: dict[str, OpenJob] = field(default_factory=dict)
     revisions: dict[str, int] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
+    disks: dict[str, DiskMember] = field(default_factory=dict)
 
     def put(self, entry: Entry) -> None:
         """Take in a key of the board.
@@ -72,6 +76,9 @@
         elif entry.key.startswith(keys.MEMBERS):
             member = msgspec.json.decode(entry.value, type=Member)
             self.members[member.name] = member
+        elif entry.key.startswith(keys.DISKS):
+            disk = msgspec.json.decode(entry.value, type=DiskMember)
+            self.disks[disk.name] = disk
 
     def list_members(self, service: str) -> list[Member]:
         """List who runs items of a service.
@@ -107,12 +114,16 @@
         """Keep jobs in the store."""
         self.store = store
 
-    def read_board(self) -> Result[Board, Failure]:
+    def read_board(
+        self,
+        patience: float = CALL_SECONDS,
+    ) -> Result[Board, Failure]:
         """Read the whole board.
 
+        :param patience: longest silence, seconds.
         :returns: jobs with items left and who runs items.
         """
-        listed = self.store.list_prefix(keys.BOARD)
+        listed = self.store.list_prefix(keys.BOARD, patience)
         if isinstance(listed, Err):
             return listed
         board = Board()
@@ -124,11 +135,13 @@
         self,
         job: OpenJob,
         items: list[JobItem],
+        patience: float = CALL_SECONDS,
     ) -> Result[int, Failure]:
         """Write a new job, whole or not at all, and hand its items out.
 
         :param job: what the board shows.
         :param items: all items.
+        :param patience: longest silence, seconds.
         :returns: the revision; ``conflict`` where the job stands already.
         """
         parts = list(_split_items(items))
@@ -146,7 +159,7 @@
             key = keys.name_assignment(owner, job.name)
             assignment = _assign(job, owner, items)
             writes[key] = msgspec.json.encode(assignment)
-        return self.store.commit(Commit({first: 0}, writes))
+        return self.store.commit(Commit({first: 0}, writes), patience)
 
     def move(
         self,
--- a/src/wigeonpier/hosted/retire.py
+++ b/src/wigeonpier/hosted/retire.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
-from result import Err
+from result import Ok
 
 from wigeonpier.platform.operator import (
     RETIRE_ORDERS,
@@ -20,35 +20,75 @@
 if TYPE_CHECKING:
     import random
 
+    from wigeonpier.hosted.intake import Intake
+    from wigeonpier.hosted.ledger import JobLedger
+    from wigeonpier.hosted.membership import Membership
     from wigeonpier.platform.port import Change
-    from wigeonpier.platform.store import KeyValueStore
 
 PAUSE_SECONDS = 0.5
+# Who has the disk answers for it first.
+OTHERS_SECONDS = 2.0
 
 
 class RetireDesk:
-    """Confirms orders: batch jobs live in the store, no disk holds any."""
+    """Confirms that a VM's disk holds nothing any more."""
 
-    def __init__(self, store: KeyValueStore, draw: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        ledger: JobLedger,
+        intake: Intake,
+        disk: Membership,
+        draw: random.Random,
+    ) -> None:
         """Follow the orders once started."""
-        self._store = store
-        self._view = PrefixView(store, RETIRE_ORDERS, self._apply, draw)
+        self._name = name
+        self._ledger = ledger
+        self._intake = intake
+        self._disk = disk
+        self._view = PrefixView(
+            ledger.store,
+            RETIRE_ORDERS,
+            self._apply,
+            draw,
+        )
 
     def start(self) -> None:
         """Begin to follow."""
         self._view.start()
 
     def _apply(self, change: Change) -> None:
-        if change.value is not None:
-            gevent.spawn(self._confirm, change.key)
+        if change.value is None:
+            return
+        if change.key == RETIRE_ORDERS + self._name:
+            self._intake.is_closed = True
+            self._disk.is_wanted = False
+            gevent.spawn(self._confirm_own, change.key)
+        else:
+            gevent.spawn_later(OTHERS_SECONDS, self._confirm_other, change.key)
+
+    def _confirm_own(self, order: str) -> None:
+        while not self._intake.is_empty:
+            gevent.sleep(PAUSE_SECONDS)
+        self._confirm(order)
+
+    def _confirm_other(self, order: str) -> None:
+        """Confirm for a VM on which no process keeps anything."""
+        vm = order.removeprefix(RETIRE_ORDERS)
+        while True:
+            read = self._ledger.read_board()
+            if isinstance(read, Ok):
+                break
+            gevent.sleep(PAUSE_SECONDS)
+        if vm not in read.ok_value.disks:
+            self._confirm(order)
 
     def _confirm(self, order: str) -> None:
-        """Confirm once; every process with a disk tries, one succeeds."""
         state = name_retire_state(order)
         change = Commit({state: 0}, {state: encode_retired()})
         while True:
-            written = self._store.commit(change)
-            if not isinstance(written, Err):
+            written = self._ledger.store.commit(change)
+            if isinstance(written, Ok):
                 log_event(Event.retired, order=order)
                 return
             if written.err_value is Failure.conflict:
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from typing import TYPE_CHECKING
 
 import gevent
@@ -133,11 +134,7 @@
         gevent.spawn(self._run, work)
 
     def _run(self, work: ItemWork) -> None:
-        replica = self._upstream.replica
-        if replica is None:
-            end = RunEnd.not_run
-        else:
-            end = run_item(work, replica, self._pool)
+        end = self._run_once(work)
         work.is_running = False
         if work.is_dropped:
             return
@@ -153,6 +150,22 @@
         elif end is not RunEnd.paused:
             self._note_bad_run(work, end)
 
+    def _run_once(self, work: ItemWork) -> RunEnd:
+        replica = self._upstream.replica
+        if replica is None:
+            return RunEnd.not_run
+        try:
+            return run_item(work, replica, self._pool)
+        except Exception:
+            # A fault of ours must not keep the item from being run again.
+            log_event(
+                Event.loop_failed,
+                loop='item',
+                item=work.item.name,
+                trace=traceback.format_exc(),
+            )
+            return RunEnd.broken
+
     def _note_bad_run(self, work: ItemWork, end: RunEnd) -> None:
         pause = RETRY_SECONDS
         if end is RunEnd.failed:
--- /dev/null
+++ b/src/wigeonpier/hosted/views.py
@@ -0,0 +1,196 @@
+"""What an entry has read of jobs; nothing of it ever changes."""
+
+from __future__ import annotations
+
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.lock import BoundedSemaphore
+from result import Err, Ok, Result
+
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.hosted.ledger import (
+        JobLedger,
+        PlacedResult,
+        RecordHead,
+    )
+    from wigeonpier.models import JobItem
+    from wigeonpier.platform.port import Failure
+
+READ_SECONDS = 1.2
+PAUSE_SECONDS = 0.15
+RETRY_AFTER_SECONDS = 1.0
+# Readers of one job within this time share one look at the store; what has
+# been read anywhere must be readable everywhere a second later.
+FRESH_SECONDS = 0.7
+# A slowed store answers within 0.3 s; a look that takes longer waits for
+# results that do not exist yet.
+SHARED_LOOK_SECONDS = 0.6
+MOST_JOBS = 64
+
+
+@dataclass(slots=True)
+class JobView:
+    """One job as far as it was read.
+
+    :param head: head of its record.
+    :param results: results by position.
+    :param revision: revision up to which results were read.
+    :param looked_at: when they were read.
+    :param items: its items, read when a body is asked for.
+    :param is_closed: whether it was taken off the board here.
+    :param lock: held by whoever looks for new results.
+    """
+
+    head: RecordHead
+    results: list[PlacedResult] = field(default_factory=list)
+    revision: int = 0
+    looked_at: float = 0
+    items: list[JobItem] | None = None
+    is_closed: bool = False
+    lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
+
+    @property
+    def name(self) -> str:
+        """Give the id of the job."""
+        return self.head.job.name
+
+    @property
+    def is_finished(self) -> bool:
+        """Tell whether each item has its result."""
+        return len(self.results) >= len(self.head.names)
+
+
+class JobViews:
+    """Reads jobs, and keeps what it has read."""
+
+    def __init__(
+        self,
+        ledger: JobLedger,
+        is_held: Callable[[str], bool],
+    ) -> None:
+        """Read from the ledger; ask whether disks hold what it lacks."""
+        self._ledger = ledger
+        self._is_held = is_held
+        self._views: dict[str, JobView] = {}
+
+    def find(self, name: str) -> JobView:
+        """Find a job.
+
+        :param name: id of the job.
+        :returns: its view.
+        :raises Refusal: where there is none, or that cannot be known.
+        """
+        view = self._views.get(name)
+        if view is not None:
+            return view
+        head = self._read_head(name)
+        if head is None and self._is_held(name):
+            raise refuse_unread()
+        if head is None:
+            raise Refusal(ErrorKind.not_found, f'there is no job {name}')
+        while len(self._views) >= MOST_JOBS:
+            self._views.pop(next(iter(self._views)))
+        return self._views.setdefault(name, JobView(head))
+
+    def find_items(self, view: JobView) -> list[JobItem]:
+        """Find the items of a job.
+
+        :param view: the job.
+        :returns: the items by position.
+        """
+        if view.items is None:
+            read = self._ledger.read_items(view.head.job)
+            if isinstance(read, Err):
+                raise refuse_unread()
+            view.items = read.ok_value
+        return view.items
+
+    def look(self, view: JobView, known: int, wait: float) -> None:
+        """Read new results, once for all readers that ask at the time.
+
+        :param view: the job.
+        :param known: results that the reader has.
+        :param wait: longest wait for more, seconds.
+        :raises Refusal: where there is nothing new and that is not certain.
+        """
+        has_news = len(view.results) > known
+        # Whoever looks right now adds results as they come.  Until its call
+        # has been with the store for a while, what is known may be old.
+        patience = 0 if has_news else max(wait, SHARED_LOOK_SECONDS)
+        if not view.lock.acquire(timeout=patience):
+            return
+        with ExitStack() as stack:
+            stack.callback(view.lock.release)
+            self._read_on(view, known, wait)
+
+    def close_finished(self, view: JobView) -> None:
+        """Take a job off the board when its last result was read.
+
+        :param view: the job.
+        """
+        if view.is_finished and not view.is_closed:
+            view.is_closed = isinstance(self._ledger.close(view.name), Ok)
+            log_event(Event.job_finished, job=view.name)
+
+    def _read_on(self, view: JobView, known: int, wait: float) -> None:
+        has_news = len(view.results) > known
+        age = time.monotonic() - view.looked_at
+        is_enough = has_news or not wait
+        if view.is_finished or (age < FRESH_SECONDS and is_enough):
+            return
+        read = self._read_results(view, 0 if has_news else wait)
+        view.looked_at = time.monotonic()
+        if isinstance(read, Ok):
+            view.results += read.ok_value[0]
+            view.revision = read.ok_value[1]
+            self.close_finished(view)
+        elif not has_news:
+            # Results that are known never change, and are given all the same.
+            raise refuse_unread()
+
+    def _read_results(
+        self,
+        view: JobView,
+        wait: float,
+    ) -> Result[tuple[list[PlacedResult], int], Failure]:
+        if view.revision:
+            heard = self._ledger.await_results(view.name, view.revision, wait)
+            if isinstance(heard, Ok):
+                return heard
+        # The history from that revision on may be gone.
+        read = self._ledger.read_results(view.name)
+        if isinstance(read, Ok):
+            view.results.clear()
+        return read
+
+    def _read_head(self, name: str) -> RecordHead | None:
+        give_up = time.monotonic() + READ_SECONDS
+        while True:
+            read = self._ledger.read_head(name)
+            if isinstance(read, Ok):
+                return read.ok_value
+            if time.monotonic() > give_up:
+                raise refuse_unread()
+            gevent.sleep(PAUSE_SECONDS)
+
+
+def refuse_unread() -> Refusal:
+    """Refuse what cannot be known while the store is out of reach.
+
+    :returns: the refusal.
+    """
+    return Refusal(
+        ErrorKind.platform_down,
+        'the job cannot be read now',
+        retry_seconds=RETRY_AFTER_SECONDS,
+    )
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -36,6 +36,9 @@
     :param upstream: ``host:port`` of the upstream on its VM, or empty.
     :param service: service of that upstream.
     :param metrics: ``host:port`` for numbers.
+    :param peers: ``host:port`` for other processes of the system.
+    :param data_folder: folder on a disk, empty where there is none.
+    :param disks_lost: disks that may be lost at the same time.
     """
 
     name: str
@@ -50,6 +53,9 @@
     upstream: str = ''
     service: str = ''
     metrics: str = ''
+    peers: str = ''
+    data_folder: str = ''
+    disks_lost: int = 0
 
 
 class RouteKind(StrEnum):
@@ -249,6 +255,30 @@
     is_moved: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class HeldJob:
+    """A job that was accepted while the store was away.
+
+    :param job: the job; nobody owns its items yet.
+    :param items: all items.
+    """
+
+    job: OpenJob
+    items: tuple[JobItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DiskMember:
+    """A process that keeps accepted jobs while the store is away.
+
+    :param name: name of its VM.
+    :param address: ``host:port`` for entries.
+    """
+
+    name: str
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class ItemProgress:
     """How far an unfinished item is.
--- a/src/wigeonpier/platform/keys.py
+++ b/src/wigeonpier/platform/keys.py
@@ -87,6 +87,7 @@
 BOARD = f'{HOSTED}board/'
 OPEN_JOBS = f'{BOARD}jobs/'
 MEMBERS = f'{BOARD}members/'
+DISKS = f'{BOARD}disks/'
 # Each process watches its own assignments only, so that a job wakes those
 # who run it and nobody else.
 ASSIGNMENTS = f'{HOSTED}work/'
@@ -113,6 +114,15 @@
     return f'{MEMBERS}{vm}'
 
 
+def name_disk(vm: str) -> str:
+    """Name the key of a process that keeps jobs on a disk.
+
+    :param vm: name of its VM.
+    :returns: the key.
+    """
+    return f'{DISKS}{vm}'
+
+
 def name_assignments(vm: str) -> str:
     """Name the prefix of what a process runs.
 
--- a/src/wigeonpier/platform/process.py
+++ b/src/wigeonpier/platform/process.py
@@ -34,6 +34,10 @@
     history_s: float = msgspec.field(name='historyS')
 
 
+class _Tolerance(msgspec.Struct):
+    machines: int = 0
+
+
 class _Settings(msgspec.Struct):
     node: str
     zone: str
@@ -44,6 +48,11 @@
     bounds: _Bounds
     platform: _Platform
     listen: _Listen = msgspec.field(default_factory=_Listen)
+    tolerance: _Tolerance = msgspec.field(
+        name='faultTolerance',
+        default_factory=_Tolerance,
+    )
+    data_folder: str = msgspec.field(name='dataDir', default='')
     # The upstream on the same VM is called an app.
     app: str = ''
     service: str = ''
@@ -87,4 +96,7 @@
         upstream=found.app,
         service=found.service,
         metrics=f'{found.ip}:{found.inner_ports[0]}',
+        peers=f'{found.ip}:{found.inner_ports[1]}',
+        data_folder=found.data_folder,
+        disks_lost=found.tolerance.machines,
     )
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -106,20 +106,30 @@
             return Err(Failure.unavailable)
         return Ok(_make_entry(reply.decode(_Item)))
 
-    def list_prefix(self, prefix: str) -> Result[Snapshot, Failure]:
+    def list_prefix(
+        self,
+        prefix: str,
+        patience: float = CALL_SECONDS,
+    ) -> Result[Snapshot, Failure]:
         """Read all keys under a prefix.
 
         Pages are not a snapshot: keys of later pages may be newer than the
         revision that is given, which is that of the first page.
 
         :param prefix: start of the keys.
+        :param patience: longest silence, seconds.
         :returns: the keys, and the revision from which a watch goes on.
         """
         entries: list[Entry] = []
         revision = 0
         query = {'pathPrefix': prefix}
         while True:
-            replied = self._send('GET', wire.RANGE_PATH, query)
+            replied = self._send(
+                'GET',
+                wire.RANGE_PATH,
+                query,
+                patience=patience,
+            )
             if isinstance(replied, Err) or not replied.ok_value.is_good:
                 return Err(Failure.unavailable)
             page = replied.ok_value.decode(_Page)
@@ -129,10 +139,15 @@
                 return Ok(Snapshot(tuple(entries), revision))
             query = {'pathPrefix': prefix, 'after': page.items[-1].key}
 
-    def commit(self, change: Commit) -> Result[int, Failure]:
+    def commit(
+        self,
+        change: Commit,
+        patience: float = CALL_SECONDS,
+    ) -> Result[int, Failure]:
         """Change keys, all or none of them.
 
         :param change: conditions and changes.
+        :param patience: longest silence, seconds.
         :returns: the new revision; ``unknown`` where the answer was lost.
         """
         body = {
@@ -150,7 +165,13 @@
             ],
             'remove': list(change.deletes),
         }
-        replied = self._send('POST', wire.COMMIT_PATH, {}, body)
+        replied = self._send(
+            'POST',
+            wire.COMMIT_PATH,
+            {},
+            body,
+            patience=patience,
+        )
         return _judge(replied).map(
             lambda reply: reply.decode(_Committed).revision,
         )
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -15,7 +15,6 @@
 
 import gevent
 from gevent import socket as green
-from gevent.select import select
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 from result import Err, Ok, Result
 
@@ -378,5 +377,12 @@
 
 
 def _has_news(sock: Any) -> bool:
-    readable, _, _ = select([sock], [], [], 0)
-    return bool(readable)
+    """Tell whether bytes or an end came on an idle connection."""
+    # Not by select, which takes no descriptor above 1,023.
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)  # noqa: SLF001, WPS437
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import resource
+from contextlib import ExitStack
+
 import gevent
 import pytest
 from gevent.server import StreamServer
@@ -115,3 +118,18 @@
     caller.close()
     gevent.sleep(0.05)
     assert gone
+
+
+def test_descriptors_above_1023_are_used_again() -> None:
+    """An entry holds thousands of connections; select() takes none of them."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4096), hard))
+    with ExitStack() as stack:
+        stack.callback(resource.setrlimit, resource.RLIMIT_NOFILE, (soft, hard))
+        for _number in range(1050):
+            stack.enter_context(open('/dev/null', 'rb'))
+        peer = Peer(WHOLE, WHOLE)
+        pool = ConnectionPool()
+        for _call in range(2):
+            assert pool.call(peer.address, REQUEST, 1).unwrap().body == b'ok'
+        assert peer.connections == 1
