--- a/src/wigeonpier/batch/journal.py
+++ b/src/wigeonpier/batch/journal.py
@@ -107,7 +107,14 @@
             waiter = self._waiter
             self._lines = []
             self._waiter = AsyncResult()
-            failure = self._write(lines)
+            try:
+                failure = self._write(lines)
+            except gevent.GreenletExit:
+                # Closed in the middle of a write: whoever waits for it must
+                # hear so, or its item is taken to run for ever.
+                closed = JournalEndedError(JournalEnd.closed, frozenset())
+                waiter.set_exception(self._ended or closed)
+                raise
             if failure is None:
                 self.size += len(lines)
                 waiter.set(None)
--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from wigeonpier.errors import Refusal
+from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.acceptance import JobAcceptor
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.configuration import ConfigurationWatch
@@ -53,6 +53,8 @@
 NOTICED_SECONDS = 2.6
 # Left for the last bytes before the platform kills the process.
 KILL_MARGIN_SECONDS = 0.6
+# Another entry takes the request at once.
+ELSEWHERE_SECONDS = 0.05
 LEAVE_STEP_SECONDS = 0.05
 USABLE_STEP_SECONDS = 0.1
 METRICS_PATH = '/metrics'
@@ -112,6 +114,7 @@
         settings = common.settings
         self._common = common
         self._is_leaving = False
+        self._is_draining = False
         self._configuration = ConfigurationWatch(common.store, common.draw)
         self._replicas = ReplicaRegister(
             common.store,
@@ -169,6 +172,7 @@
         self._is_leaving = True
         self._callers.is_closing = True
         gevent.sleep(min(NOTICED_SECONDS, seconds))
+        self._is_draining = True
         return self._callers.drain(give_up - time.monotonic())
 
     @property
@@ -186,10 +190,20 @@
 
     def _answer(self, request: Request) -> Response:
         try:
+            self._check_open()
             return self._dispatch(request)
         except Refusal as refusal:
             return answer_refusal(refusal)
 
+    def _check_open(self) -> None:
+        """Refuse what comes on kept connections too late to be finished."""
+        if self._is_draining:
+            raise Refusal(
+                ErrorKind.leaving,
+                'this entry is leaving',
+                retry_seconds=ELSEWHERE_SECONDS,
+            )
+
     def _dispatch(self, request: Request) -> Response:
         job = JOB_PATTERN.fullmatch(request.path)
         if job and request.method == 'GET':
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -85,7 +85,7 @@
         )['id']
         return self.job
 
-    def finish(self, seconds: float = 120) -> None:
+    def finish(self, seconds: float = 60) -> None:
         """Wait for the job's end and read its results."""
         self.client.addresses = self.site.list_addresses()
         self.batch = self.client.await_batch(self.job, seconds)
--- a/tests/hosted/test_whole_path.py
+++ b/tests/hosted/test_whole_path.py
@@ -8,11 +8,13 @@
 import pytest
 
 from tests.hosted.builders import (
+    HOST,
     HostedSite,
     make_configuration,
     make_route_entry,
     wait_for,
 )
+from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -277,3 +279,26 @@
     site.wait_for_results('j', 4)
     site.hand_in('k', 4)
     site.wait_for_results('k', 4)
+
+
+def test_a_leaving_entry_takes_nothing_that_it_cannot_finish(
+    site: HostedSite,
+) -> None:
+    """Kept connections bring requests long after the listener is closed."""
+    site.start(event_seconds=0.3)
+    kept = site.pool
+    assert site.call('POST', '/ask/0', 'q0').status == 200
+    leaving = gevent.spawn(site.entries[0].leave, 8)
+    gevent.sleep(2.2)
+    in_hand = gevent.spawn(site.call, 'POST', '/ask/1', 'q1')
+    opened = kept.begin(site.addresses[0], 1).unwrap()
+    gevent.sleep(0.8)
+    request = make_request(
+        'POST', '/ask/2', [('Host', HOST), ('X-Attempt-Id', 'q2')]
+    )
+    opened.send(request, 5)
+    assert opened.status == 503
+    assert opened.get_header('Connection') == 'close'
+    assert in_hand.get().body.count(b'data') == 10
+    assert leaving.get() == 0
+    assert not any(replica.runs['q2'] for replica in site.replicas)
