--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -5,7 +5,7 @@
 import random
 import re
 import time
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -57,7 +57,8 @@
 ELSEWHERE_SECONDS = 0.05
 LEAVE_STEP_SECONDS = 0.05
 USABLE_STEP_SECONDS = 0.1
-METRICS_PATH = '/metrics'
+# Others belong to listeners and folders that are open.
+APPLIED_AT_ONCE = frozenset(('store',))
 JOB_PATTERN = re.compile(ingress.JOB_PATTERN)
 ITEM_PATTERN = re.compile(ingress.ITEM_PATTERN)
 
@@ -88,6 +89,18 @@
             self.settings.store_history,
         )
 
+    def apply(self, settings: HostSettings) -> set[str]:
+        """Take settings that were read anew.
+
+        :param settings: the new ones.
+        :returns: names of those that differ.
+        """
+        known = asdict(self.settings)
+        fresh = asdict(settings)
+        self.store.address = settings.store
+        self.settings = settings
+        return {name for name in known if known[name] != fresh[name]}
+
     def serve_metrics(self) -> Server:
         """Serve the numbers of the process.
 
--- a/src/wigeonpier/hosted/main.py
+++ b/src/wigeonpier/hosted/main.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+import gevent
+
 from wigeonpier.hosted.app import (
+    APPLIED_AT_ONCE,
     KILL_MARGIN_SECONDS,
     Common,
     EntryApp,
@@ -17,7 +21,8 @@
 from wigeonpier.platform.process import find_settings, read_settings
 from wigeonpier.process import run_until_signal
 from wigeonpier.settings.document import DocumentError
-from wigeonpier.telemetry.logs import configure_logs
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import configure_logs, log_event
 from wigeonpier.telemetry.sink import LineSink
 
 if TYPE_CHECKING:
@@ -58,6 +63,7 @@
     sink = LineSink(sys.stdout)
     configure_logs(settings.name, parsed.log_level, sink)
     common = Common(settings)
+    gevent.signal_handler(signal.SIGHUP, reload, common, parsed.settings)
     common.metrics.add_gauge('log_lines_dropped', lambda: sink.dropped)
     status = run_until_signal(
         parsed.role,
@@ -68,5 +74,24 @@
     return status
 
 
+def reload(common: Common, path: str) -> None:
+    """Read the settings anew, and keep the old ones where they are no use.
+
+    :param common: parts that use them.
+    :param path: the settings file.
+    """
+    try:
+        settings = read_settings(path)
+    except DocumentError as error:
+        log_event(Event.settings_refused, problem=str(error))
+        return
+    changed = common.apply(settings)
+    log_event(
+        Event.settings_reloaded,
+        applied=sorted(changed & APPLIED_AT_ONCE),
+        at_next_start=sorted(changed - APPLIED_AT_ONCE),
+    )
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -87,7 +87,7 @@
             history_seconds * HISTORY_SHARE,
         )
         self._pool = pool
-        self._address = address
+        self.address = address
         self._metrics = metrics
 
     def get(self, key: str) -> Result[Entry | None, Failure]:
@@ -267,12 +267,12 @@
         target = f'{path}?{urlencode(query)}' if query else path
         content = b'' if body is None else msgspec.json.encode(body)
         headers = [
-            ('Host', self._address),
+            ('Host', self.address),
             ('Content-Type', 'application/json'),
         ]
         raw = make_request(method, target, headers, content)
         began = time.monotonic()
-        replied = self._pool.call(self._address, raw, patience)
+        replied = self._pool.call(self.address, raw, patience)
         self._note(path, replied, time.monotonic() - began)
         return replied
 
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -16,6 +16,8 @@
     process_started = (100, NOTE, 'A process listens on its address.')
     process_leaving = (101, NOTE, 'A process takes no new work and drains.')
     process_stopped = (102, NOTE, 'A process has drained and ends.')
+    settings_reloaded = (105, NOTE, 'Settings were read anew.')
+    settings_refused = (106, BAD, 'New settings are not usable; old ones stay.')
     loop_failed = (104, BAD, 'A round of a controller failed.')
     work_cut = (103, BAD, 'The drain limit passed with work in hand.')
     request_done = (
