--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -135,6 +135,7 @@
             wire.LOAD: f'{self.running},{self.waiting},{self.slots}',
         }
         if expected not in {None, self.name}:
+            headers[wire.INSTANCE] = self.name
             return Response(
                 HTTPStatus.MISDIRECTED_REQUEST, b'{}', headers=headers
             )
--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -18,6 +18,7 @@
 from wigeonpier.hosted.dealer import Dealer
 from wigeonpier.hosted.holder import JobHolder
 from wigeonpier.hosted.intake import Intake
+from wigeonpier.hosted.janitor import Janitor
 from wigeonpier.hosted.jobs import JobDesk
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.membership import Membership
@@ -32,7 +33,7 @@
 from wigeonpier.hosted.views import JobViews
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import DiskMember, Member
-from wigeonpier.platform import ingress, keys
+from wigeonpier.platform import ingress, places
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.metrics import Metrics
@@ -261,7 +262,7 @@
         )
         self._membership = Membership(
             common.store,
-            keys.name_member(settings.name),
+            places.name_member(settings.name),
             Member(settings.name, settings.service, settings.data_centre),
         )
 
@@ -303,7 +304,8 @@
     """The process on a VM with a disk.
 
     It keeps accepted jobs while the store is away, hands the items of lost
-    processes to others, and answers for its disk when it is to be emptied.
+    processes to others, removes old jobs, and answers for its disk when it is
+    to be emptied.
     """
 
     def __init__(self, common: Common) -> None:
@@ -313,9 +315,14 @@
         self._common = common
         self._intake = Intake(settings.data_folder, ledger, common.draw)
         self._dealer = Dealer(ledger, common.draw)
+        self._janitor = Janitor(
+            ledger,
+            settings.bounds.job_readable,
+            common.draw,
+        )
         self._disk = Membership(
             common.store,
-            keys.name_disk(settings.name),
+            places.name_disk(settings.name),
             DiskMember(settings.name, settings.peers),
         )
         self._retire = RetireDesk(
@@ -342,6 +349,7 @@
         self._intake.start()
         self._retire.start()
         self._dealer.start()
+        self._janitor.start()
         return self._server.address
 
     def leave(self, seconds: float) -> int:
--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -12,7 +12,7 @@
 from wigeonpier.hosted.items import ItemWork
 from wigeonpier.hosted.ledger import decode_assignment
 from wigeonpier.models import ItemProgress
-from wigeonpier.platform import keys
+from wigeonpier.platform import places
 from wigeonpier.platform.view import PrefixView
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -51,7 +51,7 @@
         self._assigned: dict[str, Assignment] = {}
         self.view = PrefixView(
             ledger.store,
-            keys.name_assignments(vm),
+            places.name_assignments(vm),
             self._apply,
             draw,
             longest_pause=LONGEST_PAUSE_SECONDS,
@@ -62,7 +62,7 @@
         self.view.start()
 
     def _apply(self, change: Change) -> None:
-        _vm, name = keys.parse_assignment(change.key)
+        _vm, name = places.parse_assignment(change.key)
         if change.value is None:
             self._assigned.pop(name, None)
             self._runner.drop_job(name)
--- a/src/wigeonpier/hosted/dealer.py
+++ b/src/wigeonpier/hosted/dealer.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from wigeonpier.loops import spawn_loop
-from wigeonpier.platform import keys
+from wigeonpier.platform import places
 from wigeonpier.platform.view import PrefixView
 from wigeonpier.policy.placement import NOBODY, move_items
 from wigeonpier.telemetry.events import Event
@@ -49,7 +49,7 @@
         self._gone: set[str] = set()
         self._view = PrefixView(
             ledger.store,
-            keys.MEMBERS,
+            places.MEMBERS,
             self._apply,
             draw,
             longest_pause=LONGEST_PAUSE_SECONDS,
@@ -61,7 +61,7 @@
         spawn_loop('sweep', self._sweep)
 
     def _apply(self, change: Change) -> None:
-        name = change.key.removeprefix(keys.MEMBERS)
+        name = change.key.removeprefix(places.MEMBERS)
         if change.value is not None:
             if NOBODY not in self._gone:
                 self._gone.add(NOBODY)
@@ -94,7 +94,7 @@
 
     def _try_move_all(self, lost: str) -> bool:
         """Move what a lost process has; false where it must be tried again."""
-        if keys.name_member(lost) in self._view.entries:
+        if places.name_member(lost) in self._view.entries:
             return True
         read = self._ledger.read_board()
         if isinstance(read, Err):
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -23,7 +23,7 @@
     Member,
     OpenJob,
 )
-from wigeonpier.platform import keys
+from wigeonpier.platform import places
 from wigeonpier.platform.port import Change, Commit, Entry, Failure
 from wigeonpier.platform.store import CALL_SECONDS
 
@@ -36,6 +36,8 @@
 PART_BYTES = 500_000
 # Larger items are read from the record by whoever runs them.
 LARGEST_ASSIGNMENT = 100_000
+# Entries that one transaction takes.
+MOST_KEYS = 32
 
 
 class RecordHead(msgspec.Struct):
@@ -69,14 +71,14 @@
 
         :param entry: the key.
         """
-        if entry.key.startswith(keys.OPEN_JOBS):
+        if entry.key.startswith(places.OPEN_JOBS):
             job = msgspec.json.decode(entry.value, type=OpenJob)
             self.jobs[job.name] = job
             self.revisions[job.name] = entry.revision
-        elif entry.key.startswith(keys.MEMBERS):
+        elif entry.key.startswith(places.MEMBERS):
             member = msgspec.json.decode(entry.value, type=Member)
             self.members[member.name] = member
-        elif entry.key.startswith(keys.DISKS):
+        elif entry.key.startswith(places.DISKS):
             disk = msgspec.json.decode(entry.value, type=DiskMember)
             self.disks[disk.name] = disk
 
@@ -123,7 +125,7 @@
         :param patience: longest silence, seconds.
         :returns: jobs with items left and who runs items.
         """
-        listed = self.store.list_prefix(keys.BOARD, patience)
+        listed = self.store.list_prefix(places.BOARD, patience)
         if isinstance(listed, Err):
             return listed
         board = Board()
@@ -147,16 +149,17 @@
         parts = list(_split_items(items))
         job = replace(job, parts=len(parts))
         head = RecordHead(job, [item.name for item in items])
-        first = keys.name_record(job.name)
+        first = places.name_record(job.name)
         writes = {
             first: msgspec.json.encode(head),
-            keys.name_open_job(job.name): msgspec.json.encode(job),
+            places.name_open_job(job.name): msgspec.json.encode(job),
+            places.name_age(job.name): msgspec.json.encode(job.sent_at),
         }
         for number, part in enumerate(parts):
-            key = keys.name_record_part(job.name, number)
+            key = places.name_record_part(job.name, number)
             writes[key] = msgspec.json.encode(part)
         for owner in set(job.owners):
-            key = keys.name_assignment(owner, job.name)
+            key = places.name_assignment(owner, job.name)
             assignment = _assign(job, owner, items)
             writes[key] = msgspec.json.encode(assignment)
         return self.store.commit(Commit({first: 0}, writes), patience)
@@ -177,51 +180,59 @@
         :returns: the revision; ``conflict`` where somebody was faster.
         """
         moved = replace(job, owners=owners)
-        key = keys.name_open_job(job.name)
+        key = places.name_open_job(job.name)
         writes = {key: msgspec.json.encode(moved)}
         for owner in set(owners) - {lost}:
-            name = keys.name_assignment(owner, job.name)
+            name = places.name_assignment(owner, job.name)
             assignment = replace(_assign(moved, owner, []), is_moved=True)
             writes[name] = msgspec.json.encode(assignment)
-        deletes = (keys.name_assignment(lost, job.name),)
+        deletes = (places.name_assignment(lost, job.name),)
         return self.store.commit(Commit({key: revision}, writes, deletes))
 
-    def drop_assignment(self, vm: str, job: str) -> Result[int, Failure]:
-        """Remove an assignment whose job is closed.
+    def read_ages(self) -> Result[dict[str, float], Failure]:
+        """Read when each job was accepted.
 
-        :param vm: name of the VM.
-        :param job: id of the job.
-        :returns: the revision.
-        """
-        key = keys.name_assignment(vm, job)
-        return self.store.commit(Commit(deletes=(key,)))
-
-    def read_assignments(
-        self,
-        vm: str,
-    ) -> Result[dict[str, Assignment], Failure]:
-        """Read what a process runs.
-
-        :param vm: name of its VM.
-        :returns: assignments by id of their job.
+        :returns: seconds of the day's clock by id of the job.
         """
-        listed = self.store.list_prefix(keys.name_assignments(vm))
-        return listed.map(
+        return self.store.list_prefix(places.AGES).map(
             lambda snapshot: {
-                keys.parse_assignment(entry.key)[1]: decode_assignment(
+                entry.key.removeprefix(places.AGES): msgspec.json.decode(
                     entry.value,
+                    type=float,
                 )
                 for entry in snapshot.entries
             },
         )
 
+    def remove(self, job: str) -> Result[int, Failure]:
+        """Remove everything of a job, its age last.
+
+        :param job: id of the job.
+        :returns: the revision; after a failure it can be tried again.
+        """
+        closed = self.close(job)
+        if isinstance(closed, Err):
+            return closed
+        gone = [places.name_record(job)]
+        for prefix in (
+            places.name_record_parts(job),
+            places.name_item_results(job),
+            places.name_all_progress(job),
+        ):
+            listed = self.store.list_prefix(prefix)
+            if isinstance(listed, Err):
+                return listed
+            gone += [entry.key for entry in listed.ok_value.entries]
+        gone.append(places.name_age(job))
+        return self._delete(gone)
+
     def read_head(self, job: str) -> Result[RecordHead | None, Failure]:
         """Read the head of a job's record.
 
         :param job: id of the job.
         :returns: the head, ``None`` where there is no such job.
         """
-        return self.store.get(keys.name_record(job)).map(_decode_head)
+        return self.store.get(places.name_record(job)).map(_decode_head)
 
     def read_items(self, job: OpenJob) -> Result[list[JobItem], Failure]:
         """Read all items of a job.
@@ -231,7 +242,7 @@
         """
         items: list[JobItem] = []
         for number in range(job.parts):
-            key = keys.name_record_part(job.name, number)
+            key = places.name_record_part(job.name, number)
             read = self.store.get(key)
             if isinstance(read, Err):
                 return read
@@ -249,7 +260,7 @@
         :param job: id of the job.
         :returns: the revision, 0 where it was closed before.
         """
-        key = keys.name_open_job(job)
+        key = places.name_open_job(job)
         while True:
             read = self.store.get(key)
             if isinstance(read, Err):
@@ -259,7 +270,8 @@
                 return Ok(0)
             found = msgspec.json.decode(entry.value, type=OpenJob)
             assignments = [
-                keys.name_assignment(owner, job) for owner in set(found.owners)
+                places.name_assignment(owner, job)
+                for owner in set(found.owners)
             ]
             closed = self.store.commit(
                 Commit(
@@ -281,7 +293,7 @@
         :returns: the revision.
         """
         writes = {
-            keys.name_progress(*key): msgspec.json.encode(found)
+            places.name_progress(*key): msgspec.json.encode(found)
             for key, found in progress.items()
         }
         return self.store.commit(Commit(writes=writes))
@@ -295,10 +307,10 @@
         :param job: id of the job.
         :returns: progress by position of the item.
         """
-        listed = self.store.list_prefix(f'{keys.PROGRESS}{job}/')
+        listed = self.store.list_prefix(places.name_all_progress(job))
         return listed.map(
             lambda snapshot: {
-                keys.parse_item_result(entry.key): msgspec.json.decode(
+                places.parse_item_result(entry.key): msgspec.json.decode(
                     entry.value,
                     type=ItemProgress,
                 )
@@ -316,7 +328,7 @@
         :returns: the revision; ``conflict`` where one of them stands.
         """
         writes = {
-            keys.name_item_result(*key): msgspec.json.encode(found)
+            places.name_item_result(*key): msgspec.json.encode(found)
             for key, found in results.items()
         }
         guards = dict.fromkeys(writes, 0)
@@ -332,7 +344,7 @@
         :returns: results in order of their positions, and the revision from
             which to go on.
         """
-        listed = self.store.list_prefix(keys.name_item_results(job))
+        listed = self.store.list_prefix(places.name_item_results(job))
         if isinstance(listed, Err):
             return listed
         snapshot = listed.ok_value
@@ -359,7 +371,7 @@
         :returns: new results in order, and the revision to go on from.
         """
         heard = self.store.await_changes(
-            keys.name_item_results(job),
+            places.name_item_results(job),
             revision,
             seconds,
         )
@@ -368,6 +380,15 @@
         changes, following = heard.ok_value
         return Ok((_place(changes), following))
 
+    def _delete(self, gone: list[str]) -> Result[int, Failure]:
+        outcome: Result[int, Failure] = Ok(0)
+        for start in range(0, len(gone), MOST_KEYS):
+            deletes = tuple(gone[start : start + MOST_KEYS])
+            outcome = self.store.commit(Commit(deletes=deletes))
+            if isinstance(outcome, Err):
+                return outcome
+        return outcome
+
 
 def decode_assignment(value: bytes) -> Assignment:
     """Read an assignment.
@@ -398,7 +419,7 @@
     placed = [
         PlacedResult(
             entry.created,
-            keys.parse_item_result(entry.key),
+            places.parse_item_result(entry.key),
             msgspec.json.decode(entry.value, type=ItemResult),
         )
         for entry in entries
--- a/src/wigeonpier/hosted/replicas.py
+++ b/src/wigeonpier/hosted/replicas.py
@@ -18,7 +18,7 @@
     import random
     from collections.abc import Callable
 
-    from wigeonpier.models import HostSettings
+    from wigeonpier.models import HostSettings, Replica
     from wigeonpier.platform.port import Change, WatchedStore
 
 LONGEST_PAUSE_SECONDS = 0.6
@@ -46,6 +46,7 @@
             draw,
             longest_pause=LONGEST_PAUSE_SECONDS,
         )
+        self._created: dict[str, int] = {}
         self._settings = settings
         self._forget = forget
 
@@ -79,6 +80,8 @@
         replica = decode_replica(change.key, change.value or b'')
         state = self.upstreams.get(replica.name)
         if state is None:
+            if self._is_outlived(replica, change):
+                return
             state = UpstreamState(
                 name=replica.name,
                 address=replica.address,
@@ -94,6 +97,21 @@
         state.slots = replica.slots
         state.is_leaving = replica.is_leaving
 
+    def _is_outlived(self, replica: Replica, change: Change) -> bool:
+        """Leave one instance an address; entries come in any order.
+
+        The entry of a replica that crashed stays for some heartbeats beside
+        that of its next start, which was created later.
+        """
+        for other in self.list_upstreams():
+            if other.address != replica.address:
+                continue
+            if self._created[other.name] > change.created:
+                return True
+            self._remove(other.name)
+        self._created[replica.name] = change.created
+        return False
+
     def _remove_when_due(self, name: str, key: str) -> None:
         since = time.monotonic() - self.view.regained_at
         if self.view.regained_at and since < RETURN_SECONDS:
@@ -106,6 +124,7 @@
             self._remove(name)
 
     def _remove(self, name: str) -> None:
+        self._created.pop(name, None)
         state = self.upstreams.pop(name, None)
         if state is not None:
             state.is_leaving = True
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -40,6 +40,7 @@
     no_time = 'no time is left'
     no_connection = 'no connection'
     turned_away = 'turned away'
+    replaced = 'another instance has the address'
     foreign_answer = 'not its answer'
     failed = 'the upstream failed'
     lost = 'lost'
@@ -96,7 +97,10 @@
         """
         if question.is_gone:
             raise CallerGoneError('the caller has left')
-        if why is not SendFailure.turned_away:
+        if why is SendFailure.replaced:
+            # An id is of one start only: this upstream never comes back.
+            upstream.is_leaving = True
+        elif why is not SendFailure.turned_away:
             note_outcome(upstream, went_well=False, now=time.monotonic())
         question.sends[-1].outcome = why.value
         log_event(
@@ -146,7 +150,7 @@
             question.release(is_broken=True)
             return Err(name_break(error))
         _note_load(upstream, answer)
-        failure = _judge(question, answer)
+        failure = _judge(question, upstream, answer)
         if failure is not None:
             question.release(is_broken=failure is SendFailure.foreign_answer)
             return Err(failure)
@@ -164,11 +168,17 @@
     return SendFailure.lost
 
 
-def _judge(question: Question, answer: Exchange) -> SendFailure | None:
+def _judge(
+    question: Question,
+    upstream: UpstreamState,
+    answer: Exchange,
+) -> SendFailure | None:
     """Judge the head of an answer; nothing is wrong with what goes back."""
     if ingress.has_not_run(answer):
         question.runs -= 1
-        return SendFailure.turned_away
+        other = ingress.get_instance(answer)
+        is_other = bool(other) and other != upstream.name
+        return SendFailure.replaced if is_other else SendFailure.turned_away
     if not ingress.is_own_answer(answer, question.head.identity):
         return SendFailure.foreign_answer
     if not ingress.is_success(answer) and question.may_run_again:
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.models import Replica, UpstreamReport
+    from wigeonpier.platform.port import Snapshot
     from wigeonpier.platform.store import KeyValueStore
     from wigeonpier.web.exchange import ConnectionPool
 
@@ -54,14 +55,13 @@
         if isinstance(listed, Err):
             gevent.sleep(SEARCH_SECONDS)
             return
-        for entry in listed.ok_value.entries:
-            found = self._decode(entry.key, entry.value)
-            if found is not None and found.address == self.address:
-                self._take(found)
-                self._watch(found.name, listed.ok_value.revision)
-                return
-        self._lose('not in the register')
-        gevent.sleep(SEARCH_SECONDS)
+        found = self._find(listed.ok_value)
+        if found is None:
+            self._lose('not in the register')
+            gevent.sleep(SEARCH_SECONDS)
+            return
+        self._take(found)
+        self._watch(found.name, listed.ok_value.revision)
 
     def look(self) -> None:
         """Ask the upstream for its load; free of cost on the same VM."""
@@ -83,6 +83,15 @@
             )
         self._failures = 0
 
+    def _find(self, snapshot: Snapshot) -> Replica | None:
+        """Find the last start at the address; older entries may linger."""
+        latest = sorted(snapshot.entries, key=lambda entry: -entry.created)
+        for entry in latest:
+            found = self._decode(entry.key, entry.value)
+            if found is not None and found.address == self.address:
+                return found
+        return None
+
     def _watch(self, name: str, revision: int) -> None:
         key = register.name_replica(name)
         for change in self._store.watch(key, revision):
--- a/src/wigeonpier/platform/view.py
+++ b/src/wigeonpier/platform/view.py
@@ -76,7 +76,14 @@
         for entry in snapshot.entries:
             known = self.entries.get(entry.key)
             if known is None or known.revision != entry.revision:
-                self._apply(Change(entry.key, entry.value, entry.revision))
+                self._apply(
+                    Change(
+                        entry.key,
+                        entry.value,
+                        entry.revision,
+                        entry.created,
+                    ),
+                )
         self.is_complete = True
         for change in self.platform.watch(self.prefix, snapshot.revision):
             self._apply(change)
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -65,6 +65,7 @@
     job_held = (625, NOTE, 'A job is on this disk until the store takes it.')
     job_handed_over = (626, NOTE, 'The store has a job that a disk held.')
     job_unreadable = (627, BAD, 'A file of a held job is not whole.')
+    job_removed = (628, NOTE, 'A job is too old to be readable any more.')
     retired = (622, NOTE, 'A VM holds nothing that is needed.')
     disk_opened = (700, NOTE, 'A data folder is in use.')
     disk_refused = (701, ODD, 'A data folder refused an append.')
--- a/tests/hosted/test_whole_path.py
+++ b/tests/hosted/test_whole_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import gevent
@@ -302,3 +303,35 @@
     assert in_hand.get().body.count(b'data') == 10
     assert leaving.get() == 0
     assert not any(replica.runs['q2'] for replica in site.replicas)
+
+
+def test_an_address_with_another_instance_is_not_tried_again(
+    site: HostedSite,
+) -> None:
+    """Replicas restart faster than the register tells."""
+    site.start(replicas=1)
+    site.replicas[0].name = 'i-9'
+    assert site.call('POST', '/once/1', 'q1').status == 503
+    upstream = site.entries[0]._replicas.upstreams['i-0']
+    assert upstream.is_leaving
+    site.replicas[0].register('suva-a')
+    wait_for(
+        lambda: list(site.entries[0]._replicas.upstreams) == ['i-9'],
+        'the older one is gone',
+    )
+    assert site.call('POST', '/once/1', 'q2').status == 200
+
+
+def test_old_jobs_are_removed_and_young_ones_stay(site: HostedSite) -> None:
+    site.start()
+    site.hand_in('old', 4)
+    site.wait_for_results('old', 4)
+    janitor = site.disks[0]._janitor
+    janitor.sweep(time.time() + 60)
+    assert site.call('GET', '/-/lots/old?after=0').status == 200
+    janitor.sweep(time.time() + 3600)
+    assert not [
+        key
+        for key in site.store.list_keys('wigeonpier/hosted/')
+        if 'old' in key
+    ]
