--- /dev/null
+++ b/tests/hosted/test_views.py
@@ -0,0 +1,135 @@
+"""What readers of one job share, and what they must not miss."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from result import Err, Ok
+
+from tests.hosted.builders import make_open_job
+from wigeonpier.errors import Refusal
+from wigeonpier.hosted.ledger import PlacedResult, RecordHead
+from wigeonpier.hosted.views import JobViews
+from wigeonpier.models import ItemResult, ItemState
+from wigeonpier.platform.port import Failure
+
+HEAD = RecordHead(make_open_job(), ['a', 'b', 'c'])
+
+
+def build_result(index: int) -> PlacedResult:
+    """Make a result."""
+    found = ItemResult(HEAD.names[index], ItemState.completed, 'text')
+    return PlacedResult(index + 1, index, found)
+
+
+class StandInLedger:
+    """Holds results, and answers as slowly as it is told."""
+
+    def __init__(self) -> None:
+        """Begin with no results."""
+        self.results: list[PlacedResult] = []
+        self.delay = 0.0
+        self.looks = 0
+        self.is_away = False
+
+    def read_head(self, name: str) -> Ok | Err:
+        if self.is_away:
+            return Err(Failure.unavailable)
+        return Ok(HEAD if name == 'j' else None)
+
+    def read_results(self, _job) -> Ok | Err:
+        self.looks += 1
+        gevent.sleep(self.delay)
+        if self.is_away:
+            return Err(Failure.unavailable)
+        return Ok((list(self.results), len(self.results) + 1))
+
+    def await_results(self, _job, revision: int, wait: float) -> Ok | Err:
+        self.looks += 1
+        gevent.sleep(self.delay)
+        if self.is_away:
+            return Err(Failure.unavailable)
+        fresh = self.results[revision - 1 :]
+        if not fresh:
+            gevent.sleep(wait)
+            fresh = self.results[revision - 1 :]
+        return Ok((list(fresh), len(self.results) + 1))
+
+    def close(self, _job) -> Ok:
+        return Ok(1)
+
+
+@pytest.fixture
+def ledger() -> StandInLedger:
+    """Make a ledger."""
+    return StandInLedger()
+
+
+@pytest.fixture
+def views(ledger: StandInLedger) -> JobViews:
+    """Make views of it."""
+    return JobViews(ledger, lambda name: name == 'held')
+
+
+def test_a_reader_beside_a_look_is_not_told_what_is_old(views, ledger) -> None:
+    """Another reader had the results, and this one was told of none."""
+    view = views.find('j')
+    views.look(view, 0, 0)
+    view.looked_at -= 9
+    ledger.results = [build_result(0), build_result(1)]
+    ledger.delay = 0.1
+    first = gevent.spawn(views.look, view, 0, 1.0)
+    gevent.sleep(0.02)
+    views.look(view, 0, 0)
+    assert len(view.results) == 2
+    first.get()
+
+
+def test_a_reader_without_patience_does_not_wait_for_one_with_it(
+    views, ledger
+) -> None:
+    view = views.find('j')
+    views.look(view, 0, 0)
+    patient = gevent.spawn(views.look, view, 0, 5.0)
+    gevent.sleep(0.02)
+    with gevent.Timeout(1):
+        views.look(view, 0, 0)
+    patient.kill()
+
+
+def test_readers_share_a_look(views, ledger) -> None:
+    view = views.find('j')
+    for _reader in range(5):
+        views.look(view, 0, 0)
+    assert ledger.looks == 1
+
+
+def test_a_reader_from_the_start_gets_what_came_since(views, ledger) -> None:
+    ledger.results = [build_result(0)]
+    view = views.find('j')
+    views.look(view, 0, 0)
+    ledger.results.append(build_result(1))
+    view.looked_at -= 9
+    views.look(view, 0, 0)
+    assert len(view.results) == 2
+
+
+def test_results_stay_readable_while_the_store_is_away(views, ledger) -> None:
+    ledger.results = [build_result(0)]
+    view = views.find('j')
+    views.look(view, 0, 0)
+    ledger.is_away = True
+    view.looked_at -= 9
+    views.look(view, 0, 0)
+    assert len(view.results) == 1
+    view.looked_at -= 9
+    with pytest.raises(Refusal) as refused:
+        views.look(view, 1, 0)
+    assert refused.value.status == 503
+
+
+def test_what_disks_may_hold_is_not_said_to_be_missing(views) -> None:
+    for name, status in (('held', 503), ('none', 404)):
+        with pytest.raises(Refusal) as refused:
+            views.find(name)
+        assert refused.value.status == status
