--- a/src/wigeonpier/bench/experiments.py
+++ b/src/wigeonpier/bench/experiments.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from wigeonpier.bench.batchcost import measure_batch
+from wigeonpier.bench.faultsoak import run_fault_soak
 from wigeonpier.bench.largefile import measure_uploads
 from wigeonpier.bench.mix import run_mix
 from wigeonpier.bench.overhead import measure_overhead
@@ -24,6 +25,7 @@
 OVERHEAD_SECONDS = 5.0
 MIX_SECONDS = 20.0
 SOAK_SECONDS = 15.0
+FAULT_SOAK_SECONDS = 20.0
 SLOPE_SECONDS = 8.0
 BATCH_ITEMS = 4000
 TAKEOVERS = 5
@@ -85,6 +87,13 @@
     return run_soak(parsed.seed, parsed.seconds, make_folder('site'))
 
 
+def _run_fault_soak(
+    parsed: argparse.Namespace,
+    make_folder: MakeFolder,
+) -> Any:
+    return run_fault_soak(parsed.seed, parsed.seconds, make_folder('hosted'))
+
+
 def _run_batch(parsed: argparse.Namespace, make_folder: MakeFolder) -> Any:
     return measure_batch(parsed.items, parsed.takeovers, make_folder)
 
@@ -117,6 +126,12 @@
         (_SEED, Option('seconds', SOAK_SECONDS, 'time with faults')),
         _run_soak,
     ),
+    Experiment(
+        'faultsoak',
+        'hosted daemons as processes, harmed from outside',
+        (_SEED, Option('seconds', FAULT_SOAK_SECONDS, 'time with faults')),
+        _run_fault_soak,
+    ),
     Experiment(
         'batch',
         'what a batch item costs, beside a write per item',
--- /dev/null
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -0,0 +1,320 @@
+"""A randomised soak of the hosted daemons as processes, harmed from outside.
+
+What it checks is seen by callers and upstreams only.  The in-process `soak`
+does the same for the product's own interface, inside one process.
+"""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import gevent
+
+from wigeonpier.bench.processes import HostedProcess
+from wigeonpier.bench.proxy import Harm, HarmingProxy
+from wigeonpier.bench.replica import StandInReplica
+from wigeonpier.bench.soakcallers import DATA_CENTRE, HOST, SERVICE, SoakCallers
+from wigeonpier.bench.store import StandInStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+    from pathlib import Path
+
+ENTRIES = 2
+REPLICAS = 3
+DISKS = 3
+# An answer takes 0.4 s, so that faults meet it midway.
+EVENTS = 20
+EVENT_SECONDS = 0.02
+READY_SECONDS = 20.0
+# Jobs have this long to end once nothing is harmed any more.
+FINISH_SECONDS = 40.0
+RESTART_SECONDS = 0.3
+GAP_SECONDS = (0.3, 1.2)
+HARM_SECONDS = (0.5, 3.0)
+STEP_SECONDS = 0.05
+
+
+@dataclass
+class FaultSoak:
+    """One run.
+
+    :param seed: draws faults and load.
+    :param seconds: how long faults go on.
+    :param folder: settings, logs and disks.
+    """
+
+    seed: int
+    seconds: float
+    folder: Path
+    store: StandInStore = field(default_factory=StandInStore)
+    replicas: list[StandInReplica] = field(default_factory=list)
+    processes: list[HostedProcess] = field(default_factory=list)
+    faults: dict[str, int] = field(default_factory=dict)
+    version: int = 1
+    starts: int = REPLICAS
+    store_address: str = ''
+    harming: list[gevent.Greenlet[..., None]] = field(default_factory=list)
+
+    def run(self) -> dict[str, Any]:
+        """Run and check.
+
+        :returns: what was done, and each broken promise in words.
+        """
+        self._start()
+        callers = SoakCallers(self.entries, random.Random(self.seed + 1))
+        with ExitStack() as stack:
+            stack.callback(self.stop)
+            self._await_ready(callers)
+            callers.start()
+            self._harm_for(random.Random(self.seed))
+            self._heal()
+            callers.finish(FINISH_SECONDS)
+            broken = callers.find_broken(self.replicas)
+        return {
+            'seed': self.seed,
+            'faults': self.faults,
+            'questions': callers.count_outcomes(),
+            'jobs': callers.count_jobs(),
+            'broken': broken,
+        }
+
+    @property
+    def entries(self) -> list[HostedProcess]:
+        """Give the entries."""
+        return [one for one in self.processes if one.role == 'entry']
+
+    def stop(self) -> None:
+        """End everything that this run started."""
+        gevent.killall(self.harming)
+        for process in self.processes:
+            process.kill()
+            process.store.stop()
+        for replica in self.replicas:
+            replica.stop()
+        self.store.stop()
+
+    def _start(self) -> None:
+        self.store_address = self.store.start()
+        self._configure()
+        for number in range(REPLICAS):
+            replica = StandInReplica(
+                f'i-{number}',
+                SERVICE,
+                self.store,
+                events=EVENTS,
+                event_seconds=EVENT_SECONDS,
+            )
+            replica.start(DATA_CENTRE)
+            self.replicas.append(replica)
+            self._add('worker', f'side-{number}', replica.address)
+        for number in range(ENTRIES):
+            self._add('entry', f'edge-{number}')
+        for number in range(DISKS):
+            self._add('storage', f'storage-{number}')
+        for process in self.processes:
+            process.start()
+
+    def _add(self, role: str, name: str, upstream: str = '') -> None:
+        process = HostedProcess(
+            role,
+            name,
+            self.folder,
+            HarmingProxy(self.store_address),
+            upstream,
+            SERVICE,
+        )
+        process.prepare()
+        self.processes.append(process)
+
+    def _configure(self) -> None:
+        routes = [
+            _make_route('streaming', '/ask/', resumable=True, attempts=2),
+            _make_route('streaming', '/once/', resumable=False, attempts=1),
+            _make_route('batch_run', '/jobs/', resumable=True, attempts=3),
+        ]
+        self.store.put(
+            'op/config',
+            {
+                'version': self.version,
+                'routes': routes,
+                'limits': {'maxBodyBytes': 4_000_000},
+            },
+        )
+
+    def _await_ready(self, callers: SoakCallers) -> None:
+        give_up = time.monotonic() + READY_SECONDS
+        while not callers.is_ready():
+            if time.monotonic() > give_up:
+                raise TimeoutError('the daemons never became ready')
+            gevent.sleep(STEP_SECONDS)
+
+    def _harm_for(self, draw: random.Random) -> None:
+        kinds = list(self._list_faults(draw))
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            name, harm = draw.choice(kinds)
+            self.faults[name] = self.faults.get(name, 0) + 1
+            self.harming.append(gevent.spawn(harm))
+            gevent.sleep(draw.uniform(*GAP_SECONDS))
+
+    def _list_faults(
+        self,
+        draw: random.Random,
+    ) -> Iterator[tuple[str, Callable[[], None]]]:
+        yield from self._list_process_faults(draw)
+        yield from self._list_store_faults(draw)
+        yield from self._list_replica_faults(draw)
+
+    def _list_process_faults(
+        self,
+        draw: random.Random,
+    ) -> Iterator[tuple[str, Callable[[], None]]]:
+        def pick() -> HostedProcess:
+            return draw.choice(self.processes)
+
+        def draw_time() -> float:
+            return draw.uniform(*HARM_SECONDS)
+
+        yield 'kill', lambda: self._restart(pick(), signal.SIGKILL)
+        yield 'term', lambda: self._restart(pick(), signal.SIGTERM)
+        yield 'hup', lambda: pick().send(signal.SIGHUP)
+        yield 'pause', lambda: _pause(pick(), draw_time())
+        yield 'kill all', self._kill_all
+        yield 'reset', lambda: pick().store.reset()
+        for kind in (Harm.delayed, Harm.silent, Harm.one_way):
+            yield kind.value, _bind_harm(pick, kind, draw_time)
+
+    def _list_store_faults(
+        self,
+        draw: random.Random,
+    ) -> Iterator[tuple[str, Callable[[], None]]]:
+        def take_down() -> None:
+            self._take_store_down(draw.uniform(*HARM_SECONDS))
+
+        yield 'store down', take_down
+        yield 'store answers lost', self._lose_answers
+        yield 'store history gone', self.store.compact
+        yield 'configuration', self._change_configuration
+
+    def _list_replica_faults(
+        self,
+        draw: random.Random,
+    ) -> Iterator[tuple[str, Callable[[], None]]]:
+        def pick() -> StandInReplica:
+            return draw.choice(self.replicas)
+
+        yield 'stream broken', lambda: _break_stream(pick())
+        yield 'turned away', lambda: _turn_away(pick())
+        yield 'replica restarted', lambda: self._restart_replica(pick())
+
+    def _restart(self, process: HostedProcess, number: signal.Signals) -> None:
+        process.send(number)
+        while process.is_running:
+            gevent.sleep(STEP_SECONDS)
+        gevent.sleep(RESTART_SECONDS)
+        if not process.is_running:
+            process.start()
+
+    def _kill_all(self) -> None:
+        restarts = [
+            gevent.spawn(self._restart, process, signal.SIGKILL)
+            for process in self.processes
+        ]
+        gevent.joinall(restarts)
+
+    def _take_store_down(self, seconds: float) -> None:
+        self.store.faults.is_down = True
+        gevent.sleep(seconds)
+        self.store.faults.is_down = False
+
+    def _lose_answers(self) -> None:
+        self.store.faults.lost_writes += 2
+
+    def _restart_replica(self, replica: StandInReplica) -> None:
+        self.store.remove(f'servers/{replica.name}')
+        self.starts += 1
+        replica.name = f'i-{self.starts}'
+        replica.register(DATA_CENTRE)
+
+    def _change_configuration(self) -> None:
+        self.version += 1
+        self._configure()
+
+    def _heal(self) -> None:
+        self.store.faults.is_down = False
+        self.store.faults.lost_writes = 0
+        for process in self.processes:
+            process.store.harm = Harm.none
+            process.send(signal.SIGCONT)
+        gevent.joinall(self.harming, timeout=READY_SECONDS)
+        for replica in self.replicas:
+            replica.faults.break_after = 0
+            replica.faults.turn_away = 0
+
+
+def run_fault_soak(seed: int, seconds: float, folder: Path) -> dict[str, Any]:
+    """Run one soak.
+
+    :param seed: draws faults and load.
+    :param seconds: how long faults go on.
+    :param folder: for settings, logs and disks.
+    :returns: the report.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    return FaultSoak(seed, seconds, folder).run()
+
+
+def _make_route(
+    kind: str,
+    prefix: str,
+    *,
+    resumable: bool,
+    attempts: int,
+) -> dict[str, Any]:
+    return {
+        'name': prefix.strip('/'),
+        'host': HOST,
+        'pathPrefix': prefix,
+        'kind': kind,
+        'service': SERVICE,
+        'timeoutMs': 5000,
+        'targetLatencyMs': 300,
+        'maxAttempts': attempts,
+        'resumable': resumable,
+        'runAimMs': 18000,
+        'retentionS': 120,
+    }
+
+
+def _bind_harm(
+    pick: Callable[[], HostedProcess],
+    kind: Harm,
+    draw_time: Callable[[], float],
+) -> Callable[[], None]:
+    def harm() -> None:
+        proxy = pick().store
+        proxy.harm = kind
+        gevent.sleep(draw_time())
+        proxy.harm = Harm.none
+
+    return harm
+
+
+def _pause(process: HostedProcess, seconds: float) -> None:
+    process.send(signal.SIGSTOP)
+    gevent.sleep(seconds)
+    process.send(signal.SIGCONT)
+
+
+def _break_stream(replica: StandInReplica) -> None:
+    replica.faults.break_after += 2
+
+
+def _turn_away(replica: StandInReplica) -> None:
+    replica.faults.turn_away += 3
--- /dev/null
+++ b/src/wigeonpier/bench/processes.py
@@ -0,0 +1,134 @@
+"""Hosted daemons as processes of their own, and signals to them."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from wigeonpier.bench.proxy import HarmingProxy
+
+TEMPLATE = """node = "{name}"
+zone = "a"
+region = "r"
+ip = "127.0.0.1"
+internalPorts = [{metrics}, {peers}]
+dataDir = "{folder}"
+app = "{upstream}"
+service = "{service}"
+[zones]
+a = "r"
+[listen]
+frontend = "127.0.0.1:{callers}"
+readiness = "127.0.0.1:{readiness}"
+[faultTolerance]
+machines = 1
+[bounds]
+graceS = 6
+catchUpS = 4.7
+statusS = 120
+[platform]
+address = "{store}"
+historyS = 20
+"""
+PORTS = ('metrics', 'peers', 'callers', 'readiness')
+
+
+@dataclass(slots=True)
+class HostedProcess:
+    """One daemon that can be stopped, paused, killed and started again.
+
+    :param role: what it runs as.
+    :param name: name of its VM.
+    :param folder: folder for its settings, log and disk.
+    :param store: its own way to the store.
+    :param upstream: address of its upstream, or empty.
+    :param service: service of the upstream.
+    :param callers: its address for callers.
+    """
+
+    role: str
+    name: str
+    folder: Path
+    store: HarmingProxy
+    upstream: str = ''
+    service: str = ''
+    callers: str = ''
+    _child: subprocess.Popen[bytes] | None = None
+    _ports: dict[str, int] = field(default_factory=dict)
+
+    def prepare(self) -> None:
+        """Write the settings file."""
+        self._ports = {name: take_port() for name in PORTS}
+        self.callers = f'127.0.0.1:{self._ports["callers"]}'
+        text = TEMPLATE.format(
+            name=self.name,
+            folder=self.folder / f'{self.name}.disk',
+            upstream=self.upstream,
+            service=self.service,
+            store=self.store.address,
+            **self._ports,
+        )
+        self._settings.write_text(text, encoding='utf-8')
+
+    def start(self) -> None:
+        """Start it; its log is added to."""
+        with self.log.open('ab') as log:
+            self._child = subprocess.Popen(
+                (
+                    sys.executable,
+                    '-m',
+                    'wigeonpier.hosted.main',
+                    self.role,
+                    '--settings',
+                    str(self._settings),
+                ),
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def log(self) -> Path:
+        """Give the file of its log."""
+        return self.folder / f'{self.name}.log'
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process is there."""
+        return self._child is not None and self._child.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, by its id.
+
+        :param number: the signal.
+        """
+        if self._child is not None and self.is_running:
+            os.kill(self._child.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for its end."""
+        if self._child is not None:
+            self.send(signal.SIGCONT)
+            self._child.kill()
+            self._child.wait()
+
+    @property
+    def _settings(self) -> Path:
+        return self.folder / f'{self.name}.toml'
+
+
+def take_port() -> int:
+    """Find a free port of loopback.
+
+    :returns: the port.
+    """
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return int(sock.getsockname()[1])
--- /dev/null
+++ b/src/wigeonpier/bench/soakcallers.py
@@ -0,0 +1,295 @@
+"""Callers of the fault soak: they use the daemons and check what they see."""
+
+from __future__ import annotations
+
+import base64
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import chain
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+from result import Err
+
+from wigeonpier.loops import spawn_loop
+from wigeonpier.platform import wire
+from wigeonpier.web.exchange import ConnectionPool, make_request
+
+if TYPE_CHECKING:
+    import random
+
+    from wigeonpier.bench.processes import HostedProcess
+    from wigeonpier.bench.replica import StandInReplica
+    from wigeonpier.web.client import Reply
+
+HOST = 'soak.example'
+SERVICE = 'assistant'
+DATA_CENTRE = 'a'
+CALL_SECONDS = 6.0
+QUESTION_GAP = (0.01, 0.12)
+JOB_GAP = (0.3, 1.2)
+READ_GAP = (0.1, 0.5)
+ITEMS = 5
+OK = 200
+ACCEPTED = 202
+# These say that nothing has run, nor ever will.
+NOT_RUN = frozenset((408, 421, 429, 503))
+ATTEMPTS = 2
+# Requests under this path may run once at most.
+ONCE = '/once/'
+
+
+@dataclass(frozen=True, slots=True)
+class SoakAnswer:
+    """What a caller got for a question.
+
+    :param path: path that was asked.
+    :param status: its status, 0 for no answer.
+    :param body: its bytes.
+    """
+
+    path: str
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class SoakJob:
+    """One job as its caller knows it.
+
+    :param name: its id.
+    :param statuses: answers to each time it was handed in, 0 for none.
+    :param results: results by position, as first read.
+    """
+
+    name: str
+    statuses: list[int] = field(default_factory=list)
+    results: list[dict[str, str]] = field(default_factory=list)
+
+    @property
+    def is_accepted(self) -> bool:
+        """Tell whether the system has to keep it."""
+        return ACCEPTED in self.statuses
+
+
+class SoakCallers:
+    """Asks, hands jobs in and reads them, at any entry."""
+
+    def __init__(
+        self,
+        entries: list[HostedProcess],
+        draw: random.Random,
+    ) -> None:
+        """Call the entries once started."""
+        self.jobs: list[SoakJob] = []
+        self._entries = entries
+        self._draw = draw
+        self._pool = ConnectionPool()
+        self._outcomes: dict[str, SoakAnswer] = {}
+        self._broken: list[str] = []
+        self._is_over = False
+        self._greenlets: list[gevent.Greenlet[..., None]] = []
+
+    def is_ready(self) -> bool:
+        """Tell whether each entry serves."""
+        return all(
+            self._ask('/ask/ready', f'ready{number}', entry) == OK
+            for number, entry in enumerate(self._entries)
+        )
+
+    def start(self) -> None:
+        """Begin to call."""
+        self._greenlets = [
+            gevent.spawn(self._ask_on),
+            gevent.spawn(self._hand_in_on),
+            spawn_loop('readers', self._read_on),
+        ]
+
+    def finish(self, seconds: float) -> None:
+        """Ask for nothing new, and read until all jobs have ended.
+
+        :param seconds: longest wait.
+        """
+        self._is_over = True
+        gevent.joinall(self._greenlets[:2])
+        give_up = time.monotonic() + seconds
+        while time.monotonic() < give_up and self._list_open():
+            gevent.sleep(READ_GAP[1])
+        gevent.killall(self._greenlets)
+
+    def find_broken(self, replicas: list[StandInReplica]) -> list[str]:
+        """Find what callers and upstreams saw that must never be.
+
+        :param replicas: upstreams, which count their runs.
+        :returns: each broken promise in words.
+        """
+        runs: Counter[str] = Counter()
+        for replica in replicas:
+            runs.update(replica.runs)
+        found = [
+            check_answer(
+                name,
+                answer,
+                replicas[0].make_output(name),
+                runs[name],
+            )
+            for name, answer in self._outcomes.items()
+        ]
+        found += [check_job(job, replicas[0], runs) for job in self.jobs]
+        return self._broken + list(chain.from_iterable(found))
+
+    def count_outcomes(self) -> dict[str, int]:
+        """Count answers to questions by status, 0 for none."""
+        statuses = (answer.status for answer in self._outcomes.values())
+        return {
+            str(status): count for status, count in Counter(statuses).items()
+        }
+
+    def count_jobs(self) -> dict[str, int]:
+        """Count jobs by whether they were accepted."""
+        accepted = len([job for job in self.jobs if job.is_accepted])
+        return {'accepted': accepted, 'not': len(self.jobs) - accepted}
+
+    def _ask_on(self) -> None:
+        asking: list[gevent.Greenlet[..., int]] = []
+        while not self._is_over:
+            number = len(asking)
+            path = self._draw.choice(('/ask/q', '/once/q'))
+            entry = self._draw.choice(self._entries)
+            asking.append(
+                gevent.spawn(self._ask, path, f'q{number}', entry),
+            )
+            gevent.sleep(self._draw.uniform(*QUESTION_GAP))
+        gevent.joinall(asking)
+
+    def _ask(self, path: str, name: str, entry: HostedProcess) -> int:
+        reply = self._call(entry, 'POST', path, name)
+        status = reply.status if reply else 0
+        self._outcomes[name] = SoakAnswer(
+            path,
+            status,
+            reply.body if reply else b'',
+        )
+        return status
+
+    def _hand_in_on(self) -> None:
+        while not self._is_over:
+            job = SoakJob(f'j{len(self.jobs)}')
+            self.jobs.append(job)
+            while len(job.statuses) < ATTEMPTS and not job.is_accepted:
+                self._hand_in(job)
+            gevent.sleep(self._draw.uniform(*JOB_GAP))
+
+    def _hand_in(self, job: SoakJob) -> None:
+        items = [
+            {
+                'id': f'{job.name}-{number}',
+                'path': f'/jobs/{job.name}',
+                'body': base64.b64encode(b'{}').decode(),
+                'tokens': 10,
+            }
+            for number in range(ITEMS)
+        ]
+        body = msgspec.json.encode({'items': items})
+        entry = self._draw.choice(self._entries)
+        reply = self._call(entry, 'POST', '/jobs/x', job.name, body)
+        job.statuses.append(reply.status if reply else 0)
+
+    def _read_on(self) -> None:
+        for job in self._list_open():
+            self._read(job)
+        gevent.sleep(self._draw.uniform(*READ_GAP))
+
+    def _read(self, job: SoakJob) -> None:
+        entry = self._draw.choice(self._entries)
+        target = f'{wire.JOB_PATH}{job.name}?after=0'
+        reply = self._call(entry, 'GET', target, '')
+        if reply is None or reply.status != OK:
+            return
+        results = msgspec.json.decode(reply.body)['results']
+        common = min(len(results), len(job.results))
+        if results[:common] != job.results[:common]:
+            self._broken.append(f'{job.name}: a position holds another result')
+        if len(results) > len(job.results):
+            job.results = results
+
+    def _list_open(self) -> list[SoakJob]:
+        return [
+            job
+            for job in self.jobs
+            if job.is_accepted and len(job.results) < ITEMS
+        ]
+
+    def _call(
+        self,
+        entry: HostedProcess,
+        method: str,
+        target: str,
+        name: str,
+        body: bytes = b'',
+    ) -> Reply | None:
+        headers: list[tuple[str, str]] = [('Host', HOST)]
+        if name:
+            headers += [(wire.REQUEST_ID, name), (wire.DEADLINE_MS, '5000')]
+        raw = make_request(method, target, headers, body)
+        called: Any = self._pool.call(entry.callers, raw, CALL_SECONDS)
+        return None if isinstance(called, Err) else called.ok_value
+
+
+def check_answer(
+    name: str,
+    answer: SoakAnswer,
+    expected: str,
+    runs: int,
+) -> list[str]:
+    """Check one answer to a question.
+
+    :param name: id of the question.
+    :param answer: what its caller got.
+    :param expected: the whole text.
+    :param runs: how often upstreams ran it.
+    :returns: each broken promise in words.
+    """
+    broken = []
+    texts = [
+        line.removeprefix('data: ')
+        for line in answer.body.decode().splitlines()
+        if line.startswith('data: ')
+    ]
+    if answer.status == OK and texts != expected.split('\n'):
+        broken.append(f'{name}: an answer is not whole')
+    if answer.path.startswith(ONCE):
+        if runs > 1:
+            broken.append(f'{name}: ran {runs} times')
+        if answer.status in NOT_RUN and runs:
+            broken.append(f'{name}: refused and ran')
+    return broken
+
+
+def check_job(
+    job: SoakJob,
+    replica: StandInReplica,
+    runs: Counter[str],
+) -> list[str]:
+    """Check one job at the end.
+
+    :param job: what its caller knows.
+    :param replica: makes the whole texts.
+    :param runs: how often upstreams ran each item.
+    :returns: each broken promise in words.
+    """
+    names = [f'{job.name}-{number}' for number in range(ITEMS)]
+    is_refused = set(job.statuses) <= NOT_RUN
+    if is_refused and any(runs[name] for name in names):
+        return [f'{job.name}: refused each time and ran']
+    if not job.is_accepted:
+        return []
+    if sorted(found['id'] for found in job.results) != names:
+        return [f'{job.name}: has {len(job.results)} results of {ITEMS}']
+    return [
+        f'{found["id"]}: not its whole text'
+        for found in job.results
+        if found['output'] != replica.make_output(found['id'])
+    ]
--- /dev/null
+++ b/tests/bench/test_faultsoak.py
@@ -0,0 +1,75 @@
+"""The soak of real processes, and that its checks see what they watch."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from wigeonpier.bench.faultsoak import run_fault_soak
+from wigeonpier.bench.replica import StandInReplica
+from wigeonpier.bench.soakcallers import (
+    ITEMS,
+    SoakAnswer,
+    SoakJob,
+    check_answer,
+    check_job,
+)
+from wigeonpier.bench.store import StandInStore
+
+# Seeds that ever failed, each with a line on its cause; none so far.
+REGRESSION_SEEDS: tuple[int, ...] = ()
+SHORT_SEED = 4
+SHORT_SECONDS = 5.0
+BODY = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+
+@pytest.mark.parametrize('seed', [SHORT_SEED, *REGRESSION_SEEDS])
+def test_nothing_is_broken_under_drawn_faults(seed: int, tmp_path) -> None:
+    report = run_fault_soak(seed, SHORT_SECONDS, tmp_path)
+    assert not report['broken']
+    assert report['jobs']['accepted']
+    assert report['questions']['200']
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'body', 'runs'),
+    [
+        ('/ask/', 200, BODY[:16], 1),
+        ('/ask/', 200, BODY + BODY, 1),
+        ('/once/', 200, BODY, 2),
+        ('/once/', 503, b'', 1),
+    ],
+)
+def test_a_broken_answer_is_seen(path, status, body, runs) -> None:
+    assert check_answer('q', SoakAnswer(path, status, body), 'a\nb', runs)
+
+
+def test_sound_answers_are_not_blamed() -> None:
+    assert not check_answer('q', SoakAnswer('/once/', 200, BODY), 'a\nb', 1)
+    assert not check_answer('q', SoakAnswer('/once/', 503, b''), 'a\nb', 0)
+    assert not check_answer('q', SoakAnswer('/once/', 0, b''), 'a\nb', 1)
+
+
+def build_job(replica: StandInReplica, statuses: list[int]) -> SoakJob:
+    """Make a job with all its results."""
+    names = [f'j-{number}' for number in range(ITEMS)]
+    results = [
+        {'id': name, 'output': replica.make_output(name)} for name in names
+    ]
+    return SoakJob('j', statuses, results)
+
+
+def test_broken_jobs_are_seen_and_sound_ones_are_not() -> None:
+    replica = StandInReplica('i', 's', StandInStore())
+    none: Counter[str] = Counter()
+    assert not check_job(build_job(replica, [202]), replica, none)
+    missing = build_job(replica, [202])
+    missing.results.pop()
+    spoilt = build_job(replica, [202])
+    spoilt.results[0]['output'] = 'x'
+    for job in (missing, spoilt):
+        assert check_job(job, replica, none)
+    refused = build_job(replica, [503, 429])
+    assert check_job(refused, replica, Counter({'j-0': 1}))
+    assert not check_job(refused, replica, none)
