--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -23,8 +23,9 @@
 if TYPE_CHECKING:
     import random
 
+    from wigeonpier.hosted.board import Board
     from wigeonpier.hosted.holder import JobHolder
-    from wigeonpier.hosted.ledger import Board, JobLedger
+    from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.hosted.views import JobViews
     from wigeonpier.models import JobItem, ServedRoute
 
--- /dev/null
+++ b/src/wigeonpier/hosted/board.py
@@ -0,0 +1,58 @@
+"""The board: jobs with items left, who runs items, who has a disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from wigeonpier.models import DiskMember, Member, OpenJob
+from wigeonpier.platform import places
+
+if TYPE_CHECKING:
+    from wigeonpier.platform.port import Entry
+
+
+@dataclass(slots=True)
+class Board:
+    """Jobs with items left, and who runs items.
+
+    :param jobs: by id.
+    :param revisions: revisions of the jobs' keys, by id.
+    :param members: who runs items, by name of their VM.
+    :param disks: who keeps jobs on a disk, by name of their VM.
+    """
+
+    jobs: dict[str, OpenJob] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
+    disks: dict[str, DiskMember] = field(default_factory=dict)
+
+    def put(self, entry: Entry) -> None:
+        """Take in a key of the board.
+
+        :param entry: the key.
+        """
+        if entry.key.startswith(places.OPEN_JOBS):
+            job = msgspec.json.decode(entry.value, type=OpenJob)
+            self.jobs[job.name] = job
+            self.revisions[job.name] = entry.revision
+        elif entry.key.startswith(places.MEMBERS):
+            member = msgspec.json.decode(entry.value, type=Member)
+            self.members[member.name] = member
+        elif entry.key.startswith(places.DISKS):
+            disk = msgspec.json.decode(entry.value, type=DiskMember)
+            self.disks[disk.name] = disk
+
+    def list_members(self, service: str) -> list[Member]:
+        """List who runs items of a service.
+
+        :param service: name of the service.
+        :returns: the members.
+        """
+        return [
+            member
+            for member in self.members.values()
+            if member.service == service
+        ]
--- a/src/wigeonpier/hosted/dealer.py
+++ b/src/wigeonpier/hosted/dealer.py
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     import random
 
-    from wigeonpier.hosted.ledger import Board, JobLedger
+    from wigeonpier.hosted.board import Board
+    from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.platform.port import Change
 
 LONGEST_PAUSE_SECONDS = 0.7
--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -19,12 +19,24 @@
 
     :param raw: its bytes, with the blank line that ends it.
     :param identity: its id, empty where it has none.
-    :param text: its data, lines separated by line feeds.
     """
 
     raw: bytes
     identity: str
-    text: str
+
+    @property
+    def text(self) -> str:
+        """Give its data, lines separated by line feeds.
+
+        :raises UnicodeDecodeError: where it is no text; whoever only passes
+            the event on need not know.
+        """
+        found = [
+            line[len(DATA) :].removeprefix(b' ').removesuffix(b'\r')
+            for line in self.raw.split(b'\n')
+            if line.startswith(DATA)
+        ]
+        return b'\n'.join(found).decode()
 
 
 class EventReader:
@@ -54,12 +66,8 @@
 
 
 def _make_event(lines: list[bytes]) -> StreamEvent:
-    identity = ''
-    texts = []
+    identity = b''
     for line in lines:
         if line.startswith(IDENTITY):
-            identity = line[len(IDENTITY) :].strip().decode()
-        elif line.startswith(DATA):
-            text = line[len(DATA) :].rstrip(b'\r\n')
-            texts.append(text.removeprefix(b' ').decode())
-    return StreamEvent(b''.join(lines), identity, '\n'.join(texts))
+            identity = line[len(IDENTITY) :].strip()
+    return StreamEvent(b''.join(lines), identity.decode('latin-1'))
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -10,8 +10,8 @@
 import msgspec
 from result import Ok
 
+from wigeonpier.hosted.board import Board
 from wigeonpier.hosted.intake import INTAKE_PATH
-from wigeonpier.hosted.ledger import Board
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import HeldJob
 from wigeonpier.web.exchange import make_request
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -152,8 +152,8 @@
 
 def _read_job(request: Request, route: ServedRoute) -> HandedJob:
     name = ingress.get_job_identity(request)
-    if not name:
-        raise Refusal(ErrorKind.invalid_request, 'the job has no id')
+    if not name or '/' in name:
+        raise Refusal(ErrorKind.invalid_request, f'{name!r} is no id of a job')
     try:
         items = ingress.decode_items(request.read_body())
     except (ValueError, msgspec.DecodeError) as error:
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -8,19 +8,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok, Result
 
+from wigeonpier.hosted.board import Board
 from wigeonpier.models import (
     Assignment,
-    DiskMember,
     ItemProgress,
     ItemResult,
     JobItem,
-    Member,
     OpenJob,
 )
 from wigeonpier.platform import places
@@ -51,50 +50,6 @@
     names: list[str]
 
 
-@dataclass(slots=True)
-class Board:
-    """Jobs with items left, and who runs items.
-
-    :param jobs: by id.
-    :param revisions: revisions of the jobs' keys, by id.
-    :param members: who runs items, by name of their VM.
-    :param disks: who keeps jobs on a disk, by name of their VM.
-    """
-
-    jobs: dict[str, OpenJob] = field(default_factory=dict)
-    revisions: dict[str, int] = field(default_factory=dict)
-    members: dict[str, Member] = field(default_factory=dict)
-    disks: dict[str, DiskMember] = field(default_factory=dict)
-
-    def put(self, entry: Entry) -> None:
-        """Take in a key of the board.
-
-        :param entry: the key.
-        """
-        if entry.key.startswith(places.OPEN_JOBS):
-            job = msgspec.json.decode(entry.value, type=OpenJob)
-            self.jobs[job.name] = job
-            self.revisions[job.name] = entry.revision
-        elif entry.key.startswith(places.MEMBERS):
-            member = msgspec.json.decode(entry.value, type=Member)
-            self.members[member.name] = member
-        elif entry.key.startswith(places.DISKS):
-            disk = msgspec.json.decode(entry.value, type=DiskMember)
-            self.disks[disk.name] = disk
-
-    def list_members(self, service: str) -> list[Member]:
-        """List who runs items of a service.
-
-        :param service: name of the service.
-        :returns: the members.
-        """
-        return [
-            member
-            for member in self.members.values()
-            if member.service == service
-        ]
-
-
 @dataclass(frozen=True, slots=True)
 class PlacedResult:
     """A result and what its position follows from.
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -11,12 +11,10 @@
     """Times that the site promises, in seconds.
 
     :param grace: from SIGTERM to SIGKILL.
-    :param catch_up: until a process that is back counts as recovered.
     :param job_readable: how long a job stays readable after it was sent.
     """
 
     grace: float
-    catch_up: float
     job_readable: float
 
 
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -15,6 +15,7 @@
     JobItem,
 )
 from wigeonpier.platform import wire
+from wigeonpier.web.exchange import HOP_HEADERS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -32,22 +33,12 @@
 MISDIRECTED = 421
 FIRST_ERROR_STATUS = 300
 # Headers of the caller's that each send sets anew or leaves out.
-OWN_HEADERS = frozenset(
-    (
-        wire.DEADLINE_MS.lower(),
-        wire.RESUME_AFTER.lower(),
-        wire.EXPECTED_INSTANCE.lower(),
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
-        'expect',
-    ),
-)
+OWN_HEADERS = HOP_HEADERS | {
+    wire.DEADLINE_MS.lower(),
+    wire.RESUME_AFTER.lower(),
+    wire.EXPECTED_INSTANCE.lower(),
+    'expect',
+}
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpier/platform/process.py
+++ b/src/wigeonpier/platform/process.py
@@ -23,7 +23,6 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = msgspec.field(name='graceS')
-    catch_up_s: float = msgspec.field(name='catchUpS')
     status_s: float = msgspec.field(
         name='statusS', default=USUAL_STATUS_SECONDS
     )
@@ -88,7 +87,6 @@
         store_history=found.platform.history_s,
         bounds=Bounds(
             grace=found.bounds.grace_s,
-            catch_up=found.bounds.catch_up_s,
             job_readable=found.bounds.status_s,
         ),
         callers=found.listen.frontend,
