--- /dev/null
+++ b/tests/hosted/test_explained.py
@@ -0,0 +1,105 @@
+"""Three kinds of failed request, and their causes found from the logs alone."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import gevent
+import pytest
+
+from tests.hosted.builders import HostedSite
+from wigeonpier.cli.main import main
+from wigeonpier.telemetry.logs import configure_logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    Explain = Callable[[str], list[str]]
+
+
+@pytest.fixture
+def explain(tmp_path, capsys) -> Iterator[Explain]:
+    """Gather the logs of a test, and explain an id from them."""
+    path = tmp_path / 'log'
+    with path.open('w') as log:
+        configure_logs('site', 'info', log)
+
+        def explain_id(identity: str) -> list[str]:
+            log.flush()
+            assert main(['explain', identity, str(path)]) == 0
+            return capsys.readouterr().out.splitlines()
+
+        yield explain_id
+        configure_logs('tests', 'critical')
+
+
+@pytest.fixture
+def site(explain: Explain) -> Iterator[HostedSite]:
+    """Make a site whose logs are gathered."""
+    made = HostedSite()
+    gevent.Greenlet.add_spawn_callback(made.greenlets.append)
+    made.start()
+    yield made
+    gevent.Greenlet.remove_spawn_callback(made.greenlets.append)
+    made.stop()
+
+
+def find_lines(lines: list[str], event: str) -> list[str]:
+    """Find the lines of one event."""
+    return [line for line in lines if f' {event} ' in line]
+
+
+def test_a_refused_question_tells_who_turned_it_away(site, explain) -> None:
+    for replica in site.replicas:
+        replica.faults.turn_away = 9
+    assert site.call('POST', '/ask/1', 'q1', b'{}').status == 503
+    lines = explain('q1')
+    done = find_lines(lines, 'request_done')[0]
+    for replica in site.replicas:
+        assert f"'upstream': '{replica.name}'" in done
+    assert done.count("'outcome': 'turned away'") == len(site.replicas)
+    assert 'outcome=Refusal' in done
+    # The beliefs that it rested on: who was known, under which configuration.
+    assert len(find_lines(lines, 'upstream_added')) >= len(site.replicas)
+    assert find_lines(lines, 'configuration_applied')
+
+
+def test_an_answer_that_broke_off_tells_where_and_why(site, explain) -> None:
+    for replica in site.replicas:
+        replica.faults.break_after = 9
+    called = site.pool.call(
+        site.addresses[0],
+        b'POST /once/1 HTTP/1.1\r\nHost: site.example\r\n'
+        b'X-Attempt-Id: q2\r\nContent-Length: 0\r\n\r\n',
+        5,
+    )
+    assert called.is_err()
+    gevent.sleep(0.1)
+    lines = explain('q2')
+    retried = find_lines(lines, 'request_retried')[0]
+    assert 'why=lost' in retried
+    assert 'runs=1' in retried
+    assert not find_lines(lines, 'stream_resumed')
+
+
+def test_an_abandoned_item_tells_that_its_runs_failed(site, explain) -> None:
+    for replica in site.replicas:
+        replica.faults.fail = 9
+    site.hand_in('j3', 1)
+    results = site.wait_for_results('j3', 1)
+    assert results[0]['state'] == 'abandoned'
+    lines = explain('j30')
+    assert len(find_lines(lines, 'item_broken')) == 3
+    assert all(
+        'end=failed' in line for line in find_lines(lines, 'item_broken')
+    )
+    assert 'state=abandoned' in find_lines(lines, 'item_done')[0]
+    assert find_lines(explain('j3'), 'job_accepted')
+
+
+def test_a_line_is_json_with_a_number(site, tmp_path) -> None:
+    site.call('POST', '/nowhere/1', 'q4')
+    lines = (tmp_path / 'log').read_text().splitlines()
+    assert lines
+    assert all(json.loads(line)['number'] for line in lines)
