Tell a refusal in a lazy body while it still can be told

Cause: results and files are read by generators, so a refusal such as storage_down was raised after the handler had returned, and the caller got a bare 500 instead of the table's 503 with its advice. Change: the server asks for the first part of a body before it gives up the right to refuse.

--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -8,6 +8,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import chain
 from typing import TYPE_CHECKING, Any
 
 from gevent import pywsgi
@@ -168,7 +169,7 @@
     ) -> Iterable[bytes]:
         self.in_hand += 1
         try:
-            response = self.handler(_read_request(environ))
+            response = _take_first_part(self.handler(_read_request(environ)))
         except Refusal as refusal:
             response = answer_refusal(refusal)
         except BaseException:
@@ -213,6 +214,27 @@
                 close_body()
 
 
+def _take_first_part(response: Response) -> Response:
+    """Ask for the first part of a body while a refusal can still be told."""
+    if isinstance(response.body, bytes):
+        return response
+    parts = iter(response.body)
+    try:
+        first = next(parts, b'')
+    except BaseException:
+        _Body(response, _release_nothing).close()
+        raise
+    close_parts = getattr(parts, 'close', None)
+    if close_parts is not None:
+        response.on_close.append(close_parts)
+    response.body = chain((first,), parts)
+    return response
+
+
+def _release_nothing() -> None:
+    """Leave the count to whoever answers instead."""
+
+
 def _wrap_handler(current: Filter, following: Handler) -> Handler:
     return lambda request: current(request, following)
 
