--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -8,6 +8,7 @@
 import secrets
 import signal
 import sys
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
@@ -39,6 +40,10 @@
     from wigeonpier.web.server import Route
 
 BOOT_BYTES = 8
+# Two heartbeats: by then a process that has just started has heard of each
+# folder in reach.
+SETTLE_SECONDS = 2.0
+SETTLE_STEP_SECONDS = 0.05
 USAGE_STATUS = 2
 
 Settings = TypeVar('Settings', bound=ProcessSettings)
@@ -137,8 +142,13 @@
     :returns: the client.
     """
 
+    settled_at = time.monotonic() + SETTLE_SECONDS
+
     def find_address(incarnation: str) -> str | None:
         report = find_disks().get(incarnation)
+        while report is None and time.monotonic() < settled_at:
+            gevent.sleep(SETTLE_STEP_SECONDS)
+            report = find_disks().get(incarnation)
         return report.address if report else None
 
     return DiskClient(caller, find_address)
