Route a request once; type the store's messages; name keys by one function

Each question was read and matched to a route twice, once by the batch desk; bodies of the store were bare maps in the client and again in its stand-in; thirteen functions named keys in one shape. Wire names of the stand-ins now come from platform/.

--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -19,7 +19,13 @@
 from wigeonpier.bench.proxy import Harm, HarmingProxy
 from wigeonpier.bench.replica import StandInReplica
 from wigeonpier.bench.soakcallers import DATA_CENTRE, HOST, SERVICE, SoakCallers
-from wigeonpier.bench.store import StandInStore
+from wigeonpier.bench.store import MOST_BODY, StandInStore
+from wigeonpier.models import RouteKind, ServedConfiguration, ServedRoute
+from wigeonpier.platform.operator import (
+    CONFIGURATION_KEY,
+    encode_configuration,
+)
+from wigeonpier.platform.register import name_replica
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -30,6 +36,11 @@
 DISKS = 3
 # An answer takes 0.4 s, so that faults meet it midway.
 EVENTS = 20
+TIMEOUT_SECONDS = 5.0
+OBJECTIVE_SECONDS = 0.3
+RUN_SECONDS = 18.0
+# No item may be given up for its age while faults go on.
+RETENTION_SECONDS = 120.0
 EVENT_SECONDS = 0.02
 READY_SECONDS = 20.0
 # Jobs have this long to end once nothing is harmed any more.
@@ -133,19 +144,13 @@
         self.processes.append(process)
 
     def _configure(self) -> None:
-        routes = [
-            _make_route('streaming', '/ask/', resumable=True, attempts=2),
-            _make_route('streaming', '/once/', resumable=False, attempts=1),
-            _make_route('batch_run', '/jobs/', resumable=True, attempts=3),
-        ]
-        self.store.put(
-            'op/config',
-            {
-                'version': self.version,
-                'routes': routes,
-                'limits': {'maxBodyBytes': 4_000_000},
-            },
+        routes = (
+            _make_route(RouteKind.stream, '/ask/', tries=2),
+            _make_route(RouteKind.stream, '/once/', tries=1),
+            _make_route(RouteKind.batch, '/jobs/', tries=3),
         )
+        configuration = ServedConfiguration(self.version, routes, MOST_BODY)
+        self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
 
     def _await_ready(self, callers: SoakCallers) -> None:
         give_up = time.monotonic() + READY_SECONDS
@@ -244,7 +249,7 @@
         self.store.faults.lost_writes += 2
 
     def _restart_replica(self, replica: StandInReplica) -> None:
-        self.store.remove(f'servers/{replica.name}')
+        self.store.remove(name_replica(replica.name))
         self.starts += 1
         replica.name = f'i-{self.starts}'
         replica.register(DATA_CENTRE)
@@ -280,26 +285,22 @@
     return FaultSoak(seed, seconds, folder).run()
 
 
-def _make_route(
-    kind: str,
-    prefix: str,
-    *,
-    resumable: bool,
-    attempts: int,
-) -> dict[str, Any]:
-    return {
-        'name': prefix.strip('/'),
-        'host': HOST,
-        'pathPrefix': prefix,
-        'kind': kind,
-        'service': SERVICE,
-        'timeoutMs': 5000,
-        'targetLatencyMs': 300,
-        'maxAttempts': attempts,
-        'resumable': resumable,
-        'runAimMs': 18000,
-        'retentionS': 120,
-    }
+def _make_route(kind: RouteKind, prefix: str, *, tries: int) -> ServedRoute:
+    return ServedRoute(
+        name=prefix.strip('/'),
+        host=HOST,
+        prefix=prefix,
+        kind=kind,
+        services=((SERVICE, 1.0),),
+        timeout=TIMEOUT_SECONDS,
+        objective=OBJECTIVE_SECONDS,
+        tries=tries,
+        is_resumable=tries > 1,
+        priority=0,
+        run_objective=RUN_SECONDS,
+        retention=RETENTION_SECONDS,
+        most_tokens=0,
+    )
 
 
 def _bind_harm(
--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -11,8 +11,14 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
+from wigeonpier.models import Replica, UpstreamReport
 from wigeonpier.platform import wire
-from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response, answer_json
+from wigeonpier.platform.register import (
+    encode_replica,
+    encode_report,
+    name_replica,
+)
+from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 from wigeonpier.web.server import Server
 
 if TYPE_CHECKING:
@@ -66,7 +72,7 @@
     running: int = 0
     waiting: int = 0
     address: str = ''
-    state: str = 'ready'
+    is_leaving: bool = False
     _gate: BoundedSemaphore = field(default_factory=BoundedSemaphore)
     _server: Server | None = None
 
@@ -88,14 +94,15 @@
 
         :param data_centre: where it stands.
         """
-        entry = {
-            'service': self.service,
-            'address': self.address,
-            'zone': data_centre,
-            'slots': self.slots,
-            'state': self.state,
-        }
-        self.store.put(wire.REGISTER + self.name, entry)
+        entry = Replica(
+            self.name,
+            self.address,
+            self.service,
+            data_centre,
+            self.slots,
+            self.is_leaving,
+        )
+        self.store.put(name_replica(self.name), encode_replica(entry))
 
     def stop(self) -> None:
         """Die without a word."""
@@ -124,8 +131,12 @@
 
     def _answer(self, request: Request) -> Response:
         if request.path == wire.REPORT_PATH:
-            report = {'running': self.running, 'queued': self.waiting}
-            return answer_json(report | {'state': self.state})
+            report = UpstreamReport(
+                self.running,
+                self.waiting,
+                self.is_leaving,
+            )
+            return Response(HTTPStatus.OK, encode_report(report))
         request.body_limit = MOST_BODY
         request.read_body()
         identity = request.headers[wire.REQUEST_ID.lower()]
--- a/src/wigeonpier/bench/store.py
+++ b/src/wigeonpier/bench/store.py
@@ -17,6 +17,16 @@
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform import wire
+from wigeonpier.platform.messages import (
+    CommitBody,
+    Committed,
+    EventPage,
+    GrantedLease,
+    ItemPage,
+    KeyWrite,
+    LeaseBody,
+    StoredItem,
+)
 from wigeonpier.web.messages import Request, Response, answer_json
 from wigeonpier.web.server import Server, dispatch_to, make_route
 
@@ -44,14 +54,6 @@
     lost_writes: int = 0
 
 
-@dataclass(slots=True)
-class _Cell:
-    value: str
-    revision: int
-    created: int
-    lease: int
-
-
 @dataclass(slots=True)
 class _Lease:
     seconds: float
@@ -68,8 +70,8 @@
 
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: Counter[str] = field(default_factory=Counter)
-    _cells: dict[str, _Cell] = field(default_factory=dict)
-    _history: list[dict[str, Any]] = field(default_factory=list)
+    _cells: dict[str, StoredItem] = field(default_factory=dict)
+    _history: list[StoredItem] = field(default_factory=list)
     _leases: dict[int, _Lease] = field(default_factory=dict)
     _revision: int = 1
     _granted: int = 0
@@ -105,18 +107,20 @@
         """Write a key as the operator and replicas do.
 
         :param key: its name.
-        :param content: anything that msgspec encodes.
+        :param content: its bytes, or anything that msgspec encodes.
         :returns: the revision.
         """
-        raw = base64.b64encode(msgspec.json.encode(content)).decode()
-        return self._apply({key: raw}, (), 0)
+        is_raw = isinstance(content, bytes)
+        written = content if is_raw else msgspec.json.encode(content)
+        raw = base64.b64encode(written).decode()
+        return self._apply([KeyWrite(key, raw)], [])
 
     def remove(self, key: str) -> None:
         """Remove a key as replicas that left do.
 
         :param key: its name.
         """
-        self._apply({}, (key,), 0)
+        self._apply([], [key])
 
     def list_keys(self, prefix: str) -> list[str]:
         """List keys for a test.
@@ -152,79 +156,69 @@
         return guard
 
     def _get(self, request: Request) -> Response:
-        key = _read_query(request)['key']
-        if key not in self._cells:
+        cell = self._cells.get(_read_query(request)[wire.KEY])
+        if cell is None:
             return answer_json({}, HTTPStatus.NOT_FOUND)
-        return answer_json(
-            self._show(key) | {'storeRevision': self._revision},
-        )
+        return answer_json(cell)
 
     def _list(self, request: Request) -> Response:
         query = _read_query(request)
         found = [
             key
-            for key in self.list_keys(query.get('pathPrefix', ''))
-            if key > query.get('after', '')
+            for key in self.list_keys(query.get(wire.PREFIX, ''))
+            if key > query.get(wire.AFTER, '')
         ]
-        page = [self._show(key) for key in found[:PAGE_KEYS]]
-        return answer_json(
-            {
-                'items': page,
-                'morePages': len(found) > PAGE_KEYS,
-                'storeRevision': self._revision,
-            },
-        )
+        page = [self._cells[key] for key in found[:PAGE_KEYS]]
+        has_more = len(found) > PAGE_KEYS
+        return answer_json(ItemPage(page, has_more, self._revision))
 
     def _watch(self, request: Request) -> Response:
         query = _read_query(request)
-        after = int(query['after'])
-        give_up = time.monotonic() + int(query['waitMs']) / MILLISECONDS
+        after = int(query[wire.AFTER])
+        give_up = (
+            time.monotonic() + int(query[wire.WATCH_WAIT_MS]) / MILLISECONDS
+        )
         while True:
             if after < self._compacted:
                 return answer_json({}, HTTPStatus.GONE)
             events = [
                 event
                 for event in self._history
-                if event['revision'] > after
-                and event['key'].startswith(query['pathPrefix'])
+                if event.revision > after
+                and event.key.startswith(query[wire.PREFIX])
             ]
             left = give_up - time.monotonic()
             if events or left <= 0:
-                return answer_json(
-                    {'events': events, 'storeRevision': self._revision},
-                )
+                return answer_json(EventPage(events, self._revision))
             self._changed.wait(left)
 
     def _commit(self, request: Request) -> Response:
-        body = msgspec.json.decode(request.read_body())
-        for guard in body['ifRevision']:
-            cell = self._cells.get(guard['key'])
+        body = msgspec.json.decode(request.read_body(), type=CommitBody)
+        for guard in body.guards:
+            cell = self._cells.get(guard.key)
             revision = cell.revision if cell else 0
-            if revision != guard['revision']:
+            if revision != guard.revision:
                 return answer_json({}, HTTPStatus.PRECONDITION_FAILED)
-        leases = {put['lease'] for put in body['setKeys']} - {0}
+        leases = {write.lease for write in body.writes} - {0}
         if leases - set(self._leases):
             return answer_json({}, HTTPStatus.NOT_FOUND)
-        writes = {put['key']: put['value'] for put in body['setKeys']}
-        lease = next(iter(leases), 0)
-        changed = self._apply(writes, body['remove'], lease)
-        return answer_json({'revision': changed})
+        return answer_json(Committed(self._apply(body.writes, body.deletes)))
 
     def _grant(self, request: Request) -> Response:
-        seconds = msgspec.json.decode(request.read_body())['ttlMs']
-        seconds /= MILLISECONDS
+        asked = msgspec.json.decode(request.read_body(), type=LeaseBody)
+        seconds = asked.time_to_live / MILLISECONDS
         # An id that is used again would keep a dead owner's keys alive.
         self._granted += 1
         lease = self._granted
         self._leases[lease] = _Lease(seconds, time.monotonic() + seconds)
-        return answer_json({'lease': lease, 'ttlMs': seconds * MILLISECONDS})
+        return answer_json(GrantedLease(lease, asked.time_to_live))
 
     def _keep(self, _request: Request, lease: str) -> Response:
         found = self._leases.get(int(lease))
         if found is None:
             return answer_json({}, HTTPStatus.NOT_FOUND)
         found.ends_at = time.monotonic() + found.seconds
-        return answer_json({'ttlMs': found.seconds * MILLISECONDS})
+        return answer_json(LeaseBody(int(found.seconds * MILLISECONDS)))
 
     def _end(self, _request: Request, lease: str) -> Response:
         self._end_lease(int(lease))
@@ -235,7 +229,7 @@
             gone = [
                 key for key, cell in self._cells.items() if cell.lease == lease
             ]
-            self._apply({}, gone, 0)
+            self._apply([], gone)
 
     def _expire(self) -> None:
         now = time.monotonic()
@@ -244,37 +238,26 @@
                 self._end_lease(lease)
         gevent.sleep(EXPIRY_STEP_SECONDS)
 
-    def _apply(
-        self,
-        writes: dict[str, str],
-        removes: Any,
-        lease: int,
-    ) -> int:
+    def _apply(self, writes: list[KeyWrite], deletes: list[str]) -> int:
         self._revision += 1
         revision = self._revision
-        for key, value in writes.items():
-            known = self._cells.get(key)
-            created = known.created if known else revision
-            self._cells[key] = _Cell(value, revision, created, lease)
-            self._history.append(self._show(key))
-        for key in removes:
+        for write in writes:
+            known = self._cells.get(write.key)
+            self._cells[write.key] = StoredItem(
+                write.key,
+                write.value,
+                revision,
+                known.created if known else revision,
+                write.lease,
+            )
+            self._history.append(self._cells[write.key])
+        for key in deletes:
             if self._cells.pop(key, None) is not None:
-                self._history.append(
-                    {'key': key, 'revision': revision, 'tombstone': True},
-                )
+                gone = StoredItem(key, revision=revision, is_gone=True)
+                self._history.append(gone)
         self._wake()
         return revision
 
-    def _show(self, key: str) -> dict[str, Any]:
-        cell = self._cells[key]
-        return {
-            'key': key,
-            'value': cell.value,
-            'revision': cell.revision,
-            'createRev': cell.created,
-            'lease': cell.lease,
-        }
-
     def _wake(self) -> None:
         self._changed.set()
         self._changed.clear()
--- a/src/wigeonpier/hosted/app.py
+++ b/src/wigeonpier/hosted/app.py
@@ -13,6 +13,7 @@
 
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.acceptance import JobAcceptor
+from wigeonpier.hosted.arrival import receive
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.configuration import ConfigurationWatch
 from wigeonpier.hosted.dealer import Dealer
@@ -32,7 +33,7 @@
 from wigeonpier.hosted.upstream import OwnUpstream
 from wigeonpier.hosted.views import JobViews
 from wigeonpier.loops import spawn_loop
-from wigeonpier.models import DiskMember, Member
+from wigeonpier.models import DiskMember, Member, RouteKind
 from wigeonpier.platform import ingress, places
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.settings.process import split_address
@@ -43,13 +44,9 @@
 from wigeonpier.web.server import Server, dispatch_to
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wigeonpier.models import HostSettings
     from wigeonpier.web.messages import Request
 
-    Page = Callable[[Request, str], Response]
-
 # The balancer asks once a second and takes a process out after two misses.
 NOTICED_SECONDS = 2.6
 # Left for the last bytes before the platform kills the process.
@@ -151,7 +148,6 @@
         self._holder = JobHolder(settings, ledger, common.pool)
         views = JobViews(ledger, self._holder.is_held)
         self._jobs = JobDesk(
-            self._configuration,
             ledger,
             views,
             JobAcceptor(ledger, views, self._holder, common.draw),
@@ -227,10 +223,10 @@
         item = ITEM_PATTERN.fullmatch(request.path)
         if item and request.method == 'GET':
             return self._jobs.fetch_body(request, item.group(1))
-        route = self._jobs.find_route(request)
-        if route is not None:
-            return self._jobs.hand_in(request, route)
-        return self._questions.answer(request)
+        arrival = receive(request, self._configuration.current)
+        if arrival.route.kind is RouteKind.batch:
+            return self._jobs.hand_in(arrival)
+        return self._questions.answer(arrival)
 
 
 class WorkerApp:
@@ -262,7 +258,7 @@
         )
         self._membership = Membership(
             common.store,
-            places.name_member(settings.name),
+            places.name_key(places.MEMBERS, settings.name),
             Member(settings.name, settings.service, settings.data_centre),
         )
 
@@ -322,7 +318,7 @@
         )
         self._disk = Membership(
             common.store,
-            places.name_disk(settings.name),
+            places.name_key(places.DISKS, settings.name),
             DiskMember(settings.name, settings.peers),
         )
         self._retire = RetireDesk(
--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -51,7 +51,7 @@
         self._assigned: dict[str, Assignment] = {}
         self.view = PrefixView(
             ledger.store,
-            places.name_assignments(vm),
+            places.name_prefix(places.ASSIGNMENTS, vm),
             self._apply,
             draw,
             longest_pause=LONGEST_PAUSE_SECONDS,
--- a/src/wigeonpier/hosted/dealer.py
+++ b/src/wigeonpier/hosted/dealer.py
@@ -95,7 +95,7 @@
 
     def _try_move_all(self, lost: str) -> bool:
         """Move what a lost process has; false where it must be tried again."""
-        if places.name_member(lost) in self._view.entries:
+        if places.name_key(places.MEMBERS, lost) in self._view.entries:
             return True
         read = self._ledger.read_board()
         if isinstance(read, Err):
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -13,19 +13,17 @@
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.acceptance import HandedJob
 from wigeonpier.hosted.views import refuse_unread
-from wigeonpier.models import RouteKind
 from wigeonpier.platform import ingress
-from wigeonpier.policy.matching import match_route
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.messages import JSON_TYPE, Response
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.acceptance import JobAcceptor
-    from wigeonpier.hosted.configuration import ConfigurationWatch
+    from wigeonpier.hosted.arrival import Arrival
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.hosted.views import JobView, JobViews
-    from wigeonpier.models import ItemResult, ServedRoute
+    from wigeonpier.models import ItemResult
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.messages import Request
 
@@ -43,44 +41,25 @@
 
     def __init__(
         self,
-        configuration: ConfigurationWatch,
         ledger: JobLedger,
         views: JobViews,
         acceptor: JobAcceptor,
         metrics: Metrics,
     ) -> None:
         """Answer from the views, and accept by the acceptor."""
-        self._configuration = configuration
         self._ledger = ledger
         self._views = views
         self._acceptor = acceptor
         self._metrics = metrics
 
-    def find_route(self, request: Request) -> ServedRoute | None:
-        """Find the batch route of a request.
-
-        :param request: the caller's.
-        :returns: the route, ``None`` where it is not one of batch work.
-        """
-        configuration = self._configuration.current
-        if configuration is None:
-            return None
-        head = ingress.read_question(request)
-        route = match_route(configuration, head.host, request.path)
-        if route is None or route.kind is not RouteKind.batch:
-            return None
-        request.body_limit = configuration.body_limit
-        return route
-
-    def hand_in(self, request: Request, route: ServedRoute) -> Response:
+    def hand_in(self, arrival: Arrival) -> Response:
         """Accept a job, once however often it is sent.
 
-        :param request: the caller's.
-        :param route: its route.
+        :param arrival: the caller's, with its route.
         :returns: 202 once the job is kept.
         """
         began = time.monotonic()
-        job = _read_job(request, route)
+        job = _read_job(arrival)
         try:
             place = self._acceptor.accept(job)
         except Refusal as refusal:
@@ -90,7 +69,7 @@
         log_event(
             Event.job_accepted,
             job=job.name,
-            route=route.name,
+            route=arrival.route.name,
             items=len(job.items),
             tokens=job.tokens,
             place=place.value,
@@ -150,15 +129,15 @@
         return Response(HTTPStatus.OK, EMPTY)
 
 
-def _read_job(request: Request, route: ServedRoute) -> HandedJob:
-    name = ingress.get_job_identity(request)
+def _read_job(arrival: Arrival) -> HandedJob:
+    name = arrival.head.identity
     if not name or '/' in name:
         raise Refusal(ErrorKind.invalid_request, f'{name!r} is no id of a job')
     try:
-        items = ingress.decode_items(request.read_body())
+        items = ingress.decode_items(arrival.request.read_body())
     except (ValueError, msgspec.DecodeError) as error:
         raise Refusal(ErrorKind.invalid_request, str(error)) from error
-    return HandedJob(name, ingress.read_question(request).host, route, items)
+    return HandedJob(name, arrival.head.host, arrival.route, items)
 
 
 def _cut_page(view: JobView, after: int) -> list[ItemResult]:
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -104,17 +104,21 @@
         parts = list(_split_items(items))
         job = replace(job, parts=len(parts))
         head = RecordHead(job, [item.name for item in items])
-        first = places.name_record(job.name)
+        first = places.name_key(places.RECORDS, job.name)
         writes = {
             first: msgspec.json.encode(head),
-            places.name_open_job(job.name): msgspec.json.encode(job),
-            places.name_age(job.name): msgspec.json.encode(job.sent_at),
+            places.name_key(places.OPEN_JOBS, job.name): msgspec.json.encode(
+                job
+            ),
+            places.name_key(places.AGES, job.name): msgspec.json.encode(
+                job.sent_at
+            ),
         }
         for number, part in enumerate(parts):
-            key = places.name_record_part(job.name, number)
+            key = places.name_key(places.RECORDS, job.name, number)
             writes[key] = msgspec.json.encode(part)
         for owner in set(job.owners):
-            key = places.name_assignment(owner, job.name)
+            key = places.name_key(places.ASSIGNMENTS, owner, job.name)
             assignment = _assign(job, owner, items)
             writes[key] = msgspec.json.encode(assignment)
         return self.store.commit(Commit({first: 0}, writes), patience)
@@ -135,13 +139,13 @@
         :returns: the revision; ``conflict`` where somebody was faster.
         """
         moved = replace(job, owners=owners)
-        key = places.name_open_job(job.name)
+        key = places.name_key(places.OPEN_JOBS, job.name)
         writes = {key: msgspec.json.encode(moved)}
         for owner in set(owners) - {lost}:
-            name = places.name_assignment(owner, job.name)
+            name = places.name_key(places.ASSIGNMENTS, owner, job.name)
             assignment = replace(_assign(moved, owner, []), is_moved=True)
             writes[name] = msgspec.json.encode(assignment)
-        deletes = (places.name_assignment(lost, job.name),)
+        deletes = (places.name_key(places.ASSIGNMENTS, lost, job.name),)
         return self.store.commit(Commit({key: revision}, writes, deletes))
 
     def read_ages(self) -> Result[dict[str, float], Failure]:
@@ -168,17 +172,17 @@
         closed = self.close(job)
         if isinstance(closed, Err):
             return closed
-        gone = [places.name_record(job)]
+        gone = [places.name_key(places.RECORDS, job)]
         for prefix in (
-            places.name_record_parts(job),
-            places.name_item_results(job),
-            places.name_all_progress(job),
+            places.name_prefix(places.RECORDS, job),
+            places.name_prefix(places.ITEM_RESULTS, job),
+            places.name_prefix(places.PROGRESS, job),
         ):
             listed = self.store.list_prefix(prefix)
             if isinstance(listed, Err):
                 return listed
             gone += [entry.key for entry in listed.ok_value.entries]
-        gone.append(places.name_age(job))
+        gone.append(places.name_key(places.AGES, job))
         return self._delete(gone)
 
     def read_head(self, job: str) -> Result[RecordHead | None, Failure]:
@@ -187,7 +191,9 @@
         :param job: id of the job.
         :returns: the head, ``None`` where there is no such job.
         """
-        return self.store.get(places.name_record(job)).map(_decode_head)
+        return self.store.get(places.name_key(places.RECORDS, job)).map(
+            _decode_head
+        )
 
     def read_items(self, job: OpenJob) -> Result[list[JobItem], Failure]:
         """Read all items of a job.
@@ -197,7 +203,7 @@
         """
         items: list[JobItem] = []
         for number in range(job.parts):
-            key = places.name_record_part(job.name, number)
+            key = places.name_key(places.RECORDS, job.name, number)
             read = self.store.get(key)
             if isinstance(read, Err):
                 return read
@@ -215,7 +221,7 @@
         :param job: id of the job.
         :returns: the revision, 0 where it was closed before.
         """
-        key = places.name_open_job(job)
+        key = places.name_key(places.OPEN_JOBS, job)
         while True:
             read = self.store.get(key)
             if isinstance(read, Err):
@@ -225,7 +231,7 @@
                 return Ok(0)
             found = msgspec.json.decode(entry.value, type=OpenJob)
             assignments = [
-                places.name_assignment(owner, job)
+                places.name_key(places.ASSIGNMENTS, owner, job)
                 for owner in set(found.owners)
             ]
             closed = self.store.commit(
@@ -248,7 +254,7 @@
         :returns: the revision.
         """
         writes = {
-            places.name_progress(*key): msgspec.json.encode(found)
+            places.name_key(places.PROGRESS, *key): msgspec.json.encode(found)
             for key, found in progress.items()
         }
         return self.store.commit(Commit(writes=writes))
@@ -262,10 +268,12 @@
         :param job: id of the job.
         :returns: progress by position of the item.
         """
-        listed = self.store.list_prefix(places.name_all_progress(job))
+        listed = self.store.list_prefix(
+            places.name_prefix(places.PROGRESS, job)
+        )
         return listed.map(
             lambda snapshot: {
-                places.parse_item_result(entry.key): msgspec.json.decode(
+                places.parse_index(entry.key): msgspec.json.decode(
                     entry.value,
                     type=ItemProgress,
                 )
@@ -283,7 +291,9 @@
         :returns: the revision; ``conflict`` where one of them stands.
         """
         writes = {
-            places.name_item_result(*key): msgspec.json.encode(found)
+            places.name_key(places.ITEM_RESULTS, *key): msgspec.json.encode(
+                found
+            )
             for key, found in results.items()
         }
         guards = dict.fromkeys(writes, 0)
@@ -299,7 +309,9 @@
         :returns: results in order of their positions, and the revision from
             which to go on.
         """
-        listed = self.store.list_prefix(places.name_item_results(job))
+        listed = self.store.list_prefix(
+            places.name_prefix(places.ITEM_RESULTS, job)
+        )
         if isinstance(listed, Err):
             return listed
         snapshot = listed.ok_value
@@ -326,7 +338,7 @@
         :returns: new results in order, and the revision to go on from.
         """
         heard = self.store.await_changes(
-            places.name_item_results(job),
+            places.name_prefix(places.ITEM_RESULTS, job),
             revision,
             seconds,
         )
@@ -374,7 +386,7 @@
     placed = [
         PlacedResult(
             entry.created,
-            places.parse_item_result(entry.key),
+            places.parse_index(entry.key),
             msgspec.json.decode(entry.value, type=ItemResult),
         )
         for entry in entries
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -14,7 +14,7 @@
 from wigeonpier.hosted.question import Question
 from wigeonpier.hosted.sender import name_break
 from wigeonpier.platform import ingress
-from wigeonpier.policy.matching import draw_service, match_route
+from wigeonpier.policy.matching import draw_service
 from wigeonpier.policy.route import note_outcome
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -25,12 +25,12 @@
     import random
     from collections.abc import Generator, Iterator
 
+    from wigeonpier.hosted.arrival import Arrival
     from wigeonpier.hosted.configuration import ConfigurationWatch
     from wigeonpier.hosted.sender import QuestionSender, SendFailure
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.exchange import Exchange
-    from wigeonpier.web.messages import Request
 
 # By then one of the answers that run has ended and left its slot.
 RETRY_AFTER_SECONDS = 0.3
@@ -62,41 +62,37 @@
         self._metrics = metrics
         self._draw = draw
 
-    def answer(self, request: Request) -> Response:
+    def answer(self, arrival: Arrival) -> Response:
         """Answer one question.
 
-        :param request: the caller's.
+        :param arrival: the caller's, with its route.
         :returns: the upstream's answer.
         :raises Refusal: where it gets none.
         """
-        question = self._receive(request)
-        question.watcher = watch_close(request.connection, question.leave)
+        question = self._make_question(arrival)
+        question.watcher = watch_close(
+            arrival.request.connection,
+            question.leave,
+        )
         try:
             return self._answer(question)
         except BaseException as error:
             self._finish(question, type(error).__name__)
             raise
 
-    def _receive(self, request: Request) -> Question:
-        configuration = self._configuration.current
-        if configuration is None:
-            raise Refusal(ErrorKind.not_ready, 'no configuration is known yet')
-        head = ingress.read_question(request)
-        route = match_route(configuration, head.host, request.path)
-        if route is None:
-            raise Refusal(ErrorKind.not_found, f'no route for {request.path}')
-        request.body_limit = configuration.body_limit
+    def _make_question(self, arrival: Arrival) -> Question:
         now = time.monotonic()
-        seconds = min(head.seconds or LONGEST_SECONDS, route.timeout)
+        route = arrival.route
+        wanted = arrival.head.seconds or LONGEST_SECONDS
         return Question(
-            request=request,
-            head=head,
+            request=arrival.request,
+            head=arrival.head,
             route=route,
             service=draw_service(route, self._draw),
-            body=request.read_body(),
+            body=arrival.request.read_body(),
             began_at=now,
-            give_up_at=now + seconds,
-            resume_after=head.resume_after,
+            give_up_at=now + min(wanted, route.timeout),
+            resume_after=arrival.head.resume_after,
         )
 
     def _answer(self, question: Question) -> Response:
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -226,15 +226,6 @@
     return min(seconds, MOST_WAIT_SECONDS)
 
 
-def get_job_identity(request: Request) -> str:
-    """Read the id of a job that is handed in.
-
-    :param request: the caller's.
-    :returns: the id, empty where it is absent.
-    """
-    return request.headers.get(wire.REQUEST_ID.lower(), '')
-
-
 def decode_items(raw: bytes) -> list[JobItem]:
     """Read the items of a job.
 
--- a/src/wigeonpier/platform/operator.py
+++ b/src/wigeonpier/platform/operator.py
@@ -74,6 +74,40 @@
     )
 
 
+def encode_configuration(configuration: ServedConfiguration) -> bytes:
+    """Write a configuration as the operator does, for stand-ins.
+
+    :param configuration: the configuration.
+    :returns: value of its key.
+    """
+    kinds = {kind: name for name, kind in KINDS.items()}
+    routes = [
+        _Route(
+            host=route.host,
+            prefix=route.prefix,
+            kind=kinds[route.kind],
+            name=route.name,
+            split=[_Share(*share) for share in route.services],
+            timeout_ms=route.timeout * MILLISECONDS,
+            aim_ms=route.objective * MILLISECONDS,
+            attempts=route.tries,
+            resumable=route.is_resumable,
+            priority=route.priority,
+            run_aim_ms=route.run_objective * MILLISECONDS,
+            retention_s=route.retention,
+            most=route.most_tokens,
+        )
+        for route in configuration.routes
+    ]
+    return msgspec.json.encode(
+        _Configuration(
+            configuration.version,
+            routes,
+            _Limits(configuration.body_limit),
+        ),
+    )
+
+
 def name_retire_state(order: str) -> str:
     """Name the key that tells how far an order to empty a VM is.
 
--- a/src/wigeonpier/platform/places.py
+++ b/src/wigeonpier/platform/places.py
@@ -5,154 +5,58 @@
 HOSTED = 'wigeonpier/hosted/'
 # One read covers the jobs with items left and the processes that run them.
 BOARD = f'{HOSTED}board/'
+# By id of the job.
 OPEN_JOBS = f'{BOARD}jobs/'
+# By name of the VM.
 MEMBERS = f'{BOARD}members/'
 DISKS = f'{BOARD}disks/'
-# Each process watches its own assignments only, so that a job wakes those
-# who run it and nobody else.
+# By VM and job.  Each process watches its own assignments only, so that a job
+# wakes those who run it and nobody else.
 ASSIGNMENTS = f'{HOSTED}work/'
+# By job and position of the item.
 PROGRESS = f'{HOSTED}progress/'
-# Small keys that tell how old a job is, so that old ones are found cheaply.
-AGES = f'{HOSTED}ages/'
-RECORDS = f'{HOSTED}records/'
 ITEM_RESULTS = f'{HOSTED}results/'
+# By job; its items lie below, by number of the part.
+RECORDS = f'{HOSTED}records/'
+# By job.  Small keys that tell how old a job is, so that old ones are found
+# cheaply.
+AGES = f'{HOSTED}ages/'
 
 
-def name_open_job(job: str) -> str:
-    """Name the key that stands while a job has items left.
-
-    :param job: id of the job.
-    :returns: the key.
-    """
-    return f'{OPEN_JOBS}{job}'
-
-
-def name_member(vm: str) -> str:
-    """Name the key of a process that runs items.
-
-    :param vm: name of its VM.
-    :returns: the key.
-    """
-    return f'{MEMBERS}{vm}'
-
-
-def name_disk(vm: str) -> str:
-    """Name the key of a process that keeps jobs on a disk.
+def name_key(space: str, *parts: object) -> str:
+    """Name a key.
 
-    :param vm: name of its VM.
+    :param space: one of the spaces above.
+    :param parts: what the space is ordered by.
     :returns: the key.
     """
-    return f'{DISKS}{vm}'
+    return space + '/'.join(map(str, parts))
 
 
-def name_assignments(vm: str) -> str:
-    """Name the prefix of what a process runs.
+def name_prefix(space: str, *parts: object) -> str:
+    """Name the prefix of all keys below some parts.
 
-    :param vm: name of its VM.
+    :param space: one of the spaces above.
+    :param parts: the first parts of the keys.
     :returns: the prefix.
     """
-    return f'{ASSIGNMENTS}{vm}/'
-
-
-def name_assignment(vm: str, job: str) -> str:
-    """Name the key of the items of one job that a process runs.
-
-    :param vm: name of its VM.
-    :param job: id of the job.
-    :returns: the key.
-    """
-    return f'{name_assignments(vm)}{job}'
+    return f'{name_key(space, *parts)}/'
 
 
 def parse_assignment(key: str) -> tuple[str, str]:
     """Take the key of an assignment apart.
 
-    :param key: key that :func:`name_assignment` made.
+    :param key: its name.
     :returns: name of the VM and id of the job.
     """
     vm, _slash, job = key.removeprefix(ASSIGNMENTS).partition('/')
     return vm, job
 
 
-def name_age(job: str) -> str:
-    """Name the key that tells how old a job is.
-
-    :param job: id of the job.
-    :returns: the key.
-    """
-    return f'{AGES}{job}'
-
-
-def name_all_progress(job: str) -> str:
-    """Name the prefix of the texts of a job's unfinished items.
-
-    :param job: id of the job.
-    :returns: the prefix.
-    """
-    return f'{PROGRESS}{job}/'
-
-
-def name_progress(job: str, index: int) -> str:
-    """Name the key of the text that an unfinished item has so far.
-
-    :param job: id of the job.
-    :param index: position of the item in the job.
-    :returns: the key.
-    """
-    return f'{name_all_progress(job)}{index}'
-
-
-def name_record(job: str) -> str:
-    """Name the key that holds a job's head.
-
-    :param job: id of the job.
-    :returns: the key.
-    """
-    return f'{RECORDS}{job}'
-
-
-def name_record_parts(job: str) -> str:
-    """Name the prefix of the keys that hold the items of a job.
-
-    :param job: id of the job.
-    :returns: the prefix.
-    """
-    return f'{RECORDS}{job}/'
-
-
-def name_record_part(job: str, number: int) -> str:
-    """Name the key that holds some items of a job.
-
-    :param job: id of the job.
-    :param number: number of the part.
-    :returns: the key.
-    """
-    return f'{name_record_parts(job)}{number}'
-
-
-def name_item_results(job: str) -> str:
-    """Name the prefix of all results of a job.
-
-    :param job: id of the job.
-    :returns: the prefix.
-    """
-    return f'{ITEM_RESULTS}{job}/'
-
-
-def name_item_result(job: str, index: int) -> str:
-    """Name the key of one result.
-
-    :param job: id of the job.
-    :param index: position of the item in the job.
-    :returns: the key.
-    """
-    return f'{name_item_results(job)}{index}'
-
-
-def parse_item_result(key: str) -> int:
-    """Take the key of a result apart.
+def parse_index(key: str) -> int:
+    """Take the key of a result or of a progress apart.
 
-    :param key: key that :func:`name_item_result` made.
+    :param key: its name.
     :returns: position of the item in the job.
     """
     return int(key.rpartition('/')[2])
--- a/src/wigeonpier/platform/register.py
+++ b/src/wigeonpier/platform/register.py
@@ -9,6 +9,8 @@
 
 REGISTER = wire.REGISTER
 LOAD_FIELDS = 2
+READY = 'ready'
+DRAINING = 'draining'
 
 
 class _Entry(msgspec.Struct):
@@ -16,14 +18,14 @@
     address: str
     zone: str
     slots: int = 1
-    state: str = 'ready'
+    state: str = READY
 
 
 class _Report(msgspec.Struct):
     running: int = 0
     # Requests that wait for a slot.
     queued: int = 0
-    state: str = 'ready'
+    state: str = READY
 
 
 def decode_replica(key: str, raw: bytes) -> Replica:
@@ -41,10 +43,37 @@
         service=found.service,
         data_centre=found.zone,
         slots=max(1, found.slots),
-        is_leaving=found.state != 'ready',
+        is_leaving=found.state != READY,
     )
 
 
+def encode_replica(replica: Replica) -> bytes:
+    """Write an entry as a replica does, for stand-ins.
+
+    :param replica: the replica.
+    :returns: value of its key.
+    """
+    return msgspec.json.encode(
+        _Entry(
+            replica.service,
+            replica.address,
+            replica.data_centre,
+            replica.slots,
+            DRAINING if replica.is_leaving else READY,
+        ),
+    )
+
+
+def encode_report(report: UpstreamReport) -> bytes:
+    """Write a report as a replica does, for stand-ins.
+
+    :param report: its load.
+    :returns: body of the answer.
+    """
+    state = DRAINING if report.is_leaving else READY
+    return msgspec.json.encode(_Report(report.running, report.waiting, state))
+
+
 def name_replica(name: str) -> str:
     """Name the key of a replica.
 
@@ -65,7 +94,7 @@
     return UpstreamReport(
         found.running,
         found.queued,
-        found.state == 'draining',
+        found.state == DRAINING,
     )
 
 
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -11,6 +11,17 @@
 from result import Err, Ok, Result
 
 from wigeonpier.platform import wire
+from wigeonpier.platform.messages import (
+    CommitBody,
+    Committed,
+    EventPage,
+    GrantedLease,
+    ItemPage,
+    KeyGuard,
+    KeyWrite,
+    LeaseBody,
+    StoredItem,
+)
 from wigeonpier.platform.port import (
     Change,
     Commit,
@@ -43,34 +54,6 @@
 Model = TypeVar('Model')
 
 
-class _Item(msgspec.Struct):
-    key: str
-    value: str = ''
-    revision: int = 0
-    # The service writes the revision of the key's creation here.
-    created: int = msgspec.field(default=0, name='createRev')
-    tombstone: bool = False
-
-
-class _Page(msgspec.Struct):
-    items: list[_Item] = []
-    more: bool = msgspec.field(default=False, name='morePages')
-    revision: int = msgspec.field(default=0, name='storeRevision')
-
-
-class _Events(msgspec.Struct):
-    events: list[_Item] = []
-    revision: int = msgspec.field(default=0, name='storeRevision')
-
-
-class _Committed(msgspec.Struct):
-    revision: int
-
-
-class _Lease(msgspec.Struct):
-    lease: int
-
-
 class KeyValueStore:
     """Calls of the key-value service, one outcome each."""
 
@@ -96,7 +79,7 @@
         :param key: its name.
         :returns: the key, ``None`` where it does not exist.
         """
-        replied = self._send('GET', wire.KEY_PATH, {'key': key})
+        replied = self._send('GET', wire.KEY_PATH, {wire.KEY: key})
         if isinstance(replied, Err):
             return Err(Failure.unavailable)
         reply = replied.ok_value
@@ -104,7 +87,7 @@
             return Ok(None)
         if not reply.is_good:
             return Err(Failure.unavailable)
-        return Ok(_make_entry(reply.decode(_Item)))
+        return Ok(_make_entry(reply.decode(StoredItem)))
 
     def list_prefix(
         self,
@@ -122,7 +105,7 @@
         """
         entries: list[Entry] = []
         revision = 0
-        query = {'pathPrefix': prefix}
+        query = {wire.PREFIX: prefix}
         while True:
             replied = self._send(
                 'GET',
@@ -132,12 +115,12 @@
             )
             if isinstance(replied, Err) or not replied.ok_value.is_good:
                 return Err(Failure.unavailable)
-            page = replied.ok_value.decode(_Page)
+            page = replied.ok_value.decode(ItemPage)
             revision = revision or page.revision
             entries += [_make_entry(found) for found in page.items]
             if not page.more:
                 return Ok(Snapshot(tuple(entries), revision))
-            query = {'pathPrefix': prefix, 'after': page.items[-1].key}
+            query = {wire.PREFIX: prefix, wire.AFTER: page.items[-1].key}
 
     def commit(
         self,
@@ -150,21 +133,17 @@
         :param patience: longest silence, seconds.
         :returns: the new revision; ``unknown`` where the answer was lost.
         """
-        body = {
-            'ifRevision': [
-                {'key': key, 'revision': revision}
+        body = CommitBody(
+            [
+                KeyGuard(key, revision)
                 for key, revision in change.guards.items()
             ],
-            'setKeys': [
-                {
-                    'key': key,
-                    'value': base64.b64encode(value).decode(),
-                    'lease': change.lease,
-                }
+            [
+                KeyWrite(key, base64.b64encode(value).decode(), change.lease)
                 for key, value in change.writes.items()
             ],
-            'remove': list(change.deletes),
-        }
+            list(change.deletes),
+        )
         replied = self._send(
             'POST',
             wire.COMMIT_PATH,
@@ -173,7 +152,7 @@
             patience=patience,
         )
         return _judge(replied).map(
-            lambda reply: reply.decode(_Committed).revision,
+            lambda reply: reply.decode(Committed).revision,
         )
 
     def grant_lease(self, seconds: float) -> Result[int, Failure]:
@@ -182,9 +161,11 @@
         :param seconds: its time to live.
         :returns: its id.
         """
-        body = {'ttlMs': int(seconds * MILLISECONDS)}
+        body = LeaseBody(int(seconds * MILLISECONDS))
         replied = self._send('POST', wire.LEASE_PATH, {}, body)
-        return _judge(replied).map(lambda reply: reply.decode(_Lease).lease)
+        return _judge(replied).map(
+            lambda reply: reply.decode(GrantedLease).lease
+        )
 
     def keep_lease(self, lease: int) -> Result[bool, Failure]:
         """Renew a lease.
@@ -239,9 +220,9 @@
             to go on from; a failure also where this history is gone.
         """
         query = {
-            'pathPrefix': prefix,
-            'after': revision,
-            'waitMs': int(seconds * MILLISECONDS),
+            wire.PREFIX: prefix,
+            wire.AFTER: revision,
+            wire.WATCH_WAIT_MS: int(seconds * MILLISECONDS),
         }
         replied = self._send(
             'GET',
@@ -251,7 +232,7 @@
         )
         if isinstance(replied, Err) or not replied.ok_value.is_good:
             return Err(Failure.unavailable)
-        heard = replied.ok_value.decode(_Events)
+        heard = replied.ok_value.decode(EventPage)
         changes = [_make_change(event) for event in heard.events]
         return Ok((changes, heard.revision or revision))
 
@@ -317,7 +298,7 @@
     return Err(Failure.unknown)
 
 
-def _make_entry(found: _Item) -> Entry:
+def _make_entry(found: StoredItem) -> Entry:
     return Entry(
         found.key,
         base64.b64decode(found.value),
@@ -326,6 +307,6 @@
     )
 
 
-def _make_change(event: _Item) -> Change:
-    value = None if event.tombstone else base64.b64decode(event.value)
+def _make_change(event: StoredItem) -> Change:
+    value = None if event.is_gone else base64.b64decode(event.value)
     return Change(event.key, value, event.revision, event.created)
--- a/src/wigeonpier/platform/wire.py
+++ b/src/wigeonpier/platform/wire.py
@@ -35,6 +35,13 @@
 KEEP_PATH = '/-/kv-keep/'
 END_PATH = '/-/kv-lease-end/'
 
+# Names in the query of these calls.  What comes after is a key for pages and
+# a revision for watches.
+KEY = 'key'
+PREFIX = 'pathPrefix'
+AFTER = 'after'
+WATCH_WAIT_MS = 'waitMs'
+
 OPERATOR_CONFIGURATION = 'op/config'
 RETIRE_ORDERS = 'op/retire/'
 RETIRE_STATES = 'status/retire/'
--- a/tests/hosted/test_assignments.py
+++ b/tests/hosted/test_assignments.py
@@ -19,7 +19,7 @@
     from wigeonpier.hosted.items import ItemWork
 
 ITEMS = [JobItem(f'i{number}', '/p', {}, b'', 1) for number in range(3)]
-KEY = places.name_assignment('vm', 'j')
+KEY = places.name_key(places.ASSIGNMENTS, 'vm', 'j')
 
 
 class SlowLedger:
--- a/tests/hosted/test_whole_path.py
+++ b/tests/hosted/test_whole_path.py
@@ -97,7 +97,7 @@
 
 def test_leaving_upstream_gets_nothing_new(site: HostedSite) -> None:
     site.start()
-    site.replicas[0].state = 'draining'
+    site.replicas[0].is_leaving = True
     site.replicas[0].register('suva-a')
     gevent.sleep(0.1)
     for number in range(6):
