--- a/src/wigeonpier/bench/experiments.py
+++ b/src/wigeonpier/bench/experiments.py
@@ -91,7 +91,12 @@
     parsed: argparse.Namespace,
     make_folder: MakeFolder,
 ) -> Any:
-    return run_fault_soak(parsed.seed, parsed.seconds, make_folder('hosted'))
+    return run_fault_soak(
+        parsed.seed,
+        parsed.seconds,
+        make_folder('hosted'),
+        parsed.processes,
+    )
 
 
 def _run_batch(parsed: argparse.Namespace, make_folder: MakeFolder) -> Any:
@@ -129,7 +134,11 @@
     Experiment(
         'faultsoak',
         'hosted daemons as processes, harmed from outside',
-        (_SEED, Option('seconds', FAULT_SOAK_SECONDS, 'time with faults')),
+        (
+            _SEED,
+            Option('seconds', FAULT_SOAK_SECONDS, 'time with faults'),
+            Option('processes', 0, 'daemons to start, 0 for a small site'),
+        ),
         _run_fault_soak,
     ),
     Experiment(
--- a/src/wigeonpier/bench/processes.py
+++ b/src/wigeonpier/bench/processes.py
@@ -76,7 +76,7 @@
         text = TEMPLATE.format(
             name=self.name,
             ip=self.ip,
-            folder=self.folder / f'{self.name}.disk',
+            folder=self.disk,
             upstream=self.upstream,
             service=self.service,
             store=self.store.address,
@@ -100,6 +100,11 @@
                 stderr=log,
             )
 
+    @property
+    def disk(self) -> Path:
+        """Give the folder of its disk."""
+        return self.folder / f'{self.name}.disk'
+
     @property
     def log(self) -> Path:
         """Give the file of its log."""
--- a/src/wigeonpier/bench/proxy.py
+++ b/src/wigeonpier/bench/proxy.py
@@ -30,19 +30,20 @@
 class HarmingProxy:
     """Passes bytes between callers and one target."""
 
-    def __init__(self, target: str) -> None:
-        """Listen on a free port of loopback."""
+    def __init__(self, target: str, host: str = '127.0.0.1') -> None:
+        """Listen on a free port of a loopback address."""
         self.target = target
         self.harm = Harm.none
         self._pairs: set[tuple[Any, Any]] = set()
-        self._server = StreamServer(('127.0.0.1', 0), self._serve)
+        self._server = StreamServer((host, 0), self._serve)
         self._server.start()
 
     @property
     def address(self) -> str:
         """Give ``host:port`` of the listener."""
+        host = self._server.server_host
         port = self._server.server_port
-        return f'127.0.0.1:{port}'
+        return f'{host}:{port}'
 
     def reset(self) -> None:
         """Reset all open connections."""
--- /dev/null
+++ b/src/wigeonpier/bench/soaksite.py
@@ -0,0 +1,201 @@
+"""The site of the fault soak: real daemons before stand-ins, by processes."""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wigeonpier.bench.processes import HostedProcess, take_port
+from wigeonpier.bench.proxy import Harm, HarmingProxy
+from wigeonpier.bench.replica import StandInReplica
+from wigeonpier.bench.soakcallers import DATA_CENTRE, HOST, SERVICE
+from wigeonpier.bench.store import MOST_BODY, StandInStore
+from wigeonpier.models import RouteKind, ServedConfiguration, ServedRoute
+from wigeonpier.platform.operator import (
+    CONFIGURATION_KEY,
+    encode_configuration,
+)
+from wigeonpier.platform.register import name_replica
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+DISKS = 3
+FIRST_VM = 2
+# An answer takes 0.4 s, so that faults meet it midway.
+EVENTS = 20
+EVENT_SECONDS = 0.02
+TIMEOUT_SECONDS = 5.0
+OBJECTIVE_SECONDS = 0.3
+RUN_SECONDS = 18.0
+# No item may be given up for its age while faults go on.
+RETENTION_SECONDS = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSize:
+    """How many there are of what.
+
+    :param entries: entries.
+    :param replicas: replicas, each with a worker beside it.
+    """
+
+    entries: int = 2
+    replicas: int = 3
+
+
+@dataclass
+class SoakSite:
+    """Processes and stand-ins of one run.
+
+    :param folder: settings, logs and disks.
+    :param size: how many there are.
+    :param store: stand-in of the store; each process has its own way to it.
+    :param replicas: stand-ins of replicas.
+    :param ways: the way to each replica, for all that call it.
+    :param processes: the daemons.
+    :param peers: port of all VMs for other processes of the system.
+    :param version: newest configuration.
+    :param starts: starts of replicas so far.
+    """
+
+    folder: Path
+    size: SoakSize = field(default_factory=SoakSize)
+    store: StandInStore = field(default_factory=StandInStore)
+    replicas: list[StandInReplica] = field(default_factory=list)
+    ways: list[HarmingProxy] = field(default_factory=list)
+    processes: list[HostedProcess] = field(default_factory=list)
+    peers: int = field(default_factory=take_port)
+    version: int = 1
+    starts: int = 0
+    _store_address: str = ''
+
+    @property
+    def entries(self) -> list[HostedProcess]:
+        """Give the entries."""
+        return [one for one in self.processes if one.role == 'entry']
+
+    def start(self) -> None:
+        """Start everything; it is not ready yet."""
+        self._store_address = self.store.start()
+        self.configure()
+        for number in range(self.size.replicas):
+            self._add_replica(number)
+        for number in range(self.size.entries):
+            self._add('entry', f'edge-{number}')
+        for number in range(DISKS):
+            self._add('storage', f'storage-{number}')
+        for process in self.processes:
+            process.start()
+
+    def stop(self) -> None:
+        """End everything that this run started."""
+        for process in self.processes:
+            process.kill()
+            process.store.stop()
+        for way in self.ways:
+            way.stop()
+        for replica in self.replicas:
+            replica.stop()
+        self.store.stop()
+
+    def heal(self) -> None:
+        """End all harm, and start what is down."""
+        self.store.faults.is_down = False
+        self.store.faults.lost_writes = 0
+        for way in self.ways:
+            way.harm = Harm.none
+        for process in self.processes:
+            process.store.harm = Harm.none
+            process.send(signal.SIGCONT)
+        for replica in self.replicas:
+            replica.faults.break_after = 0
+            replica.faults.turn_away = 0
+
+    def start_missing(self) -> None:
+        """Start each process that is down."""
+        for process in self.processes:
+            if not process.is_running:
+                process.start()
+
+    def configure(self) -> None:
+        """Write the configuration as the operator does."""
+        routes = (
+            _make_route(RouteKind.stream, '/ask/', tries=2),
+            _make_route(RouteKind.stream, '/once/', tries=1),
+            _make_route(RouteKind.batch, '/jobs/', tries=3),
+        )
+        configuration = ServedConfiguration(self.version, routes, MOST_BODY)
+        self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
+
+    def restart_replica(self, replica: StandInReplica) -> None:
+        """Give a replica a new id, as each start does.
+
+        :param replica: the replica.
+        """
+        self.store.remove(name_replica(replica.name))
+        replica.name = self._name_start()
+        replica.register(DATA_CENTRE)
+
+    def _name_start(self) -> str:
+        self.starts += 1
+        return f'i-{self.starts}'
+
+    def _add_replica(self, number: int) -> None:
+        replica = StandInReplica(
+            self._name_start(),
+            SERVICE,
+            self.store,
+            events=EVENTS,
+            event_seconds=EVENT_SECONDS,
+        )
+        # The process beside an upstream is found at the upstream's VM.
+        vm = FIRST_VM + number
+        ip = f'127.0.0.{vm}'
+        replica.start(DATA_CENTRE, ip)
+        way = HarmingProxy(replica.address, ip)
+        replica.address = way.address
+        replica.register(DATA_CENTRE)
+        self.ways.append(way)
+        self.replicas.append(replica)
+        self._add('worker', f'side-{number}', replica.address, ip)
+
+    def _add(
+        self,
+        role: str,
+        name: str,
+        upstream: str = '',
+        ip: str = '127.0.0.1',
+    ) -> None:
+        process = HostedProcess(
+            role,
+            name,
+            self.folder,
+            HarmingProxy(self._store_address),
+            upstream,
+            SERVICE,
+            ip,
+            # Storage shares the address of the entries, and needs its own.
+            0 if role == 'storage' else self.peers,
+        )
+        process.prepare()
+        self.processes.append(process)
+
+
+def _make_route(kind: RouteKind, prefix: str, *, tries: int) -> ServedRoute:
+    return ServedRoute(
+        name=prefix.strip('/'),
+        host=HOST,
+        prefix=prefix,
+        kind=kind,
+        services=((SERVICE, 1.0),),
+        timeout=TIMEOUT_SECONDS,
+        objective=OBJECTIVE_SECONDS,
+        tries=tries,
+        is_resumable=tries > 1,
+        priority=0,
+        run_objective=RUN_SECONDS,
+        retention=RETENTION_SECONDS,
+        most_tokens=0,
+    )
