--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -19,14 +19,6 @@
     JournalEndedError,
     JournalWriter,
 )
-from wigeonpier.batch.records import (
-    Begin,
-    Failure,
-    Outcome,
-    Ready,
-    Release,
-    Status,
-)
 from wigeonpier.invariants import Promise, check_promise
 from wigeonpier.platform.certain import swap_certainly
 from wigeonpier.platform.keys import name_chunk
@@ -40,6 +32,7 @@
     write_snapshot,
 )
 from wigeonpier.policy.copies import Disk, choose_copies
+from wigeonpier.records import Begin, Failure, Outcome, Ready, Release, Status
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
--- a/src/wigeonpier/batch/journal.py
+++ b/src/wigeonpier/batch/journal.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wigeonpier.batch.records import Record
     from wigeonpier.disk.client import DiskClient
+    from wigeonpier.records import Record
 
 TOUCH_SECONDS = 1.0
 COPY_PATIENCE_SECONDS = 3.0
--- a/src/wigeonpier/batch/results.py
+++ b/src/wigeonpier/batch/results.py
@@ -7,10 +7,11 @@
 import msgspec
 
 from wigeonpier.batch.models import DoneChunk, FinishedJob, Line
-from wigeonpier.batch.records import Outcome, Status, decode_records
+from wigeonpier.batch.records import decode_records
 from wigeonpier.disk.client import DiskClient, read_first
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.invariants import Promise, check_promise
+from wigeonpier.records import Outcome, Status
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/wigeonpier/disk/folder.py
+++ b/src/wigeonpier/disk/folder.py
@@ -12,7 +12,7 @@
 
 from gevent.lock import BoundedSemaphore
 
-from wigeonpier.batch.records import measure_sound_part
+from wigeonpier.disk.lines import measure_sound_part
 from wigeonpier.disk.storage import (
     append_lines,
     call_in_thread,
--- a/src/wigeonpier/entry/keeper.py
+++ b/src/wigeonpier/entry/keeper.py
@@ -25,7 +25,6 @@
     JobStatus,
     mark_ended,
 )
-from wigeonpier.batch.records import Status
 from wigeonpier.batch.results import name_kept_results
 from wigeonpier.batch.takeover import claim_chunk, open_chunk
 from wigeonpier.disk.client import write_everywhere
@@ -35,6 +34,7 @@
 from wigeonpier.platform.certain import swap_certainly
 from wigeonpier.platform.port import Failure
 from wigeonpier.policy.ranking import rank_by_key
+from wigeonpier.records import Status
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -14,7 +14,6 @@
 
 from wigeonpier.batch.journal import JournalEndedError
 from wigeonpier.batch.models import CHAT_PATH, TEXT_PATH, Job
-from wigeonpier.batch.records import Failure, Outcome, Release, Status
 from wigeonpier.invariants import (
     BrokenPromiseError,
     Promise,
@@ -24,6 +23,7 @@
 from wigeonpier.local.gate import BatchStream, Gate
 from wigeonpier.loops import spawn_loop
 from wigeonpier.policy.attempts import note_loss
+from wigeonpier.records import Failure, Outcome, Release, Status
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/wigeonpier/policy/attempts.py
+++ b/src/wigeonpier/policy/attempts.py
@@ -6,12 +6,12 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from wigeonpier.batch.records import Begin, Failure, Outcome, Ready, Release
+from wigeonpier.records import Begin, Failure, Outcome, Ready, Release
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wigeonpier.batch.records import Record
+    from wigeonpier.records import Record
 
 
 class Step(StrEnum):
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -25,10 +25,10 @@
 from wigeonpier.settings.holder import ConfigurationHolder
 from wigeonpier.settings.process import ProcessSettings
 from wigeonpier.telemetry.events import Event
-from wigeonpier.telemetry.exporters import choose_exporter
 from wigeonpier.telemetry.logs import configure_logs, log_event
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.client import HttpCaller
+from wigeonpier.web.exporters import choose_exporter
 from wigeonpier.web.headers import PEER_KEY
 from wigeonpier.web.pages import HealthPage, make_page_routes
 
--- a/tests/batch/test_journal.py
+++ b/tests/batch/test_journal.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from wigeonpier.batch.journal import JournalEndedError, JournalWriter
-from wigeonpier.batch.records import Release
+from wigeonpier.records import Release
 
 
 class SlowDisks:
--- a/tests/batch/test_takeover_machine.py
+++ b/tests/batch/test_takeover_machine.py
@@ -30,7 +30,6 @@
 )
 from wigeonpier.batch.claims import Claim
 from wigeonpier.batch.journal import JournalEndedError
-from wigeonpier.batch.records import Outcome, Status
 from wigeonpier.batch.results import read_outcomes
 from wigeonpier.batch.takeover import claim_chunk, open_chunk
 from wigeonpier.disk import folder, storage
@@ -43,6 +42,7 @@
 from wigeonpier.platform.keys import name_chunk
 from wigeonpier.platform.port import Entry, Failure
 from wigeonpier.policy.attempts import Bounds, note_loss
+from wigeonpier.records import Outcome, Status
 
 ITEMS = 3
 ONE_RUN = frozenset((1, 2))
--- a/tests/disk/test_folder.py
+++ b/tests/disk/test_folder.py
@@ -6,18 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wigeonpier.batch.records import (
-    Begin,
-    Release,
-    decode_records,
-    encode_record,
-    measure_sound_part,
-)
+from wigeonpier.batch.records import decode_records, encode_record
 from wigeonpier.disk.folder import (
     DataFolder,
     StaleFenceError,
     WrongOffsetError,
 )
+from wigeonpier.disk.lines import measure_sound_part
+from wigeonpier.records import Begin, Release
 
 LINES = [encode_record(Begin(number, alone=False)) for number in range(5)]
 NAME = ('job', 0, 3)
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -6,13 +6,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wigeonpier.batch.records import (
-    Begin,
-    Failure,
-    Outcome,
-    Release,
-    Status,
-)
 from wigeonpier.policy.attempts import (
     Bounds,
     Ledger,
@@ -23,6 +16,7 @@
     note_loss,
     write_snapshot,
 )
+from wigeonpier.records import Begin, Failure, Outcome, Release, Status
 
 BOUNDS = Bounds(failures=3, lone_losses=2)
 RECORDS = st.lists(
--- a/tests/telemetry/test_exporters.py
+++ b/tests/web/test_exporters.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from tests.builders import wait_for
-from wigeonpier.telemetry.exporters import choose_exporter
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.telemetry.trace import make_record, start_span
+from wigeonpier.web.exporters import choose_exporter
 from wigeonpier.web.messages import answer_json
 from wigeonpier.web.server import Server
 
