--- a/src/wigeonpier/bench/soakcallers.py
+++ b/src/wigeonpier/bench/soakcallers.py
@@ -15,7 +15,8 @@
 
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform import wire
-from wigeonpier.web.exchange import ConnectionPool, make_request
+from wigeonpier.web.exchange import make_request
+from wigeonpier.web.pool import ConnectionPool
 
 if TYPE_CHECKING:
     import random
--- a/src/wigeonpier/hosted/common.py
+++ b/src/wigeonpier/hosted/common.py
@@ -10,9 +10,9 @@
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.metrics import Metrics
-from wigeonpier.web.exchange import ConnectionPool
 from wigeonpier.web.messages import Response
 from wigeonpier.web.pages import METRICS_TYPE
+from wigeonpier.web.pool import ConnectionPool
 from wigeonpier.web.server import Server
 
 if TYPE_CHECKING:
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.models import DiskMember, HostSettings, JobItem, OpenJob
-    from wigeonpier.web.exchange import ConnectionPool
+    from wigeonpier.web.pool import ConnectionPool
 
 # A disk syncs in 1 to 2 ms; one that takes longer than this is not waited
 # for, since a caller wants its answer within 0.4 s.
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -15,7 +15,8 @@
 
 if TYPE_CHECKING:
     from wigeonpier.models import JobItem, OpenJob, Replica
-    from wigeonpier.web.exchange import ConnectionPool, Exchange
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.pool import ConnectionPool
 
 # An item waits for a slot behind questions; a silent upstream is left, and
 # the item goes on from its last event.
--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -24,7 +24,8 @@
 
     from wigeonpier.hosted.replicas import ReplicaRegister
     from wigeonpier.models import HostSettings
-    from wigeonpier.web.exchange import ConnectionPool, Exchange
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.pool import ConnectionPool
 
 # Upstreams come and go at most as fast as the register tells.
 STEP_SECONDS = 0.5
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -84,6 +84,11 @@
         """Give the time until it is given up."""
         return self.give_up_at - time.monotonic()
 
+    @property
+    def is_last_run(self) -> bool:
+        """Tell whether no upstream may run it after the next one."""
+        return not self.route.is_idempotent or self.runs + 1 >= self.route.tries
+
     @property
     def may_run_again(self) -> bool:
         """Tell whether one more upstream may run it."""
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -19,7 +19,7 @@
     from wigeonpier.hosted.results import ResultWriter
     from wigeonpier.hosted.upstream import OwnUpstream
     from wigeonpier.telemetry.metrics import Metrics
-    from wigeonpier.web.exchange import ConnectionPool
+    from wigeonpier.web.pool import ConnectionPool
 
     Key = tuple[str, int]
 
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -16,6 +16,7 @@
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.exchange import make_request
+from wigeonpier.web.pool import LONGEST_IDLE_SECONDS
 
 if TYPE_CHECKING:
     import random
@@ -24,11 +25,16 @@
     from wigeonpier.hosted.replicas import ReplicaRegister
     from wigeonpier.models import HostSettings
     from wigeonpier.policy.route import UpstreamState
-    from wigeonpier.web.exchange import ConnectionPool, Exchange
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.pool import ConnectionPool
 
 # Sends that were turned away unrun cost a few ms each; more than these say
 # that the service is full.
 MOST_SENDS = 4
+# An upstream may drop idle connections without notice, and what is sent on one
+# is lost.  Where that could not be sent again, only a connection is used that
+# rested for less than any upstream has been seen to allow.
+LAST_RUN_REST_SECONDS = 0.15
 
 
 class CallerGoneError(OSError):
@@ -167,7 +173,13 @@
         upstream: UpstreamState,
     ) -> Result[Exchange, SendFailure]:
         question.note_send(upstream)
-        begun = self.pool.begin(upstream.address, question.seconds_left)
+        begun = self.pool.begin(
+            upstream.address,
+            question.seconds_left,
+            LAST_RUN_REST_SECONDS
+            if question.is_last_run
+            else LONGEST_IDLE_SECONDS,
+        )
         if isinstance(begun, Err):
             return Err(SendFailure.no_connection)
         answer = begun.ok_value
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -18,7 +18,7 @@
     from wigeonpier.models import Replica, UpstreamReport
     from wigeonpier.platform.port import Snapshot
     from wigeonpier.platform.store import KeyValueStore
-    from wigeonpier.web.exchange import ConnectionPool
+    from wigeonpier.web.pool import ConnectionPool
 
 REPORT_SECONDS = 0.4
 # The register is read until the upstream stands in it.
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -33,13 +33,14 @@
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.client import CallFailure
-from wigeonpier.web.exchange import ConnectionPool, make_request
+from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import Reply
+    from wigeonpier.web.pool import ConnectionPool
 
 # A slowed service answers within 0.3 s; one that takes longer is away.
 CALL_SECONDS = 1.2
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -40,6 +40,11 @@
     )
     load_lost = (306, ODD, 'The load of an upstream is not told any more.')
     heartbeat_failed = (302, ODD, 'A heartbeat got no answer.')
+    connection_dropped = (
+        307,
+        ODD,
+        'An idle connection was gone; others there rest for less time.',
+    )
     platform_failed = (400, ODD, 'A platform call got no good answer.')
     platform_unknown = (401, ODD, 'A write may have taken effect.')
     configuration_applied = (500, NOTE, 'A configuration is in force.')
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -9,32 +9,18 @@
 from __future__ import annotations
 
 import socket
-import time
-from collections import defaultdict
 from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent import socket as green
 from geventhttpclient.response import HTTPParseError, HTTPResponse
-from result import Err, Ok, Result
-
-from wigeonpier.web.client import CallFailure, Reply
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# A healthy connection within a region opens in a few ms.
-CONNECT_SECONDS = 0.4
-# The kernel finds a silent peer after IDLE + INTERVAL * COUNT seconds, so
-# that a watch may wait long without hiding a dead connection.
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_INTERVAL_SECONDS = 1
-KEEPALIVE_COUNT = 2
-UNACKNOWLEDGED_MS = 2500
+    from wigeonpier.web.pool import ConnectionPool
+
 READ_BYTES = 16_384
-# Upstreams close idle connections; one that rested longer is not trusted.
-LONGEST_IDLE_SECONDS = 4.0
-MOST_IDLE = 32
 LEAST_PATIENCE_SECONDS = 0.001
 INTERIM_STATUSES = 200
 HOP_HEADERS = frozenset(
@@ -68,9 +54,22 @@
 class Exchange:
     """A request that was sent, and its answer as it arrives."""
 
-    def __init__(self, pool: ConnectionPool, address: str, sock: Any) -> None:
-        """Own the connection until :meth:`close`."""
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        address: str,
+        sock: Any,
+        rested: float = 0,
+    ) -> None:
+        """Own the connection until :meth:`close`.
+
+        :param pool: takes it back while it is clean.
+        :param address: ``host:port`` of the other end.
+        :param sock: the connection.
+        :param rested: how long it was idle, seconds, 0 for a new one.
+        """
         self._pool = pool
+        self._rested = rested
         self._address = address
         self._sock = sock
         self._parser = _Parser()
@@ -131,7 +130,13 @@
         :raises OSError: when the connection is lost or takes nothing.
         """
         self._sock.settimeout(patience)
-        self._sock.sendall(raw)
+        try:
+            self._sock.sendall(raw)
+        except TimeoutError:
+            raise
+        except OSError:
+            self._note_drop()
+            raise
 
     def await_head(self, patience: float) -> None:
         """Read the head of the answer; after a silence it may be tried again.
@@ -139,8 +144,14 @@
         :param patience: longest silence, seconds.
         :raises OSError: when the connection is lost or silent.
         """
-        while not self._has_head():
-            self._receive(patience)
+        try:
+            while not self._has_head():
+                self._receive(patience)
+        except TimeoutError:
+            raise
+        except OSError:
+            self._note_drop()
+            raise
 
     def read_line(self, patience: float) -> bytes:
         """Read one line of the body.
@@ -197,6 +208,12 @@
         else:
             self._sock.close()
 
+    def _note_drop(self) -> None:
+        """Learn from an idle connection that broke before any answer."""
+        is_early = not self._parser.headers_complete
+        if self._rested and is_early and not self._is_spoilt:
+            self._pool.note_drop(self._address, self._rested)
+
     def _has_head(self) -> bool:
         return bool(
             self._parser.headers_complete and self.status >= INTERIM_STATUSES,
@@ -218,116 +235,6 @@
                 raise BrokenAnswerError('the connection ended early')
 
 
-class ConnectionPool:
-    """Connections to other processes, kept by address while clean."""
-
-    def __init__(self) -> None:
-        """Begin with no connections."""
-        self._idle: defaultdict[str, list[tuple[Any, float]]] = defaultdict(
-            list,
-        )
-        self.opened = 0
-
-    def exchange(
-        self,
-        address: str,
-        raw: bytes,
-        patience: float,
-    ) -> Result[Exchange, CallFailure]:
-        """Send a request once and read the head of its answer.
-
-        :param address: ``host:port``.
-        :param raw: the request as it goes on the wire.
-        :param patience: longest silence, seconds.
-        :returns: the exchange; ``not_sent`` only where nothing was sent.
-        """
-        opened = self.begin(address, patience)
-        if isinstance(opened, Err):
-            return opened
-        current = opened.ok_value
-        try:
-            current.send(raw, patience)
-        except OSError:
-            current.abort()
-            current.close()
-            return Err(CallFailure.lost)
-        return Ok(current)
-
-    def begin(
-        self,
-        address: str,
-        patience: float,
-    ) -> Result[Exchange, CallFailure]:
-        """Take a connection without sending anything yet.
-
-        :param address: ``host:port``.
-        :param patience: longest wait for a new connection, seconds.
-        :returns: the exchange, ``not_sent`` where none could be made.
-        """
-        sock = self._take_idle(address)
-        if sock is None:
-            try:
-                sock = _connect(address, min(patience, CONNECT_SECONDS))
-            except OSError:
-                return Err(CallFailure.not_sent)
-            self.opened += 1
-        return Ok(Exchange(self, address, sock))
-
-    def call(
-        self,
-        address: str,
-        raw: bytes,
-        patience: float,
-    ) -> Result[Reply, CallFailure]:
-        """Send a request once and read its whole answer.
-
-        :param address: ``host:port``.
-        :param raw: the request as it goes on the wire.
-        :param patience: longest silence, seconds.
-        :returns: the answer.
-        """
-        opened = self.exchange(address, raw, patience)
-        if isinstance(opened, Err):
-            return opened
-        current = opened.ok_value
-        try:
-            return Ok(Reply(current.status, current.read(patience)))
-        except OSError:
-            return Err(CallFailure.lost)
-        finally:
-            current.close()
-
-    def keep(self, address: str, sock: Any) -> None:
-        """Keep a clean connection for the next request.
-
-        :param address: ``host:port``.
-        :param sock: the connection.
-        """
-        idle = self._idle[address]
-        if len(idle) >= MOST_IDLE:
-            sock.close()
-        else:
-            idle.append((sock, time.monotonic()))
-
-    def forget(self, address: str) -> None:
-        """Close the idle connections to an address.
-
-        :param address: ``host:port``.
-        """
-        for sock, _since in self._idle.pop(address, []):
-            sock.close()
-
-    def _take_idle(self, address: str) -> Any:
-        idle = self._idle[address]
-        while idle:
-            sock, since = idle.pop()
-            rested = time.monotonic() - since
-            if rested < LONGEST_IDLE_SECONDS and not _has_news(sock):
-                return sock
-            sock.close()
-        return None
-
-
 def make_request(
     method: str,
     target: str,
@@ -366,40 +273,3 @@
         is_closed = True
     if is_closed:
         on_close()
-
-
-def _connect(address: str, patience: float) -> Any:
-    host, _, port = address.rpartition(':')
-    sock = green.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        _set_options(sock)
-        sock.settimeout(patience)
-        sock.connect((host, int(port)))
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-def _set_options(sock: Any) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, setting)
-
-
-def _has_news(sock: Any) -> bool:
-    """Tell whether bytes or an end came on an idle connection."""
-    # Not by select, which takes no descriptor above 1,023.
-    try:
-        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)  # noqa: SLF001, WPS437
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
--- a/tests/hosted/builders.py
+++ b/tests/hosted/builders.py
@@ -19,7 +19,8 @@
 from wigeonpier.hosted.storage import StorageApp
 from wigeonpier.hosted.worker import WorkerApp
 from wigeonpier.models import Bounds, HostSettings, OpenJob
-from wigeonpier.web.exchange import ConnectionPool, make_request
+from wigeonpier.web.exchange import make_request
+from wigeonpier.web.pool import ConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.telemetry.metrics import Metrics
-from wigeonpier.web.exchange import ConnectionPool
+from wigeonpier.web.pool import ConnectionPool
 
 
 @pytest.fixture
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -12,7 +12,8 @@
 
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.web.client import CallFailure
-from wigeonpier.web.exchange import ConnectionPool, make_request, watch_close
+from wigeonpier.web.exchange import make_request, watch_close
+from wigeonpier.web.pool import ConnectionPool
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -133,3 +134,33 @@
         for _call in range(2):
             assert pool.call(peer.address, REQUEST, 1).unwrap().body == b'ok'
         assert peer.connections == 1
+
+
+def test_an_idle_connection_that_was_dropped_teaches_the_pool() -> None:
+    """The other end had forgotten it; others there are not trusted either."""
+    peer = Peer(WHOLE, closes=False)
+    pool = ConnectionPool()
+    for _call in range(2):
+        assert pool.call(peer.address, REQUEST, 1).is_ok()
+        gevent.sleep(0.05)
+        first = pool.begin(peer.address, 1).unwrap()
+        with pytest.raises(OSError, match='early'):
+            first.send(REQUEST, 1)
+        first.close()
+        assert pool.call(peer.address, REQUEST, 1).is_ok()
+        gevent.sleep(0.2)
+        opened = pool.opened
+        pool.begin(peer.address, 1).unwrap().abort()
+        assert pool.opened == opened + 1
+        pool.forget(peer.address)
+        pool._drops.clear()
+
+
+def test_what_cannot_be_sent_again_takes_no_rested_connection() -> None:
+    peer = Peer(WHOLE, WHOLE)
+    pool = ConnectionPool()
+    assert pool.call(peer.address, REQUEST, 1).is_ok()
+    gevent.sleep(0.1)
+    begun = pool.begin(peer.address, 1, longest_rest=0.05).unwrap()
+    begun.abort()
+    assert pool.opened == 2
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -6,8 +6,9 @@
 import pytest
 
 from wigeonpier.errors import ErrorKind, Refusal
-from wigeonpier.web.exchange import ConnectionPool, make_request
+from wigeonpier.web.exchange import make_request
 from wigeonpier.web.messages import Response
+from wigeonpier.web.pool import ConnectionPool
 from wigeonpier.web.server import Server
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
