Leave a mute upstream without a queue after twice the objective

Cause: an upstream that takes requests and answers nothing was waited for 1.2 s by each of them, though its load showed no queue. Ruled out: a shorter limit for all, since a question in a queue or with a long prompt is not lost.

Change: where the loads are fresh, there is no queue here and room elsewhere, a resumable question goes on elsewhere after twice its objective, and that counts against the upstream. A route without an objective waits as before.

--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.silence import limit_silence
+from wigeonpier.policy.waiting import Waited
 
 if TYPE_CHECKING:
     import gevent
@@ -108,6 +109,17 @@
             has_events=has_events,
         )
 
+    def measure_wait(self, now: float) -> Waited:
+        """Measure how long it has waited.
+
+        :param now: seconds of the steady clock.
+        :returns: shares of its objective.
+        """
+        altogether = now - self.began_at
+        here = altogether - self.sends[-1].at
+        objective = self.route.objective
+        return Waited(altogether / objective, here / objective)
+
     def note_send(self, upstream: UpstreamState) -> None:
         """Record that it is sent.
 
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -42,7 +42,7 @@
 
 
 class QueueLeftError(Exception):
-    """The question leaves the queue that it waits in."""
+    """The question goes on elsewhere before its limit of silence."""
 
     def __init__(self, why: SendFailure) -> None:
         """Say why."""
@@ -205,12 +205,15 @@
         upstream: UpstreamState,
         answer: Exchange,
     ) -> None:
-        """Send, and wait for the head; leave a queue if another has room."""
+        """Send, and wait for the head; leave a queue if another has room.
+
+        On a route without an objective nothing tells what is late.
+        """
         limit = question.limit_silence(has_events=False)
         began = time.monotonic()
         answer.write(_encode(question, upstream), limit)
         patience = question.route.objective * waiting.PATIENT_SHARE
-        while question.may_run_again and patience < limit:
+        while question.may_run_again and 0 < patience < limit:
             try:
                 answer.await_head(patience)
             except TimeoutError:
@@ -235,13 +238,20 @@
         if other is None:
             return
         now = time.monotonic()
-        waited_share = (now - question.began_at) / question.route.objective
-        decided = waiting.decide_wait(upstream, other, waited_share, now)
+        decided = waiting.decide_wait(
+            upstream,
+            other,
+            question.measure_wait(now),
+            now,
+        )
         if decided is waiting.Wait.move:
             question.following = other
             raise QueueLeftError(SendFailure.queued)
         if decided is waiting.Wait.step_back:
             raise QueueLeftError(SendFailure.late)
+        if decided is waiting.Wait.distrust:
+            question.following = other
+            raise QueueLeftError(SendFailure.silent)
 
     def _step_back(self, question: Question, upstream: UpstreamState) -> None:
         """Wait here until an upstream has room, or long enough."""
--- a/src/wigeonpier/policy/waiting.py
+++ b/src/wigeonpier/policy/waiting.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,9 @@
 PATIENT_SHARE = 0.5
 # Of the latency objective: it is late then.
 LATE_SHARE = 1.0
+# Of the latency objective.  An upstream without a queue begins an answer well
+# within it; one that is mute was waited for 1.2 s before.
+MUTE_SHARE = 2.0
 # Until it is looked again; the load is told each 0.1 s.
 LOOK_SECONDS = 0.05
 # A crest of the users' load lasts 2.4 s, of which a part is over by then.
@@ -38,36 +42,51 @@
 LEFT_TO_OTHERS = 1
 
 
+@dataclass(frozen=True, slots=True)
+class Waited:
+    """How long a question has waited, as shares of its objective.
+
+    :param altogether: since it came.
+    :param here: since it was sent to where it is.
+    """
+
+    altogether: float
+    here: float
+
+
 class Wait(StrEnum):
     """What a waiting question does."""
 
     stay = 'stay'
     move = 'move'
     step_back = 'step_back'
+    distrust = 'distrust'
 
 
 def decide_wait(
     current: UpstreamState,
     other: UpstreamState,
-    waited_share: float,
+    waited: Waited,
     now: float,
 ) -> Wait:
     """Decide what becomes of a question that has no head of an answer yet.
 
     :param current: where it waits; its load includes the question.
     :param other: where it would go.
-    :param waited_share: how long ago it came, as a share of its objective.
+    :param waited: how long it has waited.
     :param now: seconds.
-    :returns: other than stay only where fresh loads show a queue here; a
-        prompt that is long to read shows none.
+    :returns: other than stay only where the loads are fresh; without a queue
+        here only after twice the objective, since a prompt may be long.
     """
     if current.fed_until <= now or other.fed_until <= now:
         return Wait.stay
+    has_room = count_requests(other, now) < other.slots
     if count_requests(current, now) <= current.slots:
-        return Wait.stay
-    if count_requests(other, now) < other.slots:
+        is_mute = waited.here >= MUTE_SHARE and has_room
+        return Wait.distrust if is_mute else Wait.stay
+    if has_room:
         return Wait.move
-    return Wait.step_back if waited_share >= LATE_SHARE else Wait.stay
+    return Wait.step_back if waited.altogether >= LATE_SHARE else Wait.stay
 
 
 def may_return(other: UpstreamState, now: float) -> bool:
--- a/tests/hosted/test_load.py
+++ b/tests/hosted/test_load.py
@@ -7,7 +7,12 @@
 import gevent
 import pytest
 
-from tests.hosted.builders import HostedSite, wait_for
+from tests.hosted.builders import (
+    HostedSite,
+    make_configuration,
+    make_route_entry,
+    wait_for,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -84,6 +89,20 @@
     assert sum(site.replicas[1].runs.values()) == moves
 
 
+def test_a_route_without_an_objective_waits(site: HostedSite) -> None:
+    site.start(slots=1, event_seconds=0.05)
+    _wait_until_fed(site)
+    routes = [make_route_entry('streaming', '/free/', targetLatencyMs=0)]
+    site.store.put('op/config', make_configuration(2, routes=routes))
+    gevent.sleep(0.1)
+    asked = [
+        gevent.spawn(site.call, 'POST', f'/free/{number}', f'q{number}')
+        for number in range(4)
+    ]
+    replies = [greenlet.get() for greenlet in asked]
+    assert [reply.body.count(b'data') for reply in replies] == [10] * 4
+
+
 def test_a_late_question_steps_back_and_is_answered(
     site: HostedSite,
 ) -> None:
--- a/tests/policy/crests.py
+++ b/tests/policy/crests.py
@@ -19,6 +19,7 @@
     LOOK_SECONDS,
     PATIENT_SHARE,
     Wait,
+    Waited,
     decide_wait,
     limit_step_back,
     may_return,
@@ -131,7 +132,7 @@
         other = choose_upstream(states, ask, self.now, self.draw)
         assert other is not None
         share = (self.now - waiter.came_at) / OBJECTIVE_SECONDS
-        decided = decide_wait(current, other, share, self.now)
+        decided = decide_wait(current, other, Waited(share, share), self.now)
         if decided is Wait.move:
             self._leave(waiter, current)
             self._send_again(waiter, other)
--- a/tests/policy/test_waiting.py
+++ b/tests/policy/test_waiting.py
@@ -9,6 +9,7 @@
 from wigeonpier.policy.route import note_load
 from wigeonpier.policy.waiting import (
     Wait,
+    Waited,
     decide_wait,
     limit_step_back,
     may_return,
@@ -37,7 +38,7 @@
     current, other = build_upstream('vm-1'), build_upstream('vm-2')
     note_load(current, here, 10.0, takes_work=True)
     note_load(other, there, 10.0, takes_work=True)
-    decided = decide_wait(current, other, 0.5, 10.1)
+    decided = decide_wait(current, other, Waited(0.5, 0.5), 10.1)
     assert decided is (Wait.move if moves else Wait.stay)
 
 
@@ -45,7 +46,7 @@
     current, other = build_upstream('vm-1'), build_upstream('vm-2')
     note_load(current, 9, 10.0, takes_work=True)
     note_load(other, 0, 8.0, takes_work=True)
-    assert decide_wait(current, other, 2.0, 10.1) is Wait.stay
+    assert decide_wait(current, other, Waited(2.0, 2.0), 10.1) is Wait.stay
     assert not may_return(other, 10.1)
 
 
@@ -70,10 +71,21 @@
     current, other = build_upstream('vm-1'), build_upstream('vm-2')
     note_load(current, 9, 10.0, takes_work=True)
     note_load(other, 9, 10.0, takes_work=True)
-    assert decide_wait(current, other, 0.9, 10.1) is Wait.stay
-    assert decide_wait(current, other, 1.0, 10.1) is Wait.step_back
+    assert decide_wait(current, other, Waited(0.9, 0.9), 10.1) is Wait.stay
+    assert decide_wait(current, other, Waited(1.0, 1.0), 10.1) is Wait.step_back
     note_load(current, 8, 10.0, takes_work=True)
-    assert decide_wait(current, other, 1.0, 10.1) is Wait.stay
+    assert decide_wait(current, other, Waited(1.0, 1.0), 10.1) is Wait.stay
+
+
+def test_an_upstream_without_a_queue_is_not_waited_for_long() -> None:
+    """One that takes requests and is mute cost 1.2 s of each."""
+    current, other = build_upstream('vm-1'), build_upstream('vm-2')
+    note_load(current, 3, 10.0, takes_work=True)
+    note_load(other, 3, 10.0, takes_work=True)
+    assert decide_wait(current, other, Waited(1.9, 1.9), 10.1) is Wait.stay
+    assert decide_wait(current, other, Waited(2.0, 2.0), 10.1) is Wait.distrust
+    note_load(other, 8, 10.0, takes_work=True)
+    assert decide_wait(current, other, Waited(2.0, 2.0), 10.1) is Wait.stay
 
 
 def test_who_steps_back_keeps_time_for_its_answer() -> None:
