Let no stream that has begun step back; one fixture for hosted tests

Seen on reading: a resumed stream with tries left could be held at the entry for 1.5 s in the middle, which callers do not bear.

--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -247,7 +247,8 @@
         if decided is waiting.Wait.move:
             question.following = other
             raise QueueLeftError(SendFailure.queued)
-        if decided is waiting.Wait.step_back:
+        # A stream that has begun would pause for longer than callers bear.
+        if decided is waiting.Wait.step_back and not question.first_event_at:
             raise QueueLeftError(SendFailure.late)
         if decided is waiting.Wait.distrust:
             question.following = other
--- a/tests/hosted/builders.py
+++ b/tests/hosted/builders.py
@@ -16,9 +16,12 @@
 from wigeonpier.bench.store import StandInStore
 from wigeonpier.hosted.common import Common
 from wigeonpier.hosted.entry import EntryApp
+from wigeonpier.hosted.question import Question
 from wigeonpier.hosted.storage import StorageApp
 from wigeonpier.hosted.worker import WorkerApp
 from wigeonpier.models import Bounds, HostSettings, OpenJob
+from wigeonpier.platform.ingress import QuestionHead
+from wigeonpier.platform.operator import decode_configuration
 from wigeonpier.web.exchange import make_request
 from wigeonpier.web.pool import ConnectionPool
 
@@ -112,6 +115,24 @@
     return OpenJob(**(known | changes))
 
 
+def make_question(*, waited: float = 0, has_begun: bool = False) -> Question:
+    """Make a resumable question that came some seconds ago."""
+    now = time.monotonic()
+    content = msgspec.json.encode(make_configuration())
+    route = decode_configuration(content).routes[0]
+    return Question(
+        request=None,
+        head=QuestionHead('q1', HOST, 5.0, (), ''),
+        route=route,
+        service=SERVICE,
+        body=b'{}',
+        began_at=now - waited,
+        give_up_at=now - waited + route.timeout,
+        resume_after='',
+        first_event_at=now if has_begun else 0,
+    )
+
+
 def take_port() -> int:
     """Find a free port."""
     with socket.socket() as sock:
--- a/tests/hosted/test_load.py
+++ b/tests/hosted/test_load.py
@@ -15,21 +15,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from wigeonpier.policy.route import UpstreamState
 
 
-@pytest.fixture
-def site() -> Iterator[HostedSite]:
-    """Make a site; each test starts it as it needs."""
-    made = HostedSite()
-    gevent.Greenlet.add_spawn_callback(made.greenlets.append)
-    yield made
-    gevent.Greenlet.remove_spawn_callback(made.greenlets.append)
-    made.stop()
-
-
 def _get_state(site: HostedSite, number: int) -> UpstreamState:
     return site.entries[0]._replicas.upstreams[f'i-{number}']
 
--- /dev/null
+++ b/tests/hosted/test_sender.py
@@ -0,0 +1,59 @@
+"""What a waiting question does, by what its sender knows."""
+
+from __future__ import annotations
+
+import random
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from tests.builders import build_upstream
+from tests.hosted.builders import SERVICE, make_question, make_settings
+from wigeonpier.hosted.sender import (
+    QuestionSender,
+    QueueLeftError,
+    SendFailure,
+)
+from wigeonpier.policy.route import note_load
+from wigeonpier.web.pool import ConnectionPool
+
+
+def build_sender(*loads: int) -> QuestionSender:
+    """Make a sender before upstreams with these fresh loads, of 8 slots."""
+    now = time.monotonic()
+    states = [
+        build_upstream(f'vm-{number}', service=SERVICE)
+        for number, _load in enumerate(loads)
+    ]
+    for state, load in zip(states, loads, strict=True):
+        note_load(state, load, now, takes_work=True)
+    return QuestionSender(
+        make_settings('edge-0', '127.0.0.1:1'),
+        SimpleNamespace(list_upstreams=lambda: states),
+        ConnectionPool(),
+        random.Random(1),
+    )
+
+
+@pytest.mark.parametrize('has_begun', [False, True])
+def test_a_stream_that_has_begun_does_not_step_back(has_begun: bool) -> None:
+    """Its caller would leave; one that waits for its first event may wait."""
+    sender = build_sender(12, 12)
+    current = sender.replicas.list_upstreams()[0]
+    question = make_question(waited=1.0, has_begun=has_begun)
+    question.note_send(current)
+    if has_begun:
+        sender._check_queue(question, current)
+        return
+    with pytest.raises(QueueLeftError) as left:
+        sender._check_queue(question, current)
+    assert left.value.why is SendFailure.late
+
+
+def test_a_question_with_nowhere_to_go_stays() -> None:
+    sender = build_sender(12)
+    current = sender.replicas.list_upstreams()[0]
+    question = make_question(waited=1.0)
+    question.note_send(current)
+    sender._check_queue(question, current)
--- a/tests/hosted/test_whole_path.py
+++ b/tests/hosted/test_whole_path.py
@@ -6,11 +6,9 @@
 from typing import TYPE_CHECKING
 
 import gevent
-import pytest
 
 from tests.hosted.builders import (
     HOST,
-    HostedSite,
     make_configuration,
     make_route_entry,
     wait_for,
@@ -18,17 +16,7 @@
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
-@pytest.fixture
-def site() -> Iterator[HostedSite]:
-    """Make a site; each test starts it as it needs."""
-    made = HostedSite()
-    gevent.Greenlet.add_spawn_callback(made.greenlets.append)
-    yield made
-    gevent.Greenlet.remove_spawn_callback(made.greenlets.append)
-    made.stop()
+    from tests.hosted.builders import HostedSite
 
 
 def test_question_is_streamed_whole(site: HostedSite) -> None:
