--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -52,6 +52,8 @@
         self._pool = pool
         self._draw = draw
         self._feeds: dict[str, gevent.Greenlet[..., None]] = {}
+        # Of upstreams whose load is not told; each loss is logged once.
+        self._lost: set[str] = set()
 
     def start(self) -> None:
         """Begin to follow."""
@@ -61,6 +63,7 @@
         wanted = {state.address for state in self._replicas.list_upstreams()}
         for address in set(self._feeds) - wanted:
             self._feeds.pop(address).kill(block=False)
+            self._lost.discard(address)
         for address in wanted - set(self._feeds):
             self._feeds[address] = spawn_loop(
                 f'load of {address}',
@@ -74,27 +77,34 @@
         # Whoever runs beside the upstream listens at the same port of its VM
         # as this process would.
         begun = self._pool.begin(f'{host}:{self._port}', OPEN_SECONDS)
-        if not isinstance(begun, Err):
+        if isinstance(begun, Err):
+            self._note_loss(address, 'no connection')
+        else:
             self._read(address, begun.ok_value)
         gevent.sleep(self._draw.uniform(*RETRY_SECONDS))
 
     def _read(self, address: str, answer: Exchange) -> None:
         raw = make_request('GET', LOAD_PATH, [('Host', address)])
         why = 'it ended'
-        lines = 0
+        is_told = False
         try:
             answer.send(raw, SILENCE_SECONDS)
             while line := answer.read_line(SILENCE_SECONDS):
                 self._note(address, line)
-                lines += 1
-                if lines == 1:
+                if not is_told:
+                    is_told = True
+                    self._lost.discard(address)
                     log_event(Event.load_followed, address=address)
         except (OSError, msgspec.DecodeError) as error:
             why = f'{type(error).__name__}: {error}'
         finally:
             answer.abort()
             answer.close()
-        if lines:
+        self._note_loss(address, why)
+
+    def _note_loss(self, address: str, why: str) -> None:
+        if address not in self._lost:
+            self._lost.add(address)
             log_event(Event.load_lost, address=address, why=why)
 
     def _note(self, address: str, line: bytes) -> None:
--- a/tests/hosted/test_load.py
+++ b/tests/hosted/test_load.py
@@ -13,6 +13,7 @@
     make_route_entry,
     wait_for,
 )
+from wigeonpier.hosted import loadfollower
 
 if TYPE_CHECKING:
     from wigeonpier.policy.route import UpstreamState
@@ -117,3 +118,22 @@
     site.workers[0]._server.stop()
     gevent.sleep(1.2)
     assert site.call('POST', '/ask/1', 'q1').status == 200
+
+
+def test_a_load_that_is_not_told_is_logged_once(
+    site: HostedSite,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    losses: list[str] = []
+    monkeypatch.setattr(
+        loadfollower,
+        'log_event',
+        lambda event, **_fields: losses.append(event.name),
+    )
+    site.start(replicas=1)
+    _wait_until_fed(site)
+    site.workers[0].leave(1)
+    site.workers[0]._server.stop()
+    wait_for(lambda: 'load_lost' in losses, 'the loss is logged')
+    gevent.sleep(2)
+    assert losses == ['load_followed', 'load_lost']
