Reset connections that are given up; refuse at once at an entry that is cut off

A connection that is given up is reset now, so that what it still held is lost.

An outage of the store alone, or the loss of all workers, is no cut. Ruled out: readiness by the store alone, which would take all entries out in an outage.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -26,6 +26,7 @@
     from wigeonpier.hosted.board import Board
     from wigeonpier.hosted.holder import JobHolder
     from wigeonpier.hosted.ledger import JobLedger
+    from wigeonpier.hosted.reach import Reach
     from wigeonpier.hosted.views import JobViews
     from wigeonpier.models import JobItem, ServedRoute
 
@@ -79,9 +80,11 @@
         ledger: JobLedger,
         views: JobViews,
         holder: JobHolder,
+        reach: Reach,
         draw: random.Random,
     ) -> None:
         """Keep jobs in the ledger, or have them held."""
+        self._reach = reach
         self._ledger = ledger
         self._views = views
         self._holder = holder
@@ -106,11 +109,16 @@
             if holding.copies >= self._holder.copies_needed:
                 return Place.disks
             may_stand |= holding.may_stand or outcome is Failure.unknown
-            patience = CERTAIN_SECONDS if may_stand else HAND_IN_SECONDS
+            patience = self._limit_patience(may_stand=may_stand)
             if time.monotonic() - began > patience:
                 raise _refuse_unsure(job, may_stand=may_stand)
             gevent.sleep(PAUSE_SECONDS)
 
+    def _limit_patience(self, *, may_stand: bool) -> float:
+        if may_stand:
+            return CERTAIN_SECONDS
+        return 0 if self._reach.is_cut_off else HAND_IN_SECONDS
+
     def _try_store(self, job: HandedJob) -> Place | Failure:
         read = self._ledger.read_board(STORE_SECONDS)
         if isinstance(read, Err):
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -17,7 +17,8 @@
 from wigeonpier.hosted.jobs import JobDesk
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfollower import LoadFollower
-from wigeonpier.hosted.questions import QuestionDesk
+from wigeonpier.hosted.questions import ELSEWHERE_SECONDS, QuestionDesk
+from wigeonpier.hosted.reach import Reach
 from wigeonpier.hosted.replicas import ReplicaRegister
 from wigeonpier.hosted.sender import QuestionSender
 from wigeonpier.hosted.views import JobViews
@@ -33,8 +34,6 @@
 
 # The balancer asks once a second and takes a process out after two misses.
 NOTICED_SECONDS = 2.6
-# Another entry takes the request at once.
-ELSEWHERE_SECONDS = 0.05
 JOB_PATTERN = re.compile(ingress.JOB_PATTERN)
 ITEM_PATTERN = re.compile(ingress.ITEM_PATTERN)
 
@@ -55,11 +54,13 @@
             common.contact,
             common.pool.forget,
         )
+        self._reach = Reach(common.contact)
         self._loads = LoadFollower(
             settings,
             self._replicas,
             common.pool,
             common.draw,
+            self._reach.note_heard,
         )
         self._questions = QuestionDesk(
             self._configuration,
@@ -68,6 +69,7 @@
                 self._replicas,
                 common.pool,
                 common.draw,
+                self._reach,
             ),
             common.metrics,
             common.draw,
@@ -78,7 +80,7 @@
         self._jobs = JobDesk(
             ledger,
             views,
-            JobAcceptor(ledger, views, self._holder, common.draw),
+            JobAcceptor(ledger, views, self._holder, self._reach, common.draw),
             common.metrics,
         )
         self._callers = Server(*split_address(settings.callers), self._answer)
@@ -97,6 +99,7 @@
         self._configuration.start()
         self._replicas.start()
         self._loads.start()
+        self._reach.start()
         self._holder.start()
         self._callers.start()
         return self._callers.address
@@ -117,10 +120,10 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether new callers may be sent here."""
+        if self._is_leaving or self._reach.is_cut_off:
+            return False
         is_known = self._replicas.view.is_complete
-        return bool(
-            self._configuration.current and is_known and not self._is_leaving,
-        )
+        return bool(self._configuration.current and is_known)
 
     def _answer_ready(self, _request: Request) -> Response:
         if self.is_ready:
@@ -143,6 +146,15 @@
                 retry_seconds=ELSEWHERE_SECONDS,
             )
 
+    def _check_reach(self) -> None:
+        """Refuse what nobody could serve, in time for another entry."""
+        if self._reach.is_cut_off:
+            raise Refusal(
+                ErrorKind.no_upstream,
+                'this entry is cut off',
+                retry_seconds=ELSEWHERE_SECONDS,
+            )
+
     def _dispatch(self, request: Request) -> Response:
         job = JOB_PATTERN.fullmatch(request.path)
         if job and request.method == 'GET':
@@ -153,6 +165,7 @@
         if item and request.method == 'GET':
             return self._jobs.fetch_body(request, item.group(1))
         arrival = receive(request, self._configuration.current)
+        self._check_reach()
         if arrival.route.kind is RouteKind.batch:
             return self._jobs.hand_in(arrival)
         return self._questions.answer(arrival)
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -4,16 +4,18 @@
 
 import time
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import gevent
 import msgspec
-from result import Ok
+from result import Err, Ok
 
 from wigeonpier.hosted.board import Board
 from wigeonpier.hosted.intake import INTAKE_PATH
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import HeldJob
+from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
@@ -31,6 +33,14 @@
 HELD_SECONDS = 20.0
 
 
+class Copy(StrEnum):
+    """What is known of one copy."""
+
+    confirmed = 'confirmed'
+    unsure = 'unsure'
+    not_sent = 'not_sent'
+
+
 @dataclass(slots=True)
 class Holding:
     """How a job was kept on disks.
@@ -103,9 +113,12 @@
             gevent.spawn(self._send, disk, job.name, body) for disk in disks
         ]
         gevent.joinall(sends, timeout=2 * KEEP_SECONDS)
-        confirmed = [bool(send.value) for send in sends]
+        copies = [send.value or Copy.unsure for send in sends]
         gevent.killall(sends, block=False)
-        holding = Holding(sum(confirmed), may_stand=True)
+        holding = Holding(
+            copies.count(Copy.confirmed),
+            may_stand=set(copies) != {Copy.not_sent},
+        )
         if holding.copies >= self.copies_needed:
             self._note_held(job.name)
         return holding
@@ -119,11 +132,14 @@
         }
         self.held[name] = now
 
-    def _send(self, disk: DiskMember, name: str, body: bytes) -> bool:
+    def _send(self, disk: DiskMember, name: str, body: bytes) -> Copy:
         headers = [('Host', disk.address)]
         raw = make_request('PUT', INTAKE_PATH + name, headers, body)
         called = self.pool.call(disk.address, raw, KEEP_SECONDS)
-        return isinstance(called, Ok) and called.ok_value.is_good
+        if called == Err(CallFailure.not_sent):
+            return Copy.not_sent
+        is_kept = isinstance(called, Ok) and called.ok_value.is_good
+        return Copy.confirmed if is_kept else Copy.unsure
 
     def _step(self) -> None:
         age = time.monotonic() - self.read_at
--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from wigeonpier.hosted.replicas import ReplicaRegister
     from wigeonpier.models import HostSettings
@@ -45,8 +46,10 @@
         replicas: ReplicaRegister,
         pool: ConnectionPool,
         draw: random.Random,
+        note_heard: Callable[[], None],
     ) -> None:
         """Follow the upstreams of a register once started."""
+        self._note_heard = note_heard
         self._port = split_address(settings.peers)[1]
         self._replicas = replicas
         self._pool = pool
@@ -110,6 +113,7 @@
     def _note(self, address: str, line: bytes) -> None:
         load = msgspec.json.decode(line, type=QuestionLoad)
         now = time.monotonic()
+        self._note_heard()
         for state in self._replicas.list_upstreams():
             if state.address == address:
                 note_load(state, load, now)
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -12,7 +12,7 @@
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.hosted.question import Question
-from wigeonpier.hosted.sender import name_break
+from wigeonpier.hosted.sender import SendFailure, name_break
 from wigeonpier.platform import ingress
 from wigeonpier.policy.matching import draw_service
 from wigeonpier.policy.route import note_outcome
@@ -27,13 +27,15 @@
 
     from wigeonpier.hosted.arrival import Arrival
     from wigeonpier.hosted.configuration import ConfigurationWatch
-    from wigeonpier.hosted.sender import QuestionSender, SendFailure
+    from wigeonpier.hosted.sender import QuestionSender
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.exchange import Exchange
 
 # By then one of the answers that run has ended and left its slot.
 RETRY_AFTER_SECONDS = 0.3
+# Another entry takes the request at once.
+ELSEWHERE_SECONDS = 0.05
 # For callers that do not say how long they wait.
 LONGEST_SECONDS = 60.0
 LEAST_SECONDS = 0.01
@@ -208,10 +210,13 @@
 def _refuse(question: Question, why: SendFailure) -> Refusal:
     """Say what is known; only what certainly did not run is said not to."""
     if not question.runs:
+        is_cut_off = why is SendFailure.cut_off
         return Refusal(
             ErrorKind.overloaded,
             why.value,
-            retry_seconds=RETRY_AFTER_SECONDS,
+            retry_seconds=ELSEWHERE_SECONDS
+            if is_cut_off
+            else RETRY_AFTER_SECONDS,
         )
     if question.seconds_left <= 0:
         return Refusal(ErrorKind.deadline_passed, why.value, ran=Ran.unknown)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -22,6 +22,7 @@
     import random
 
     from wigeonpier.hosted.question import Question
+    from wigeonpier.hosted.reach import Reach
     from wigeonpier.hosted.replicas import ReplicaRegister
     from wigeonpier.models import HostSettings
     from wigeonpier.policy.route import UpstreamState
@@ -55,6 +56,7 @@
 
     no_upstream = 'no upstream takes it'
     no_time = 'no time is left'
+    cut_off = 'no upstream is reached'
     no_connection = 'no connection'
     turned_away = 'turned away'
     replaced = 'another instance has the address'
@@ -80,12 +82,14 @@
     :param replicas: upstreams that may be routed to.
     :param pool: connections to them.
     :param draw: source of randomness.
+    :param reach: whether any upstream is reached.
     """
 
     settings: HostSettings
     replicas: ReplicaRegister
     pool: ConnectionPool
     draw: random.Random
+    reach: Reach
 
     def send(self, question: Question) -> Result[Exchange, SendFailure]:
         """Send a question until an upstream answers it, or may have run it.
@@ -96,8 +100,9 @@
         """
         outcome: Result[Exchange, SendFailure] = Err(SendFailure.no_upstream)
         while len(question.tried) < MOST_SENDS and question.may_run_again:
-            if question.seconds_left <= 0:
-                return Err(SendFailure.no_time)
+            obstacle = self._find_obstacle(question)
+            if obstacle is not None:
+                return Err(obstacle)
             upstream = question.following or self._choose(question)
             question.following = None
             if upstream is None:
@@ -108,6 +113,12 @@
             self._go_on(question, upstream, outcome.err_value)
         return outcome
 
+    def _find_obstacle(self, question: Question) -> SendFailure | None:
+        """Tell why one more send would be of no use, ``None`` where it is."""
+        if question.seconds_left <= 0:
+            return SendFailure.no_time
+        return SendFailure.cut_off if self.reach.is_cut_off else None
+
     def note_failure(
         self,
         question: Question,
@@ -192,6 +203,7 @@
         except OSError as error:
             question.release(is_broken=True)
             return Err(name_break(error))
+        self.reach.note_heard()
         _note_load(upstream, answer)
         failure = _judge(question, upstream, answer)
         if failure is not None:
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -53,6 +53,8 @@
     platform_failed = (400, ODD, 'A platform call got no good answer.')
     platform_lost = (402, ODD, 'No call to the store gets an answer.')
     platform_found = (403, NOTE, 'The store answers again.')
+    reach_lost = (404, BAD, 'Neither the store nor any upstream is reached.')
+    reach_regained = (405, NOTE, 'An upstream is reached again.')
     platform_unknown = (401, ODD, 'A write may have taken effect.')
     configuration_applied = (500, NOTE, 'A configuration is in force.')
     configuration_refused = (501, BAD, 'A configuration was not usable.')
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -21,6 +22,8 @@
     from wigeonpier.web.pool import ConnectionPool
 
 READ_BYTES = 16_384
+# The option's two numbers: on, and no seconds to linger.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 LEAST_PATIENCE_SECONDS = 0.001
 INTERIM_STATUSES = 200
 HOP_HEADERS = frozenset(
@@ -189,9 +192,18 @@
         return body
 
     def abort(self) -> None:
-        """Break the connection, also under a greenlet that reads it."""
+        """Break the connection, also under a greenlet that reads it.
+
+        What was written and not yet delivered is discarded: held up by a cut,
+        it reached an upstream 6 s later, which ran it for nobody.
+        """
         self._is_spoilt = True
         try:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                RESET_ON_CLOSE,
+            )
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             # The peer was faster; the reader sees the same end.
--- a/tests/hosted/test_contact.py
+++ b/tests/hosted/test_contact.py
@@ -76,3 +76,51 @@
     gevent.sleep(1)
     after = calls.render()
     assert before != after, 'it is asked for a sign of life'
+
+
+def _cut_entry_off(site: HostedSite) -> None:
+    """Silence all that the entry hears, and wait until it knows."""
+    site.store.faults.is_down = True
+    for worker in site.workers:
+        worker._feed.is_closed = True
+    wait_for(lambda: not site.entries[0].is_ready, 'it leaves the rotation')
+
+
+def test_an_entry_that_is_cut_off_refuses_at_once(site: HostedSite) -> None:
+    """It had tried four upstreams for 1.6 s, and jobs for 2 s."""
+    site.start()
+    site.call('POST', '/once/1', 'q1')
+    _cut_entry_off(site)
+    began = time.monotonic()
+    asked = site.call('POST', '/once/2', 'q2')
+    handed = site.hand_in('j')
+    assert (asked.status, handed.status) == (503, 503)
+    assert time.monotonic() - began < 0.3
+    assert not any(replica.runs['q2'] for replica in site.replicas)
+    for worker in site.workers:
+        worker._feed.is_closed = False
+    wait_for(lambda: site.entries[0].is_ready, 'it is back in rotation')
+    assert site.call('POST', '/once/3', 'q3').status == 200
+
+
+def test_an_outage_of_the_store_keeps_entries_in_rotation(
+    site: HostedSite,
+) -> None:
+    """Else all of them would leave at once."""
+    site.start()
+    site.store.faults.is_down = True
+    gevent.sleep(2)
+    assert site.entries[0].is_ready
+    assert site.call('POST', '/once/1', 'q1').status == 200
+
+
+def test_workers_that_are_gone_keep_entries_in_rotation(
+    site: HostedSite,
+) -> None:
+    """Their upstreams may be well, and the store says that the net is."""
+    site.start()
+    for worker in site.workers:
+        worker._feed.is_closed = True
+    gevent.sleep(2)
+    assert site.entries[0].is_ready
+    assert site.call('POST', '/once/1', 'q1').status == 200
--- a/tests/hosted/test_sender.py
+++ b/tests/hosted/test_sender.py
@@ -34,6 +34,7 @@
         SimpleNamespace(list_upstreams=lambda: states),
         ConnectionPool(),
         random.Random(1),
+        SimpleNamespace(is_cut_off=False, note_heard=lambda: None),
     )
 
 
--- /dev/null
+++ b/tests/policy/test_isolation.py
@@ -0,0 +1,20 @@
+"""When an entry is cut off from all that could serve a request."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wigeonpier.policy.isolation import is_cut_off, is_suspicious
+
+
+@given(st.floats(0, 1e6))
+def test_an_outage_of_the_store_alone_is_no_cut(silent: float) -> None:
+    assert not is_cut_off(silent, has_store=True)
+    assert not is_cut_off(min(silent, 0.9), has_store=False)
+
+
+def test_the_store_is_asked_before_the_silence_counts() -> None:
+    assert is_suspicious(0.7)
+    assert not is_cut_off(0.7, has_store=False)
+    assert is_cut_off(1.1, has_store=False)
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -164,3 +164,24 @@
     begun = pool.begin(peer.address, 1, longest_rest=0.05).unwrap()
     begun.abort()
     assert pool.opened == 2
+
+
+def test_what_was_given_up_is_not_delivered_later() -> None:
+    """Bytes held up on the way had run at an upstream seconds later."""
+    accepted = []
+
+    def hold(sock, _address) -> None:
+        accepted.append(sock)
+        gevent.sleep(2)
+
+    server = StreamServer(('127.0.0.1', 0), hold)
+    server.start()
+    address = f'127.0.0.1:{server.server_port}'
+    given_up = ConnectionPool().begin(address, 1).unwrap()
+    given_up.write(REQUEST, 1)
+    gevent.sleep(0.05)
+    given_up.abort()
+    given_up.close()
+    gevent.sleep(0.05)
+    with pytest.raises(ConnectionResetError):
+        accepted[0].recv(65536)
