Carry calls to the store for an entry that alone has lost it

The worker beside each upstream now says with its load whether the store answers it; an entry that the store does not answer, or turns away with 503, has its calls carried by one that it does. 429 is a limit of all together and is not gone around; writes that may have been done are not sent again. Ruled out: leaving the rotation when the store is lost, which takes all entries out where it is away from all of them.

Entries follow new upstreams' load within 0.1 s of a start instead of 0.5 s.

--- a/src/wigeonpier/hosted/contact.py
+++ b/src/wigeonpier/hosted/contact.py
@@ -21,7 +21,9 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
+    from wigeonpier.platform.port import Way
     from wigeonpier.platform.store import KeyValueStore
     from wigeonpier.policy.outage import OutagePlan
 
@@ -48,10 +50,13 @@
         self._failed_at: float = 0
         self._store = store
         self._draw = draw
+        # Who would carry a call for this process.
+        self.find_relay: Callable[[], Way | None] = _find_none
         self._lost = Signal()
         self._found = Signal()
         self._found.set()
         store.on_outcome = self.note
+        store.find_detour = self.find_detour
 
     @property
     def is_lost(self) -> bool:
@@ -79,6 +84,13 @@
             self._lost.set()
             log_event(Event.platform_lost)
 
+    def find_detour(self) -> Way | None:
+        """Choose who carries a call to the store.
+
+        :returns: nobody as long as the store answers this process.
+        """
+        return self.find_relay() if self.is_lost else None
+
     def ask(self) -> None:
         """Ask the store for a sign of life."""
         self._store.ask_sign(self.plan.call)
@@ -86,10 +98,10 @@
     def wait(self, seconds: float) -> None:
         """Wait before a call that failed is made again.
 
-        :param seconds: pause where the store answers others; where it does
-            not, its first answer ends the wait.
+        :param seconds: pause where the store answers other calls, or somebody
+            carries them; else its first answer ends the wait.
         """
-        if self.is_lost:
+        if self.is_lost and self.find_relay() is None:
             self._found.wait(LONGEST_WAIT_SECONDS)
         else:
             gevent.sleep(seconds)
@@ -107,3 +119,8 @@
         gevent.sleep(self.plan.pause * self._draw.uniform(*SPREAD))
         if self.is_lost:
             self.ask()
+
+
+def _find_none() -> Way | None:
+    """Find nobody, where no process tells whether it has the store."""
+    return None
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -19,6 +19,7 @@
 from wigeonpier.hosted.loadfollower import LoadFollower
 from wigeonpier.hosted.questions import ELSEWHERE_SECONDS, QuestionDesk
 from wigeonpier.hosted.reach import Reach
+from wigeonpier.hosted.relay import Relays
 from wigeonpier.hosted.replicas import ReplicaRegister
 from wigeonpier.hosted.sender import QuestionSender
 from wigeonpier.hosted.views import JobViews
@@ -30,6 +31,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.common import Common
+    from wigeonpier.models import QuestionLoad
     from wigeonpier.web.messages import Request
 
 # The balancer asks once a second and takes a process out after two misses.
@@ -55,12 +57,14 @@
             common.pool.forget,
         )
         self._reach = Reach(common.contact)
+        self._relays = Relays(split_address(settings.peers)[1], common.draw)
+        common.contact.find_relay = self._relays.find
         self._loads = LoadFollower(
             settings,
             self._replicas,
             common.pool,
             common.draw,
-            self._reach.note_heard,
+            self._note_load,
         )
         self._questions = QuestionDesk(
             self._configuration,
@@ -125,6 +129,10 @@
         is_known = self._replicas.view.is_complete
         return bool(self._configuration.current and is_known)
 
+    def _note_load(self, host: str, load: QuestionLoad) -> None:
+        self._reach.note_heard()
+        self._relays.note(host, has_store=load.has_store)
+
     def _answer_ready(self, _request: Request) -> Response:
         if self.is_ready:
             return Response(HTTPStatus.OK, b'{}')
--- a/src/wigeonpier/hosted/loadfeed.py
+++ b/src/wigeonpier/hosted/loadfeed.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from wigeonpier.hosted.contact import StoreContact
     from wigeonpier.hosted.runner import ItemRunner
     from wigeonpier.hosted.upstream import OwnUpstream
 
@@ -36,8 +37,14 @@
 class LoadFeed:
     """Answers each entry with a line whenever the load has changed."""
 
-    def __init__(self, upstream: OwnUpstream, runner: ItemRunner) -> None:
+    def __init__(
+        self,
+        upstream: OwnUpstream,
+        runner: ItemRunner,
+        contact: StoreContact,
+    ) -> None:
         """Tell of the upstream, less the items that the runner has there."""
+        self._contact = contact
         self.is_closed = False
         self._upstream = upstream
         self._runner = runner
@@ -61,12 +68,17 @@
         """
         report = self._upstream.report
         if report is None:
-            return QuestionLoad(0, takes_work=False)
+            return QuestionLoad(
+                0,
+                takes_work=False,
+                has_store=not self._contact.is_lost,
+            )
         everything = report.running + report.waiting
         return QuestionLoad(
             max(0, everything - self._runner.count_running()),
             takes_work=not report.is_leaving,
             incarnation=report.incarnation,
+            has_store=not self._contact.is_lost,
         )
 
     def _answer(self, _request: Request) -> Response:
--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -28,8 +28,9 @@
     from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.pool import ConnectionPool
 
-# Upstreams come and go at most as fast as the register tells.
-STEP_SECONDS = 0.5
+# After a start of all processes callers come back at once: with 0.5 s here
+# entries chose blindly for as long.
+STEP_SECONDS = 0.1
 OPEN_SECONDS = 0.4
 # Five lines fit into it; a connection that is silent for longer is dead.
 SILENCE_SECONDS = 2.0
@@ -46,10 +47,10 @@
         replicas: ReplicaRegister,
         pool: ConnectionPool,
         draw: random.Random,
-        note_heard: Callable[[], None],
+        on_load: Callable[[str, QuestionLoad], None],
     ) -> None:
         """Follow the upstreams of a register once started."""
-        self._note_heard = note_heard
+        self._on_load = on_load
         self._port = split_address(settings.peers)[1]
         self._replicas = replicas
         self._pool = pool
@@ -113,7 +114,7 @@
     def _note(self, address: str, line: bytes) -> None:
         load = msgspec.json.decode(line, type=QuestionLoad)
         now = time.monotonic()
-        self._note_heard()
+        self._on_load(split_address(address)[0], load)
         for state in self._replicas.list_upstreams():
             if state.address == address:
                 note_load(state, load, now)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -12,6 +12,7 @@
 from wigeonpier.hosted.loadfeed import LoadFeed
 from wigeonpier.hosted.membership import Membership
 from wigeonpier.hosted.progress import ProgressKeeper
+from wigeonpier.hosted.relay import RelayDesk
 from wigeonpier.hosted.results import ResultWriter
 from wigeonpier.hosted.runner import ItemRunner
 from wigeonpier.hosted.upstream import OwnUpstream
@@ -49,10 +50,11 @@
             common.metrics,
         )
         self._progress = ProgressKeeper(ledger, self._runner.work)
-        self._feed = LoadFeed(self._upstream, self._runner)
+        self._feed = LoadFeed(self._upstream, self._runner, common.contact)
+        relay = RelayDesk(common.store, common.pool)
         self._server = Server(
             *split_address(settings.peers),
-            dispatch_to(self._feed.make_routes()),
+            dispatch_to(self._feed.make_routes() + relay.make_routes()),
         )
         self._assignments = AssignmentFollower(
             settings.name,
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -168,11 +168,13 @@
     :param questions: requests there that are no batch items.
     :param takes_work: whether it answers and is not leaving.
     :param incarnation: grows with each start, 0 where it is not told.
+    :param has_store: whether the key-value service answers the process.
     """
 
     questions: int
     takes_work: bool
     incarnation: int = 0
+    has_store: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpier/platform/port.py
+++ b/src/wigeonpier/platform/port.py
@@ -25,6 +25,18 @@
     lapsed = 'lapsed'
 
 
+@dataclass(frozen=True, slots=True)
+class Way:
+    """A way by which calls reach the key-value service.
+
+    :param address: ``host:port`` that takes them.
+    :param prefix: put before the path of each call.
+    """
+
+    address: str
+    prefix: str = ''
+
+
 class VmState(StrEnum):
     """What the VM list says of a VM."""
 
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import urlencode
 
@@ -29,6 +30,7 @@
     Entry,
     Failure,
     Snapshot,
+    Way,
 )
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -48,18 +50,32 @@
 HISTORY_SHARE = 0.75
 LONGEST_WATCH_SECONDS = 30.0
 WATCH_SLACK_SECONDS = 2.0
+LONGEST_CALL_SECONDS = LONGEST_WATCH_SECONDS + WATCH_SLACK_SECONDS
 # What changes soon after a change is heard with it: when 28 replicas start, an
 # entry calls 8 times instead of 31; every bound on news is 2 s or more.
 GATHER_SECONDS = 0.2
 CONFLICT = 412
 LAPSED = 404
 MILLISECONDS = 1000
-TURNED_AWAY = frozenset(('429', '503'))
+UNAVAILABLE = 503
+TURNED_AWAY = frozenset((429, UNAVAILABLE))
 NOT_DONE = frozenset((400, 403, 404, 410, 412, 429, 503))
 
 Model = TypeVar('Model')
 
 
+@dataclass(frozen=True, slots=True)
+class _Call:
+    method: str
+    target: str
+    body: bytes = b''
+
+    @property
+    def name(self) -> str:
+        """Give the path without query and ids."""
+        return '/'.join(self.target.partition('?')[0].split('/')[:3])
+
+
 class KeyValueStore:
     """Calls of the key-value service, one outcome each."""
 
@@ -78,6 +94,7 @@
         self._pool = pool
         self.address = address
         self.on_outcome: Callable[..., None] | None = None
+        self.find_detour: Callable[[], Way | None] | None = None
         self._metrics = metrics
 
     def get(self, key: str) -> Result[Entry | None, Failure]:
@@ -102,7 +119,8 @@
         :param patience: longest silence, seconds.
         """
         query = {wire.KEY: wire.OPERATOR_CONFIGURATION, wire.MAY_BE_OLD: 1}
-        self._send('GET', wire.KEY_PATH, query, patience=patience)
+        call = _Call('GET', f'{wire.KEY_PATH}?{urlencode(query)}')
+        self._send_by(None, call, patience)
 
     def list_prefix(
         self,
@@ -262,45 +280,93 @@
         *,
         patience: float = CALL_SECONDS,
     ) -> Result[Reply, CallFailure]:
+        """Send a call; by a detour where the store does not answer here."""
         target = f'{path}?{urlencode(query)}' if query else path
         content = b'' if body is None else msgspec.json.encode(body)
+        call = _Call(method, target, content)
+        detour = self._get_detour()
+        replied = self._send_by(detour, call, patience)
+        if detour is None and _may_go_again(call, replied):
+            detour = self._get_detour()
+            if detour is not None:
+                return self._send_by(detour, call, patience)
+        return replied
+
+    def _get_detour(self) -> Way | None:
+        return self.find_detour() if self.find_detour else None
+
+    def _send_by(
+        self,
+        detour: Way | None,
+        call: _Call,
+        patience: float,
+    ) -> Result[Reply, CallFailure]:
+        way = detour or Way(self.address)
         headers = [
-            ('Host', self.address),
+            ('Host', way.address),
             ('Content-Type', 'application/json'),
         ]
-        raw = make_request(method, target, headers, content)
+        raw = make_request(
+            call.method,
+            way.prefix + call.target,
+            headers,
+            call.body,
+        )
         began = time.monotonic()
-        replied = self._pool.call(self.address, raw, patience)
-        self._note(path, replied, began)
+        replied = self._pool.call(way.address, raw, patience)
+        if detour is None and self.on_outcome is not None:
+            self.on_outcome(began, is_answered=_is_answered(replied))
+        self._note(call, replied, time.monotonic() - began, detour)
         return replied
 
     def _note(
         self,
-        path: str,
+        call: _Call,
         replied: Result[Reply, CallFailure],
-        began: float,
+        seconds: float,
+        detour: Way | None,
     ) -> None:
-        seconds = time.monotonic() - began
         if isinstance(replied, Err):
             outcome = replied.err_value.value
         else:
             outcome = str(replied.ok_value.status)
-        is_failed = outcome in TURNED_AWAY or isinstance(replied, Err)
-        if self.on_outcome is not None:
-            self.on_outcome(began, is_answered=not is_failed)
-        call = '/'.join(path.split('/')[:3])
-        self._metrics.count('store_calls_total', call=call, outcome=outcome)
-        if call != wire.WATCH_PATH:
-            self._metrics.observe('store_call', seconds, call=call)
-        if is_failed:
+        self._metrics.count(
+            'store_calls_total', call=call.name, outcome=outcome
+        )
+        if call.name != wire.WATCH_PATH:
+            self._metrics.observe('store_call', seconds, call=call.name)
+        if not _is_answered(replied):
             log_event(
                 Event.platform_failed,
-                call=call,
+                call=call.name,
                 outcome=outcome,
                 seconds=round(seconds, 3),
+                carried_by=detour.address if detour else '',
             )
 
 
+def _is_answered(replied: Result[Reply, CallFailure]) -> bool:
+    """Tell whether the store dealt with a call."""
+    if isinstance(replied, Err):
+        return False
+    return replied.ok_value.status not in TURNED_AWAY
+
+
+def _may_go_again(
+    call: _Call,
+    replied: Result[Reply, CallFailure],
+) -> bool:
+    """Tell whether a call may be sent once more.
+
+    Not where the store says that all together call too often, nor where a
+    write may have been done.
+    """
+    if isinstance(replied, Err):
+        is_unsent = replied.err_value is CallFailure.not_sent
+        return is_unsent or call.method == 'GET'
+    return replied.ok_value.status == UNAVAILABLE
+
+
 def _judge(
     replied: Result[Reply, CallFailure],
 ) -> Result[Reply, Failure]:
--- a/tests/hosted/test_contact.py
+++ b/tests/hosted/test_contact.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 import gevent
 
-from tests.hosted.builders import HostedSite, wait_for
+from tests.hosted.builders import (
+    HostedSite,
+    make_configuration,
+    take_port,
+    wait_for,
+)
 from wigeonpier.platform.register import name_replica
 
+if TYPE_CHECKING:
+    from wigeonpier.hosted.contact import StoreContact
+
 
 def _lose_store(site: HostedSite) -> None:
     """Cut the store off, and wait until the entry knows."""
@@ -78,11 +87,15 @@
     assert before != after, 'it is asked for a sign of life'
 
 
+def _silence_workers(site: HostedSite) -> None:
+    for worker in site.workers:
+        worker._feed.is_closed = True
+
+
 def _cut_entry_off(site: HostedSite) -> None:
     """Silence all that the entry hears, and wait until it knows."""
     site.store.faults.is_down = True
-    for worker in site.workers:
-        worker._feed.is_closed = True
+    _silence_workers(site)
     wait_for(lambda: not site.entries[0].is_ready, 'it leaves the rotation')
 
 
@@ -119,8 +132,57 @@
 ) -> None:
     """Their upstreams may be well, and the store says that the net is."""
     site.start()
-    for worker in site.workers:
-        worker._feed.is_closed = True
+    _silence_workers(site)
     gevent.sleep(2)
     assert site.entries[0].is_ready
     assert site.call('POST', '/once/1', 'q1').status == 200
+
+
+def _turn_entry_away(site: HostedSite) -> StoreContact:
+    """Have only the entry lose the store, as a cut of its VM does."""
+    common = site.entries[0]._common
+    common.store.address = f'127.0.0.1:{take_port()}'
+    common.pool.forget(site.store_address)
+    common.contact.ask()
+    wait_for(lambda: common.contact.is_lost, 'the loss is known')
+    wait_for(common.contact.find_detour, 'somebody carries its calls')
+    return common.contact
+
+
+def test_a_job_is_taken_by_an_entry_that_alone_lost_the_store(
+    site: HostedSite,
+) -> None:
+    """It had been refused for as long as the caller tried."""
+    site.start()
+    _turn_entry_away(site)
+    began = time.monotonic()
+    assert site.hand_in('j').status == 202
+    assert time.monotonic() - began < 0.4
+    assert len(site.wait_for_results('j', 4)) == 4
+
+
+def test_a_configuration_reaches_an_entry_that_lost_the_store(
+    site: HostedSite,
+) -> None:
+    site.start()
+    contact = _turn_entry_away(site)
+    site.store.put('op/config', make_configuration(7))
+    site.store.compact()
+    entry = site.entries[0]
+    wait_for(
+        lambda: entry._configuration.get_version() == 7,
+        'the configuration is in force',
+    )
+    assert contact.is_lost
+
+
+def test_nobody_carries_calls_to_a_store_that_is_away(
+    site: HostedSite,
+) -> None:
+    site.start()
+    site.store.faults.is_down = True
+    contact = site.entries[0]._common.contact
+    for common in [contact, *(w._common.contact for w in site.workers)]:
+        common.ask()
+    wait_for(lambda: contact.is_lost, 'the loss is known')
+    wait_for(lambda: not contact.find_detour(), 'nobody offers it')
