Never send a watch again that was cut; begin with a read

The watch of the configuration was carried on from its revision at once, before the history was dropped, and waited for a change that it could not hear any more. Ruled out: the view's own pause; a watch that fails lets it read anew, which found the version.

--- a/src/wigeonpier/hosted/contact.py
+++ b/src/wigeonpier/hosted/contact.py
@@ -50,8 +50,8 @@
         self._failed_at: float = 0
         self._store = store
         self._draw = draw
-        # Who would carry a call for this process.
-        self.find_relay: Callable[[], Way | None] = _find_none
+        # Who would carry a call for this process; nobody until it is set.
+        self.find_relay: Callable[[], Way | None] = lambda: None
         self._lost = Signal()
         self._found = Signal()
         self._found.set()
@@ -119,8 +119,3 @@
         gevent.sleep(self.plan.pause * self._draw.uniform(*SPREAD))
         if self.is_lost:
             self.ask()
-
-
-def _find_none() -> Way | None:
-    """Find nobody, where no process tells whether it has the store."""
-    return None
--- a/src/wigeonpier/hosted/relay.py
+++ b/src/wigeonpier/hosted/relay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import ExitStack
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -64,21 +65,23 @@
         headers = [('Host', self._store.address), ('Content-Type', JSON_TYPE)]
         body = request.read_body()
         raw = make_request(request.method, target, headers, body)
-        self._in_hand += 1
-        try:
+        with ExitStack() as stack:
+            self._in_hand += 1
+            stack.callback(self._release)
             called = self._pool.call(
                 self._store.address,
                 raw,
                 LONGEST_CALL_SECONDS,
             )
-        finally:
-            self._in_hand -= 1
         if isinstance(called, Err):
             # Neither success nor a promise: what was sent may take effect.
             return Response(HTTPStatus.BAD_GATEWAY, b'{}', JSON_TYPE)
         reply = called.ok_value
         return Response(reply.status, reply.body, JSON_TYPE)
 
+    def _release(self) -> None:
+        self._in_hand -= 1
+
 
 class Relays:
     """Knows the processes that would carry calls to the store."""
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -359,8 +359,11 @@
     """Tell whether a call may be sent once more.
 
     Not where the store says that all together call too often, nor where a
-    write may have been done.
+    write may have been done.  Nor a watch: its history may be gone as it is
+    cut, and one that went on from its revision missed a configuration.
     """
+    if call.name == wire.WATCH_PATH:
+        return False
     if isinstance(replied, Err):
         is_unsent = replied.err_value is CallFailure.not_sent
         return is_unsent or call.method == 'GET'
--- a/tests/hosted/test_contact.py
+++ b/tests/hosted/test_contact.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from result import Err
 
 from tests.hosted.builders import (
     HostedSite,
@@ -13,6 +14,7 @@
     take_port,
     wait_for,
 )
+from wigeonpier.platform import wire
 from wigeonpier.platform.register import name_replica
 
 if TYPE_CHECKING:
@@ -186,3 +188,18 @@
         common.ask()
     wait_for(lambda: contact.is_lost, 'the loss is known')
     wait_for(lambda: not contact.find_detour(), 'nobody offers it')
+
+
+def test_a_watch_that_was_cut_begins_anew_with_a_read(
+    site: HostedSite,
+) -> None:
+    """Carried on from its revision, it waited for what was dropped."""
+    site.start()
+    common = site.entries[0]._common
+    _turn_entry_away(site)
+    common.contact.note(0, is_answered=True)
+    calls = site.store.calls.copy()
+    heard = common.store.await_changes('op/', 1, 0.1)
+    assert isinstance(heard, Err)
+    assert common.contact.find_detour()
+    assert site.store.calls[wire.WATCH_PATH] == calls[wire.WATCH_PATH]
