Hold a question that may run once while all upstreams have long queues

On the grown Granite Hollow, crests with five of 25 replicas gone made up to 74 in 100 questions late, each sent at once and late in the queue that it could not leave. What was not sent has not run: it is held at the entry while each upstream has two or more waiting, and one that is late already leaves the room to those who just came.

--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -11,8 +11,13 @@
 from result import Err, Ok, Result
 
 from wigeonpier.platform import ingress, register
-from wigeonpier.policy import waiting
-from wigeonpier.policy.route import Ask, choose_upstream, note_outcome
+from wigeonpier.policy import binding, waiting
+from wigeonpier.policy.route import (
+    Ask,
+    choose_upstream,
+    find_usable,
+    note_outcome,
+)
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.exchange import make_request
@@ -36,6 +41,8 @@
 # is lost.  Where that could not be sent again, only a connection is used that
 # rested for less than any upstream has been seen to allow.
 LAST_RUN_REST_SECONDS = 0.15
+# Questions that wait for the same slot look at different moments.
+SPREAD = (0.5, 1.5)
 
 
 class CallerGoneError(OSError):
@@ -103,7 +110,7 @@
             obstacle = self._find_obstacle(question)
             if obstacle is not None:
                 return Err(obstacle)
-            upstream = question.following or self._choose(question)
+            upstream = question.following or self._bind(question)
             question.following = None
             if upstream is None:
                 break
@@ -161,9 +168,37 @@
         if why is SendFailure.late:
             self._step_back(question, upstream)
 
-    def _choose(self, question: Question) -> UpstreamState | None:
+    def _bind(self, question: Question) -> UpstreamState | None:
+        """Choose an upstream; wait here for it if the send is the last one."""
+        drawn = self._choose(question)
+        if not question.is_last_run or not question.route.objective:
+            return drawn
+        limit = binding.limit_hold(question.give_up_at - question.began_at)
+        while drawn is not None and not self._find_obstacle(question):
+            now = time.monotonic()
+            if now - question.began_at >= limit:
+                break
+            chosen = binding.bind(
+                drawn,
+                find_usable(
+                    self.replicas.list_upstreams(),
+                    self._make_ask(question),
+                    now,
+                ),
+                (now - question.began_at) / question.route.objective,
+                now,
+            )
+            if chosen is not None:
+                return chosen
+            gevent.sleep(binding.LOOK_SECONDS * self.draw.uniform(*SPREAD))
+            if question.is_gone:
+                raise CallerGoneError('the caller has left')
+            drawn = self._choose(question)
+        return drawn
+
+    def _make_ask(self, question: Question) -> Ask:
         shared = question.head.prompt_parts[:-1]
-        ask = Ask(
+        return Ask(
             service=question.service,
             model='',
             affinity=shared[-1] if shared else '',
@@ -171,9 +206,11 @@
             region=self.settings.region,
             excluded=frozenset(question.tried),
         )
+
+    def _choose(self, question: Question) -> UpstreamState | None:
         return choose_upstream(
             self.replicas.list_upstreams(),
-            ask,
+            self._make_ask(question),
             time.monotonic(),
             self.draw,
         )
--- a/tests/policy/crests.py
+++ b/tests/policy/crests.py
@@ -15,6 +15,8 @@
 
 from tests.builders import build_upstream
 from wigeonpier.models import QuestionLoad
+from wigeonpier.policy.binding import LOOK_SECONDS as HOLD_LOOK_SECONDS
+from wigeonpier.policy.binding import bind, limit_hold
 from wigeonpier.policy.route import Ask, choose_upstream, note_load
 from wigeonpier.policy.waiting import (
     LOOK_SECONDS,
@@ -65,7 +67,9 @@
     is_fed: bool
     is_moving: bool = False
     is_yielding: bool = False
+    is_held: bool = False
     upstreams: int = UPSTREAMS
+    entries: int = ENTRIES
     seconds: float = 30.0
     seed: int = 1
     now: float = 0.0
@@ -83,7 +87,7 @@
                 build_upstream(f'vm-{number}', slots=SLOTS)
                 for number in range(self.upstreams)
             ]
-            for _ in range(ENTRIES)
+            for _ in range(self.entries)
         ]
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
         self._count = 0
@@ -108,11 +112,30 @@
         share = CALM[1] if phase < CALM[0] else CREST[1]
         pause = self.draw.expovariate(self.rate * share)
         self._at(self.now + pause, self._arrive)
-        entry = self.draw.randrange(ENTRIES)
+        entry = self.draw.randrange(self.entries)
         states = self.states[entry]
         chosen = choose_upstream(states, ASK, self.now, self.draw)
         assert chosen is not None
-        self._send(Waiter(entry, self.now), chosen)
+        waiter = Waiter(entry, self.now)
+        if self.is_held:
+            self._bind(waiter)
+        else:
+            self._send(waiter, chosen)
+
+    def _bind(self, waiter: Waiter) -> None:
+        """Send a question that may run once when an upstream has room."""
+        states = self.states[waiter.entry]
+        drawn = choose_upstream(states, ASK, self.now, self.draw)
+        assert drawn is not None
+        waited = self.now - waiter.came_at
+        chosen = bind(drawn, states, waited / OBJECTIVE_SECONDS, self.now)
+        if waited >= limit_hold(DEADLINE_SECONDS):
+            chosen = drawn
+        if chosen is not None:
+            self._send(waiter, chosen)
+        else:
+            pause = HOLD_LOOK_SECONDS * self.draw.uniform(0.5, 1.5)
+            self._at(self.now + pause, self._bind, waiter)
 
     def _send(self, waiter: Waiter, chosen: UpstreamState) -> None:
         chosen.in_hand += 1
