Do not start an item whose job ended before its turn came

The test fails without the change. The daemons on the platform do not use this module.

The test is as it was.

--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -205,6 +205,9 @@
 
     def _run_or_lose(self, turn: Turn, alone: bool) -> None:
         chunk = turn.chunk
+        if chunk.is_lost:
+            # Its job ended after the turn was given and before it was taken.
+            return
         check_promise(
             chunk.job.id not in self.stock.stopped,
             Promise.cancelled_job_stops,
