Have a test of outages count the calls that it is named for

test_an_outage_costs_one_question_at_a_time compared two pages of metrics and passed whenever they differed, as they do by the clock. It counts the entry's calls now: none of ranges and watches in a second of an outage, and of keys as many as the pause allows, one at least. With the views waiting by themselves it fails; as it stood it passed. No other line is changed.

--- a/tests/hosted/test_contact.py
+++ b/tests/hosted/test_contact.py
@@ -14,6 +14,7 @@
     take_port,
     wait_for,
 )
+from wigeonpier.hosted.contact import SPREAD
 from wigeonpier.platform import wire
 from wigeonpier.platform.register import name_replica
 
@@ -76,17 +77,30 @@
     assert 2.0 < held < entry._common.settings.bounds.contact
 
 
+def _count_calls(site: HostedSite, path: str) -> float:
+    """Count the calls to the store that the entry made on a path."""
+    lines = site.entries[0]._common.metrics.render().splitlines()
+    return sum(
+        float(line.rpartition(' ')[2])
+        for line in lines
+        if 'store_calls_total{' in line and f'"{path}"' in line
+    )
+
+
 def test_an_outage_costs_one_question_at_a_time(site: HostedSite) -> None:
-    """All views wait for the same answer."""
+    """All views wait for the same answer, and none of them calls itself."""
     site.start(replicas=1)
     site.store.compact()
     _lose_store(site)
     gevent.sleep(1)
-    calls = site.entries[0]._common.metrics
-    before = calls.render()
+    watched = (wire.RANGE_PATH, wire.WATCH_PATH)
+    views = [_count_calls(site, path) for path in watched]
+    asked = _count_calls(site, wire.KEY_PATH)
     gevent.sleep(1)
-    after = calls.render()
-    assert before != after, 'it is asked for a sign of life'
+    assert [_count_calls(site, path) for path in watched] == views
+    plan = site.entries[0]._common.contact.plan
+    most = 1 / (plan.pause * SPREAD[0]) + 1
+    assert 1 <= _count_calls(site, wire.KEY_PATH) - asked <= most
 
 
 def _silence_workers(site: HostedSite) -> None:
