Have one process follow a job that is read; let watches rest longer

The process with a disk that a job's id ranks first follows it with one watch and tells all entries; it says that there is nothing new only if the store was heard within 0.5 s, else the entry reads itself. Bodies of items are read at a tenth of the price without the head.

--- a/src/wigeonpier/hosted/contact.py
+++ b/src/wigeonpier/hosted/contact.py
@@ -63,6 +63,14 @@
         """Tell whether the last call that was begun got no answer."""
         return self._lost.is_set()
 
+    def has_answered_since(self, moment: float) -> bool:
+        """Tell whether the store was heard after a moment.
+
+        :param moment: seconds of the steady clock.
+        :returns: true where any call was answered later.
+        """
+        return self._answered_at > moment
+
     def start(self) -> None:
         """Begin to ask whenever the store is lost."""
         spawn_loop('store contact', self._step)
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -19,6 +19,7 @@
 from wigeonpier.hosted.loadfollower import LoadFollower
 from wigeonpier.hosted.questions import ELSEWHERE_SECONDS, QuestionDesk
 from wigeonpier.hosted.reach import Reach
+from wigeonpier.hosted.reader import JobReader
 from wigeonpier.hosted.relay import Relays
 from wigeonpier.hosted.replicas import ReplicaRegister
 from wigeonpier.hosted.reserver import SlotReserver
@@ -91,6 +92,7 @@
             ledger,
             views,
             JobAcceptor(ledger, views, self._holder, self._reach, common.draw),
+            JobReader(self._holder, common.pool, common.metrics),
             common.metrics,
         )
         self._callers = Server(*split_address(settings.callers), self._answer)
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -22,16 +22,15 @@
     from wigeonpier.hosted.acceptance import JobAcceptor
     from wigeonpier.hosted.arrival import Arrival
     from wigeonpier.hosted.ledger import JobLedger
-    from wigeonpier.hosted.views import JobView, JobViews
-    from wigeonpier.models import ItemResult
+    from wigeonpier.hosted.reader import JobReader
+    from wigeonpier.hosted.views import JobViews
+    from wigeonpier.models import ResultPage
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.messages import Request
 
 # A caller waits 4 s for an answer.
 END_SECONDS = 3.4
 PAUSE_SECONDS = 0.15
-# One page of results holds at most 1 MB.
-PAGE_BYTES = 900_000
 OCTETS = 'application/octet-stream'
 EMPTY = b'{}'
 
@@ -44,12 +43,14 @@
         ledger: JobLedger,
         views: JobViews,
         acceptor: JobAcceptor,
+        reader: JobReader,
         metrics: Metrics,
     ) -> None:
-        """Answer from the views, and accept by the acceptor."""
+        """Answer by the reader or the views, and accept by the acceptor."""
         self._ledger = ledger
         self._views = views
         self._acceptor = acceptor
+        self._reader = reader
         self._metrics = metrics
 
     def hand_in(self, arrival: Arrival) -> Response:
@@ -84,14 +85,12 @@
         :param name: id of the job.
         :returns: a page of results.
         """
-        view = self._views.find(name)
         after = _read_after(request.query)
-        self._views.look(view, after, ingress.read_wait(request))
-        page = _cut_page(view, after)
+        page = self._read_page(name, after, ingress.read_wait(request))
         body = ingress.encode_results(
-            len(view.head.names),
-            after + len(page),
-            page,
+            page.total,
+            after + len(page.results),
+            page.results,
         )
         return Response(HTTPStatus.OK, body, JSON_TYPE)
 
@@ -102,12 +101,14 @@
         :param name: id of the job.
         :returns: its bytes.
         """
-        view = self._views.find(name)
         wanted = _read_query(request.query).get('id', '')
-        for item in self._views.find_items(view):
-            if item.name == wanted:
-                return Response(HTTPStatus.OK, item.body, OCTETS)
-        raise Refusal(ErrorKind.not_found, f'the job has no item {wanted!r}')
+        body = self._views.find_body(name, wanted)
+        if body is None:
+            raise Refusal(
+                ErrorKind.not_found,
+                f'the job has no item {wanted!r}',
+            )
+        return Response(HTTPStatus.OK, body, OCTETS)
 
     def end(self, _request: Request, name: str) -> Response:
         """End a job; what is listed stays listed.
@@ -128,6 +129,16 @@
                 gevent.sleep(PAUSE_SECONDS)
         return Response(HTTPStatus.OK, EMPTY)
 
+    def _read_page(self, name: str, after: int, wait: float) -> ResultPage:
+        if not self._views.has_results(name, after):
+            read = self._reader.read(name, after, wait)
+            if read is not None:
+                return read
+        # What the reader cannot tell for sure is asked of the store.
+        view = self._views.find(name)
+        self._views.look(view, after, wait)
+        return view.cut_page(after)
+
 
 def _read_job(arrival: Arrival) -> HandedJob:
     name = arrival.head.identity
@@ -140,17 +151,6 @@
     return HandedJob(name, arrival.head.host, arrival.route, items)
 
 
-def _cut_page(view: JobView, after: int) -> list[ItemResult]:
-    page: list[ItemResult] = []
-    size = 0
-    for placed in view.results[after:]:
-        size += len(placed.found.output)
-        if page and size > PAGE_BYTES:
-            break
-        page.append(placed.found)
-    return page
-
-
 def _read_query(query: str) -> dict[str, str]:
     pairs = [pair.partition('=') for pair in query.split('&') if pair]
     return {name: text for name, _equals, text in pairs}
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wigeonpier.platform.port import Snapshot
     from wigeonpier.platform.store import KeyValueStore
 
 # Items are kept as base64 in a value; a part stays well below the limit.
@@ -231,6 +232,20 @@
             )
         return Ok(items)
 
+    def list_items(self, job: str) -> Result[list[JobItem], Failure]:
+        """Read all items of a job that may have been written just now.
+
+        Its parts were written together and never change.
+
+        :param job: id of the job.
+        :returns: the items by position, none where an old read has none.
+        """
+        listed = self.store.list_prefix(
+            places.name_prefix(places.ITEMS, job),
+            may_be_old=True,
+        )
+        return listed.map(_join_parts)
+
     def close(self, job: str) -> Result[int, Failure]:
         """Take a job off the board, and its items from who runs them.
 
@@ -410,6 +425,18 @@
     return msgspec.json.decode(entry.value, type=JobHead)
 
 
+def _join_parts(snapshot: Snapshot) -> list[JobItem]:
+    parts = sorted(
+        snapshot.entries,
+        key=lambda entry: places.parse_index(entry.key),
+    )
+    return [
+        item
+        for part in parts
+        for item in msgspec.json.decode(part.value, type=list[JobItem])
+    ]
+
+
 def _place(entries: Iterable[Entry | Change]) -> list[PlacedResult]:
     placed = [
         PlacedResult(
--- a/src/wigeonpier/hosted/storage.py
+++ b/src/wigeonpier/hosted/storage.py
@@ -5,11 +5,14 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.hosted.dealer import Dealer
+from wigeonpier.hosted.following import FollowedJobs
 from wigeonpier.hosted.intake import Intake
 from wigeonpier.hosted.janitor import Janitor
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.membership import Membership
+from wigeonpier.hosted.readings import ReadingDesk
 from wigeonpier.hosted.retire import RetireDesk
+from wigeonpier.hosted.views import JobViews
 from wigeonpier.models import DiskMember
 from wigeonpier.platform import places
 from wigeonpier.settings.process import split_address
@@ -22,9 +25,9 @@
 class StorageApp:
     """The process on a VM with a disk.
 
-    It keeps accepted jobs while the store is away, hands the items of lost
-    processes to others, removes old jobs, and answers for its disk when it is
-    to be emptied.
+    It keeps accepted jobs while the store is away, reads the results of jobs
+    for entries, hands the items of lost processes to others, removes old jobs,
+    and answers for its disk when it is to be emptied.
     """
 
     def __init__(self, common: Common) -> None:
@@ -56,9 +59,13 @@
             self._disk,
             common.view,
         )
+        readings = ReadingDesk(
+            FollowedJobs(JobViews(ledger, _is_never_held)),
+            common.contact,
+        )
         self._server = Server(
             *split_address(settings.peers),
-            dispatch_to(self._intake.make_routes()),
+            dispatch_to(self._intake.make_routes() + readings.make_routes()),
         )
 
     def start(self) -> str:
@@ -85,3 +92,8 @@
         self._intake.is_closed = True
         self._disk.leave()
         return self._server.drain(seconds)
+
+
+def _is_never_held(_job: str) -> bool:
+    """Leave it to the entry, which knows what it had held."""
+    return False
--- a/src/wigeonpier/hosted/views.py
+++ b/src/wigeonpier/hosted/views.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.models import ResultPage
 from wigeonpier.platform.port import Failure
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -25,7 +26,7 @@
         PlacedResult,
         StoredJob,
     )
-    from wigeonpier.models import JobItem
+    from wigeonpier.models import ItemResult, JobItem
 
 READ_SECONDS = 1.2
 PAUSE_SECONDS = 0.15
@@ -37,6 +38,8 @@
 # results that do not exist yet.
 SHARED_LOOK_SECONDS = 0.6
 MOST_JOBS = 64
+# One page of results holds at most 1 MB.
+PAGE_BYTES = 900_000
 
 
 @dataclass(slots=True)
@@ -65,6 +68,21 @@
         """Give the id of the job."""
         return self.head.job.name
 
+    def cut_page(self, after: int) -> ResultPage:
+        """Cut a page of results.
+
+        :param after: position of the first one.
+        :returns: as many as one answer may hold, at least one if there is.
+        """
+        page: list[ItemResult] = []
+        size = 0
+        for placed in self.results[after:]:
+            size += len(placed.found.output)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(placed.found)
+        return ResultPage(len(self.head.names), tuple(page))
+
     @property
     def is_finished(self) -> bool:
         """Tell whether each item has its result."""
@@ -109,6 +127,31 @@
         )
         return self._views.setdefault(name, view)
 
+    def has_results(self, name: str, known: int) -> bool:
+        """Tell whether a job was read here beyond some results.
+
+        :param name: id of the job.
+        :param known: results that a reader has.
+        :returns: true where no look is needed to answer it.
+        """
+        view = self._views.get(name)
+        return view is not None and len(view.results) > known
+
+    def find_body(self, name: str, item: str) -> bytes | None:
+        """Find the body of an item, at a tenth of a call's price.
+
+        :param name: id of the job.
+        :param item: id of the item.
+        :returns: its bytes, ``None`` where the job has no such item.
+        :raises Refusal: where there is no such job, or that cannot be known.
+        """
+        listed = self._ledger.list_items(name)
+        found = _pick_body(listed.unwrap_or([]), item)
+        if found is not None:
+            return found
+        # What was written just now may not be told by an old read yet.
+        return _pick_body(self.find_items(self.find(name)), item)
+
     def find_items(self, view: JobView) -> list[JobItem]:
         """Find the items of a job.
 
@@ -138,7 +181,7 @@
             return
         with ExitStack() as stack:
             stack.callback(view.lock.release)
-            self._read_on(view, known, wait)
+            self._look_on(view, known, wait)
 
     def close_finished(self, view: JobView) -> None:
         """Take a job off the board when its last result was read.
@@ -149,20 +192,31 @@
             view.is_closed = isinstance(self._ledger.close(view.name), Ok)
             log_event(Event.job_finished, job=view.name)
 
-    def _read_on(self, view: JobView, known: int, wait: float) -> None:
+    def read_on(self, view: JobView, wait: float) -> bool:
+        """Read new results of a job.
+
+        :param view: the job.
+        :param wait: longest wait for one, seconds.
+        :returns: false where it is not certain that there is none.
+        """
+        read = self._read_results(view, wait)
+        view.looked_at = time.monotonic()
+        if isinstance(read, Err):
+            return False
+        view.results += read.ok_value[0]
+        view.revision = read.ok_value[1]
+        self.close_finished(view)
+        return True
+
+    def _look_on(self, view: JobView, known: int, wait: float) -> None:
         has_news = len(view.results) > known
         age = time.monotonic() - view.looked_at
         is_enough = has_news or not wait
         if view.is_finished or (age < FRESH_SECONDS and is_enough):
             return
-        read = self._read_results(view, 0 if has_news else wait)
-        view.looked_at = time.monotonic()
-        if isinstance(read, Ok):
-            view.results += read.ok_value[0]
-            view.revision = read.ok_value[1]
-            self.close_finished(view)
-        elif not has_news:
-            # Results that are known never change, and are given all the same.
+        is_certain = self.read_on(view, 0 if has_news else wait)
+        # Results that are known never change, and are given all the same.
+        if not is_certain and not has_news:
             raise refuse_unread()
 
     def _read_results(
@@ -193,6 +247,11 @@
             gevent.sleep(PAUSE_SECONDS)
 
 
+def _pick_body(items: list[JobItem], wanted: str) -> bytes | None:
+    bodies = (item.body for item in items if item.name == wanted)
+    return next(bodies, None)
+
+
 def refuse_unread() -> Refusal:
     """Refuse what cannot be known while the store is out of reach.
 
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -14,11 +14,14 @@
     :param job_readable: how long a job stays readable after it was sent.
     :param contact: how long after a disturbance a process may still act on
         what it knew before.
+    :param news: within which a configuration is in force, and an upstream
+        that leaves gets nothing new.
     """
 
     grace: float
     job_readable: float
     contact: float
+    news: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,6 +231,18 @@
     output: str
 
 
+@dataclass(frozen=True, slots=True)
+class ResultPage:
+    """Results of a job from a position on.
+
+    :param total: items of the job.
+    :param results: results in order.
+    """
+
+    total: int
+    results: tuple[ItemResult, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class OpenJob:
     """What every process knows of a job with items left.
