Say for certain that a full disk has not kept a job

Cause: a write that a full disk refused was answered 500 and counted as unsure, so that a caller whose job no disk took was left in doubt, and what the disk had taken of the file stayed there. The process now removes it, logs it and says that the job is not kept, unless a copy may lie there already.

--- a/src/wigeonpier/disk/storage.py
+++ b/src/wigeonpier/disk/storage.py
@@ -4,7 +4,7 @@
 
 import os
 import secrets
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from typing import TYPE_CHECKING
 
 import gevent
@@ -70,9 +70,12 @@
     path.parent.mkdir(parents=True, exist_ok=True)
     suffix = secrets.token_hex(NAME_BYTES)
     fresh = path.with_name(f'{path.name}.{suffix}.new')
-    with fresh.open('xb', buffering=0) as stream:
-        _force(stream.fileno(), content)
-    fresh.replace(path)
+    with ExitStack() as stack:
+        # What a full disk took of it must not stay there.
+        stack.callback(fresh.unlink, missing_ok=True)
+        with fresh.open('xb', buffering=0) as stream:
+            _force(stream.fileno(), content)
+        fresh.replace(path)
     _sync_folder(path.parent)
 
 
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import gevent
@@ -38,7 +39,7 @@
 
     confirmed = 'confirmed'
     unsure = 'unsure'
-    not_sent = 'not_sent'
+    not_kept = 'not_kept'
 
 
 @dataclass(slots=True)
@@ -117,7 +118,7 @@
         gevent.killall(sends, block=False)
         holding = Holding(
             copies.count(Copy.confirmed),
-            may_stand=set(copies) != {Copy.not_sent},
+            may_stand=set(copies) != {Copy.not_kept},
         )
         if holding.copies >= self.copies_needed:
             self._note_held(job.name)
@@ -137,9 +138,13 @@
         raw = make_request('PUT', INTAKE_PATH + name, headers, body)
         called = self.pool.call(disk.address, raw, KEEP_SECONDS)
         if called == Err(CallFailure.not_sent):
-            return Copy.not_sent
-        is_kept = isinstance(called, Ok) and called.ok_value.is_good
-        return Copy.confirmed if is_kept else Copy.unsure
+            return Copy.not_kept
+        if isinstance(called, Err):
+            return Copy.unsure
+        if called.ok_value.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            # A disk that is full, or leaving, says that it has nothing.
+            return Copy.not_kept
+        return Copy.confirmed if called.ok_value.is_good else Copy.unsure
 
     def _step(self) -> None:
         age = time.monotonic() - self.read_at
--- a/src/wigeonpier/hosted/intake.py
+++ b/src/wigeonpier/hosted/intake.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from http import HTTPStatus
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 
 import gevent
 import msgspec
@@ -82,12 +82,27 @@
             raise Refusal(ErrorKind.leaving, 'this disk is being emptied')
         request.body_limit = MOST_BYTES
         raw = request.read_body()
-        call_in_thread(write_whole, self._root / name, raw)
+        try:
+            call_in_thread(write_whole, self._root / name, raw)
+        except OSError as error:
+            self._refuse(name, error)
         self._held.add(name)
         self._wanted.set()
         log_event(Event.job_held, job=name, size=len(raw))
         return Response(HTTPStatus.OK, b'{}')
 
+    def _refuse(self, name: str, error: OSError) -> NoReturn:
+        """Say that a full or faulty disk does not have a job.
+
+        Where that is not certain the error itself goes up, which promises
+        nothing: an earlier copy may lie there, or this one without its name
+        being forced.
+        """
+        log_event(Event.job_unheld, job=name, why=str(error))
+        if name in self._held or (self._root / name).exists():
+            raise error
+        raise Refusal(ErrorKind.storage_down, str(error)) from error
+
     def _step(self) -> None:
         self._wanted.wait()
         gevent.sleep(self._draw.uniform(0, SPREAD_SECONDS))
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -83,6 +83,7 @@
     assignment_unreadable = (623, BAD, 'An assignment is not usable.')
     progress_unsaved = (624, ODD, 'Text of unfinished items is not kept.')
     job_held = (625, NOTE, 'A job is on this disk until the store takes it.')
+    job_unheld = (633, BAD, 'A disk takes nothing; a job is not kept there.')
     job_handed_over = (626, NOTE, 'The store has a job that a disk held.')
     job_unreadable = (627, BAD, 'A file of a held job is not whole.')
     job_removed = (628, NOTE, 'A job is too old to be readable any more.')
