Read a job anew before it is followed again

A follow now counts only once it has read what came since, and only if the store has not been lost since the call that waits was begun. Both tests fail without the change.

--- a/src/wigeonpier/hosted/contact.py
+++ b/src/wigeonpier/hosted/contact.py
@@ -48,6 +48,7 @@
         self.regained_at = -math.inf
         self._answered_at = time.monotonic()
         self._failed_at: float = 0
+        self._lost_at: float = 0
         self._store = store
         self._draw = draw
         # Who would carry a call for this process; nobody until it is set.
@@ -71,6 +72,14 @@
         """
         return self._answered_at > moment
 
+    def has_kept_since(self, moment: float) -> bool:
+        """Tell whether the store has not been lost since a moment.
+
+        :param moment: seconds of the steady clock.
+        :returns: false where a call that was begun then may never be answered.
+        """
+        return not self.is_lost and self._lost_at < moment
+
     def start(self) -> None:
         """Begin to ask whenever the store is lost."""
         spawn_loop('store contact', self._step)
@@ -88,6 +97,7 @@
                 self._note_return(self._answered_at)
         elif began >= self._answered_at and not self.is_lost:
             self._failed_at = began
+            self._lost_at = time.monotonic()
             self._found.clear()
             self._lost.set()
             log_event(Event.platform_lost)
--- a/src/wigeonpier/hosted/storage.py
+++ b/src/wigeonpier/hosted/storage.py
@@ -60,7 +60,7 @@
             common.view,
         )
         readings = ReadingDesk(
-            FollowedJobs(JobViews(ledger, _is_never_held)),
+            FollowedJobs(JobViews(ledger, _is_never_held), common.contact),
             common.contact,
         )
         self._server = Server(
--- a/tests/hosted/test_reader.py
+++ b/tests/hosted/test_reader.py
@@ -11,7 +11,7 @@
 from tests.hosted.builders import HostedSite, wait_for
 from tests.hosted.test_views import StandInLedger, build_result
 from wigeonpier.errors import Refusal
-from wigeonpier.hosted.following import FollowedJobs
+from wigeonpier.hosted.following import GATHER_SECONDS, FollowedJobs
 from wigeonpier.hosted.readings import ReadingDesk, name_target
 from wigeonpier.hosted.views import JobViews
 from wigeonpier.models import ResultPage
@@ -102,17 +102,46 @@
         desk._answer(request, 'j')
 
 
+def build_followed(
+    ledger: StandInLedger, *, has_kept: bool = True
+) -> FollowedJobs:
+    """Make followed jobs whose store was lost lately or not."""
+    contact = SimpleNamespace(has_kept_since=lambda _moment: has_kept)
+    return FollowedJobs(JobViews(ledger, lambda _name: False), contact)
+
+
+def test_a_job_that_nobody_read_for_a_while_is_read_anew() -> None:
+    """Its reader was told that there is nothing new, by what was known."""
+    ledger = StandInLedger()
+    jobs = build_followed(ledger)
+    view = jobs._views.find('j')
+    ledger.results = [build_result(0)]
+    assert jobs.find('j') is view
+    jobs.await_news(view, 0, 0)
+    assert len(view.results) == 1
+
+
+def test_a_call_that_outlived_the_store_proves_nothing() -> None:
+    """Its answer may have been due while the store was away."""
+    ledger = StandInLedger()
+    jobs = build_followed(ledger, has_kept=False)
+    view = jobs.find('j')
+    with pytest.raises(Refusal):
+        jobs.await_news(view, 0, 0.05)
+
+
 def test_a_job_that_is_read_is_followed_in_one_call() -> None:
     """Until it is finished, or nobody reads it any more."""
     ledger = StandInLedger()
     ledger.results = [build_result(0)]
-    jobs = FollowedJobs(JobViews(ledger, lambda _name: False))
+    jobs = build_followed(ledger)
     view = jobs.find('j')
     for _reader in range(5):
         assert jobs.find('j') is view
         jobs.await_news(view, 1, 0.01)
-    looks = ledger.looks
-    assert looks == 2
+    gevent.sleep(GATHER_SECONDS + 0.05)
+    # It was found, what came since was asked for, and a call waits.
+    assert ledger.looks == 3
     ledger.results += [build_result(1), build_result(2)]
     jobs._views.read_on(view, 0)
     jobs.await_news(view, 1, 5.0)
@@ -121,7 +150,7 @@
 
 def test_a_job_that_is_not_followed_any_more_is_not_known() -> None:
     ledger = StandInLedger()
-    jobs = FollowedJobs(JobViews(ledger, lambda _name: False))
+    jobs = build_followed(ledger)
     ledger.results = [build_result(0)]
     view = jobs.find('j')
     ledger.is_away = True
