Carry pace, health and batch items of an upstream with the load feed

Cause: entries know of an upstream only how many requests it has. Fair shares of customers, upstreams of unequal speed, upstreams that fail while they report that they are healthy, and batch items that wait at a busy worker all need more.

Change: the messages between entries and workers get optional fields, the state of an upstream and the feed carry them, and two settings say whether the site has unreliable upstreams or slow readers. Nothing fills the fields yet; an absent field means the behaviour so far. OnlineLoad omits defaults on the wire.

--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -54,6 +54,7 @@
     from wigeonpier.hosted.common import DaemonContext
     from wigeonpier.membership.updates import SuspicionUpdate
     from wigeonpier.models import OnlineLoad
+    from wigeonpier.reports import ItemBacklog
     from wigeonpier.web.messages import Request
 
 # The balancer probes once a second and removes a process after two failures.
@@ -62,6 +63,10 @@
 ITEM_PATTERN = re.compile(ingress.ITEM_PATTERN)
 
 
+def _ignore_items(_address: str, _backlog: ItemBacklog) -> None:
+    """Ignore the batch items of workers; nothing is placed by them yet."""
+
+
 class EntryApp:
     """The entry: serves online requests and calls on batch jobs."""
 
@@ -124,6 +129,7 @@
                 self._receive_update,
                 self._publisher.publish_all,
                 self._limiter.record_report,
+                _ignore_items,
             ),
         )
         self._online_handler = OnlineHandler(
--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -28,6 +28,7 @@
     from wigeonpier.hosted.usagecounter import UsageReport
     from wigeonpier.membership.updates import SuspicionUpdate
     from wigeonpier.models import HostSettings, OnlineLoad
+    from wigeonpier.reports import ItemBacklog
     from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.pool import ConnectionPool
 
@@ -51,12 +52,15 @@
         message on a connection to its worker.
     :param on_usage: called with the address of a VM and the request counts of
         customers there.
+    :param on_items: called with the address of an upstream and the batch items
+        at its worker.
     """
 
     on_load: Callable[[str, OnlineLoad], None]
     on_update: Callable[[SuspicionUpdate], None]
     on_followed: Callable[[str], None]
     on_usage: Callable[[str, UsageReport], None]
+    on_items: Callable[[str, ItemBacklog], None]
 
 
 class LoadFollower:
@@ -150,6 +154,9 @@
             self._listeners.on_usage(split_address(address)[0], message.usage)
         if message.load is not None:
             self._record_load(address, message.load)
+        if message.items is not None:
+            self._listeners.on_items(address, message.items)
+        self._record_details(address, message)
 
     def _record_load(self, address: str, load: OnlineLoad) -> None:
         now = time.monotonic()
@@ -157,3 +164,13 @@
         for state in self._replicas.list_upstreams():
             if state.address == address:
                 record_load(state, load, now)
+
+    def _record_details(self, address: str, line: FeedLine) -> None:
+        """Record what the line reports beside the load of the same start."""
+        for state in self._replicas.list_upstreams():
+            if state.address != address:
+                continue
+            state.pace = line.pace or state.pace
+            health = line.health
+            if health and health.incarnation == state.incarnation:
+                state.health = health
--- a/src/wigeonpier/hosted/reservations.py
+++ b/src/wigeonpier/hosted/reservations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -125,7 +124,7 @@
             self._grant(reservation.trial, now)
         answer = Reservation(
             is_granted,
-            replace(load, questions=load.questions + reserved),
+            msgspec.structs.replace(load, questions=load.questions + reserved),
             obstacle,
         )
         return Response(HTTPStatus.OK, msgspec.json.encode(answer), JSON_TYPE)
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -51,6 +53,10 @@
     :param peers: ``host:port`` for other processes of the system.
     :param data_folder: folder on a disk, empty for none.
     :param disks_lost: number of disks that may be lost at the same time.
+    :param has_unreliable_upstreams: whether upstreams of the site may fail
+        requests while they report that they are healthy.
+    :param has_slow_readers: whether callers and upstreams of the site may read
+        so slowly that what is buffered for them has to be limited.
     """
 
     name: str
@@ -68,6 +74,8 @@
     peers: str = ''
     data_folder: str = ''
     disks_lost: int = 0
+    has_unreliable_upstreams: bool = False
+    has_slow_readers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,20 +118,24 @@
     incarnation: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class OnlineLoad:
+class OnlineLoad(msgspec.Struct, frozen=True, omit_defaults=True):
     """Load of an upstream that its worker reports to entries.
 
+    Fields that are absent from a message have their defaults, so that a
+    process of an earlier build and a later one understand each other.
+
     :param questions: online requests at the upstream.
     :param takes_work: whether the upstream answers and is not leaving.
     :param incarnation: grows with each start, 0 where it is unknown.
     :param has_store: whether the key-value service answers the worker.
+    :param queued: requests that wait at the worker for a slot.
     """
 
     questions: int
     takes_work: bool
     incarnation: int = 0
     has_store: bool = False
+    queued: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,11 +146,15 @@
     :param load: load of the upstream, without the slot just reserved.
     :param trial: why a suspected request may not run there, empty for no
         reason.
+    :param retry_after: where no slot is reserved, seconds after which the
+        worker expects to have one for this customer; 0 where it has no
+        estimate.
     """
 
     is_granted: bool
     load: OnlineLoad
     trial: str = ''
+    retry_after: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpier/platform/process.py
+++ b/src/wigeonpier/platform/process.py
@@ -16,6 +16,9 @@
 DEFAULT_STATUS_SECONDS = 120.0
 DEFAULT_CONTACT_MS = 3000.0
 MILLISECONDS = 1000
+# Parts of the platform's rules that a site may be under.
+HEALTH_CONTRACT = 'health'
+PRESSURE_CONTRACT = 'pressure'
 
 
 class _Listen(msgspec.Struct):
@@ -66,6 +69,7 @@
     # The upstream on the same VM is called an app.
     app: str = ''
     service: str = ''
+    contracts: tuple[str, ...] = ()
 
 
 def find_settings() -> str:
@@ -105,6 +109,8 @@
         peers=f'{found.ip}:{found.inner_ports[1]}',
         data_folder=found.data_folder,
         disks_lost=found.tolerance.machines,
+        has_unreliable_upstreams=HEALTH_CONTRACT in found.contracts,
+        has_slow_readers=PRESSURE_CONTRACT in found.contracts,
     )
 
 
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -19,6 +19,7 @@
     import random
 
     from wigeonpier.models import OnlineLoad
+    from wigeonpier.reports import UpstreamHealth, UpstreamPace
 
 FAILURES_TO_EJECT = 3
 INITIAL_EJECTION_SECONDS = 2.0
@@ -65,6 +66,11 @@
     :param incarnation: grows with each start, 0 where it is unknown.
     :param version: version of its software.
     :param crashed_at: when it was last known to have crashed, seconds.
+    :param queued: requests that wait at its worker for a slot.
+    :param pace: how fast it works, ``None`` where its worker does not report
+        that.
+    :param health: its health by the outcomes of requests of all entries,
+        ``None`` where its worker does not report that.
     """
 
     name: str
@@ -87,6 +93,9 @@
     incarnation: int = 0
     version: str = ''
     crashed_at: float = -CRASH_HOLD_SECONDS
+    queued: int = 0
+    pace: UpstreamPace | None = None
+    health: UpstreamHealth | None = None
 
     @property
     def start(self) -> str:
@@ -232,6 +241,7 @@
         state.incarnation = load.incarnation
     state.reported = load.questions
     state.reported_at = now
+    state.queued = load.queued
     state.sent_since_report = 0
     state.load_fresh_until = now + FEED_TIMEOUT_SECONDS
     state.takes_work = load.takes_work
@@ -291,7 +301,7 @@
 
 
 def _clear_outcomes(state: UpstreamState) -> None:
-    """Clear the failures of an earlier start.
+    """Clear what is known of the work of an earlier start.
 
     ``is_leaving`` stays: only the register can say that the new start accepts
     requests.
@@ -299,6 +309,8 @@
     state.failures = 0
     state.ejections = 0
     state.ejected_until = 0
+    state.pace = None
+    state.health = None
 
 
 def _is_healthy(state: UpstreamState, now: float) -> bool:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
 ROOT = Path(wigeonpier.__file__).parent
 # Lowest layer first; packages of one layer do not import each other.
 LAYERS = (
-    ('models', 'records', 'errors', 'served'),
+    ('models', 'records', 'reports', 'errors', 'served'),
     ('telemetry',),
     ('invariants',),
     ('loops',),
