--- a/src/wigeonpier/reports.py
+++ b/src/wigeonpier/reports.py
@@ -13,8 +13,8 @@
 class UpstreamPace(msgspec.Struct, frozen=True, omit_defaults=True):
     """How fast an upstream works, as its worker has measured.
 
-    :param event_seconds: lasting time between two events of one run, seconds;
-        0 where it is not known yet.
+    :param event_seconds: baseline time between two events of one run,
+        seconds; 0 where it is not known yet.
     :param slowdown: factor by which work takes longer at this moment, 1 for
         as usual.
     """
