Count crashes of upstreams that restart at once in time

Cause, traced with a larger pause of the watch (0.3 s) and a slower check of the lost connection (20 ms): - The watch of the register pauses 0.2 s after a change. Of two crashes in one attempt, the second restart was read 50 ms before the caller's retry at another entry, and after it on a busy machine: 4 crashes. - A restart that the register showed before the check of the lost connection was over was counted for no request: 5 crashes with 20 ms, 12 with 50 ms.

A lost connection now skips the current and the next pause of the watch, at most two calls of the store, and a start that is known to be replaced confirms a crash that is recorded later.

--- a/src/wigeonpier/hosted/suspects.py
+++ b/src/wigeonpier/hosted/suspects.py
@@ -58,6 +58,8 @@
     :param metrics: metrics of this process.
     :param quarantine: persists refused requests.
     :param possible_crashes: lost connections whose cause is not known yet.
+    :param replaced_starts: when starts of upstreams were replaced by later
+        ones, seconds of the monotonic clock.
     """
 
     suspicions: Suspicions
@@ -69,6 +71,7 @@
     possible_crashes: deque[PossibleCrash] = field(
         default_factory=lambda: deque(maxlen=MAX_POSSIBLE_CRASHES),
     )
+    replaced_starts: dict[str, float] = field(default_factory=dict)
 
     def get_run_mode(self, request: OnlineRequest) -> RunMode:
         """Decide how a request may run.
@@ -113,8 +116,9 @@
         :param upstream: the crashed upstream.
         """
         # An upstream that shuts down drops requests that are unfinished when
-        # its time is up, which is no crash.
-        if upstream.is_leaving:
+        # its time is up, which is no crash.  One that was replaced while the
+        # connection was checked counts as leaving as well, but it has crashed.
+        if upstream.is_leaving and upstream.start not in self.replaced_starts:
             return
         update = self.suspicions.record_crash(
             request.fingerprint,
@@ -137,15 +141,22 @@
         :param upstream: upstream to which the connection broke.
         """
         self._drop_expired()
-        self.possible_crashes.append(
-            PossibleCrash(
-                request.fingerprint,
-                upstream.start,
-                request.sends[-1].company == IsolationLevel.exclusive,
-                request.sends[-1].had_output,
-                time.monotonic(),
-            ),
+        crash = PossibleCrash(
+            request.fingerprint,
+            upstream.start,
+            request.sends[-1].company == IsolationLevel.exclusive,
+            request.sends[-1].had_output,
+            time.monotonic(),
         )
+        # An upstream that restarts at once may have registered again before
+        # the check of the lost connection was over.
+        if crash.upstream in self.replaced_starts:
+            self._confirm_crash(crash, upstream)
+            return
+        self.possible_crashes.append(crash)
+        # Its next start registers within moments, and the other entries learn
+        # of the crash only once this one has read that.
+        self.replicas.view.hurry()
 
     def record_replaced(self, upstream: UpstreamState) -> None:
         """Count crashes that a new incarnation at the same address confirms.
@@ -156,17 +167,12 @@
         :param upstream: the replaced incarnation.
         """
         self._drop_expired()
+        if upstream.is_leaving:
+            return
+        self.replaced_starts[upstream.start] = time.monotonic()
         for crash in self.possible_crashes:
-            if crash.upstream == upstream.start and not upstream.is_leaving:
-                update = self.suspicions.record_crash(
-                    crash.fingerprint,
-                    crash.upstream,
-                    upstream.version,
-                    was_alone=crash.was_alone,
-                    had_output=crash.had_output,
-                )
-                self.publisher.publish(update, upstream.address)
-                self.quarantine.record(crash.fingerprint)
+            if crash.upstream == upstream.start:
+                self._confirm_crash(crash, upstream)
 
     def record_completion(
         self, request: OnlineRequest, upstream: UpstreamState
@@ -198,6 +204,19 @@
         if update.kept:
             self.quarantine.record(request.fingerprint)
 
+    def _confirm_crash(
+        self, crash: PossibleCrash, upstream: UpstreamState
+    ) -> None:
+        update = self.suspicions.record_crash(
+            crash.fingerprint,
+            crash.upstream,
+            upstream.version,
+            was_alone=crash.was_alone,
+            had_output=crash.had_output,
+        )
+        self.publisher.publish(update, upstream.address)
+        self.quarantine.record(crash.fingerprint)
+
     def _get_run_mode_by_crashes(self, request: OnlineRequest) -> RunMode:
         if self.suspicions.is_empty:
             return RunMode.free
@@ -212,3 +231,8 @@
         oldest = time.monotonic() - CONFIRMATION_SECONDS
         while self.possible_crashes and self.possible_crashes[0].at < oldest:
             self.possible_crashes.popleft()
+        # In the order of their replacement, as a start is replaced once.
+        for start, replaced_at in list(self.replaced_starts.items()):
+            if replaced_at >= oldest:
+                break
+            self.replaced_starts.pop(start)
--- a/src/wigeonpier/platform/gateway.py
+++ b/src/wigeonpier/platform/gateway.py
@@ -22,7 +22,7 @@
 from wigeonpier.web.client import CallFailure
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from wigeonpier.web.client import HttpClient, Reply
 
@@ -164,8 +164,16 @@
         )
         return renewed.map(lambda reply: int(reply.result.seconds))
 
-    def watch(self, prefix: str, revision: int) -> Iterator[Change]:
-        """Yield changes after a revision until the connection is lost."""
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        _pause: Callable[[float], object] | None = None,
+    ) -> Iterator[Change]:
+        """Yield changes after a revision until the connection is lost.
+
+        Each change arrives on the open connection, so there is no pause.
+        """
         create = _make_prefix_range(prefix) | {
             'start_revision': str(revision + 1)
         }
--- a/src/wigeonpier/platform/port.py
+++ b/src/wigeonpier/platform/port.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from result import Result
 
@@ -127,8 +127,17 @@
     def list_prefix(self, prefix: str) -> Result[Snapshot, Failure]:
         """Read all keys under a prefix."""
 
-    def watch(self, prefix: str, revision: int) -> Iterator[Change]:
-        """Yield changes after a revision until the service is unreachable."""
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        pause: Callable[[float], object] = ...,
+        /,
+    ) -> Iterator[Change]:
+        """Yield changes after a revision until the service is unreachable.
+
+        The pause is between the calls of a service that is polled.
+        """
 
 
 class Platform(Protocol):
@@ -161,8 +170,17 @@
     def renew_lease(self, lease: int) -> Result[int, Failure]:
         """Renew a lease; the value is its time to live, 0 if it has expired."""
 
-    def watch(self, prefix: str, revision: int) -> Iterator[Change]:
-        """Yield changes after a revision until the service is unreachable."""
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        pause: Callable[[float], object] = ...,
+        /,
+    ) -> Iterator[Change]:
+        """Yield changes after a revision until the service is unreachable.
+
+        The pause is between the calls of a service that is polled.
+        """
 
     def list_vms(self) -> Result[tuple[Vm, ...], Failure]:
         """Read the VM list, which may be out of date."""
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -32,7 +32,7 @@
 from wigeonpier.web.client import CallFailure
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import Reply
@@ -234,11 +234,18 @@
         replied = self._send('DELETE', f'{wire.REVOKE_PATH}{lease}', {})
         return _classify_reply(replied).map(lambda _reply: True)
 
-    def watch(self, prefix: str, revision: int) -> Iterator[Change]:
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        pause: Callable[[float], object] = gevent.sleep,
+    ) -> Iterator[Change]:
         """Yield changes after a revision until a call fails.
 
         :param prefix: start of the keys.
         :param revision: last revision that the caller has seen.
+        :param pause: waits for a number of seconds between changes and the
+            next call, or less where the next changes are needed earlier.
         :yields: changes in order.
         """
         while True:
@@ -252,7 +259,7 @@
             changes, revision = received.ok_value
             yield from changes
             if changes:
-                gevent.sleep(GATHER_SECONDS)
+                pause(GATHER_SECONDS)
 
     def await_changes(
         self,
--- a/src/wigeonpier/platform/view.py
+++ b/src/wigeonpier/platform/view.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 import gevent
+from gevent.event import Event as Signal
 from result import Err
 
 from wigeonpier.loops import spawn_loop
@@ -51,11 +52,21 @@
     is_complete: bool = False
     pause: float = INITIAL_PAUSE_SECONDS
     wait: Callable[[float], object] = gevent.sleep
+    _is_urgent: Signal = field(default_factory=Signal)
 
     def start(self) -> None:
         """Start the watch."""
         spawn_loop(f'watch {self.prefix}', self._run)
 
+    def hurry(self) -> None:
+        """Skip the current and the next pause between two calls of the watch.
+
+        The call after the current pause returns what has changed so far, and
+        the change that is needed may come just after it.  This costs at most
+        two calls.
+        """
+        self._is_urgent.set()
+
     def _run(self) -> None:
         if self._follow():
             self.pause = INITIAL_PAUSE_SECONDS
@@ -82,10 +93,21 @@
                     ),
                 )
         self.is_complete = True
-        for change in self.platform.watch(self.prefix, snapshot.revision):
+        for change in self.platform.watch(
+            self.prefix,
+            snapshot.revision,
+            self._gather,
+        ):
             self._apply(change)
         return True
 
+    def _gather(self, seconds: float) -> None:
+        if self._is_urgent.is_set():
+            self._is_urgent.clear()
+        else:
+            # Stays set if it ends the pause, which skips the next one too.
+            self._is_urgent.wait(seconds)
+
     def _apply(self, change: Change) -> None:
         if change.value is None:
             self.entries.pop(change.key, None)
--- a/tests/hosted/builders.py
+++ b/tests/hosted/builders.py
@@ -177,6 +177,7 @@
         is_outdated=False,
         has_recent_crash=lambda _service: False,
         upstreams={state.name: state for state in states},
+        view=SimpleNamespace(hurry=lambda: None),
     )
     settings = make_settings('edge-0', '127.0.0.1:1')
     chooser = UpstreamChooser(settings, replicas, rng)
--- a/tests/hosted/test_crashing_requests.py
+++ b/tests/hosted/test_crashing_requests.py
@@ -19,6 +19,8 @@
     RepeatingCaller,
 )
 from wigeonpier.cli.main import main
+from wigeonpier.membership.ends import CrashDetector
+from wigeonpier.platform import store as store_module
 from wigeonpier.policy.suspicion import RunMode
 
 if TYPE_CHECKING:
@@ -26,6 +28,8 @@
 
 MAX_CRASHES = 3
 REGISTER_SECONDS = 3.0
+# Longer than a restart takes to reach the entries.
+SLOW_CHECK_SECONDS = 0.05
 REFUSED = 400
 VERSIONS = frozenset(('v1',))
 STORED_PREFIX = 'wigeonpier/hosted/board/refused/'
@@ -124,6 +128,47 @@
     assert count_crashes(site) <= MAX_CRASHES
 
 
+def test_restarts_within_one_pause_of_the_watch_are_counted_in_time(
+    site: HostedSite,
+    caller: RepeatingCaller,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The second crash of an attempt is known before its caller retries.
+
+    The watch of the register used to pause after the first restart, and the
+    caller reached another entry before the second one was read.  On a busy
+    machine the usual pause was long enough for that.
+    """
+    monkeypatch.setattr(store_module, 'GATHER_SECONDS', 2 * RETRY_SECONDS)
+    for replica in site.replicas:
+        replica.restart_seconds = 0
+    caller.repeat_until_refused()
+    assert count_crashes(site) <= MAX_CRASHES
+
+
+def test_restarts_during_the_check_of_a_connection_are_counted(
+    site: HostedSite,
+    caller: RepeatingCaller,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The register shows the restart before the lost request is recorded.
+
+    Such a crash used to be counted for no request.
+    """
+    check = CrashDetector.has_crashed
+
+    def check_slowly(*given: str) -> bool:
+        has_crashed = check(*given)
+        gevent.sleep(SLOW_CHECK_SECONDS)
+        return has_crashed
+
+    monkeypatch.setattr(CrashDetector, 'has_crashed', check_slowly)
+    for replica in site.replicas:
+        replica.restart_seconds = 0
+    caller.repeat_until_refused()
+    assert count_crashes(site) <= MAX_CRASHES
+
+
 def test_a_response_of_another_instance_confirms_a_crash(
     site: HostedSite,
 ) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
 import gevent
 import pytest
 from result import Err, Ok
 
 from wigeonpier.bench.store import StandInStore
 from wigeonpier.platform.port import Commit, Failure
-from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.platform.store import GATHER_SECONDS, KeyValueStore
+from wigeonpier.platform.view import PrefixWatcher
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -142,3 +145,29 @@
     follower.kill()
     assert len(seen) == 28
     assert stand_in.calls['/-/kv-watch'] <= 6
+
+
+def test_watch_in_a_hurry_skips_two_pauses(
+    store: KeyValueStore, stand_in: StandInStore
+) -> None:
+    """Guards against changes that wait although they are needed at once.
+
+    Skipping one pause is too little: its call returns earlier changes.
+    """
+    seen: list[str] = []
+    watcher = PrefixWatcher(
+        store, 'w/', lambda change: seen.append(change.key), random.Random(1)
+    )
+    watcher.start()
+    gevent.sleep(0.1)
+    for number in range(2):
+        stand_in.put(f'w/{number}', number)
+        gevent.sleep(GATHER_SECONDS / 8)
+    assert seen == ['w/0']
+    watcher.hurry()
+    gevent.sleep(GATHER_SECONDS / 8)
+    assert seen == ['w/0', 'w/1']
+    for number in range(2, 4):
+        stand_in.put(f'w/{number}', number)
+        gevent.sleep(GATHER_SECONDS / 8)
+    assert seen == ['w/0', 'w/1', 'w/2']
