Make the machine of chunk owners deterministic

Cause: data folders drew their incarnations from secrets, outside Hypothesis. Incarnations rank the folders for the copies, so the same choices met other states and other possible rules.

Incarnations now follow from a salt that Hypothesis draws. A replaced folder gets a new path; the last of the four folders was found again with its content before, so that its loss was none.

--- a/tests/batch/test_takeover_machine.py
+++ b/tests/batch/test_takeover_machine.py
@@ -4,6 +4,7 @@
 
 import tempfile
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -35,6 +36,7 @@
 from wigeonpier.disk import folder, storage
 from wigeonpier.disk.client import DiskFailure
 from wigeonpier.disk.folder import (
+    INCARNATION_FILE,
     DataFolder,
     StaleFenceError,
     WrongOffsetError,
@@ -47,6 +49,7 @@
 ITEMS = 3
 RUN_ONCE_ITEMS = frozenset((1, 2))
 DATA_CENTRES = ('a', 'b', 'c', 'd')
+MAX_SALT = 9
 
 
 @dataclass
@@ -82,18 +85,34 @@
 
 
 class MemoryDisks:
-    """Data folders in this process that can lose answers."""
+    """Data folders in this process that can lose answers.
 
-    def __init__(self, root: str) -> None:
+    The incarnations decide which folders get the copies, and so which rules
+    can run.  They follow from the salt: with random ones, Hypothesis saw other
+    rules when it repeated its choices, and failed as flaky.
+
+    :param root: folder for the data folders.
+    :param salt: varies the incarnations.
+    """
+
+    def __init__(self, root: str, salt: int) -> None:
         self.root = root
+        self.salt = salt
         self.folders: dict[str, DataFolder] = {}
         self.lose_answers = 0
+        self.added = 0
         for centre in DATA_CENTRES:
             self.add(centre)
 
     def add(self, centre: str) -> None:
-        path = f'{self.root}/{centre}-{len(self.folders)}'
-        folder = DataFolder(path, lambda: 0)
+        # A number that is used once: a replaced folder must not be found again.
+        self.added += 1
+        path = Path(self.root, f'{centre}-{self.added}')
+        path.mkdir()
+        incarnation = f'{self.salt}-{self.added}'
+        (path / INCARNATION_FILE).write_text(incarnation)
+        folder = DataFolder(str(path), lambda: 0)
+        assert folder.incarnation == incarnation
         folder.data_centre = centre
         self.folders[folder.incarnation] = folder
 
@@ -156,7 +175,6 @@
         super().__init__()
         self.folder = tempfile.TemporaryDirectory()
         self.platform = MemoryPlatform()
-        self.disks = MemoryDisks(self.folder.name)
         self.job = build_job(pages=(ITEMS,))
         self.key = name_chunk(self.job.id, 0)
         self.owners: list[Chunk] = []
@@ -166,8 +184,12 @@
         self.published: list[Outcome] | None = None
         self.lost_folders = 0
 
-    @initialize()
-    def begin(self) -> None:
+    def make_disks(self, salt: int) -> MemoryDisks:
+        return MemoryDisks(self.folder.name, salt)
+
+    @initialize(salt=st.integers(0, MAX_SALT))
+    def begin(self, salt: int) -> None:
+        self.disks = self.make_disks(salt)
         self.claim()
 
     @rule()
@@ -370,26 +392,26 @@
 class UnfencedMachine(TakeoverMachine):
     """Runs the same rules without fencing."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self.disks = UnfencedDisks(f'{self.folder.name}/unfenced')
+    def make_disks(self, salt: int) -> MemoryDisks:
+        return UnfencedDisks(self.folder.name, salt)
 
 
 class OneCopyMachine(TakeoverMachine):
     """Runs the same rules with records written to one copy only."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        append = self.disks.append
-        self.reached: dict[tuple, str] = {}
+    def make_disks(self, salt: int) -> MemoryDisks:
+        disks = super().make_disks(salt)
+        append = disks.append
+        reached: dict[tuple, str] = {}
 
         def append_to_one(incarnation, name, offset, lines):
-            chosen = self.reached.setdefault(name, incarnation)
+            chosen = reached.setdefault(name, incarnation)
             if incarnation == chosen:
                 return append(incarnation, name, offset, lines)
             return Ok(offset + len(lines))
 
-        self.disks.append = append_to_one
+        disks.append = append_to_one
+        return disks
 
 
 @pytest.mark.parametrize('machine', [UnfencedMachine, OneCopyMachine])
