--- a/src/wigeonpier/policy/pacing.py
+++ b/src/wigeonpier/policy/pacing.py
@@ -11,9 +11,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from wigeonpier.policy.runlengths import INITIAL_DEVIATION
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 # Slots kept free for the next online requests.
 RESERVED_SLOTS = 0
 # Limits the slots that urgent items keep from online requests, which would
@@ -138,6 +142,18 @@
     return compute_slack(upstream, item) < URGENT_SLACK_SECONDS
 
 
+def rank_items(
+    upstream: UpstreamView, items: Iterable[ItemView]
+) -> list[ItemView]:
+    """Order items as they get slots.
+
+    :param upstream: load of the upstream.
+    :param items: the items.
+    :returns: the items, the first to run first.
+    """
+    return sorted(items, key=lambda item: _rank(upstream, item))
+
+
 def _rank(upstream: UpstreamView, item: ItemView) -> tuple[bool, int, float]:
     """Rank an item: those that can be in time first, then by priority.
 
@@ -161,7 +177,7 @@
     running: list[ItemView],
     allowed: int,
 ) -> tuple[Key, ...]:
-    ranked = sorted(running, key=lambda item: _rank(upstream, item))
+    ranked = rank_items(upstream, running)
     return tuple(item.key for item in ranked[allowed:])
 
 
@@ -171,7 +187,7 @@
     waiting: list[ItemView],
     free_slots: int,
 ) -> tuple[Key, ...]:
-    ranked = sorted(waiting, key=lambda item: _rank(upstream, item))
+    ranked = rank_items(upstream, waiting)
     urgent = sum(is_urgent(upstream, item) for item in ranked)
     unused = free_slots - len(running)
     held = min(urgent, URGENT_SLOTS - len(running))
--- a/src/wigeonpier/policy/placement.py
+++ b/src/wigeonpier/policy/placement.py
@@ -3,19 +3,24 @@
 Addresses jobs of about ten items that arrive in bursts at entries which do not
 communicate with each other.  Items are assigned when the job is accepted, to
 the processes with the least work left, and several to each, since each process
-that a job wakes costs calls to the store.  Afterwards only the items of a lost
-process are reassigned.
+that a job wakes costs calls to the store.  Where the upstreams differ in
+speed, the process at which they complete first is chosen instead of the one
+with the fewest items, by the backlogs that the processes report.
 """
 
 from __future__ import annotations
 
 from itertools import repeat
+from statistics import median
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.ranking import rank_by_key
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from wigeonpier.models import Member, OpenJob
+    from wigeonpier.reports import ItemBacklog
 
 # An item runs for about 5 s and most start at once, so an item of a job older
 # than this is most probably done.
@@ -23,6 +28,18 @@
 # Items of a job that are assigned to one process together.  A job of ten then
 # wakes four of 28 processes, each of which costs a call to the store.
 ITEMS_PER_ASSIGNMENT = 3
+# Upstreams whose run times differ by less are treated as equal: the lengths of
+# items alone make the means of equal upstreams differ by some 8 %.
+MIN_RUN_RATIO = 1.2
+# Below this share of members with a fresh backlog, the entry may be cut off
+# from the others, or their workers may be of an earlier build.
+MIN_REPORTING_SHARE = 0.75
+# Slots that items of a new job share with others; online requests leave about
+# half of 8 slots at a peak.
+SHARED_SLOTS = 4.0
+# Items are part of the backlog that an entry knows this long after their job
+# was accepted: the watch, a step of the worker and a line of the feed.
+REPORT_DELAY_SECONDS = 0.5
 # Owner of items that no process runs yet.
 UNASSIGNED = '-'
 
@@ -55,6 +72,107 @@
     return tuple(owners[:count])
 
 
+def assign_by_completion(
+    job: str,
+    count: int,
+    backlogs: Mapping[str, ItemBacklog],
+    jobs: list[OpenJob],
+    now: float,
+) -> tuple[str, ...]:
+    """Choose the owners at which the items of a new job complete first.
+
+    :param job: id of the job.
+    :param count: number of items.
+    :param backlogs: backlogs by process, as selected by
+        :func:`select_backlogs`.
+    :param jobs: jobs with items left.
+    :param now: seconds of the wall clock.
+    :returns: owners by position.
+    """
+    names = rank_by_key(list(backlogs), job)
+    runs = fill_run_seconds(backlogs)
+    unreported = _count_unreported(names, jobs, now)
+    waits = {
+        name: backlogs[name].waiting_seconds
+        + unreported[name] * runs[name] / SHARED_SLOTS
+        for name in names
+    }
+    owners: list[str] = []
+    while len(owners) < count:
+        chosen = min(names, key=lambda name: waits[name] + runs[name])
+        waits[chosen] += ITEMS_PER_ASSIGNMENT * runs[chosen] / SHARED_SLOTS
+        owners.extend(repeat(chosen, ITEMS_PER_ASSIGNMENT))
+    return tuple(owners[:count])
+
+
+def select_backlogs(
+    names: list[str], backlogs: Mapping[str, ItemBacklog]
+) -> dict[str, ItemBacklog]:
+    """Select the backlogs by which items are placed.
+
+    A member without a fresh backlog is left out: its process is most probably
+    being restarted.
+
+    :param names: members that run items of the service.
+    :param backlogs: fresh backlogs by name.
+    :returns: backlogs of members; empty where items are placed by number,
+        since too few members report or their run times are about equal.
+    """
+    selected = {name: backlogs[name] for name in names if name in backlogs}
+    if len(selected) < MIN_REPORTING_SHARE * len(names):
+        return {}
+    measured = [
+        backlog.run_seconds
+        for backlog in selected.values()
+        if backlog.run_seconds > 0
+    ]
+    if not measured or max(measured) <= MIN_RUN_RATIO * min(measured):
+        return {}
+    return selected
+
+
+def fill_run_seconds(backlogs: Mapping[str, ItemBacklog]) -> dict[str, float]:
+    """List the run times; a process that has none yet gets the median.
+
+    :param backlogs: backlogs by process; some have a run time.
+    :returns: seconds by process.
+    """
+    typical = median(
+        backlog.run_seconds
+        for backlog in backlogs.values()
+        if backlog.run_seconds > 0
+    )
+    return {
+        name: backlog.run_seconds or typical
+        for name, backlog in backlogs.items()
+    }
+
+
+def find_idle(
+    busy: str, backlogs: Mapping[str, ItemBacklog]
+) -> tuple[str, float] | None:
+    """Find the process that completes one more item first.
+
+    :param busy: process that could hand over items.
+    :param backlogs: as selected by :func:`select_backlogs`.
+    :returns: its name and the time after which it completes the item, seconds;
+        ``None`` where the busy one has no late items or none is clearly
+        sooner.
+    """
+    known = backlogs.get(busy)
+    if known is None or not known.late:
+        return None
+    runs = fill_run_seconds(backlogs)
+    ready = {
+        name: backlog.waiting_seconds + runs[name]
+        for name, backlog in backlogs.items()
+    }
+    idle = min(ready, key=ready.__getitem__)
+    if ready[busy] <= MIN_RUN_RATIO * ready[idle]:
+        return None
+    return idle, ready[idle]
+
+
 def reassign_items(
     job: OpenJob,
     lost: str,
@@ -91,3 +209,13 @@
         for owner in load.keys() & set(job.owners):
             load[owner] += weight * job.owners.count(owner)
     return load
+
+
+def _count_unreported(
+    names: list[str], jobs: list[OpenJob], now: float
+) -> dict[str, int]:
+    """Count the items that the backlogs do not include yet."""
+    recent = [job for job in jobs if now - job.sent_at < REPORT_DELAY_SECONDS]
+    return {
+        name: sum(job.owners.count(name) for job in recent) for name in names
+    }
--- a/src/wigeonpier/reports.py
+++ b/src/wigeonpier/reports.py
@@ -49,7 +49,8 @@
     """Batch items at a worker, for the placement of other items.
 
     :param vm: name of the worker's VM.
-    :param run_seconds: how long a whole item runs there.
+    :param run_seconds: how long a whole item runs there, 0 where too few have
+        completed to tell.
     :param waiting_seconds: time after which an item that is assigned now
         starts.
     :param late: items that cannot complete there when they are due.
