Hand late batch items over to a worker that is ready sooner

Workers report their backlog with the load feed, entries assign new jobs by it and name one worker that is ready sooner with reservation calls. A worker with late items offers them there (POST /items); what is claimed gets its new owner in one transaction. Each write of a job's key on the board also writes the assignments that it changes, so the revision of the own assignment guards the write without a read; after a conflict the key is read from a stale replica.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -16,7 +16,7 @@
 from wigeonpier.models import OpenJob
 from wigeonpier.platform.port import Failure
 from wigeonpier.policy.matching import choose_service
-from wigeonpier.policy.placement import UNASSIGNED, assign_items
+from wigeonpier.policy.placement import UNASSIGNED
 from wigeonpier.policy.quota import may_accept_unchecked
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     import random
 
+    from wigeonpier.hosted.backlogs import WorkerBacklogs
     from wigeonpier.hosted.board import Board
     from wigeonpier.hosted.holder import DiskJobWriter
     from wigeonpier.hosted.ledger import JobLedger
@@ -97,8 +98,10 @@
         disk_job_writer: DiskJobWriter,
         isolation_detector: IsolationDetector,
         rng: random.Random,
+        backlogs: WorkerBacklogs,
     ) -> None:
         """Accept jobs into the ledger, or onto disks."""
+        self._backlogs = backlogs
         self._isolation_detector = isolation_detector
         self._ledger = ledger
         self._views = views
@@ -151,13 +154,7 @@
         if not self._has_room(board, job):
             return self._find_existing(job)
         open_job = self._make_open_job(job)
-        owners = assign_items(
-            job.name,
-            len(job.items),
-            board.list_members(open_job.service),
-            list(board.jobs.values()),
-            open_job.sent_at,
-        )
+        owners = self._backlogs.choose_owners(board, open_job)
         open_job = replace(open_job, owners=owners)
         created = self._ledger.create(
             open_job, job.items, STORE_TIMEOUT_SECONDS
--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import time
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import gevent
 import msgspec
 from result import Err, Ok, Result
 
-from wigeonpier.hosted.items import ItemWork
+from wigeonpier.hosted.items import ItemWork, drop_work
 from wigeonpier.hosted.ledger import decode_assignment
-from wigeonpier.models import ItemProgress
+from wigeonpier.models import Assignment, ItemProgress
 from wigeonpier.platform import storekeys
 from wigeonpier.policy.jobage import JobClock
 from wigeonpier.telemetry.events import Event
@@ -20,9 +21,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wigeonpier.hosted.itemclaims import ClaimTable
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.hosted.runner import ItemRunner
-    from wigeonpier.models import Assignment, JobItem, OpenJob
+    from wigeonpier.models import JobItem, OpenJob
     from wigeonpier.platform.port import Change, Failure
     from wigeonpier.platform.view import WatcherFactory
 
@@ -60,11 +62,22 @@
             while the store is unreachable, until it answers again.
         """
         self._wait = wait
+        self._vm = vm
         self._clock = JobClock(time.time(), time.monotonic())
         self._refresh_quarantine = refresh_quarantine
         self._ledger = ledger
         self._runner = runner
+        # Items that other processes are handing over to this one.
+        self.claims: ClaimTable | None = None
         self._assigned: dict[str, Assignment] = {}
+        # Positions of the items that were passed to the runner.
+        self._adopted: defaultdict[str, set[int]] = defaultdict(set)
+        # The open jobs with items here, and the revisions of their keys on the
+        # board.  Each write of such a key writes the assignments that it
+        # changes in the same transaction, so an assignment tells both.
+        self._boards: dict[str, tuple[OpenJob, int]] = {}
+        # Revisions at which this process itself handed items over.
+        self._moved_at: dict[str, int] = {}
         self.view = make_watcher(
             storekeys.name_prefix(storekeys.ASSIGNMENTS, vm),
             self._apply,
@@ -74,18 +87,105 @@
         """Start following the assignments."""
         self.view.start()
 
+    def find_board(self, job: str) -> tuple[OpenJob, int] | None:
+        """Look up what is known of the key of a job on the board.
+
+        :param job: id of the job.
+        :returns: its value and revision, ``None`` if no item of it is here.
+        """
+        return self._boards.get(job)
+
+    def refresh_board(self, job: str) -> bool:
+        """Read the key of a job on the board; costs a stale read.
+
+        :param job: id of the job.
+        :returns: whether it is newer than what was known.
+        """
+        read = self._ledger.find_open_job(job)
+        known = self._boards.get(job)
+        if isinstance(read, Err) or read.ok_value is None or known is None:
+            return False
+        if read.ok_value[1] <= known[1]:
+            return False
+        self._boards[job] = read.ok_value
+        return True
+
+    def record_move(self, job: OpenJob, revision: int) -> None:
+        """Record that items were handed over, and drop them.
+
+        :param job: the job with its new owners, as written to the board.
+        :param revision: revision of that write.
+        """
+        indexes = tuple(
+            index for index, owner in enumerate(job.owners) if owner == self._vm
+        )
+        self._drop_moved(job.name, indexes)
+        self._boards[job.name] = (job, revision)
+        self._moved_at[job.name] = revision
+        self._assigned[job.name] = Assignment(job, indexes, (), is_moved=True)
+
+    def _drop_moved(self, job: str, indexes: tuple[int, ...]) -> None:
+        """Drop the items that are no longer assigned to this process."""
+        moved = self._adopted[job].difference(indexes)
+        if moved:
+            self._adopted[job] -= moved
+            for index in moved:
+                drop_work(self._runner.work, (job, index))
+
     def _apply(self, change: Change) -> None:
         _vm, name = storekeys.parse_assignment(change.key)
         if change.value is None:
-            self._assigned.pop(name, None)
-            self._runner.drop_job(name)
+            self._forget(name)
+            return
+        # A handover may be written before the watch shows an earlier change;
+        # the change of the handover itself also has what that one assigned.
+        if change.revision < self._moved_at.get(name, 0):
             return
         try:
             assignment = decode_assignment(change.value)
         except msgspec.DecodeError as error:
             log_event(Event.assignment_unreadable, job=name, why=str(error))
             return
+        self._drop_moved(name, assignment.indexes)
         self._assigned[name] = assignment
+        self._boards[name] = (assignment.job, change.revision)
+        if self.claims is not None:
+            self._adopt_claimed(assignment, self.claims)
+            # Each owner is written when items of a lost one are reassigned.
+            if self._adopted[name].issuperset(assignment.indexes):
+                return
+        self._adopt(assignment)
+
+    def _adopt_claimed(
+        self, assignment: Assignment, claims: ClaimTable
+    ) -> None:
+        """Adopt items that arrived with an offer, without reading the store."""
+        job = assignment.job
+        age = self._clock.measure_age(job.sent_at, time.monotonic())
+        offered = claims.take(job.name, assignment.indexes)
+        for found in offered:
+            saved = ItemProgress(found.texts, found.last_event, found.failures)
+            work = _make_work(job, found.index, found.item, saved, age)
+            work.saved_events = found.saved_events
+            work.moves = found.moves + 1
+            self._adopted[job.name].add(found.index)
+            self._runner.add(work)
+        if offered:
+            log_event(
+                Event.items_received,
+                job=job.name,
+                items=[taken.item.name for taken in offered],
+                events=sum(len(taken.texts) for taken in offered),
+            )
+
+    def _forget(self, job: str) -> None:
+        self._assigned.pop(job, None)
+        self._adopted.pop(job, None)
+        self._boards.pop(job, None)
+        self._moved_at.pop(job, None)
+        self._runner.drop_job(job)
+
+    def _adopt(self, assignment: Assignment) -> None:
         # Only items that are assigned for the first time, while this process
         # watches, are known not to have run before.
         is_new = self.view.is_complete and not assignment.is_moved
@@ -150,6 +250,7 @@
         job = assignment.job
         age = self._clock.measure_age(job.sent_at, time.monotonic())
         adopted = []
+        self._adopted[job.name].update(assignment.indexes)
         for index, item in zip(assignment.indexes, items, strict=True):
             if index in done:
                 continue
--- /dev/null
+++ b/src/wigeonpier/hosted/backlogmeter.py
@@ -0,0 +1,83 @@
+"""Measures the batch items of this worker for the load feed."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from wigeonpier.policy.backlog import (
+    SlotAverage,
+    predict_queue,
+    report_backlog,
+)
+
+if TYPE_CHECKING:
+    from wigeonpier.hosted.runner import ItemRunner
+    from wigeonpier.hosted.upstream import LocalUpstream
+    from wigeonpier.policy.backlog import QueueOutlook
+    from wigeonpier.reports import ItemBacklog
+
+# Each of 20 entries reads the backlog ten times a second.
+MEASURE_INTERVAL_SECONDS = 0.1
+
+
+class BacklogMeter:
+    """Predicts when items complete here, by the slots that items get."""
+
+    def __init__(
+        self, vm: str, upstream: LocalUpstream, runner: ItemRunner
+    ) -> None:
+        """Measure the items of a runner.
+
+        :param vm: name of this process's VM.
+        :param upstream: the upstream on this VM.
+        :param runner: runs the items.
+        """
+        self.vm = vm
+        self._upstream = upstream
+        self._runner = runner
+        self._average = SlotAverage()
+        self._measured_at: float = 0
+        self._reported: ItemBacklog | None = None
+
+    @property
+    def slots(self) -> float:
+        """Return the slots that items get on average."""
+        return self._average.slots or 0
+
+    @property
+    def may_take_items(self) -> bool:
+        """Check whether items that are assigned now would be run."""
+        if self._runner.is_leaving or not self._upstream.is_usable:
+            return False
+        return not self._runner.breaker.is_open(time.monotonic())
+
+    def read(self) -> ItemBacklog | None:
+        """Read the backlog for the load feed.
+
+        :returns: the backlog, ``None`` while no items would be run here.
+        """
+        if not self.may_take_items:
+            return None
+        now = time.monotonic()
+        if now - self._measured_at >= MEASURE_INTERVAL_SECONDS:
+            self._measured_at = now
+            self._reported = report_backlog(
+                self.vm,
+                self.predict(),
+                self._runner.observe().lengths.measured_seconds,
+                self._reported,
+            )
+        return self._reported
+
+    def predict(self) -> QueueOutlook:
+        """Predict when the items here run.
+
+        :returns: the outlook.
+        """
+        seen = self._runner.observe()
+        upstream = seen.upstream
+        online = max(0, upstream.running + upstream.waiting - seen.running)
+        free = max(0, upstream.slots - online)
+        self._average.record(free, time.monotonic())
+        return predict_queue(upstream, seen.items, self.slots)
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -12,6 +12,7 @@
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.acceptance import JobAcceptor
 from wigeonpier.hosted.arrival import authenticate_job_call, route_request
+from wigeonpier.hosted.backlogs import WorkerBacklogs
 from wigeonpier.hosted.binder import SlotBinder
 from wigeonpier.hosted.chooser import UpstreamChooser
 from wigeonpier.hosted.configuration import ConfigurationWatch
@@ -54,7 +55,6 @@
     from wigeonpier.hosted.common import DaemonContext
     from wigeonpier.membership.updates import SuspicionUpdate
     from wigeonpier.models import OnlineLoad
-    from wigeonpier.reports import ItemBacklog
     from wigeonpier.web.messages import Request
 
 # The balancer probes once a second and removes a process after two failures.
@@ -63,10 +63,6 @@
 ITEM_PATTERN = re.compile(ingress.ITEM_PATTERN)
 
 
-def _ignore_items(_address: str, _backlog: ItemBacklog) -> None:
-    """Ignore the batch items of workers; nothing is placed by them yet."""
-
-
 class EntryApp:
     """The entry: serves online requests and calls on batch jobs."""
 
@@ -119,6 +115,9 @@
             self._list_counters,
             context.rng,
         )
+        self._backlogs = WorkerBacklogs(
+            split_address(settings.peers)[1], self._replicas
+        )
         self._loads = LoadFollower(
             settings,
             self._replicas,
@@ -129,7 +128,7 @@
                 self._receive_update,
                 self._publisher.publish_all,
                 self._limiter.record_report,
-                _ignore_items,
+                self._backlogs.record,
             ),
         )
         self._online_handler = OnlineHandler(
@@ -163,6 +162,7 @@
                 self._disk_job_writer,
                 self._isolation_detector,
                 context.rng,
+                self._backlogs,
             ),
             JobReader(self._disk_job_writer, context.pool, context.metrics),
             context.metrics,
@@ -246,6 +246,7 @@
             context.pool,
             context.metrics,
             self._limiter,
+            self._backlogs.find_idle,
         )
         suspects = SuspectTracker(
             self._suspicions,
@@ -269,6 +270,7 @@
 
     def _record_load(self, host: str, load: OnlineLoad) -> None:
         self._isolation_detector.record_contact()
+        self._backlogs.record_contact(host)
         self._relays.record_offer(host, has_store=load.has_store)
         self._limiter.record_contact(host)
 
--- /dev/null
+++ b/src/wigeonpier/hosted/handover.py
@@ -0,0 +1,255 @@
+"""Hands over items that would be late here to a worker that is ready sooner.
+
+The worker that gets them first claims them, so that it has room for them, and
+then one transaction of the store changes their owner.  Until that has
+succeeded they go on running here.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Err
+
+from wigeonpier.hosted.itemclaims import (
+    ITEMS_PATH,
+    MAX_OFFER_BYTES,
+    ItemClaim,
+    ItemOffer,
+    OfferedItem,
+)
+from wigeonpier.platform.port import Failure
+from wigeonpier.policy import handover
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.exchange import make_request
+
+if TYPE_CHECKING:
+    from wigeonpier.hosted.assignments import AssignmentFollower
+    from wigeonpier.hosted.backlogmeter import BacklogMeter
+    from wigeonpier.hosted.contact import StoreHealth
+    from wigeonpier.hosted.items import ItemWork
+    from wigeonpier.hosted.itemtrials import ItemTrials
+    from wigeonpier.hosted.ledger import JobLedger
+    from wigeonpier.hosted.news import IdleWorker
+    from wigeonpier.hosted.runner import ItemRunner
+    from wigeonpier.models import OpenJob
+    from wigeonpier.policy.backlog import ItemOutlook
+    from wigeonpier.policy.pacing import ItemView
+    from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.web.pool import ConnectionPool
+
+# Calls between data centres take 3 ms.
+OFFER_TIMEOUT_SECONDS = 0.4
+# Entries name another worker with each reservation while items are late.
+OFFER_INTERVAL_SECONDS = 0.2
+REFUSED_INTERVAL_SECONDS = 1.0
+# After a write with an unknown outcome, the watch shows the assignment by then.
+UNCERTAIN_SECONDS = 5.0
+# Less than the limit of a body, since texts are escaped in JSON.
+MAX_CONTENT_BYTES = MAX_OFFER_BYTES // 2
+
+
+@dataclass(slots=True)
+class ItemHandover:
+    """Offers items to other workers, and writes their new owner.
+
+    :param meter: predicts when items complete here.
+    :param runner: runs the items here.
+    :param assignments: items that are assigned to this process.
+    :param ledger: jobs in the store.
+    :param pool: connections to other workers.
+    :param trials: tells which items are suspected of crashing upstreams.
+    :param store_health: state of the connection to the store.
+    :param metrics: metrics of this process.
+    :param next_at: earliest time of the next offer, seconds of the monotonic
+        clock.
+    :param held: jobs whose items are not offered until then, likewise.
+    :param outdated: jobs whose owners were changed by another process.
+    """
+
+    meter: BacklogMeter
+    runner: ItemRunner
+    assignments: AssignmentFollower
+    ledger: JobLedger
+    pool: ConnectionPool
+    trials: ItemTrials
+    store_health: StoreHealth
+    metrics: Metrics
+    next_at: float = 0
+    held: dict[str, float] = field(default_factory=dict)
+    outdated: set[str] = field(default_factory=set)
+
+    def consider(self, idle: IdleWorker) -> None:
+        """Offer late items to another worker, in the background.
+
+        :param idle: the worker, as named by an entry.
+        """
+        now = time.monotonic()
+        if now < self.next_at or self.store_health.is_unreachable:
+            return
+        self.next_at = now + OFFER_INTERVAL_SECONDS
+        if idle.vm == self.meter.vm or not self.meter.may_take_items:
+            return
+        offers = handover.choose_offers(
+            self.meter.predict(), idle.ready_seconds, self._list_movable(now)
+        )
+        if offers:
+            # No second offer before this one has an outcome.
+            self.next_at = now + UNCERTAIN_SECONDS
+            gevent.spawn(self._run, idle, offers)
+
+    def _run(self, idle: IdleWorker, offers: list[ItemOutlook]) -> None:
+        has_moved = self._hand_over(idle, offers)
+        pause = REFUSED_INTERVAL_SECONDS
+        if has_moved:
+            pause = OFFER_INTERVAL_SECONDS
+        self.next_at = time.monotonic() + pause
+
+    def _list_movable(self, now: float) -> dict[tuple[str, int], int]:
+        """List the items that may move, with their earlier moves."""
+        self.held = {
+            job: until for job, until in self.held.items() if until > now
+        }
+        return {
+            key: work.moves
+            for key, work in self.runner.work.items()
+            if key[0] not in self.held and not self.trials.is_suspected(work)
+        }
+
+    def _hand_over(self, idle: IdleWorker, offers: list[ItemOutlook]) -> bool:
+        """Hand items over; return whether any of them has moved."""
+        name = offers[0].item.key[0]
+        if name in self.outdated:
+            # Another owner has moved items of this job meanwhile.
+            if not self.assignments.refresh_board(name):
+                self.held[name] = time.monotonic() + REFUSED_INTERVAL_SECONDS
+                return False
+            self.outdated.discard(name)
+        board = self.assignments.find_board(name)
+        if board is None:
+            return False
+        job, revision = board
+        claimed = self._offer(idle, job, [offer.item for offer in offers])
+        moved = self._change_owners(job, claimed, idle.vm)
+        if moved == job:
+            return False
+        return self._write(moved, revision, idle.vm)
+
+    def _offer(
+        self, idle: IdleWorker, job: OpenJob, views: list[ItemView]
+    ) -> tuple[int, ...]:
+        """Offer items; return the positions of those that are claimed."""
+        offer = ItemOffer(self.meter.vm, job, tuple(self._list_offered(views)))
+        if not offer.items:
+            return ()
+        headers = [('Host', idle.address)]
+        body = msgspec.json.encode(offer)
+        raw = make_request('POST', ITEMS_PATH, headers, body)
+        log_event(
+            Event.items_offered,
+            job=job.name,
+            items=[offered.item.name for offered in offer.items],
+            to=idle.vm,
+            ready_seconds=round(idle.ready_seconds, 3),
+            seconds_left=[
+                round(offered.seconds_left, 3) for offered in offer.items
+            ],
+        )
+        self.metrics.count('items_offered_total', len(offer.items))
+        called = self.pool.call(idle.address, raw, OFFER_TIMEOUT_SECONDS)
+        if isinstance(called, Err):
+            return self._record_refusal(offer, called.err_value.value)
+        if not called.ok_value.is_good:
+            # A worker of an earlier build answers 404.
+            return self._record_refusal(offer, str(called.ok_value.status))
+        try:
+            claim = called.ok_value.decode(ItemClaim)
+        except msgspec.DecodeError as error:
+            return self._record_refusal(offer, str(error))
+        if not claim.indexes:
+            return self._record_refusal(offer, 'no room')
+        offered_indexes = {offered.index for offered in offer.items}
+        return tuple(offered_indexes.intersection(claim.indexes))
+
+    def _list_offered(self, views: list[ItemView]) -> list[OfferedItem]:
+        offered: list[OfferedItem] = []
+        size = 0
+        for view in views:
+            work = self.runner.work.get(view.key)
+            if work is None:
+                continue
+            size += len(work.item.body) * 4 // 3
+            size += sum(len(text) for text in work.texts)
+            if size > MAX_CONTENT_BYTES:
+                break
+            offered.append(_make_offered(work, view))
+        return offered
+
+    def _change_owners(
+        self, job: OpenJob, claimed: tuple[int, ...], target: str
+    ) -> OpenJob:
+        """Change the owner of claimed items that are still here."""
+        movable = {
+            index for index in claimed if (job.name, index) in self.runner.work
+        }
+        owners = tuple(
+            target if index in movable and owner == self.meter.vm else owner
+            for index, owner in enumerate(job.owners)
+        )
+        return replace(job, owners=owners)
+
+    def _write(self, job: OpenJob, revision: int, target: str) -> bool:
+        if not self.meter.may_take_items:
+            # This process has begun to leave meanwhile.
+            return False
+        written = self.ledger.move(job, revision, self.meter.vm, target)
+        if isinstance(written, Err):
+            self._record_failed_write(job.name, written.err_value)
+            return False
+        self.assignments.record_move(job, written.ok_value)
+        self.metrics.count('items_handed_over_total')
+        log_event(
+            Event.items_handed_over,
+            job=job.name,
+            to=target,
+            left=job.owners.count(self.meter.vm),
+            revision=written.ok_value,
+        )
+        return True
+
+    def _record_failed_write(self, job: str, failure: Failure) -> None:
+        """Keep the items; a write that took effect is seen by the watch."""
+        if failure is Failure.conflict:
+            self.outdated.add(job)
+        else:
+            self.held[job] = time.monotonic() + UNCERTAIN_SECONDS
+        self.metrics.count('item_moves_failed_total', why=failure.value)
+        log_event(Event.items_not_handed_over, job=job, why=failure.value)
+
+    def _record_refusal(self, offer: ItemOffer, why: str) -> tuple[int, ...]:
+        log_event(
+            Event.items_not_handed_over,
+            job=offer.job.name,
+            items=[offered.item.name for offered in offer.items],
+            why=why,
+        )
+        return ()
+
+
+def _make_offered(work: ItemWork, view: ItemView) -> OfferedItem:
+    return OfferedItem(
+        work.index,
+        work.item,
+        view.seconds_left,
+        view.done_share,
+        tuple(work.texts),
+        work.last_event,
+        work.failures,
+        work.saved_events,
+        work.moves,
+    )
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -19,6 +19,8 @@
     from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.pool import ConnectionPool
 
+    Key = tuple[str, int]
+
 # An item waits for a slot behind online requests.  A run at an unresponsive
 # upstream is aborted, and the next run resumes after the last event.
 HEAD_TIMEOUT_SECONDS = 3.0
@@ -67,6 +69,7 @@
     :param is_dropped: whether it is no longer assigned to this process.
     :param isolation: which other suspected requests may run beside it, empty
         if it is not suspected itself.
+    :param moves: how often it was handed over to another process.
     :param response: response that is being read.
     """
 
@@ -86,6 +89,7 @@
     is_paused: bool = False
     is_dropped: bool = False
     isolation: str = ''
+    moves: int = 0
     response: Exchange | None = None
     _fingerprint: str = ''
 
@@ -119,6 +123,18 @@
             self.response.abort()
 
 
+def drop_work(queue: dict[Key, ItemWork], key: Key) -> None:
+    """Stop an item that is no longer assigned to this process.
+
+    :param queue: items of this process, by job and position.
+    :param key: the item; it may have completed already.
+    """
+    work = queue.pop(key, None)
+    if work is not None:
+        work.is_dropped = True
+        work.stop()
+
+
 def run_item(
     work: ItemWork,
     replica: Replica,
--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -65,6 +65,14 @@
         """
         return self._get_run_mode(work) is not RunMode.refused
 
+    def is_suspected(self, work: ItemWork) -> bool:
+        """Check whether upstreams have crashed while they ran an item.
+
+        :param work: the item.
+        :returns: false if it may run beside any other request.
+        """
+        return self._get_run_mode(work) is not RunMode.free
+
     def try_admit(self, work: ItemWork) -> bool:
         """Admit an item if it may be started now.
 
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -175,6 +175,49 @@
         deletes = (storekeys.name_key(storekeys.ASSIGNMENTS, lost, job.name),)
         return self.store.commit(Commit({key: revision}, writes, deletes))
 
+    def move(
+        self,
+        job: OpenJob,
+        revision: int,
+        source: str,
+        target: str,
+    ) -> Result[int, Failure]:
+        """Move items from one process to another.
+
+        The assignments of other owners stay as they are.
+
+        :param job: the job with its new owners.
+        :param revision: revision of its key on the board.
+        :param source: name of the VM that had the items.
+        :param target: name of the VM that gets them.
+        :returns: the revision; ``conflict`` if the job was changed meanwhile.
+        """
+        key = storekeys.name_key(storekeys.OPEN_JOBS, job.name)
+        writes = {key: msgspec.json.encode(job)}
+        deletes: tuple[str, ...] = ()
+        for owner in (source, target):
+            name = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
+            assignment = replace(
+                _make_assignment(job, owner, []), is_moved=True
+            )
+            if assignment.indexes:
+                writes[name] = msgspec.json.encode(assignment)
+            else:
+                deletes = (name,)
+        return self.store.commit(Commit({key: revision}, writes, deletes))
+
+    def find_open_job(
+        self, job: str
+    ) -> Result[tuple[OpenJob, int] | None, Failure]:
+        """Read an open job from the board, possibly from a stale replica.
+
+        :param job: id of the job.
+        :returns: the job and the revision of its key, ``None`` if it is not
+            there.
+        """
+        key = storekeys.name_key(storekeys.OPEN_JOBS, job)
+        return self.store.get(key, allow_stale=True).map(_decode_open_job)
+
     def read_accept_times(self) -> Result[dict[str, float], Failure]:
         """Read when each job was accepted.
 
@@ -444,6 +487,12 @@
     return msgspec.json.decode(entry.value, type=JobHead)
 
 
+def _decode_open_job(entry: Entry | None) -> tuple[OpenJob, int] | None:
+    if entry is None:
+        return None
+    return msgspec.json.decode(entry.value, type=OpenJob), entry.revision
+
+
 def _join_parts(snapshot: Snapshot) -> list[JobItem]:
     parts = sorted(
         snapshot.entries,
--- a/src/wigeonpier/hosted/reservations.py
+++ b/src/wigeonpier/hosted/reservations.py
@@ -21,8 +21,10 @@
 from wigeonpier.web.server import Route, make_route
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wigeonpier.hosted.loadfeed import LoadFeed
-    from wigeonpier.hosted.news import TrialRequest
+    from wigeonpier.hosted.news import IdleWorker, TrialRequest
     from wigeonpier.hosted.runner import ItemRunner
     from wigeonpier.hosted.upstream import LocalUpstream
     from wigeonpier.hosted.usagecounter import UsageCounter
@@ -85,6 +87,8 @@
         :param trials: suspected requests at the upstream.
         :param usage: counts the requests of customers.
         """
+        # Told of workers to which batch items could be handed over.
+        self.on_idle: Callable[[IdleWorker], None] = _ignore_idle
         self._usage = usage
         self._trials = trials
         self._upstream = upstream
@@ -104,6 +108,8 @@
         reservation = _read_reservation(request)
         # These requests count whether or not this reservation is granted.
         self._usage.add(reservation.admitted)
+        if reservation.idle is not None:
+            self.on_idle(reservation.idle)
         if now - self._upstream.polled_at > MAX_LOAD_AGE_SECONDS:
             self._upstream.poll()
         replica = self._upstream.replica
@@ -145,6 +151,10 @@
             self._trials.add(trial.fingerprint, isolation, now)
 
 
+def _ignore_idle(_idle: IdleWorker) -> None:
+    """Ignore an idle worker; the default callback."""
+
+
 def _read_reservation(request: Request) -> ReservationRequest:
     request.body_limit = MAX_REQUEST_BYTES
     return decode_body(request.read_body(), ReservationRequest)
--- a/src/wigeonpier/hosted/reserver.py
+++ b/src/wigeonpier/hosted/reserver.py
@@ -17,7 +17,10 @@
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wigeonpier.hosted.customeruse import CustomerLimiter
+    from wigeonpier.hosted.news import IdleWorker
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.pool import ConnectionPool
@@ -33,6 +36,10 @@
     unanswered = 'unanswered'
 
 
+def find_no_idle(_host: str) -> None:
+    """Name no worker to which batch items could be handed over."""
+
+
 class SlotReserver:
     """Reserves slots and records the load that each response reports."""
 
@@ -42,6 +49,7 @@
         pool: ConnectionPool,
         metrics: Metrics,
         limiter: CustomerLimiter,
+        find_idle: Callable[[str], IdleWorker | None] = find_no_idle,
     ) -> None:
         """Create the reserver.
 
@@ -49,7 +57,10 @@
         :param pool: connections to the workers.
         :param metrics: metrics of this process.
         :param limiter: holds the counts that requests carry along.
+        :param find_idle: finds a worker to which the worker on the VM with the
+            given address could hand over batch items.
         """
+        self._find_idle = find_idle
         self._limiter = limiter
         self._port = port
         self._pool = pool
@@ -75,7 +86,11 @@
         host = split_address(upstream.address)[0]
         address = f'{host}:{self._port}'
         admitted = self._limiter.take_unreported()
-        body = msgspec.json.encode(ReservationRequest(is_late, trial, admitted))
+        body = msgspec.json.encode(
+            ReservationRequest(
+                is_late, trial, admitted, idle=self._find_idle(host)
+            )
+        )
         headers = [('Host', address)]
         raw = make_request('POST', RESERVATION_PATH, headers, body)
         called = self._pool.call(address, raw, timeout)
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -4,11 +4,18 @@
 
 import time
 import traceback
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import gevent
 
-from wigeonpier.hosted.items import NOT_RUN, ItemWork, RunOutcome, run_item
+from wigeonpier.hosted.items import (
+    NOT_RUN,
+    ItemWork,
+    RunOutcome,
+    drop_work,
+    run_item,
+)
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import ItemResult, ItemState
 from wigeonpier.policy import pacing
@@ -35,6 +42,22 @@
 FAILED_RETRY_SECONDS = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class ObservedItems:
+    """Items of one worker at one moment.
+
+    :param upstream: load of the upstream.
+    :param items: all items, running or waiting.
+    :param running: how many of them run.
+    :param lengths: how long items run.
+    """
+
+    upstream: pacing.UpstreamView
+    items: list[pacing.ItemView]
+    running: int
+    lengths: RunLengths
+
+
 class ItemRunner:
     """Starts, pauses and finishes items as decided by the pacing policy."""
 
@@ -57,7 +80,7 @@
         self._slots = slots
         self._finished: set[Key] = set()
         self._lengths = RunLengths()
-        self._is_leaving = False
+        self.is_leaving = False
         self.breaker = CircuitBreaker()
 
     def start(self) -> None:
@@ -66,7 +89,7 @@
 
     def leave(self) -> None:
         """Start no more items and stop the running ones."""
-        self._is_leaving = True
+        self.is_leaving = True
         for work in self.work.values():
             work.stop()
 
@@ -103,15 +126,22 @@
         It is also called when a slot is reserved: if that waited for the next
         step, the request would be delayed by some 50 ms.
         """
-        if self.work and self._upstream.is_usable and not self._is_leaving:
+        if self.work and self._upstream.is_usable and not self.is_leaving:
             self._apply_pace()
 
-    def estimate_run_seconds(self) -> float:
-        """Estimate how long a complete item takes.
+    def observe(self) -> ObservedItems:
+        """Describe the upstream and all items for the policies.
 
-        :returns: seconds, from the items that have run so far.
+        :returns: the upstream, without slots while it is not known; the items.
         """
-        return self._lengths.seconds
+        now = time.monotonic()
+        return ObservedItems(
+            self._make_upstream_view()
+            or pacing.UpstreamView(0, 0, 0, self._lengths.seconds),
+            [self._make_item_view(work, now) for work in self.work.values()],
+            sum(work.is_running for work in self.work.values()),
+            self._lengths,
+        )
 
     def drop_job(self, job: str) -> None:
         """Stop all items of a job that ended or was assigned elsewhere.
@@ -120,9 +150,7 @@
         """
         for work in list(self.work.values()):
             if work.job.name == job:
-                self.work.pop(work.key)
-                work.is_dropped = True
-                work.stop()
+                drop_work(self.work, work.key)
         self._finished = {key for key in self._finished if key[0] != job}
 
     def _step(self) -> None:
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -8,6 +8,7 @@
 import gevent
 
 from wigeonpier.hosted.assignments import AssignmentFollower
+from wigeonpier.hosted.handoverparts import HandoverParts
 from wigeonpier.hosted.itemtrials import ItemTrials
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfeed import LoadFeed
@@ -82,7 +83,7 @@
         self._progress = ProgressSaver(
             ledger,
             self._runner.work,
-            self._runner.estimate_run_seconds,
+            lambda: self._runner.observe().lengths.seconds,
         )
         usage = UsageCounter(settings.bounds.quota_window)
         self._feed = LoadFeed(
@@ -104,6 +105,8 @@
             trials,
             usage,
         )
+        handover = HandoverParts(context, self._runner, self._trials, ledger)
+        self._feed.details.read_items = handover.meter.read
         self._server = Server(
             *split_address(settings.peers),
             dispatch_to(
@@ -112,6 +115,7 @@
                 + newest.make_routes()
                 + usage.make_routes()
                 + reservations.make_routes()
+                + handover.offers.make_routes()
                 + SuspicionHandler(suspicions, trials).make_routes(),
             ),
         )
@@ -123,6 +127,7 @@
             quarantine.read,
             context.store_health.wait,
         )
+        reservations.on_idle = handover.connect(self._assignments).consider
         self._membership = Membership(
             context.store,
             storekeys.name_key(storekeys.MEMBERS, settings.name),
--- a/src/wigeonpier/policy/backlog.py
+++ b/src/wigeonpier/policy/backlog.py
@@ -118,7 +118,7 @@
     whole_slots = math.ceil(slots)
     # An item that gets a slot for part of the time takes longer accordingly.
     stretch = whole_slots / slots
-    free_at = [0.0] * whole_slots
+    free_at: list[float] = [0 for _slot in range(whole_slots)]
     outlooks = []
     for item in rank_items(upstream, items):
         remaining = max(MIN_REMAINING_SHARE, 1 - item.done_share)
--- a/src/wigeonpier/policy/handover.py
+++ b/src/wigeonpier/policy/handover.py
@@ -10,13 +10,12 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.backlog import predict_queue
-from wigeonpier.policy.pacing import ItemView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from wigeonpier.policy.backlog import ItemOutlook, QueueOutlook
-    from wigeonpier.policy.pacing import Key, UpstreamView
+    from wigeonpier.policy.pacing import ItemView, Key, UpstreamView
 
 # A second move may correct a first one that went wrong; more would send an
 # item around while each move costs the store a transaction.
--- a/src/wigeonpier/policy/placement.py
+++ b/src/wigeonpier/policy/placement.py
@@ -92,15 +92,16 @@
     names = rank_by_key(list(backlogs), job)
     runs = fill_run_seconds(backlogs)
     unreported = _count_unreported(names, jobs, now)
-    waits = {
+    ends = {
         name: backlogs[name].waiting_seconds
+        + runs[name]
         + unreported[name] * runs[name] / SHARED_SLOTS
         for name in names
     }
     owners: list[str] = []
     while len(owners) < count:
-        chosen = min(names, key=lambda name: waits[name] + runs[name])
-        waits[chosen] += ITEMS_PER_ASSIGNMENT * runs[chosen] / SHARED_SLOTS
+        chosen = min(names, key=ends.__getitem__)
+        ends[chosen] += ITEMS_PER_ASSIGNMENT * runs[chosen] / SHARED_SLOTS
         owners.extend(repeat(chosen, ITEMS_PER_ASSIGNMENT))
     return tuple(owners[:count])
 
@@ -215,7 +216,10 @@
     names: list[str], jobs: list[OpenJob], now: float
 ) -> dict[str, int]:
     """Count the items that the backlogs do not include yet."""
-    recent = [job for job in jobs if now - job.sent_at < REPORT_DELAY_SECONDS]
+    # A clock that is behind must not make all jobs seem new.
+    recent = [
+        job for job in jobs if abs(now - job.sent_at) < REPORT_DELAY_SECONDS
+    ]
     return {
         name: sum(job.owners.count(name) for job in recent) for name in names
     }
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -227,6 +227,31 @@
         WARNING_LEVEL,
         'Items of a lost process were reassigned.',
     )
+    items_offered = (
+        634,
+        INFO_LEVEL,
+        'Items that would be late here were offered to another process.',
+    )
+    items_claimed = (
+        635,
+        INFO_LEVEL,
+        'Items that another process offered were claimed, or refused.',
+    )
+    items_handed_over = (
+        636,
+        INFO_LEVEL,
+        'Items were assigned to the process that had claimed them.',
+    )
+    items_not_handed_over = (
+        637,
+        WARNING_LEVEL,
+        'Offered items were not handed over; they stay here.',
+    )
+    items_received = (
+        638,
+        INFO_LEVEL,
+        'Items were taken over with the text that came with their offer.',
+    )
     member_joined = (620, INFO_LEVEL, 'A process joined the job board.')
     member_left = (621, WARNING_LEVEL, 'A process left the job board.')
     assignment_unreadable = (623, ERROR_LEVEL, 'An assignment is invalid.')
--- a/tests/policy/itemreplay.py
+++ b/tests/policy/itemreplay.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field, replace
 from functools import partial
+from typing import TYPE_CHECKING
 
 from tests.hosted.builders import SERVICE, make_open_job
 from wigeonpier.models import Member, OpenJob
@@ -17,7 +18,9 @@
 )
 from wigeonpier.policy.pacing import ItemView, UpstreamView, decide_pace
 from wigeonpier.policy.runlengths import RunLengths
-from wigeonpier.reports import ItemBacklog
+
+if TYPE_CHECKING:
+    from wigeonpier.reports import ItemBacklog
 
 WORKERS = 22
 SLOTS = 8
