--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -28,7 +28,7 @@
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.news import IdleWorker, ReservationRequest
 from wigeonpier.hosted.runner import ObservedItems
-from wigeonpier.models import JobItem, Member
+from wigeonpier.models import ItemProgress, JobItem, Member
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Change, Commit, Entry, Failure, Snapshot
 from wigeonpier.policy.breaker import CircuitBreaker
@@ -336,6 +336,20 @@
     assert fakes.old.indexes.isdisjoint(fakes.third.indexes)
 
 
+def test_a_claim_that_has_lapsed_needs_the_store(
+    fakes: FakeSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The watch was interrupted; the saved text must not be run again."""
+    saved = ItemProgress(('a',), '1', 1)
+    fakes.ledger.write_progress({('j', 3): saved}).unwrap()
+    fakes.hint()
+    monkeypatch.setattr(itemclaims, 'CLAIM_SECONDS', 0)
+    fakes.new.watch()
+    assert fakes.new.indexes == MOVED
+    assert fakes.new.runner.work['j', 3].texts == ['a']
+    assert fakes.new.runner.work['j', 2].texts == []
+
+
 def test_the_old_worker_dies_before_the_write(
     fakes: FakeSite, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -377,6 +391,22 @@
     fakes.check_consistent()
 
 
+def test_items_that_were_reassigned_meanwhile_are_not_moved(
+    fakes: FakeSite,
+) -> None:
+    """The worker was taken for lost, and its watch has not shown it yet."""
+    fakes.reassign('old')
+    owners = fakes.read_owners()
+    fakes.hint()
+    fakes.store.calls.clear()
+    fakes.hint()
+    assert fakes.store.calls == ['stale get']
+    assert fakes.read_owners() == owners
+    fakes.old.watch()
+    assert not fakes.old.indexes
+    fakes.check_consistent()
+
+
 def test_an_item_received_during_an_own_handover_is_run(
     fakes: FakeSite,
 ) -> None:
