Leave resumed items out of the measured run time

A moved or reassigned item is resumed, and its run time is that of the rest only, while all its events were counted: the worker seemed faster than it is, and got more items. Such runs are not recorded any more.

Backlogs of removed VMs are forgotten after a minute.

--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -287,4 +287,5 @@
         last_event=saved.last_event,
         failures=saved.failures,
         saved_events=len(saved.texts),
+        inherited_events=len(saved.texts),
     )
--- a/src/wigeonpier/hosted/backlogs.py
+++ b/src/wigeonpier/hosted/backlogs.py
@@ -20,6 +20,8 @@
 # A search among 600 workers takes 1.4 ms.  With reservations of other entries
 # a worker still learns several times a second of one that is ready sooner.
 SEARCH_INTERVAL_SECONDS = 0.25
+# A restarted worker is followed again within seconds.
+FORGET_SECONDS = 60.0
 
 
 @dataclass(slots=True)
@@ -49,6 +51,7 @@
         :param address: address of its upstream.
         :param backlog: what it reports.
         """
+        self._forget_lost()
         self.reported[split_address(address)[0]] = backlog
 
     def record_contact(self, host: str) -> None:
@@ -114,6 +117,14 @@
         )
         return IdleWorker(vm, address, round(ready_seconds, 1))
 
+    def _forget_lost(self) -> None:
+        """Forget VMs that no longer exist."""
+        oldest = time.monotonic() - FORGET_SECONDS
+        for host, heard_at in list(self.heard_at.items()):
+            if heard_at < oldest:
+                self.heard_at.pop(host)
+                self.reported.pop(host, None)
+
     def _list_hosts(self, busy: str) -> list[str]:
         """List the VMs of the same service with fresh backlogs."""
         hosts = [
--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -115,6 +115,7 @@
         self.held = {
             job: until for job, until in self.held.items() if until > now
         }
+        self.outdated &= {job for job, _index in self.runner.work}
         return {
             key: work.moves
             for key, work in self.runner.work.items()
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -69,6 +69,8 @@
     :param is_dropped: whether it is no longer assigned to this process.
     :param isolation: which other suspected requests may run beside it, empty
         if it is not suspected itself.
+    :param inherited_events: number of events that another process, or an
+        earlier start of this one, has read.
     :param moves: how often it was handed over to another process.
     :param response: response that is being read.
     """
@@ -89,6 +91,7 @@
     is_paused: bool = False
     is_dropped: bool = False
     isolation: str = ''
+    inherited_events: int = 0
     moves: int = 0
     response: Exchange | None = None
     _fingerprint: str = ''
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -212,7 +212,9 @@
             return
         self._metrics.count('item_runs_total', end=outcome.value)
         if outcome is RunOutcome.whole:
-            self._lengths.record(work.run_seconds, len(work.texts))
+            # Its run time is only that of the remaining events.
+            if not work.inherited_events:
+                self._lengths.record(work.run_seconds, len(work.texts))
             self._trials.record_completion(work)
             self._finish(work, ItemState.completed)
         elif outcome is RunOutcome.impossible:
--- a/tests/hosted/test_backlogs.py
+++ b/tests/hosted/test_backlogs.py
@@ -11,7 +11,7 @@
 
 from tests.builders import build_upstream
 from tests.hosted.builders import SERVICE, make_open_job
-from wigeonpier.hosted.backlogs import WorkerBacklogs
+from wigeonpier.hosted.backlogs import FORGET_SECONDS, WorkerBacklogs
 from wigeonpier.hosted.board import Board
 from wigeonpier.hosted.news import IdleWorker, ReservationRequest
 from wigeonpier.hosted.reserver import SlotReserver
@@ -78,6 +78,13 @@
     assert backlogs.find_idle(HOSTS[1]) is None
 
 
+def test_a_removed_vm_is_forgotten() -> None:
+    backlogs = build_backlogs(FAST, SLOW, SLOW)
+    backlogs.heard_at[HOSTS[2]] -= FORGET_SECONDS
+    backlogs.record(f'{HOSTS[0]}:1', ItemBacklog('fast', FAST))
+    assert set(backlogs.reported) == set(backlogs.heard_at) == set(HOSTS[:2])
+
+
 def test_a_worker_with_late_items_is_told_of_the_soonest_one() -> None:
     backlogs = build_backlogs(FAST, SLOW, SLOW, late=1)
     idle = IdleWorker('fast', f'{HOSTS[0]}:{PORT}', FAST)
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -293,6 +293,7 @@
     moved = fakes.new.runner.work['j', 2]
     assert (moved.texts, moved.last_event) == (['a', 'b'], '2')
     assert (moved.failures, moved.saved_events, moved.moves) == (1, 1, 1)
+    assert moved.inherited_events == 2
     fakes.check_consistent()
 
 
--- a/tests/policy/itemreplay.py
+++ b/tests/policy/itemreplay.py
@@ -56,6 +56,7 @@
     done: float = 0
     run_seconds: float = 0
     is_running: bool = False
+    is_inherited: bool = False
     moves: int = 0
 
     def view(self, now: float) -> ItemView:
@@ -122,6 +123,8 @@
         for item in finished:
             del self.items[item.key]
             # Averages as at the worker; 150 events are the initial guess.
+            if item.is_inherited:
+                continue
             self.lengths.record(item.run_seconds, round(150 * item.length))
         return finished
 
@@ -230,6 +233,7 @@
     ) -> None:
         target.items[item.key] = source.items.pop(item.key)
         item.is_running = False
+        item.is_inherited = item.done > 0
         item.moves += 1
         self.moves += 1
         self.most_moves = max(self.most_moves, item.moves)
@@ -267,6 +271,7 @@
             self.jobs[name] = replace(job, owners=owners)
         for key, item in lost.items.items():
             item.is_running = False
+            item.is_inherited = item.done > 0
             owner = self.jobs[key[0]].owners[key[1]]
             self.workers[owner].items[key] = item
         lost.items.clear()
