Ignore the answer to a move after the watch has shown a later change

Cause: record_move dropped all items that are not in its own write. Where the answer of the store arrived after the watch had shown that write and a later one that gave this worker an item, the item was dropped, the known revision went back, and the watch did not show the later change again: nobody ran the item. For a job that had been closed meanwhile, its state was kept for good.

Change: record_move returns where the job is not known any more, or known at the revision of the write or a later one.

Measured: the two new tests fail before the change and pass after it; the first one compares the items that run at each worker with the owners.

--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -113,9 +113,16 @@
     def record_move(self, job: OpenJob, revision: int) -> None:
         """Record that items were handed over, and drop them.
 
+        The answer of the store may arrive after the watch has shown this write
+        or a later one, which may have given items back, or the end of the job.
+        Then there is nothing to record.
+
         :param job: the job with its new owners, as written to the board.
         :param revision: revision of that write.
         """
+        known = self._boards.get(job.name)
+        if known is None or known[1] >= revision:
+            return
         indexes = tuple(
             index for index, owner in enumerate(job.owners) if owner == self._vm
         )
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -64,6 +64,7 @@
         self.calls: list[str] = []
         self.failure: Failure | None = None
         self.is_applied = True
+        self.before_answer: Callable[[], None] | None = None
 
     def commit(self, change: Commit, _timeout: float = 0) -> Any:
         self.calls.append('commit')
@@ -75,7 +76,11 @@
             self._apply(change)
         if self.failure is not None:
             return Err(self.failure)
-        return Ok(self.revision)
+        answer = Ok(self.revision)
+        if self.before_answer is not None:
+            act, self.before_answer = self.before_answer, None
+            act()
+        return answer
 
     def get(self, key: str, *, allow_stale: bool = False) -> Any:
         self.calls.append('stale get' if allow_stale else 'get')
@@ -263,6 +268,22 @@
         owners = reassign_items(job, lost, members, [job], time.time())
         self.ledger.reassign(job, board.revisions['j'], lost, owners).unwrap()
 
+    def give(self, index: int, source: str, target: str) -> None:
+        """Move one item in the store, as its owner would."""
+        board = self.read_board()
+        owners = list(board.jobs['j'].owners)
+        owners[index] = target
+        given = replace(board.jobs['j'], owners=tuple(owners))
+        self.ledger.move(given, board.revisions['j'], source, target).unwrap()
+
+    def check_running(self) -> None:
+        """Check that each worker runs exactly the items that it owns."""
+        owners = self.read_owners()
+        for worker in (self.old, self.new, self.third):
+            assert worker.indexes == {
+                index for index, vm in enumerate(owners) if vm == worker.vm
+            }
+
     def check_consistent(self) -> None:
         """Check that each item has one owner, whose assignment lists it."""
         owners = self.read_owners()
@@ -428,6 +449,56 @@
     fakes.check_consistent()
 
 
+def test_an_item_received_before_the_answer_to_a_move_is_run(
+    fakes: FakeSite,
+) -> None:
+    """The late answer dropped item 4, and the watch did not show it again."""
+
+    def receive() -> None:
+        fakes.old.watch()
+        fakes.give(4, 'third', 'old')
+        fakes.old.watch()
+
+    fakes.store.before_answer = receive
+    fakes.hint()
+    gevent.sleep(0.05)
+    assert fakes.old.indexes == {0, 1, 4}
+    fakes.new.watch()
+    fakes.third.watch()
+    fakes.check_running()
+    fakes.check_consistent()
+    # The known revision is the newest one, so that a next move needs no read.
+    for work in fakes.old.runner.work.values():
+        work.due_at -= 7
+    fakes.store.calls.clear()
+    fakes.hint()
+    assert fakes.store.calls == ['commit']
+    fakes.old.watch()
+    fakes.new.watch()
+    fakes.check_running()
+    fakes.check_consistent()
+
+
+def test_a_job_that_ends_before_the_answer_to_a_move_is_forgotten(
+    fakes: FakeSite,
+) -> None:
+    """Its state was kept for the rest of the process."""
+
+    def close() -> None:
+        fakes.ledger.close('j').unwrap()
+        fakes.old.watch()
+
+    fakes.store.before_answer = close
+    fakes.hint()
+    gevent.sleep(0.05)
+    assert not fakes.old.indexes
+    follower = fakes.old.follower
+    assert follower.find_board('j') is None
+    assert not follower._moved_at
+    assert not follower._adopted
+    assert not follower._assigned
+
+
 @pytest.mark.parametrize('is_applied', [False, True])
 def test_items_run_on_while_the_outcome_is_unknown(
     fakes: FakeSite, is_applied
