Refresh the revision of a job after a conflict only where it is needed

Cause: a conflict marked the job as outdated. Where the watch brought the newer revision before the next attempt, the read found nothing newer, and the job stayed outdated: no item of it was offered again, at one read per attempt. A watch that was behind such a read set the known revision back.

Change: the handover keeps the revision that conflicted, and reads only while no newer one is known; an earlier change does not replace a later revision.

--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -155,7 +155,9 @@
             return
         self._drop_moved(name, assignment.indexes)
         self._assigned[name] = assignment
-        self._boards[name] = (assignment.job, change.revision)
+        known = self._boards.get(name)
+        if known is None or known[1] < change.revision:
+            self._boards[name] = (assignment.job, change.revision)
         if self.claims is not None:
             self._adopt_claimed(assignment, self.claims)
             # Each owner is written when items of a lost one are reassigned.
--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -69,7 +69,8 @@
     :param next_at: earliest time of the next offer, seconds of the monotonic
         clock.
     :param held: jobs whose items are not offered until then, likewise.
-    :param outdated: jobs whose owners were changed by another process.
+    :param outdated: jobs whose owners were changed by another process, with
+        the revision at which a write failed for that.
     """
 
     meter: BacklogMeter
@@ -82,7 +83,7 @@
     metrics: Metrics
     next_at: float = 0
     held: dict[str, float] = field(default_factory=dict)
-    outdated: set[str] = field(default_factory=set)
+    outdated: dict[str, int] = field(default_factory=dict)
 
     def consider(self, idle: IdleWorker) -> None:
         """Offer late items to another worker, in the background.
@@ -115,7 +116,12 @@
         self.held = {
             job: until for job, until in self.held.items() if until > now
         }
-        self.outdated &= {job for job, _index in self.runner.work}
+        present = {job for job, _index in self.runner.work}
+        self.outdated = {
+            job: revision
+            for job, revision in self.outdated.items()
+            if job in present
+        }
         return {
             key: work.moves
             for key, work in self.runner.work.items()
@@ -125,12 +131,9 @@
     def _hand_over(self, idle: IdleWorker, offers: list[ItemOutlook]) -> bool:
         """Hand items over; return whether any of them has moved."""
         name = offers[0].item.key[0]
-        if name in self.outdated:
-            # Another owner has moved items of this job meanwhile.
-            if not self.assignments.refresh_board(name):
-                self.held[name] = time.monotonic() + REFUSED_INTERVAL_SECONDS
-                return False
-            self.outdated.discard(name)
+        if not self._is_current(name):
+            self.held[name] = time.monotonic() + REFUSED_INTERVAL_SECONDS
+            return False
         board = self.assignments.find_board(name)
         if board is None:
             return False
@@ -141,6 +144,20 @@
             return False
         return self._write(moved, revision, idle.vm)
 
+    def _is_current(self, job: str) -> bool:
+        """Check that no write has failed at the known revision of a job.
+
+        After a conflict the watch may bring the newer revision; only where it
+        has not, a read is needed.
+        """
+        conflicting = self.outdated.get(job)
+        board = self.assignments.find_board(job)
+        if conflicting is not None and board and board[1] <= conflicting:
+            if not self.assignments.refresh_board(job):
+                return False
+        self.outdated.pop(job, None)
+        return True
+
     def _offer(
         self, idle: IdleWorker, job: OpenJob, views: list[ItemView]
     ) -> tuple[int, ...]:
@@ -210,7 +227,7 @@
             return False
         written = self.ledger.move(job, revision, self.meter.vm, target)
         if isinstance(written, Err):
-            self._record_failed_write(job.name, written.err_value)
+            self._record_failed_write(job.name, revision, written.err_value)
             return False
         self.assignments.record_move(job, written.ok_value)
         self.metrics.count('items_handed_over_total')
@@ -223,10 +240,12 @@
         )
         return True
 
-    def _record_failed_write(self, job: str, failure: Failure) -> None:
+    def _record_failed_write(
+        self, job: str, revision: int, failure: Failure
+    ) -> None:
         """Keep the items; a write that took effect is seen by the watch."""
         if failure is Failure.conflict:
-            self.outdated.add(job)
+            self.outdated[job] = revision
         else:
             self.held[job] = time.monotonic() + UNCERTAIN_SECONDS
         self.metrics.count('item_moves_failed_total', why=failure.value)
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -413,6 +413,47 @@
     fakes.check_consistent()
 
 
+def test_no_read_is_needed_where_the_watch_brings_the_newer_revision(
+    fakes: FakeSite,
+) -> None:
+    """The job stayed outdated and cost a read at each later attempt."""
+    fakes.give(4, 'third', 'old')
+    fakes.hint()
+    assert fakes.old.indexes == {0, 1, 2, 3}
+    fakes.old.watch()
+    gevent.sleep(0.05)
+    assert fakes.old.indexes == {0, 1, 2, 3, 4}
+    fakes.store.calls.clear()
+    fakes.hint()
+    assert fakes.store.calls == ['commit']
+    for worker in (fakes.old, fakes.new, fakes.third):
+        worker.watch()
+    gevent.sleep(0.05)
+    assert fakes.new.indexes
+    fakes.check_running()
+    fakes.check_consistent()
+
+
+def test_an_earlier_change_does_not_undo_a_refresh(fakes: FakeSite) -> None:
+    """The watch may be behind a read; the next write conflicted again."""
+    fakes.give(4, 'third', 'old')
+    earlier = fakes.read_change('old')
+    fakes.give(5, 'third', 'new')
+    fakes.hint()
+    assert fakes.old.handover.outdated
+    assert fakes.old.follower.refresh_board('j')
+    fakes.old.follower._apply(earlier)
+    gevent.sleep(0.05)
+    fakes.store.calls.clear()
+    fakes.hint()
+    assert fakes.store.calls == ['commit']
+    for worker in (fakes.old, fakes.new, fakes.third):
+        worker.watch()
+    gevent.sleep(0.05)
+    fakes.check_running()
+    fakes.check_consistent()
+
+
 def test_items_that_were_reassigned_meanwhile_are_not_moved(
     fakes: FakeSite,
 ) -> None:
