Stop an item that is paused or moved while its run connects

Cause: stop() aborts the response, which does not exist yet while the connection is being opened. Such a run went on to its end, beside the run of the new owner or in the slot of an online request.

Change: once connected, a run that was told to stop closes its connection and ends as paused; nothing is sent.

Measured: the two new tests with a pool that yields while it connects fail before the change and pass after it.

--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -157,6 +157,12 @@
         return RunOutcome.unreachable
     response = opened.ok_value
     work.response = response
+    if work.is_paused:
+        # It was told to stop while the connection was being opened.
+        response.abort()
+        response.close()
+        work.response = None
+        return RunOutcome.paused
     try:
         outcome = _send_and_read(work, replica, response)
     except (OSError, UnicodeDecodeError):
