Keep the failures of an item that moves or is reassigned

Cause: an item whose run failed between its offer and the write moved with the earlier number of failures. Failures of an item with few new events were not saved, so that it was tried anew after a reassignment.

Change: an item whose failures differ from those offered stays. Failures are saved once, with the next write of progress of the same worker and when the process leaves. They cause no write of their own in service, since failed runs are ordinary where upstreams lose some answers; so a worker that is lost before such a write still loses them, as does a failure between the write of a move and its answer.

Measured: the two new tests fail before the change and pass after it.

--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -176,6 +176,8 @@
             saved = ItemProgress(found.texts, found.last_event, found.failures)
             work = _make_work(job, found.index, found.item, saved, age)
             work.saved_events = found.saved_events
+            # The offer does not tell how many of them are saved.
+            work.saved_failures = 0
             work.moves = found.moves + 1
             self._adopted[job.name].add(found.index)
             self._runner.add(work)
@@ -296,5 +298,6 @@
         last_event=saved.last_event,
         failures=saved.failures,
         saved_events=len(saved.texts),
+        saved_failures=saved.failures,
         inherited_events=len(saved.texts),
     )
--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -160,11 +160,11 @@
 
     def _offer(
         self, idle: IdleWorker, job: OpenJob, views: list[ItemView]
-    ) -> tuple[int, ...]:
-        """Offer items; return the positions of those that are claimed."""
+    ) -> list[OfferedItem]:
+        """Offer items; return those that are claimed."""
         offer = ItemOffer(self.meter.vm, job, tuple(self._list_offered(views)))
         if not offer.items:
-            return ()
+            return []
         headers = [('Host', idle.address)]
         body = msgspec.json.encode(offer)
         raw = make_request('POST', ITEMS_PATH, headers, body)
@@ -191,8 +191,9 @@
             return self._record_refusal(offer, str(error))
         if not claim.indexes:
             return self._record_refusal(offer, 'no room')
-        offered_indexes = {offered.index for offered in offer.items}
-        return tuple(offered_indexes.intersection(claim.indexes))
+        return [
+            offered for offered in offer.items if offered.index in claim.indexes
+        ]
 
     def _list_offered(self, views: list[ItemView]) -> list[OfferedItem]:
         offered: list[OfferedItem] = []
@@ -209,12 +210,18 @@
         return offered
 
     def _change_owners(
-        self, job: OpenJob, claimed: tuple[int, ...], target: str
+        self, job: OpenJob, claimed: list[OfferedItem], target: str
     ) -> OpenJob:
-        """Change the owner of claimed items that are still here."""
-        movable = {
-            index for index in claimed if (job.name, index) in self.runner.work
-        }
+        """Change the owner of claimed items that are still here.
+
+        An item whose run has failed since the offer stays, since its new owner
+        would try it more often than the job allows.
+        """
+        movable = set()
+        for offered in claimed:
+            work = self.runner.work.get((job.name, offered.index))
+            if work is not None and work.failures == offered.failures:
+                movable.add(offered.index)
         owners = tuple(
             target if index in movable and owner == self.meter.vm else owner
             for index, owner in enumerate(job.owners)
@@ -251,14 +258,14 @@
         self.metrics.count('item_moves_failed_total', why=failure.value)
         log_event(Event.items_not_handed_over, job=job, why=failure.value)
 
-    def _record_refusal(self, offer: ItemOffer, why: str) -> tuple[int, ...]:
+    def _record_refusal(self, offer: ItemOffer, why: str) -> list[OfferedItem]:
         log_event(
             Event.items_not_handed_over,
             job=offer.job.name,
             items=[offered.item.name for offered in offer.items],
             why=why,
         )
-        return ()
+        return []
 
 
 def _make_offered(work: ItemWork, view: ItemView) -> OfferedItem:
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -63,6 +63,7 @@
     :param retry_at: earliest start of the next run, likewise.
     :param run_seconds: total duration of its runs so far.
     :param saved_events: number of events whose text is saved in the store.
+    :param saved_failures: number of failures that are saved there.
     :param events_before_run: number of events before the current run.
     :param is_running: whether it is at the upstream.
     :param is_paused: whether its current run was told to stop.
@@ -86,6 +87,7 @@
     retry_at: float = 0
     run_seconds: float = 0
     saved_events: int = 0
+    saved_failures: int = 0
     events_before_run: int = 0
     is_running: bool = False
     is_paused: bool = False
--- a/src/wigeonpier/hosted/progress.py
+++ b/src/wigeonpier/hosted/progress.py
@@ -53,25 +53,38 @@
         spawn_loop('progress', self._step)
 
     def save_all(self) -> None:
-        """Save all items with new text before the process shuts down."""
+        """Save what is new of all items before the process shuts down."""
         self._save(
             work
             for work in self._work.values()
-            if len(work.texts) > work.saved_events
+            if len(work.texts) > work.saved_events or _has_new_failures(work)
         )
 
     def save_due(self) -> None:
-        """Save the items that would be late if they were lost now."""
+        """Save the items that would be late if they were lost now.
+
+        The same write saves the failures of other items, so that a job's tries
+        are not exceeded after a reassignment.  They cause no write of their
+        own: where some requests always fail, that would be one per interval.
+        """
         now = time.monotonic()
         run_seconds = self._estimate_run_seconds()
-        self._save(
+        due = [
             work
             for work in self._work.values()
             if len(work.texts) - work.saved_events >= MIN_NEW_EVENTS
             and should_save_progress(
                 work.due_at - now, run_seconds, SAVE_INTERVAL_SECONDS
             )
-        )
+        ]
+        if due:
+            due_keys = {work.key for work in due}
+            failed = [
+                work
+                for work in self._work.values()
+                if _has_new_failures(work) and work.key not in due_keys
+            ]
+            self._save([*due, *failed])
 
     def _save(self, candidates: Iterable[ItemWork]) -> None:
         batch = list(_limit_batch(candidates))
@@ -95,12 +108,17 @@
             return
         for work in batch:
             work.saved_events = len(progress[work.key].texts)
+            work.saved_failures = progress[work.key].failures
 
     def _step(self) -> None:
         gevent.sleep(SAVE_INTERVAL_SECONDS)
         self.save_due()
 
 
+def _has_new_failures(work: ItemWork) -> bool:
+    return work.failures > work.saved_failures
+
+
 def _limit_batch(candidates: Iterable[ItemWork]) -> Iterable[ItemWork]:
     size = 0
     for number, work in enumerate(candidates):
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -27,6 +27,7 @@
 from wigeonpier.hosted.itemclaims import ClaimTable, ItemOffer, OfferHandler
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.news import IdleWorker, ReservationRequest
+from wigeonpier.hosted.progress import ProgressSaver
 from wigeonpier.hosted.runner import ObservedItems
 from wigeonpier.models import ItemProgress, JobItem, Member
 from wigeonpier.platform import storekeys
@@ -558,6 +559,52 @@
     fakes.check_consistent()
 
 
+def test_an_item_that_fails_during_its_offer_stays(fakes: FakeSite) -> None:
+    """Its new owner did not know of the failure and tried it once more."""
+
+    def deliver(body: bytes) -> Any:
+        fakes.old.runner.work['j', 2].failures += 1
+        return fakes._deliver(body)
+
+    fakes.on_offer = deliver
+    fakes.hint()
+    assert fakes.old.indexes == {0, 1, 2}
+    fakes.new.watch()
+    assert fakes.new.indexes == {3}
+    fakes.check_running()
+    fakes.check_consistent()
+
+
+def test_failures_that_came_with_an_offer_are_saved_with_other_items(
+    fakes: FakeSite,
+) -> None:
+    """A reassigned item was tried more often than its job allows."""
+    fakes.hint()
+    fakes.new.watch()
+    work = fakes.new.runner.work
+    saver = ProgressSaver(fakes.ledger, work, lambda: 6.0)
+    fakes.store.calls.clear()
+    saver.save_due()
+    assert not fakes.store.calls
+    work['j', 3].texts = ['a'] * 50
+    work['j', 3].due_at -= 10
+    saver.save_due()
+    assert fakes.store.calls == ['commit']
+    saved = fakes.ledger.read_progress('j').unwrap()
+    assert {index: found.failures for index, found in saved.items()} == {
+        2: 1,
+        3: 1,
+    }
+    fakes.store.calls.clear()
+    saver.save_due()
+    assert not fakes.store.calls
+    work['j', 2].failures += 1
+    saver.save_all()
+    saver.save_all()
+    assert fakes.store.calls == ['commit']
+    assert fakes.ledger.read_progress('j').unwrap()[2].failures == 2
+
+
 @pytest.mark.parametrize(
     'reply',
     [
