Compare late items in the replay with those by number

Cause: the tests of the replay used 40 of 705 late items as their bound.

At the higher load this now holds for the assignment without handover too, all items are done, and more than a tenth are late by number, instead of 40 in 705. The check that upstreams of equal pace get the same owners and no moves is unchanged. The docstring said that a quarter of the items went to the slow workers; those are three quarters of the workers.

--- a/tests/policy/test_handover.py
+++ b/tests/policy/test_handover.py
@@ -23,8 +23,10 @@
 from wigeonpier.reports import ItemBacklog
 
 UNEQUAL = (0.55, 1.2, 1.2, 1.2)
-# At most 40 of 705 items late.
-MAX_LATE_SHARE = 40 / 705
+# Late items, as a share of those by number under the same load.
+MAX_SHARE_OF_NUMBER = 0.2
+# Below this share of late items by number, the load would be no hard one.
+HARD_LATE_SHARE = 0.1
 SEEDS = (1, 2, 3)
 
 
@@ -45,16 +47,19 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_few_items_are_late_at_unequal_upstreams(seed) -> None:
-    """By number, a quarter of the items went to the slow ones and waited."""
+    """By number, slow workers got as many items as fast ones.
+
+    Of the items, 4 to 18 in 100 were late.
+    """
     by_number = Replay(UNEQUAL, seed=seed).run()
     assigned = Replay(UNEQUAL, by_completion=True, seed=seed).run()
     moved = Replay(
         UNEQUAL, by_completion=True, with_handover=True, seed=seed
     ).run()
     assert assigned.done == moved.done == by_number.done
-    assert assigned.late <= by_number.late
-    assert moved.late <= MAX_LATE_SHARE * moved.done
-    assert assigned.late <= MAX_LATE_SHARE * assigned.done
+    assert by_number.late
+    assert assigned.late <= MAX_SHARE_OF_NUMBER * by_number.late
+    assert moved.late <= MAX_SHARE_OF_NUMBER * by_number.late
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -68,10 +73,12 @@
     moved = Replay(
         UNEQUAL, by_completion=True, with_handover=True, seed=seed
     ).run()
-    assert by_number.late > MAX_LATE_SHARE * by_number.done
-    assert moved_alone.late <= MAX_LATE_SHARE * moved_alone.done
+    assert assigned.done == moved.done == moved_alone.done == by_number.done
+    assert by_number.late > HARD_LATE_SHARE * by_number.done
+    assert moved_alone.late <= MAX_SHARE_OF_NUMBER * by_number.late
+    assert assigned.late <= MAX_SHARE_OF_NUMBER * by_number.late
     assert moved.late <= assigned.late
-    assert moved.late <= MAX_LATE_SHARE * moved.done
+    assert moved.late <= MAX_SHARE_OF_NUMBER * by_number.late
     assert max(moved.most_moves, moved_alone.most_moves) <= handover.MAX_MOVES
 
 
