--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -149,9 +149,14 @@
         job, revision = board
         claimed = self._offer(idle, job, [offer.item for offer in offers])
         moved = self._change_owners(job, claimed, idle.vm)
-        if moved == job:
+        names = [
+            offered.item.name
+            for offered in claimed
+            if moved.owners[offered.index] != job.owners[offered.index]
+        ]
+        if not names:
             return False
-        return self._write(moved, revision, idle.vm)
+        return self._write(moved, names, revision, idle.vm)
 
     def _is_current(self, job: str) -> bool:
         """Check that no write has failed at the known revision of a job.
@@ -242,7 +247,9 @@
         )
         return replace(job, owners=owners)
 
-    def _write(self, job: OpenJob, revision: int, target: str) -> bool:
+    def _write(
+        self, job: OpenJob, items: list[str], revision: int, target: str
+    ) -> bool:
         if not self.meter.may_take_items:
             # This process has begun to leave meanwhile.
             return False
@@ -251,10 +258,11 @@
             self._record_failed_write(job.name, revision, written.err_value)
             return False
         self.assignments.record_move(job, written.ok_value)
-        self.metrics.count('items_handed_over_total')
+        self.metrics.count('items_handed_over_total', len(items))
         log_event(
             Event.items_handed_over,
             job=job.name,
+            items=items,
             to=target,
             left=job.owners.count(self.meter.vm),
             revision=written.ok_value,
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -312,6 +312,8 @@
     fakes.hint()
     assert fakes.store.calls == ['commit']
     assert fakes.old.indexes == {0, 1}
+    counted = fakes.old.metrics.get_counter('items_handed_over_total')
+    assert counted == len(MOVED)
     fakes.new.watch()
     fakes.old.watch()
     assert fakes.store.calls == ['commit']
