Keep an item that is too large to offer from holding others back

Cause: where the first item of an offer was too large, nothing was offered, and as it was chosen again each time, no item of any job behind it moved; nothing was logged. The size was counted in characters, and escapes in JSON were covered by a factor of two that does not hold for all texts: such an offer was refused by the other worker's limit.

Change: sizes are those of the JSON of each item, the limit is that of the body. An item that does not fit alone is logged once and not chosen again while it is here; other items of its job are still offered, rather than held with it.

--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -54,8 +54,6 @@
 REFUSAL_SECONDS = 3.0
 # After a write with an unknown outcome, the watch shows the assignment by then.
 UNCERTAIN_SECONDS = 5.0
-# Less than the limit of a body, since texts are escaped in JSON.
-MAX_CONTENT_BYTES = MAX_OFFER_BYTES // 2
 
 
 @dataclass(slots=True)
@@ -77,6 +75,7 @@
         the revision at which a write failed for that.
     :param refused: VMs whose workers have refused items, and until when no
         others are offered to them, seconds of the monotonic clock.
+    :param too_large: items that do not fit in an offer.
     """
 
     meter: BacklogMeter
@@ -91,6 +90,7 @@
     held: dict[str, float] = field(default_factory=dict)
     outdated: dict[str, int] = field(default_factory=dict)
     refused: dict[str, float] = field(default_factory=dict)
+    too_large: set[tuple[str, int]] = field(default_factory=set)
 
     def consider(self, idle: IdleWorker) -> None:
         """Offer late items to another worker, in the background.
@@ -131,10 +131,13 @@
             for job, revision in self.outdated.items()
             if job in present
         }
+        self.too_large.intersection_update(self.runner.work)
         return {
             key: work.moves
             for key, work in self.runner.work.items()
-            if key[0] not in self.held and not self.trials.is_suspected(work)
+            if key[0] not in self.held
+            and key not in self.too_large
+            and not self.trials.is_suspected(work)
         }
 
     def _hand_over(self, idle: IdleWorker, offers: list[ItemOutlook]) -> bool:
@@ -176,7 +179,7 @@
         self, idle: IdleWorker, job: OpenJob, views: list[ItemView]
     ) -> list[OfferedItem]:
         """Offer items; return those that are claimed."""
-        offer = ItemOffer(self.meter.vm, job, tuple(self._list_offered(views)))
+        offer = self._limit_offer(ItemOffer(self.meter.vm, job, ()), views)
         if not offer.items:
             return []
         headers = [('Host', idle.address)]
@@ -214,19 +217,37 @@
             return Err(str(error))
         return Ok(claim) if claim.indexes else Err('no room')
 
-    def _list_offered(self, views: list[ItemView]) -> list[OfferedItem]:
+    def _limit_offer(
+        self, empty: ItemOffer, views: list[ItemView]
+    ) -> ItemOffer:
+        """Add the items that fit in one offer; the others stay."""
         offered: list[OfferedItem] = []
-        size = 0
+        empty_size = len(msgspec.json.encode(empty))
+        size = empty_size
         for view in views:
             work = self.runner.work.get(view.key)
             if work is None:
                 continue
-            size += len(work.item.body) * 4 // 3
-            size += sum(len(text) for text in work.texts)
-            if size > MAX_CONTENT_BYTES:
-                break
-            offered.append(_make_offered(work, view))
-        return offered
+            item = _make_offered(work, view)
+            # A comma separates it from the item before.
+            item_size = len(msgspec.json.encode(item)) + 1
+            if empty_size + item_size > MAX_OFFER_BYTES:
+                self._record_too_large(work, item_size)
+            elif size + item_size <= MAX_OFFER_BYTES:
+                size += item_size
+                offered.append(item)
+        return msgspec.structs.replace(empty, items=tuple(offered))
+
+    def _record_too_large(self, work: ItemWork, size: int) -> None:
+        """Keep an item here; others of its job and other jobs may move."""
+        self.too_large.add(work.key)
+        log_event(
+            Event.items_not_handed_over,
+            job=work.job.name,
+            items=[work.item.name],
+            why='too large',
+            size=size,
+        )
 
     def _change_owners(
         self, job: OpenJob, claimed: list[OfferedItem], target: str
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -24,7 +24,12 @@
 from wigeonpier.hosted.backlogmeter import BacklogMeter
 from wigeonpier.hosted.common import DaemonContext
 from wigeonpier.hosted.handover import REFUSAL_SECONDS, ItemHandover
-from wigeonpier.hosted.itemclaims import ClaimTable, ItemOffer, OfferHandler
+from wigeonpier.hosted.itemclaims import (
+    MAX_OFFER_BYTES,
+    ClaimTable,
+    ItemOffer,
+    OfferHandler,
+)
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.news import IdleWorker, ReservationRequest
 from wigeonpier.hosted.progress import ProgressSaver
@@ -685,6 +690,42 @@
     assert set(owners) == {'third', 'fourth'}
 
 
+def test_an_item_too_large_to_offer_holds_nothing_back(
+    fakes: FakeSite, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The items behind it waited, also those of other jobs."""
+    # Of the bytes of these characters, a count of characters sees a third.
+    text = '\N{EURO SIGN}' * (MAX_OFFER_BYTES // 3)
+    fakes.old.runner.work['j', 2].texts = [text]
+    fakes.hint()
+    fakes.old.handover.held.clear()
+    fakes.hint()
+    fakes.new.watch()
+    assert fakes.old.indexes == {0, 1, 2}
+    assert fakes.new.indexes == {3}
+    assert capsys.readouterr().out.count('too large') == 1
+    fakes.check_consistent()
+
+
+def test_an_offer_is_no_larger_than_its_limit(fakes: FakeSite) -> None:
+    """Quotes and control characters take up to six bytes in JSON."""
+    sizes: list[int] = []
+    fakes.on_offer = lambda body: (
+        sizes.append(len(body)),
+        fakes._deliver(body),
+    )[1]
+    for index in MOVED:
+        work = fakes.old.runner.work['j', index]
+        work.texts = ['\x01' * (MAX_OFFER_BYTES // 10)]
+    fakes.hint()
+    fakes.hint()
+    fakes.new.watch()
+    assert fakes.new.indexes == MOVED
+    assert len(sizes) == 2
+    assert max(sizes) <= MAX_OFFER_BYTES
+    fakes.check_consistent()
+
+
 def test_an_item_that_is_offered_twice_is_claimed_once(
     fakes: FakeSite,
 ) -> None:
