--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -19,6 +19,8 @@
     from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.pool import ConnectionPool
 
+    Key = tuple[str, int]
+
 # An item waits for a slot behind online requests.  A run at an unresponsive
 # upstream is aborted, and the next run resumes after the last event.
 HEAD_TIMEOUT_SECONDS = 3.0
@@ -61,12 +63,16 @@
     :param retry_at: earliest start of the next run, likewise.
     :param run_seconds: total duration of its runs so far.
     :param saved_events: number of events whose text is saved in the store.
+    :param saved_failures: number of failures that are saved there.
     :param events_before_run: number of events before the current run.
     :param is_running: whether it is at the upstream.
     :param is_paused: whether its current run was told to stop.
     :param is_dropped: whether it is no longer assigned to this process.
     :param isolation: which other suspected requests may run beside it, empty
         if it is not suspected itself.
+    :param inherited_events: number of events that another process, or an
+        earlier start of this one, has read.
+    :param moves: how often it was handed over to another process.
     :param response: response that is being read.
     """
 
@@ -81,11 +87,14 @@
     retry_at: float = 0
     run_seconds: float = 0
     saved_events: int = 0
+    saved_failures: int = 0
     events_before_run: int = 0
     is_running: bool = False
     is_paused: bool = False
     is_dropped: bool = False
     isolation: str = ''
+    inherited_events: int = 0
+    moves: int = 0
     response: Exchange | None = None
     _fingerprint: str = ''
 
@@ -119,6 +128,18 @@
             self.response.abort()
 
 
+def drop_work(queue: dict[Key, ItemWork], key: Key) -> None:
+    """Stop an item that is no longer assigned to this process.
+
+    :param queue: items of this process, by job and position.
+    :param key: the item; it may have completed already.
+    """
+    work = queue.pop(key, None)
+    if work is not None:
+        work.is_dropped = True
+        work.stop()
+
+
 def run_item(
     work: ItemWork,
     replica: Replica,
@@ -138,6 +159,12 @@
         return RunOutcome.unreachable
     response = opened.ok_value
     work.response = response
+    if work.is_paused:
+        # It was told to stop while the connection was being opened.
+        response.abort()
+        response.close()
+        work.response = None
+        return RunOutcome.paused
     try:
         outcome = _send_and_read(work, replica, response)
     except (OSError, UnicodeDecodeError):
