Measure the pace of the upstream at its worker and send it with the load

The worker reads a report every 50 ms anyway; its runs give the tokens per second. PaceMeter keeps an estimate for each start, FeedDetails sends it.

--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,14 @@
 STALE_PAUSE_SECONDS = 2.0
 MAX_STALE_PAUSE_SECONDS = 30.0
 
+_ReportListener = Callable[['UpstreamReport | None', float], None]
+
+
+def _ignore_report(
+    _report: UpstreamReport | None, _requested_at: float
+) -> None:
+    """Ignore a report."""
+
 
 @dataclass(slots=True)
 class StaleEntries:
@@ -80,8 +89,18 @@
         store: KeyValueStore,
         pool: ConnectionPool,
         address: str,
+        on_report: _ReportListener = _ignore_report,
     ) -> None:
-        """Prepare to follow the upstream at ``host:port``."""
+        """Prepare to follow the upstream at ``host:port``.
+
+        :param store: key-value service with the register.
+        :param pool: connections to the upstream.
+        :param address: ``host:port`` of the upstream.
+        :param on_report: called with each report and the time of its request,
+            seconds of the monotonic clock; with ``None`` when the upstream no
+            longer answers.
+        """
+        self._on_report = on_report
         self.address = address
         self.replica: Replica | None = None
         self.report: UpstreamReport | None = None
@@ -151,7 +170,8 @@
 
     def poll(self) -> None:
         """Poll the load of the upstream; calls on the same VM are free."""
-        self.polled_at = time.monotonic()
+        requested_at = time.monotonic()
+        self.polled_at = requested_at
         headers = [('Host', self.address)]
         raw = make_request('GET', ingress.REPORT_PATH, headers)
         called = self._pool.call(self.address, raw, REPORT_TIMEOUT_SECONDS)
@@ -159,6 +179,7 @@
             self._failures += 1
             if self._failures >= MAX_FAILED_POLLS:
                 self.report = None
+                self._on_report(None, requested_at)
             return
         self._failures = 0
         try:
@@ -174,6 +195,7 @@
         # A late report of an earlier start may arrive after one of this start.
         if not is_earlier(received.incarnation, known):
             self.report = received
+            self._on_report(received, requested_at)
 
     def _find_replica(self, snapshot: Snapshot) -> Replica | None:
         """Find the last start at the address; older entries may still exist."""
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -10,9 +10,10 @@
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.itemtrials import ItemTrials
 from wigeonpier.hosted.ledger import JobLedger
-from wigeonpier.hosted.loadfeed import LoadFeed
+from wigeonpier.hosted.loadfeed import FeedDetails, LoadFeed
 from wigeonpier.hosted.membership import Membership
 from wigeonpier.hosted.newest import NewestRevisionHandler
+from wigeonpier.hosted.pacemeter import PaceMeter
 from wigeonpier.hosted.progress import ProgressSaver
 from wigeonpier.hosted.quarantine.store import QuarantineStore
 from wigeonpier.hosted.relay import RelayHandler
@@ -50,10 +51,12 @@
         settings = context.settings
         ledger = JobLedger(context.store)
         self._context = context
+        pace_meter = PaceMeter(settings.upstream, context.metrics)
         self._upstream = LocalUpstream(
             context.store,
             context.pool,
             settings.upstream,
+            pace_meter.record,
         )
         self._writer = ResultWriter(ledger, context.store_health.wait)
         slots = SlotTable()
@@ -91,6 +94,7 @@
             context.store_health,
             suspicions,
             usage,
+            FeedDetails(read_pace=pace_meter.read),
         )
         newest = NewestRevisionHandler(
             context.store, settings.bounds.revocation
--- a/src/wigeonpier/policy/pace.py
+++ b/src/wigeonpier/policy/pace.py
@@ -100,8 +100,7 @@
         if not self.baseline:
             return None
         reported = self._reported or UpstreamPace(0)
-        is_current = now - self.measured_at <= SLOWDOWN_SECONDS
-        slowdown = self.slowdown if is_current else 1
+        slowdown = self.read_slowdown(now)
         self._reported = UpstreamPace(
             _round(self.baseline, reported.event_seconds, BASELINE_STEP),
             _round(slowdown, reported.slowdown, SLOWDOWN_STEP)
@@ -110,6 +109,15 @@
         )
         return self._reported
 
+    def read_slowdown(self, now: float) -> float:
+        """Read the slowdown without rounding.
+
+        :param now: seconds.
+        :returns: factor to the baseline, 1 without a recent measurement.
+        """
+        is_current = now - self.measured_at <= SLOWDOWN_SECONDS
+        return self.slowdown if is_current else 1
+
     def _add(self, seconds: float, now: float) -> None:
         if self.baseline:
             factor = seconds / self.baseline
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -93,6 +93,17 @@
         INFO_LEVEL,
         'A late entry of an earlier start of an upstream was ignored.',
     )
+    upstream_pace_known = (
+        320,
+        INFO_LEVEL,
+        'The baseline pace of an upstream is measured; until then entries'
+        ' choose by count.',
+    )
+    upstream_slow = (
+        321,
+        WARNING_LEVEL,
+        'An upstream has worked more slowly than usual for some seconds.',
+    )
     upstream_ended = (
         309,
         WARNING_LEVEL,
