Test the pace from an upstream's report to the entries, and its loss

The stand-in replica reports runs where a time of a token is set. A figure of the load header that is no ASCII number makes it invalid instead of raising.

--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -114,6 +114,7 @@
     :param running: number of running requests.
     :param waiting: number of requests that wait for a slot.
     :param connections: open connections of callers.
+    :param begun: start of each run by id, seconds of the monotonic clock.
     :param is_over: whether the replica has crashed.
     """
 
@@ -121,6 +122,7 @@
     running: int = 0
     waiting: int = 0
     connections: set[Any] = field(default_factory=set)
+    begun: dict[str, float] = field(default_factory=dict)
     is_over: bool = False
 
     def leave_slot(self) -> None:
@@ -137,6 +139,8 @@
     :param slots: maximum number of running requests.
     :param events: number of events of each answer.
     :param event_seconds: time between events.
+    :param token_seconds: time of an output token in its reports, 0 to report
+        no runs.
     :param faults: active faults.
     :param runs: number of runs by id of the request.
     :param incarnation: grows with each start, 0 if it is not reported.
@@ -157,6 +161,7 @@
     slots: int = 8
     events: int = 10
     event_seconds: float = 0.01
+    token_seconds: float = 0
     faults: ReplicaFaults = field(default_factory=ReplicaFaults)
     runs: Counter[str] = field(default_factory=Counter)
     address: str = ''
@@ -307,6 +312,7 @@
                 self.waiting,
                 self.is_leaving,
                 self.incarnation,
+                self._count_tokens(),
             )
             return Response(HTTPStatus.OK, encode_report(report))
         request.body_limit = MAX_BODY_BYTES
@@ -355,12 +361,23 @@
             stream = self._run_crashing(request, body)
         return Response(HTTPStatus.OK, stream, EVENT_STREAM_TYPE, headers)
 
+    def _count_tokens(self) -> dict[str, int]:
+        if not self.token_seconds:
+            return {}
+        now = time.monotonic()
+        return {
+            identity: int((now - begun) / self.token_seconds)
+            for identity, begun in self._life.begun.items()
+        }
+
     def _stream(self, identity: str, last: int) -> Iterator[bytes]:
         life = self._life
         is_broken = self.faults.break_after > 0
         self.faults.break_after = max(0, self.faults.break_after - 1)
         with ExitStack() as stack:
             _enter_slot(life, stack)
+            life.begun[identity] = time.monotonic()
+            stack.callback(life.begun.pop, identity, None)
             for number in range(last + 1, self.events + 1):
                 gevent.sleep(self.event_seconds)
                 if life.is_over:
--- a/src/wigeonpier/platform/register.py
+++ b/src/wigeonpier/platform/register.py
@@ -175,7 +175,7 @@
     """
     parts = text.split(',')
     if len(parts) < MIN_LOAD_FIELDS or not all(
-        part.isdigit() for part in parts[:WORK_FIELD]
+        _is_number(part) for part in parts[:WORK_FIELD]
     ):
         return None
     return UpstreamReport(
@@ -189,8 +189,11 @@
     if not parts:
         return 0
     figure = parts[0].strip()
-    is_number = figure.isascii() and figure.isdigit()
-    return int(figure) / USUAL_WORK if is_number else 0
+    return int(figure) / USUAL_WORK if _is_number(figure) else 0
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
 
 
 def _decode_tokens(raw: msgspec.Raw) -> dict[str, int]:
@@ -207,5 +210,4 @@
 
 def _is_address(text: str) -> bool:
     host, _colon, port = text.rpartition(':')
-    is_port = port.isascii() and port.isdigit()
-    return bool(host) and is_port and 0 < int(port) <= MAX_PORT
+    return bool(host) and _is_number(port) and 0 < int(port) <= MAX_PORT
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -83,6 +83,47 @@
     assert register.parse_load('3,1,8') == UpstreamReport(3, 1)
     assert register.parse_load('') is None
     assert register.parse_load('x,1,8') is None
+    assert register.parse_load('3,\u00b2,8') is None
+
+
+@pytest.mark.parametrize(
+    ('text', 'factor'),
+    [
+        ('3,1,8,120', 1.2),
+        ('3,1,8, 55', 0.55),
+        ('3,1,8', 0),
+        ('3,1,8,', 0),
+        ('3,1,8,x', 0),
+        ('3,1,8,-5', 0),
+        ('3,1,8,\u00b2', 0),
+    ],
+)
+def test_time_of_work_is_parsed_or_ignored(text: str, factor: float) -> None:
+    """Guards against the loss of a load because of a later figure."""
+    expected = UpstreamReport(3, 1, work_factor=factor)
+    assert register.parse_load(text) == expected
+
+
+@pytest.mark.parametrize(
+    ('runs', 'tokens'),
+    [
+        (b'[["c1908278bced7478",489,8,5],["a9ab",501,9,5]]', True),
+        (b'[["a9ab",501,9]]', False),
+        (b'[["a9ab",501,"9",5]]', None),
+        (b'[["a9ab"]]', None),
+        (b'"x"', None),
+        (b'null', None),
+    ],
+)
+def test_runs_are_decoded_or_ignored(runs: bytes, tokens: bool | None) -> None:
+    """Guards against the loss of a report because of its runs."""
+    found = register.decode_report(b'{"running":2,"runs":%s}' % runs)
+    assert found.running == 2
+    expected = {} if tokens is None else {'a9ab': 9}
+    assert found.tokens == expected | (
+        {'c1908278bced7478': 8} if tokens else {}
+    )
+    assert register.decode_report(register.encode_report(found)) == found
 
 
 def test_headers_of_a_send_replace_those_of_the_caller() -> None:
