--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -94,13 +94,13 @@
         'A late entry of an earlier start of an upstream was ignored.',
     )
     upstream_pace_known = (
-        320,
+        316,
         INFO_LEVEL,
         'The baseline pace of an upstream is measured; until then entries'
         ' choose by count.',
     )
     upstream_slow = (
-        321,
+        317,
         WARNING_LEVEL,
         'An upstream has worked more slowly than usual for some seconds.',
     )
