Replace a baseline pace that no measurement fits

A start that was several times slower at first measured its baseline in the warm-up; later measurements were outside the factors 0.2 to 10 and rejected, so the wrong baseline lasted for the life of the start. Six implausible measurements in a row now replace the kept ones; fewer are still rejected.

Measured: after a warm-up of 2 s at 4, 6, 8 and 12 times the token time, the baseline is within 10 % of the usual time after 3 s (tests/policy/test_pace.py, test_slow_start_is_forgotten). Without the change it fails for 8 and 12; a baseline from 6 times is at the edge of the range because of whole tokens.

--- a/src/wigeonpier/policy/pace.py
+++ b/src/wigeonpier/policy/pace.py
@@ -33,7 +33,9 @@
 BASELINE_QUANTILE = 0.25
 # Measurements from which the baseline is known, 0.3 to 0.8 s after the start.
 MIN_MEASUREMENTS = 6
-# Factors to the baseline outside this range are errors of the measurement.
+# Single factors to the baseline outside this range are errors of the
+# measurement; MIN_MEASUREMENTS of them in a row replace the baseline, which
+# was then measured in a period that was not typical, such as a warm-up.
 MIN_FACTOR = 0.2
 MAX_FACTOR = 10.0
 # A slow period takes 2.5 times the usual time.  With 15 prompts a second that
@@ -72,6 +74,8 @@
     _measured: deque[float] = field(
         default_factory=lambda: deque(maxlen=KEPT_MEASUREMENTS)
     )
+    # Measurements in a row that do not fit the baseline.
+    _implausible: list[float] = field(default_factory=list)
     _reported: UpstreamPace | None = None
 
     def record(self, tokens: Mapping[str, int], now: float) -> None:
@@ -123,11 +127,26 @@
         if self.baseline:
             factor = seconds / self.baseline
             if not MIN_FACTOR <= factor <= MAX_FACTOR:
+                self._reject(seconds)
                 return
+            self._implausible.clear()
             bound = USUAL_FACTOR if self.slowdown > 1 else SLOW_FACTOR
             self.slowdown = factor if factor >= bound else 1
             self.measured_at = now
         self._measured.append(seconds)
+        self._update_baseline()
+
+    def _reject(self, seconds: float) -> None:
+        """Reject an outlier, or start anew after several in a row."""
+        self._implausible.append(seconds)
+        if len(self._implausible) >= MIN_MEASUREMENTS:
+            self._measured.clear()
+            self._measured.extend(self._implausible)
+            self._implausible.clear()
+            self.slowdown = 1
+            self._update_baseline()
+
+    def _update_baseline(self) -> None:
         if len(self._measured) >= MIN_MEASUREMENTS:
             ranked = sorted(self._measured)
             self.baseline = ranked[int(len(ranked) * BASELINE_QUANTILE)]
--- a/tests/policy/test_pace.py
+++ b/tests/policy/test_pace.py
@@ -179,6 +179,16 @@
     assert changed.slowdown == 1
 
 
+@pytest.mark.parametrize('factor', [4, 6, 8, 12])
+def test_slow_start_is_forgotten(factor: float) -> None:
+    """Guards against a baseline from a warm-up that rejects all later ones."""
+    worker = Worker()
+    worker.work(2, factor)
+    usual = worker.work(3)[-1]
+    assert usual.event_seconds == pytest.approx(TOKEN_SECONDS, rel=0.1)
+    assert usual.slowdown == 1
+
+
 @pytest.mark.parametrize('wrong', [{'a': 10**6}, {'a': 1}, {}])
 def test_implausible_report_is_ignored(wrong: dict[str, int]) -> None:
     worker = Worker()
