Treat paces that really differ by up to 15 % as equal

Rounding in steps of 1.1 with a hysteresis of 0.8 steps, and baselines that are one quantile of whole-token measurements, made upstreams whose paces differ by 4 % look 21 % apart. The baseline is now the mean of the ranks from 0.1 to 0.4 of the measurements, known after 14 of them (0.7 s) instead of 6, of at least 8 tokens instead of 6, and rounded in steps of 1.03 with a hysteresis of 1.5 steps. Reported paces count as different from a factor of 1.45, which leaves real ones within 15 % equal; the upstreams that the choice addresses differ by 2.2.

--- a/src/wigeonpier/policy/pace.py
+++ b/src/wigeonpier/policy/pace.py
@@ -4,9 +4,9 @@
 which take 2.5 times as long for periods of some 0.6 s.  The load reports that
 a worker reads anyway list the output tokens of each run; their growth gives
 the time of a token.  The fastest run counts: others may wait for their prompt
-or for memory.  The baseline is a low quantile over some seconds, which neither
-slow periods nor prompts that delay single steps shift as long as they are less
-than three quarters of the time.
+or for memory.  The baseline is a mean of low measurements over some seconds,
+which neither slow periods nor prompts that delay single steps shift as long as
+they are less than half of the time.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 # A token takes 2 to 12 ms.  In a shorter interval or with fewer tokens, the
 # growth by whole tokens makes the measured time inaccurate by a fifth or more.
 MIN_INTERVAL_SECONDS = 0.048
-MIN_TOKENS = 6
+MIN_TOKENS = 8
 # A slow upstream is measured after this time even with fewer tokens, since a
 # slow period lasts only 0.6 s.
 MAX_INTERVAL_SECONDS = 0.1
@@ -33,9 +33,13 @@
 MAX_ROUND_TRIP_SECONDS = 0.005
 # Some 6 to 12 s of work.
 KEPT_MEASUREMENTS = 120
-BASELINE_QUANTILE = 0.25
-# Measurements from which the baseline is known, 0.3 to 0.8 s after the start.
-MIN_MEASUREMENTS = 6
+# The baseline is the mean of this part of the ranked measurements.  Most of
+# them are one of two values, since tokens are whole: a single quantile would
+# alternate between these.
+BASELINE_RANKS = (0.1, 0.4)
+# Measurements from which the baseline is known, 0.7 s after the start where a
+# token takes up to 6 ms.  Fewer make new baselines differ by a fifth.
+MIN_MEASUREMENTS = 14
 # Single factors to the baseline outside this range are errors of the
 # measurement; MIN_MEASUREMENTS of them in a row replace the baseline, which
 # was then measured in a period that was not typical, such as a warm-up.
@@ -49,13 +53,16 @@
 # Time after which a slowdown without a new measurement no longer holds.
 SLOWDOWN_SECONDS = 0.3
 # Reported values change in steps of these factors.
-BASELINE_STEP = 1.1
+BASELINE_STEP = 1.03
 SLOWDOWN_STEP = 1.25
-# Share of a step by which a value must differ from the reported one.
-STEP_HYSTERESIS = 0.8
-# Paces that differ by less than this factor are treated as equal: measured
-# values are inaccurate by some 10 in 100 and rounded.
-EQUAL_FACTOR = 1.15
+# Steps by which a value must differ from the reported one.
+BASELINE_HYSTERESIS = 1.5
+SLOWDOWN_HYSTERESIS = 0.8
+# Reported paces that differ by less than this factor are treated as equal, so
+# that real ones within 15 % always are: each of two reported paces may be wrong
+# by some 12 % because of whole tokens, prompts and rounding.  It is well below
+# the factor of 2.2 of upstreams that differ.
+EQUAL_FACTOR = 1.45
 
 
 @dataclass(slots=True)
@@ -118,8 +125,15 @@
         reported = self._reported or UpstreamPace(0)
         slowdown = self.read_slowdown(now)
         self._reported = UpstreamPace(
-            _round(self.baseline, reported.event_seconds, BASELINE_STEP),
-            _round(slowdown, reported.slowdown, SLOWDOWN_STEP)
+            _round(
+                self.baseline,
+                reported.event_seconds,
+                BASELINE_STEP,
+                BASELINE_HYSTERESIS,
+            ),
+            _round(
+                slowdown, reported.slowdown, SLOWDOWN_STEP, SLOWDOWN_HYSTERESIS
+            )
             if slowdown > 1
             else 1,
         )
@@ -164,7 +178,10 @@
     def _update_baseline(self) -> None:
         if len(self._measured) >= MIN_MEASUREMENTS:
             ranked = sorted(self._measured)
-            self.baseline = ranked[int(len(ranked) * BASELINE_QUANTILE)]
+            first, end = (
+                math.ceil(len(ranked) * share) for share in BASELINE_RANKS
+            )
+            self.baseline = math.fsum(ranked[first:end]) / (end - first)
 
 
 def find_reference(paces: Sequence[UpstreamPace]) -> float:
@@ -225,9 +242,11 @@
     return max(growths)
 
 
-def _round(value: float, reported: float, step: float) -> float:
+def _round(
+    value: float, reported: float, step: float, hysteresis: float
+) -> float:
     """Round to a power of a step, unless the reported value is near enough."""
     steps = math.log(value, step)
-    if reported and abs(steps - math.log(reported, step)) < STEP_HYSTERESIS:
+    if reported and abs(steps - math.log(reported, step)) < hysteresis:
         return reported
     return round(step ** round(steps), 6)
