Apply a pace only to the start of the upstream that it was measured for

The entry kept a pace when a new connection began without one (a worker of an earlier build), applied a pace of a line to whatever start it knew, and gave a state that was created anew no pace until the pace changed. The follower now keeps start and pace as last reported on the connection, and applies them to the state with each line; another start has no pace.

Measured: the three new tests of tests/hosted/test_upstream_pace.py pass, and fail without the change.

--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -28,7 +28,7 @@
     from wigeonpier.hosted.usagecounter import UsageReport
     from wigeonpier.membership.updates import SuspicionUpdate
     from wigeonpier.models import HostSettings, OnlineLoad
-    from wigeonpier.reports import ItemBacklog
+    from wigeonpier.reports import ItemBacklog, UpstreamPace
     from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.pool import ConnectionPool
 
@@ -90,6 +90,8 @@
         self._feeds: dict[str, gevent.Greenlet[..., None]] = {}
         # Upstreams without a working load feed; each loss is logged once.
         self._lost_feeds: set[str] = set()
+        # Start and pace as last reported on the connection for an address.
+        self._paces: dict[str, tuple[int, UpstreamPace]] = {}
 
     def start(self) -> None:
         """Begin to follow the upstreams."""
@@ -100,6 +102,7 @@
         for address in set(self._feeds) - addresses:
             self._feeds.pop(address).kill(block=False)
             self._lost_feeds.discard(address)
+            self._paces.pop(address, None)
         for address in addresses - set(self._feeds):
             self._feeds[address] = spawn_loop(
                 f'load of {address}',
@@ -122,6 +125,7 @@
         gevent.sleep(self._rng.uniform(*RETRY_DELAY_SECONDS))
 
     def _read(self, address: str, exchange: Exchange) -> None:
+        self._paces.pop(address, None)
         raw = make_request('GET', LOAD_PATH, [('Host', address)])
         reason = 'the feed ended'
         is_followed = False
@@ -167,10 +171,13 @@
 
     def _record_details(self, address: str, line: FeedLine) -> None:
         """Record what the line reports beside the load of the same start."""
+        if line.pace and line.load:
+            self._paces[address] = (line.load.incarnation, line.pace)
+        start, pace = self._paces.get(address, (0, None))
         for state in self._replicas.list_upstreams():
             if state.address != address:
                 continue
-            state.pace = line.pace or state.pace
+            state.pace = pace if start == state.incarnation else None
             health = line.health
             if health and health.incarnation == state.incarnation:
                 state.health = health
--- a/tests/hosted/test_upstream_pace.py
+++ b/tests/hosted/test_upstream_pace.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import random
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
 import gevent
+import msgspec
 
+from tests.builders import build_upstream
 from tests.hosted.builders import wait_for
+from wigeonpier.hosted.loadfollower import FeedListeners, LoadFollower
+from wigeonpier.hosted.news import FeedLine
 from wigeonpier.hosted.pacemeter import LOGGED_SLOW_SECONDS, PaceMeter
-from wigeonpier.models import UpstreamReport
+from wigeonpier.models import OnlineLoad, UpstreamReport
+from wigeonpier.reports import UpstreamPace
 from wigeonpier.telemetry.metrics import Metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import pytest
 
     from tests.hosted.builders import HostedSite
@@ -103,6 +112,77 @@
     _ask(site)
 
 
+class _Feed:
+    """A connection that delivers lines, and records the paces after each."""
+
+    def __init__(self, upstreams: list[UpstreamState]) -> None:
+        self.upstreams = upstreams
+        self.paces: list[UpstreamPace | None] = []
+        # Called after so many lines.
+        self.on_line: dict[int, Callable[[], None]] = {}
+        listeners = FeedListeners(
+            *(lambda *_given: None for _field in FeedListeners.__slots__)
+        )
+        self._follower = LoadFollower(
+            SimpleNamespace(peers='127.0.0.1:1'),
+            SimpleNamespace(list_upstreams=lambda: self.upstreams),
+            None,
+            random.Random(1),
+            listeners,
+        )
+
+    def deliver(self, *lines: FeedLine) -> list[UpstreamPace | None]:
+        """Deliver lines on one connection; return the pace after each."""
+        self.paces.clear()
+        remaining = list(lines)
+        self._follower._read(
+            self.upstreams[0].address,
+            SimpleNamespace(
+                send=lambda *_given: None,
+                read_line=lambda _timeout: self._read_line(remaining),
+                abort=lambda: None,
+                close=lambda: None,
+            ),
+        )
+        return self.paces[1:]
+
+    def _read_line(self, remaining: list[FeedLine]) -> bytes:
+        self.paces.append(self.upstreams[0].pace)
+        self.on_line.get(len(self.paces) - 1, lambda: None)()
+        return msgspec.json.encode(remaining.pop(0)) if remaining else b''
+
+
+def _make_line(incarnation: int, pace: UpstreamPace | None = None) -> FeedLine:
+    load = OnlineLoad(1, takes_work=True, incarnation=incarnation)
+    return FeedLine(load, pace=pace)
+
+
+def test_pace_of_an_earlier_worker_is_dropped() -> None:
+    """Guards against a pace that an older build, which sends none, leaves."""
+    pace = UpstreamPace(FAST_SECONDS)
+    feed = _Feed([build_upstream('vm-0', incarnation=5)])
+    assert feed.deliver(_make_line(5, pace), _make_line(5)) == [pace, pace]
+    assert feed.deliver(_make_line(5), _make_line(5)) == [None, None]
+
+
+def test_pace_of_an_earlier_start_is_not_applied() -> None:
+    """Guards against a line that was sent before an upstream restarted."""
+    pace = UpstreamPace(FAST_SECONDS)
+    feed = _Feed([build_upstream('vm-0', incarnation=6)])
+    lines = [_make_line(5, pace), _make_line(6), _make_line(6, pace)]
+    assert feed.deliver(*lines) == [None, None, pace]
+
+
+def test_state_that_is_created_anew_gets_the_pace() -> None:
+    """Guards against no pace until it changes, after an entry was re-read."""
+    pace = UpstreamPace(FAST_SECONDS)
+    feed = _Feed([build_upstream('vm-0', incarnation=5)])
+    state = build_upstream('vm-0', incarnation=5)
+    feed.on_line = {1: lambda: feed.upstreams.__setitem__(0, state)}
+    assert feed.deliver(_make_line(5, pace), _make_line(5)) == [pace, pace]
+    assert state.pace == pace
+
+
 def test_long_slow_period_is_logged_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
