Find the usual pace of a service at most every 0.1 s

Each choice compared the paces of up to 40 upstreams, after those were left out that the request was sent to before, so that the reference differed by request. The chooser now keeps the usual pace of each service for 0.1 s (UsualPaces) and finds it over the usable upstreams before exclusion; choose_upstream takes it as an argument and stays pure. The replay does so for each entry.

The comments of UNEQUAL_CANDIDATES and estimate_cost now state the reason alone.

--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.route import (
     RoutingCriteria,
     choose_upstream,
     find_usable,
+    find_usual_pace,
 )
 
 if TYPE_CHECKING:
@@ -22,6 +24,39 @@
     from wigeonpier.policy.route import UpstreamState
 
 NONE_EXCLUDED: frozenset[str] = frozenset()
+# Paces change with the lines of the load feed, ten times a second.
+USUAL_PACE_SECONDS = 0.1
+# More than the services of an entry; requests may name others.
+MAX_USUAL_PACES = 256
+
+
+@dataclass(slots=True)
+class UsualPaces:
+    """Keeps the usual pace of each service for a short time."""
+
+    _found: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def find(
+        self,
+        upstreams: list[UpstreamState],
+        criteria: RoutingCriteria,
+        now: float,
+    ) -> float:
+        """Find the usual pace of a service.
+
+        :param upstreams: all upstreams that the entry routes to.
+        :param criteria: requirements of the request.
+        :param now: seconds.
+        :returns: usual baseline, seconds; 0 where baselines are nearly equal.
+        """
+        found_at, usual = self._found.get(criteria.service, (-math.inf, 0))
+        if now - found_at < USUAL_PACE_SECONDS:
+            return usual
+        usual = find_usual_pace(upstreams, criteria, now)
+        if len(self._found) >= MAX_USUAL_PACES:
+            self._found.clear()
+        self._found[criteria.service] = (now, usual)
+        return usual
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +66,13 @@
     :param settings: settings of the process.
     :param replicas: upstreams that may be routed to.
     :param rng: source of randomness.
+    :param usual_paces: paces that the upstreams of a service are compared with.
     """
 
     settings: HostSettings
     replicas: ReplicaRegister
     rng: random.Random
+    usual_paces: UsualPaces = field(default_factory=UsualPaces)
 
     def choose(
         self,
@@ -49,12 +86,11 @@
         :param excluded: names of other upstreams to leave out.
         :returns: the upstream, ``None`` if there is none.
         """
-        return choose_upstream(
-            self.replicas.list_upstreams(),
-            self._make_criteria(request, excluded),
-            time.monotonic(),
-            self.rng,
-        )
+        now = time.monotonic()
+        upstreams = self.replicas.list_upstreams()
+        criteria = self._make_criteria(request, excluded)
+        usual = self.usual_paces.find(upstreams, criteria, now)
+        return choose_upstream(upstreams, criteria, now, self.rng, usual)
 
     def list_candidates(self, request: OnlineRequest) -> list[UpstreamState]:
         """List all upstreams that could run a request, at any distance.
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.incarnation import is_earlier, name_start
@@ -34,10 +34,8 @@
 AFFINITY_CANDIDATES = 2
 AFFINITY_SLACK = 0.25
 CANDIDATES = 2
-# With paces that differ, two random upstreams are often of the same pace; among
-# four, entries that decide at the same moment choose the same fast ones.  In
-# the replay of unequal upstreams 0.014 of the requests are late with two, 0.007
-# with three, 0.011 with four.
+# With paces that differ, two random upstreams are often both slow; with more
+# than three, entries that decide at the same moment choose the same fast ones.
 UNEQUAL_CANDIDATES = 3
 MAX_REPORT_AGE_SECONDS = 5.0
 # The feed sends ten lines a second; after a second without one, the process
@@ -136,6 +134,7 @@
     criteria: RoutingCriteria,
     now: float,
     rng: random.Random,
+    reference: float = 0,
 ) -> UpstreamState | None:
     """Choose the upstream of a request.
 
@@ -148,12 +147,13 @@
     :param criteria: requirements of the request.
     :param now: seconds.
     :param rng: source of randomness.
+    :param reference: usual baseline of the service (``find_usual_pace``),
+        seconds; 0 where baselines are nearly equal.
     :returns: the upstream, ``None`` where none may be used.
     """
     usable = find_usable(upstreams, criteria, now)
     if not usable:
         return None
-    reference = _find_reference(usable, now)
     candidates = UNEQUAL_CANDIDATES if reference else CANDIDATES
     best = min(
         rng.sample(usable, min(len(usable), candidates)),
@@ -198,6 +198,29 @@
     return sorted(remaining, key=lambda state: state.ejected_until)[:min_usable]
 
 
+def find_usual_pace(
+    upstreams: list[UpstreamState], criteria: RoutingCriteria, now: float
+) -> float:
+    """Find the pace that the upstreams of a request are compared with.
+
+    Upstreams that the request was sent to already count as well, so that all
+    requests of a service have the same reference.
+
+    :param upstreams: all upstreams that the entry knows.
+    :param criteria: requirements of the request.
+    :param now: seconds.
+    :returns: usual baseline, seconds; 0 where baselines are nearly equal.
+    """
+    every = replace(criteria, excluded=frozenset())
+    return find_reference(
+        [
+            state.pace
+            for state in find_usable(upstreams, every, now)
+            if state.pace and state.load_fresh_until > now
+        ],
+    )
+
+
 def estimate_cost(
     state: UpstreamState,
     criteria: RoutingCriteria,
@@ -210,13 +233,9 @@
     Otherwise the entry's own count is exact, and the last report only adds the
     requests of other entries, with a weight that falls as the report ages.
 
-    Where paces differ or an upstream is slow, the load is scaled by the root of the time that a
-    request takes relative to the others.  The expected time to the end grows
-    with that time and faster than in proportion to the load, since the last
-    slots may be taken by requests of other entries meanwhile; the root orders
-    upstreams by time times the square of the load, and keeps the unit of the
-    penalties.  In the replay 0.007 of the requests are late, also with an
-    exponent of 0.7, 0.010 with 0.3 and 1, and 0.026 by load alone.
+    Where paces differ or an upstream is slow, the load is scaled by the root of
+    the time that a request takes relative to the others: the risk to wait for
+    the last slots grows faster than in proportion to the load.
 
     :param state: the upstream.
     :param criteria: requirements of the request.
@@ -339,16 +358,6 @@
     state.health = None
 
 
-def _find_reference(upstreams: list[UpstreamState], now: float) -> float:
-    return find_reference(
-        [
-            state.pace
-            for state in upstreams
-            if state.pace and state.load_fresh_until > now
-        ],
-    )
-
-
 def _is_healthy(state: UpstreamState, now: float) -> bool:
     reports_unhealthy = state.load_fresh_until > now and not state.takes_work
     return state.ejected_until <= now and not reports_unhealthy
--- a/tests/policy/test_pace.py
+++ b/tests/policy/test_pace.py
@@ -13,6 +13,7 @@
 from tests.builders import build_upstream
 from tests.policy.prompts import PromptLoad
 from tests.policy.unequal import EQUAL, UPSTREAMS, UnequalModel
+from wigeonpier.hosted.chooser import UsualPaces
 from wigeonpier.models import OnlineLoad
 from wigeonpier.policy.pace import (
     MAX_ROUND_TRIP_SECONDS,
@@ -22,7 +23,9 @@
 from wigeonpier.policy.route import (
     FEED_TIMEOUT_SECONDS,
     RoutingCriteria,
+    UpstreamState,
     choose_upstream,
+    find_usual_pace,
     record_load,
 )
 from wigeonpier.reports import UpstreamPace
@@ -51,6 +54,17 @@
 )
 
 
+def _choose(
+    states: list[UpstreamState],
+    criteria: RoutingCriteria,
+    now: float,
+    rng: random.Random,
+) -> UpstreamState | None:
+    """Choose as an entry does that has just found the usual pace."""
+    usual = find_usual_pace(states, criteria, now)
+    return choose_upstream(states, criteria, now, rng, usual)
+
+
 class Worker:
     """Reports two runs to an estimator, the second of which is delayed."""
 
@@ -128,10 +142,10 @@
     for state in states:
         record_load(state, OnlineLoad(state.in_flight, takes_work=True), 10)
     rngs = random.Random(seed), random.Random(seed)
-    by_count = choose_upstream(states, CRITERIA, 10, rngs[0])
+    by_count = _choose(states, CRITERIA, 10, rngs[0])
     for state, pace in zip(states, paces, strict=True):
         state.pace = pace
-    assert choose_upstream(states, CRITERIA, 10, rngs[1]) is by_count
+    assert _choose(states, CRITERIA, 10, rngs[1]) is by_count
     assert rngs[0].random() == rngs[1].random()
 
 
@@ -153,9 +167,9 @@
         state.pace = UpstreamPace(pace)
     states[1].reported = 1
     rng = random.Random(1)
-    assert choose_upstream(states, CRITERIA, 10, rng) is states[0]
+    assert _choose(states, CRITERIA, 10, rng) is states[0]
     later = 10.1 + FEED_TIMEOUT_SECONDS
-    assert choose_upstream(states, CRITERIA, later, rng) is states[1]
+    assert _choose(states, CRITERIA, later, rng) is states[1]
 
 
 def test_baseline_is_known_within_a_second() -> None:
@@ -189,6 +203,24 @@
     assert changed.slowdown == 1
 
 
+def test_usual_pace_is_found_before_exclusion_and_at_most_every_100_ms() -> (
+    None
+):
+    """Guards against its cost for each choice, and a reference by request."""
+    states = [build_upstream('vm-0'), build_upstream('vm-1')]
+    for state, pace in zip(states, (0.002, 0.005), strict=True):
+        record_load(state, OnlineLoad(0, takes_work=True), 10)
+        state.pace = UpstreamPace(pace)
+    paces = UsualPaces()
+    retry = replace(CRITERIA, excluded=frozenset({'vm-1'}))
+    assert paces.find(states, retry, 10) == 0.005
+    states[1].pace = UpstreamPace(0.004)
+    assert paces.find(states, CRITERIA, 10.05) == 0.005
+    other = replace(CRITERIA, service='other')
+    assert paces.find(states, other, 10.05) == 0
+    assert paces.find(states, CRITERIA, 10.11) == 0.004
+
+
 @pytest.mark.parametrize('load', PROMPTS, ids=str)
 def test_prompts_and_late_reports_rarely_look_slow(load: PromptLoad) -> None:
     """Guards against false slow periods of an upstream that works as usual."""
@@ -260,12 +292,12 @@
     for seed in range(100):
         rng = random.Random(seed)
         drawn = random.Random(seed).sample(states, 2)
-        chosen = choose_upstream(states, CRITERIA, 10, rng)
+        chosen = _choose(states, CRITERIA, 10, rng)
         if states[0] not in drawn:
             assert chosen is min(drawn, key=lambda state: state.in_flight)
     for state in states:
         record_load(state, OnlineLoad(0, takes_work=True), 10)
-    chosen = choose_upstream(states[:2], CRITERIA, 10, random.Random(1))
+    chosen = _choose(states[:2], CRITERIA, 10, random.Random(1))
     assert chosen is states[1]
 
 
--- a/tests/policy/unequal.py
+++ b/tests/policy/unequal.py
@@ -26,6 +26,7 @@
 from wigeonpier.policy.route import (
     RoutingCriteria,
     choose_upstream,
+    find_usual_pace,
     record_load,
 )
 
@@ -132,6 +133,7 @@
             ]
             for _ in range(ENTRIES)
         ]
+        self.usual_paces = [0.0] * ENTRIES
 
     def run(self) -> float:
         """Run the model; return the share of late requests."""
@@ -165,6 +167,11 @@
                 for states in self.states:
                     record_load(states[number], load, self.now)
                     states[number].pace = pace if self.has_pace else None
+            criteria = RoutingCriteria('s', 'm', '', 'a', 'r')
+            self.usual_paces = [
+                find_usual_pace(states, criteria, self.now)
+                for states in self.states
+            ]
 
     def _arrive(self, arrived_at: float) -> None:
         spread = self.arrivals.uniform(1 - SPREAD, 1 + SPREAD)
@@ -178,7 +185,11 @@
     def _choose(self, entry: int, tried: frozenset[str]) -> UpstreamState:
         criteria = RoutingCriteria('s', 'm', '', 'a', 'r', tried)
         chosen = choose_upstream(
-            self.states[entry], criteria, self.now, self.rng
+            self.states[entry],
+            criteria,
+            self.now,
+            self.rng,
+            self.usual_paces[entry],
         )
         assert chosen is not None
         return chosen
