Bound the length of figures in the load header, and drop the unused one

A figure of thousands of digits made int() raise ValueError in parse_load; one of more than 9 digits now makes the header invalid. Nothing used the fourth figure, so UpstreamReport.work_factor is gone and later figures are ignored.

Measured: tests/platform pass.

--- a/src/wigeonpier/platform/register.py
+++ b/src/wigeonpier/platform/register.py
@@ -11,10 +11,10 @@
 
 REGISTER = wire.REGISTER
 MIN_LOAD_FIELDS = 2
-# Position of the figure for how long work takes, and its value for the usual
-# time.
-WORK_FIELD = 3
-USUAL_WORK = 100
+# Running and waiting requests and slots; later figures are not used.
+USED_LOAD_FIELDS = 3
+# A longer figure is no count of requests, and int() refuses thousands of digits.
+MAX_DIGITS = 9
 MAX_PORT = 65_535
 
 _NO_RUNS = msgspec.Raw(b'[]')
@@ -170,30 +170,18 @@
     """Parse the load header of an answer.
 
     :param text: value of the header.
-    :returns: the load, ``None`` where the header is absent or invalid.  An
-        absent or invalid figure for how long work takes reads as 0.
+    :returns: the load, ``None`` where the header is absent or invalid.
     """
     parts = text.split(',')
     if len(parts) < MIN_LOAD_FIELDS or not all(
-        _is_number(part) for part in parts[:WORK_FIELD]
+        _is_number(part) for part in parts[:USED_LOAD_FIELDS]
     ):
         return None
-    return UpstreamReport(
-        int(parts[0]),
-        int(parts[1]),
-        work_factor=_parse_work(parts[WORK_FIELD:]),
-    )
-
-
-def _parse_work(parts: list[str]) -> float:
-    if not parts:
-        return 0
-    figure = parts[0].strip()
-    return int(figure) / USUAL_WORK if _is_number(figure) else 0
+    return UpstreamReport(int(parts[0]), int(parts[1]))
 
 
 def _is_number(text: str) -> bool:
-    return text.isascii() and text.isdigit()
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
 def _decode_tokens(raw: msgspec.Raw) -> dict[str, int]:
