Test the choice by count after the worker of an upstream is lost

The test of requests without measurements only checked that requests were answered after the worker had left. It is split: one test that the baseline is kept while no runs are reported, and one that waits until the load is no longer fresh and compares 50 choices with those of upstreams without a pace.

--- a/tests/hosted/test_upstream_pace.py
+++ b/tests/hosted/test_upstream_pace.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+import time
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
@@ -15,6 +17,12 @@
 from wigeonpier.hosted.news import FeedLine
 from wigeonpier.hosted.pacemeter import LOGGED_SLOW_SECONDS, PaceMeter
 from wigeonpier.models import OnlineLoad, UpstreamReport
+from wigeonpier.policy.route import (
+    RoutingCriteria,
+    choose_upstream,
+    count_requests,
+    find_usual_pace,
+)
 from wigeonpier.reports import UpstreamPace
 from wigeonpier.telemetry.metrics import Metrics
 
@@ -30,6 +38,7 @@
 SLOW_SECONDS = 0.005
 POLL_SECONDS = 0.05
 REQUESTS = 8
+CHOICES = 50
 
 
 def _get_states(site: HostedSite) -> list[UpstreamState]:
@@ -94,10 +103,8 @@
     _ask(site)
 
 
-def test_requests_are_served_by_count_without_measurements(
-    site: HostedSite,
-) -> None:
-    """Runs are no longer reported, then the worker of one upstream dies."""
+def test_baseline_is_kept_while_no_runs_are_reported(site: HostedSite) -> None:
+    """Guards against a choice by count after some seconds without requests."""
     _start(site)
     _wait_for_paces(site)
     known = [state.pace.event_seconds for state in _get_states(site)]
@@ -107,9 +114,53 @@
     paces = [state.pace for state in _get_states(site)]
     assert [pace.event_seconds for pace in paces] == known
     assert [pace.slowdown for pace in paces] == [1, 1]
+
+
+def _wait_until_idle(states: list[UpstreamState]) -> None:
+    wait_for(
+        lambda: (
+            not any(count_requests(state, time.monotonic()) for state in states)
+        ),
+        'no request is counted',
+    )
+
+
+def _choose(states: list[UpstreamState]) -> list[str]:
+    """Choose for many requests as an entry does; return the names."""
+    criteria = RoutingCriteria(
+        states[0].service, '', '', states[0].data_centre, states[0].region
+    )
+    now = time.monotonic()
+    usual = find_usual_pace(states, criteria, now)
+    chosen = [
+        choose_upstream(states, criteria, now, random.Random(seed), usual)
+        for seed in range(CHOICES)
+    ]
+    return [state.name for state in chosen if state]
+
+
+def test_requests_are_served_by_count_without_a_worker(
+    site: HostedSite,
+) -> None:
+    """Guards against a choice by paces that are no longer reported."""
+    _start(site)
+    _wait_for_paces(site)
+    fast, slow = states = _get_states(site)
+    _wait_until_idle(states)
+    assert set(_choose(states)) == {fast.name}
     site.workers[1].leave(1)
     site.workers[1]._server.stop()
     _ask(site)
+    wait_for(
+        lambda: slow.load_fresh_until < time.monotonic(),
+        'the load of the upstream is no longer fresh',
+    )
+    _wait_until_idle(states)
+    assert slow.pace is not None
+    without_paces = [replace(state, pace=None) for state in states]
+    assert _choose(states) == _choose(without_paces)
+    assert set(_choose(states)) == {fast.name, slow.name}
+    _ask(site)
 
 
 class _Feed:
