Merge the choice of upstreams by their pace

Cause: no line of the source knew that upstreams differ in speed. Change: workers measure the growth of output tokens and report the pace; entries choose by expected time where paces differ.

--- a/src/wigeonpier/platform/register.py
+++ b/src/wigeonpier/platform/register.py
@@ -11,8 +11,14 @@
 
 REGISTER = wire.REGISTER
 MIN_LOAD_FIELDS = 2
+# Running and waiting requests and slots; later figures are not used.
+USED_LOAD_FIELDS = 3
+# A longer figure is no count of requests, and int() refuses thousands of digits.
+MAX_DIGITS = 9
 MAX_PORT = 65_535
 
+_NO_RUNS = msgspec.Raw(b'[]')
+
 
 class _State(StrEnum):
     ready = 'ready'
@@ -38,12 +44,23 @@
     born: int = 0
 
 
+class _Run(msgspec.Struct, array_like=True):
+    name: str
+    # Tokens in memory.
+    size: float
+    # Output tokens.
+    made: int
+    priority: int = 0
+
+
 class _Report(msgspec.Struct):
     running: int = 0
     # Requests that wait for a slot.
     queued: int = 0
     state: str = _State.ready
     born: int = 0
+    # Decoded separately: the load is usable without it.
+    runs: msgspec.Raw = _NO_RUNS
 
 
 class ForeignEntryError(ValueError):
@@ -111,6 +128,14 @@
             report.waiting,
             _name_state(is_leaving=report.is_leaving),
             report.incarnation,
+            msgspec.Raw(
+                msgspec.json.encode(
+                    [
+                        _Run(name, 0, made)
+                        for name, made in report.tokens.items()
+                    ],
+                ),
+            ),
         ),
     )
 
@@ -137,6 +162,7 @@
         found.queued,
         found.state == _State.draining,
         found.born,
+        _decode_tokens(found.runs),
     )
 
 
@@ -148,17 +174,28 @@
     """
     parts = text.split(',')
     if len(parts) < MIN_LOAD_FIELDS or not all(
-        part.isdigit() for part in parts
+        _is_number(part) for part in parts[:USED_LOAD_FIELDS]
     ):
         return None
     return UpstreamReport(int(parts[0]), int(parts[1]))
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
+def _decode_tokens(raw: msgspec.Raw) -> dict[str, int]:
+    try:
+        runs = msgspec.json.decode(raw, type=list[_Run])
+    except msgspec.DecodeError:
+        return {}
+    return {run.name: run.made for run in runs}
+
+
 def _name_state(*, is_leaving: bool) -> _State:
     return _State.draining if is_leaving else _State.ready
 
 
 def _is_address(text: str) -> bool:
     host, _colon, port = text.rpartition(':')
-    is_port = port.isascii() and port.isdigit()
-    return bool(host) and is_port and 0 < int(port) <= MAX_PORT
+    return bool(host) and _is_number(port) and 0 < int(port) <= MAX_PORT
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -9,10 +9,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.incarnation import is_earlier, name_start
+from wigeonpier.policy.pace import compare_time, find_reference
 from wigeonpier.policy.ranking import rank_by_key
 
 if TYPE_CHECKING:
@@ -31,6 +33,10 @@
 REGION_PENALTY = 2.0
 AFFINITY_CANDIDATES = 2
 AFFINITY_SLACK = 0.25
+CANDIDATES = 2
+# With paces that differ, two random upstreams are often both slow; with more
+# than three, entries that decide at the same moment choose the same fast ones.
+UNEQUAL_CANDIDATES = 3
 MAX_REPORT_AGE_SECONDS = 5.0
 # The feed sends ten lines a second; after a second without one, the process
 # that sends it has exited or cannot be reached.
@@ -128,29 +134,34 @@
     criteria: RoutingCriteria,
     now: float,
     rng: random.Random,
+    reference: float = 0,
 ) -> UpstreamState | None:
     """Choose the upstream of a request.
 
-    Two candidates are drawn at random and the less loaded one is used.  If the
-    start of the prompt was seen before, the upstreams that its hash ranks
-    first are preferred as long as they are not much busier.
+    Two candidates are drawn at random and the less loaded one is used.  Where
+    baseline paces differ, three are drawn and the one with the least expected
+    time is used.  If the start of the prompt was seen before, the upstreams that its
+    hash ranks first are preferred as long as they are not much busier.
 
     :param upstreams: all upstreams that the entry knows.
     :param criteria: requirements of the request.
     :param now: seconds.
     :param rng: source of randomness.
+    :param reference: usual baseline of the service (``find_usual_pace``),
+        seconds; 0 where baselines are nearly equal.
     :returns: the upstream, ``None`` where none may be used.
     """
     usable = find_usable(upstreams, criteria, now)
     if not usable:
         return None
+    candidates = UNEQUAL_CANDIDATES if reference else CANDIDATES
     best = min(
-        rng.sample(usable, min(len(usable), 2)),
-        key=lambda state: estimate_cost(state, criteria, now),
+        rng.sample(usable, min(len(usable), candidates)),
+        key=lambda state: estimate_cost(state, criteria, now, reference),
     )
     if not criteria.affinity:
         return best
-    return _prefer_cached(usable, best, criteria, now)
+    return _prefer_cached(usable, best, criteria, now, reference)
 
 
 def find_usable(
@@ -187,8 +198,34 @@
     return sorted(remaining, key=lambda state: state.ejected_until)[:min_usable]
 
 
+def find_usual_pace(
+    upstreams: list[UpstreamState], criteria: RoutingCriteria, now: float
+) -> float:
+    """Find the pace that the upstreams of a request are compared with.
+
+    Upstreams that the request was sent to already count as well, so that all
+    requests of a service have the same reference.
+
+    :param upstreams: all upstreams that the entry knows.
+    :param criteria: requirements of the request.
+    :param now: seconds.
+    :returns: usual baseline, seconds; 0 where baselines are nearly equal.
+    """
+    every = replace(criteria, excluded=frozenset())
+    return find_reference(
+        [
+            state.pace
+            for state in find_usable(upstreams, every, now)
+            if state.pace and state.load_fresh_until > now
+        ],
+    )
+
+
 def estimate_cost(
-    state: UpstreamState, criteria: RoutingCriteria, now: float
+    state: UpstreamState,
+    criteria: RoutingCriteria,
+    now: float,
+    reference: float = 0,
 ) -> float:
     """Estimate how busy an upstream is, as a share of its slots.
 
@@ -196,12 +233,20 @@
     Otherwise the entry's own count is exact, and the last report only adds the
     requests of other entries, with a weight that falls as the report ages.
 
+    Where paces differ or an upstream is slow, the load is scaled by the root of
+    the time that a request takes relative to the others: the risk to wait for
+    the last slots grows faster than in proportion to the load.
+
     :param state: the upstream.
     :param criteria: requirements of the request.
     :param now: seconds.
+    :param reference: usual baseline of the service, seconds; 0 where baselines
+        are nearly equal.
     :returns: load, with penalties for distance and for a recent ejection.
     """
     load = (count_requests(state, now) + 1) / max(1, state.slots)
+    if state.pace and state.load_fresh_until > now:
+        load *= math.sqrt(compare_time(state.pace, reference))
     since_return = now - state.ejected_until
     if state.ejections and since_return < RAMP_SECONDS:
         load /= max(MIN_RAMP_SHARE, since_return / RAMP_SECONDS)
@@ -323,12 +368,14 @@
     best: UpstreamState,
     criteria: RoutingCriteria,
     now: float,
+    reference: float,
 ) -> UpstreamState:
     by_name = {state.name: state for state in usable}
-    bound = estimate_cost(best, criteria, now) + AFFINITY_SLACK
+    bound = estimate_cost(best, criteria, now, reference) + AFFINITY_SLACK
     for name in rank_by_key(list(by_name), criteria.affinity)[
         :AFFINITY_CANDIDATES
     ]:
-        if estimate_cost(by_name[name], criteria, now) <= bound:
+        cost = estimate_cost(by_name[name], criteria, now, reference)
+        if cost <= bound:
             return by_name[name]
     return best
