--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -10,10 +10,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.incarnation import is_earlier, name_start
 from wigeonpier.policy.ranking import rank_by_key
+from wigeonpier.reports import HealthState
 
 if TYPE_CHECKING:
     import random
@@ -40,6 +42,13 @@
 CRASH_HOLD_SECONDS = 5.0
 # A report that arrives this soon after a crash was sent before it.
 LATE_REPORT_SECONDS = 0.5
+_HEALTH_RANKS = MappingProxyType(
+    {
+        HealthState.healthy: 0,
+        HealthState.on_trial: 1,
+        HealthState.ejected: 2,
+    }
+)
 
 
 @dataclass(slots=True)
@@ -71,6 +80,7 @@
         that.
     :param health: its health by the outcomes of requests of all entries,
         ``None`` where its worker does not report that.
+    :param unhealthy_since: when it was reported as ejected, seconds.
     """
 
     name: str
@@ -96,6 +106,7 @@
     queued: int = 0
     pace: UpstreamPace | None = None
     health: UpstreamHealth | None = None
+    unhealthy_since: float = 0
 
     @property
     def start(self) -> str:
@@ -113,6 +124,8 @@
     :param data_centre: data centre of the entry.
     :param region: region of the entry.
     :param excluded: upstreams that were tried already.
+    :param is_repeatable: whether the request may run once more if the upstream
+        fails it, and so may be sent to an upstream on trial.
     """
 
     service: str
@@ -121,6 +134,7 @@
     data_centre: str
     region: str
     excluded: frozenset[str] = field(default_factory=frozenset)
+    is_repeatable: bool = True
 
 
 def choose_upstream(
@@ -161,7 +175,9 @@
     """Find the upstreams that may get a request.
 
     At most half of the upstreams are left out because of failures or an
-    unhealthy report.  If more were, those whose ejection ends soonest are used.
+    unhealthy report.  If more were, those are used that are on trial, then
+    those that were reported as ejected first, then those whose own ejection
+    ends soonest.
 
     :param upstreams: all upstreams that the entry knows.
     :param criteria: requirements of the request.
@@ -180,11 +196,23 @@
     remaining = [
         state for state in serving if state.name not in criteria.excluded
     ]
-    healthy = [state for state in remaining if _is_healthy(state, now)]
+    healthy = [
+        state
+        for state in remaining
+        if _is_healthy(state, now)
+        and _rank_health(state, now) <= int(criteria.is_repeatable)
+    ]
     min_usable = len(serving) - int(len(serving) * MAX_EJECTED_SHARE)
     if len(healthy) >= min(min_usable, len(remaining)):
         return healthy
-    return sorted(remaining, key=lambda state: state.ejected_until)[:min_usable]
+    return sorted(
+        remaining,
+        key=lambda state: (
+            _rank_health(state, now),
+            state.unhealthy_since,
+            state.ejected_until,
+        ),
+    )[:min_usable]
 
 
 def estimate_cost(
@@ -280,6 +308,32 @@
     return now - state.crashed_at < CRASH_HOLD_SECONDS
 
 
+def record_health(
+    state: UpstreamState, health: UpstreamHealth | None, now: float
+) -> None:
+    """Update the health of an upstream that its worker reports.
+
+    :param state: changed in place.
+    :param health: its health, ``None`` where the worker reports none.
+    :param now: seconds.
+    """
+    state.health = health
+    if health is None or health.state is HealthState.healthy:
+        state.unhealthy_since = 0
+    elif health.state is HealthState.ejected:
+        state.unhealthy_since = now
+
+
+def is_ejected(state: UpstreamState, now: float) -> bool:
+    """Check whether the worker of an upstream reports it as ejected.
+
+    :param state: the upstream.
+    :param now: seconds.
+    :returns: false also where the report is no longer fresh.
+    """
+    return _rank_health(state, now) > 1
+
+
 def record_outcome(state: UpstreamState, went_well: bool, now: float) -> None:
     """Eject an upstream after failures in a row, longer each time.
 
@@ -311,6 +365,7 @@
     state.ejected_until = 0
     state.pace = None
     state.health = None
+    state.unhealthy_since = 0
 
 
 def _is_healthy(state: UpstreamState, now: float) -> bool:
@@ -318,6 +373,13 @@
     return state.ejected_until <= now and not reports_unhealthy
 
 
+def _rank_health(state: UpstreamState, now: float) -> int:
+    """Rank by reported health: 0 healthy, 1 on trial, 2 ejected."""
+    if state.health is None or state.load_fresh_until <= now:
+        return 0
+    return _HEALTH_RANKS[state.health.state]
+
+
 def _prefer_cached(
     usable: list[UpstreamState],
     best: UpstreamState,
