Report outcomes of requests to the worker, which tells all entries

Cause: an error answer to a once-only request was counted nowhere, and each entry judged an upstream on its own. Change: entries report failures at once (POST /outcomes) and successes with the next reservation call; the worker judges, sends health with the load feed and refuses reservations while the upstream is ejected; one batch item is tried first. In force where has_unreliable_upstreams is set.

--- a/src/wigeonpier/hosted/binder.py
+++ b/src/wigeonpier/hosted/binder.py
@@ -13,6 +13,7 @@
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.policy import reservation
 from wigeonpier.policy.prioritygate import PriorityGate
+from wigeonpier.policy.route import is_ejected
 from wigeonpier.policy.suspicion import RunMode
 
 if TYPE_CHECKING:
@@ -195,8 +196,11 @@
             candidate = self.chooser.choose(request, tried)
             if candidate is None:
                 break
-            # Without a load feed there is no worker to reserve a slot at.
-            if candidate.load_fresh_until <= time.monotonic():
+            now = time.monotonic()
+            # Without a load feed there is no worker to reserve a slot at, and
+            # the worker of an ejected upstream grants none; such an upstream
+            # is chosen only if more than half of them are ejected.
+            if candidate.load_fresh_until <= now or is_ejected(candidate, now):
                 return candidate
             reservation_outcome = self.reserve_slot(request, candidate)
             if reservation_outcome is ReservationOutcome.granted:
--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -80,4 +80,5 @@
             data_centre=self.settings.data_centre,
             region=self.settings.region,
             excluded=frozenset(request.tried | excluded),
+            is_repeatable=not request.is_last_attempt,
         )
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -22,6 +22,7 @@
 from wigeonpier.hosted.knowledge import ConfigurationFreshness
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfollower import FeedListeners, LoadFollower
+from wigeonpier.hosted.outcomes import OutcomeReporter
 from wigeonpier.hosted.proofs import FreshnessProver
 from wigeonpier.hosted.quarantine.publisher import QuarantinePublisher
 from wigeonpier.hosted.quarantine.store import QuarantineStore
@@ -241,11 +242,15 @@
     def _make_sender(self) -> RequestSender:
         context = self._context
         chooser = UpstreamChooser(context.settings, self._replicas, context.rng)
+        outcomes = OutcomeReporter(
+            context.settings, context.pool, context.metrics
+        )
         reserver = SlotReserver(
             split_address(context.settings.peers)[1],
             context.pool,
             context.metrics,
             self._limiter,
+            outcomes,
         )
         suspects = SuspectTracker(
             self._suspicions,
@@ -265,7 +270,7 @@
             suspects,
             TrialPlacer(chooser, reserver, suspects),
         )
-        return RequestSender(binder, context.pool)
+        return RequestSender(binder, context.pool, outcomes)
 
     def _record_load(self, host: str, load: OnlineLoad) -> None:
         self._isolation_detector.record_contact()
--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wigeonpier.hosted.healthkeeper import HealthKeeper
     from wigeonpier.hosted.items import ItemWork
     from wigeonpier.hosted.quarantine.store import QuarantineStore
     from wigeonpier.hosted.upstream import LocalUpstream
@@ -49,6 +50,8 @@
     :param trials: suspected requests at the upstream, online ones included.
     :param crash_detector: finds out whether the upstream has crashed.
     :param quarantine: saves refused requests in the store.
+    :param health: keeps the health of the upstream, by which items wait while
+        it is ejected, and are the first to try it.
     """
 
     upstream: LocalUpstream
@@ -56,14 +59,17 @@
     trials: TrialTable
     crash_detector: CrashDetector
     quarantine: QuarantineStore
+    health: HealthKeeper
 
     def is_runnable(self, work: ItemWork) -> bool:
         """Check whether an item may run at all.
 
         :param work: the item.
-        :returns: false if it is refused; it then takes no slot from others.
+        :returns: false if it is refused or the upstream is ejected; it then
+            takes no slot from others.
         """
-        return self._get_run_mode(work) is not RunMode.refused
+        is_refused = self._get_run_mode(work) is RunMode.refused
+        return not is_refused and self.health.may_start_item()
 
     def try_admit(self, work: ItemWork) -> bool:
         """Admit an item if it may be started now.
@@ -72,19 +78,13 @@
         :returns: false if it has to wait or is refused.
         """
         work.isolation = ''
-        run_mode = self._get_run_mode(work)
-        if run_mode is RunMode.free:
-            return True
-        isolation = ISOLATION_BY_RUN_MODE.get(run_mode)
-        if isolation is None:
+        # Several items may be chosen at once, of which one is tried.
+        if not self.health.may_start_item():
             return False
-        now = time.monotonic()
-        verdict = self.trials.check(work.fingerprint, isolation, now)
-        if verdict is not Verdict.granted:
-            return False
-        work.isolation = isolation.value
-        self.trials.add(work.fingerprint, isolation, now)
-        return True
+        is_admitted = self._try_isolate(work)
+        if is_admitted:
+            self.health.start_item(work)
+        return is_admitted
 
     def update(self, running: Iterable[ItemWork]) -> None:
         """Renew trials of items that run alone; end others after the window.
@@ -105,6 +105,7 @@
 
         :param work: the item.
         """
+        self.health.end_item(work)
         if work.isolation:
             self.trials.remove(work.fingerprint)
 
@@ -145,3 +146,18 @@
             return RunMode.free
         versions = {self.upstream.replica.version}
         return self.suspicions.get_run_mode(work.fingerprint, versions)
+
+    def _try_isolate(self, work: ItemWork) -> bool:
+        run_mode = self._get_run_mode(work)
+        if run_mode is RunMode.free:
+            return True
+        isolation = ISOLATION_BY_RUN_MODE.get(run_mode)
+        if isolation is None:
+            return False
+        now = time.monotonic()
+        verdict = self.trials.check(work.fingerprint, isolation, now)
+        if verdict is not Verdict.granted:
+            return False
+        work.isolation = isolation.value
+        self.trials.add(work.fingerprint, isolation, now)
+        return True
--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -14,7 +14,7 @@
 from wigeonpier.hosted.loadfeed import LOAD_PATH
 from wigeonpier.hosted.news import FeedLine
 from wigeonpier.loops import spawn_loop
-from wigeonpier.policy.route import record_load
+from wigeonpier.policy.route import record_health, record_load
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -127,6 +127,7 @@
         is_followed = False
         try:
             exchange.send(raw, READ_TIMEOUT_SECONDS)
+            self._forget_health(address)
             while line := exchange.read_line(READ_TIMEOUT_SECONDS):
                 self._dispatch(address, line)
                 if not is_followed:
@@ -173,4 +174,13 @@
             state.pace = line.pace or state.pace
             health = line.health
             if health and health.incarnation == state.incarnation:
-                state.health = health
+                record_health(state, health, time.monotonic())
+
+    def _forget_health(self, address: str) -> None:
+        """Forget the health that an earlier process reported.
+
+        The one that answers may be of an earlier build, which reports none.
+        """
+        for state in self._replicas.list_upstreams():
+            if state.address == address:
+                record_health(state, None, time.monotonic())
--- /dev/null
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -0,0 +1,333 @@
+"""Reports to workers how their upstreams handled the requests of an entry.
+
+An upstream that fails requests at once shows little load and attracts more of
+them, so failures are sent at once, in a call that no caller waits for.
+Successes are sent with the next reservation call.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from contextlib import ExitStack
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from result import Err
+
+from wigeonpier.hosted.failures import SendFailure
+from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
+from wigeonpier.policy.incarnation import name_start
+from wigeonpier.reports import HealthState
+from wigeonpier.settings.process import split_address
+from wigeonpier.web.exchange import make_request
+
+if TYPE_CHECKING:
+    from wigeonpier.hosted.question import OnlineRequest
+    from wigeonpier.models import HostSettings
+    from wigeonpier.policy.route import UpstreamState
+    from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.pool import ConnectionPool
+
+OUTCOMES_PATH = '/outcomes'
+POST_TIMEOUT_SECONDS = 0.4
+# A worker of an earlier build answers 404; it is updated within minutes.
+MUTE_SECONDS = 30.0
+# Outcomes that wait for a reservation call to carry them.  At 150 requests a
+# second an entry sends one to the same upstream every 3 s.
+MAX_KEPT = 16
+KEEP_SECONDS = 10.0
+MAX_STARTS = 128
+# Without a queue an answer begins within some 0.06 s, and within 0.3 s at an
+# upstream that is slow for a moment.
+SILENT_OBJECTIVES = 2
+# An upstream may close a connection that was idle for longer just as a request
+# is sent on it, which is no failure; see ``LAST_ATTEMPT_MAX_IDLE_SECONDS``.
+MAX_IDLE_SECONDS = 0.15
+FINGERPRINT_DIGITS = 16
+FIRST_SERVER_ERROR = 500
+
+
+@dataclass(slots=True)
+class TrackedSend:
+    """One send whose outcome is to be reported.
+
+    :param upstream: name of the upstream.
+    :param incarnation: its start, 0 where it is unknown.
+    :param address: ``host:port`` of its worker.
+    :param is_trial: whether the upstream was on trial.
+    :param idle_seconds: how long the connection had been idle.
+    :param is_silent: whether it was reported as silent.
+    :param timer: reports it as silent later.
+    """
+
+    upstream: str
+    incarnation: int
+    address: str
+    is_trial: bool
+    idle_seconds: float
+    is_silent: bool = False
+    timer: gevent.Greenlet[..., None] | None = None
+
+    @property
+    def start(self) -> str:
+        """Identify the start of the upstream."""
+        return name_start(self.upstream, self.incarnation)
+
+    def stop_timer(self) -> None:
+        """Report no silence any more."""
+        if self.timer is not None:
+            self.timer.kill(block=False)
+            self.timer = None
+
+
+class OutcomeReporter:
+    """Collects the outcomes of requests and sends them to the workers."""
+
+    def __init__(
+        self, settings: HostSettings, pool: ConnectionPool, metrics: Metrics
+    ) -> None:
+        """Create the reporter.
+
+        :param settings: settings of the process; nothing is reported unless
+            they say that upstreams are unreliable.
+        :param pool: connections to the workers.
+        :param metrics: metrics of this process.
+        """
+        self._settings = settings
+        self._pool = pool
+        self._metrics = metrics
+        # Reports that wait for a reservation call, by start.
+        self._kept: dict[str, deque[tuple[float, SendReport]]] = {}
+        # Reports that a greenlet is sending, by start.
+        self._urgent: dict[str, list[SendReport]] = {}
+        self._muted_until: dict[str, float] = {}
+
+    def track(
+        self, request: OnlineRequest, upstream: UpstreamState, idle: float
+    ) -> None:
+        """Begin to track a send.
+
+        :param request: the request, just about to be sent.
+        :param upstream: the upstream that it is sent to.
+        :param idle: how long the connection had been idle, seconds.
+        """
+        request.tracked = None
+        if not self._settings.has_unreliable_upstreams:
+            return
+        host = split_address(upstream.address)[0]
+        port = split_address(self._settings.peers)[1]
+        health = upstream.health
+        tracked = TrackedSend(
+            upstream.name,
+            upstream.incarnation,
+            f'{host}:{port}',
+            health is not None and health.state is HealthState.on_trial,
+            idle,
+        )
+        request.tracked = tracked
+        if request.route.objective:
+            tracked.timer = gevent.spawn_later(
+                request.route.objective * SILENT_OBJECTIVES,
+                self._report_silence,
+                request,
+                upstream,
+            )
+
+    def record_answer(
+        self,
+        request: OnlineRequest,
+        exchange: Exchange,
+        failure: SendFailure | None,
+    ) -> None:
+        """Report an answer that shows a fault of the upstream.
+
+        :param request: the request.
+        :param exchange: the exchange with its response head read.
+        :param failure: why the answer is not forwarded, if so.
+        """
+        is_error = (
+            exchange.status >= FIRST_SERVER_ERROR
+            # The request's time was up, which shows no fault.
+            and exchange.status != HTTPStatus.GATEWAY_TIMEOUT
+            and failure in {None, SendFailure.failed}
+        )
+        if is_error or failure is SendFailure.foreign_answer:
+            self._record(request, SendOutcome.failed)
+
+    def record_failure(
+        self,
+        request: OnlineRequest,
+        upstream: UpstreamState,
+        failure: SendFailure,
+        *,
+        has_crashed: bool,
+    ) -> None:
+        """Report a broken answer, unless the upstream has ended.
+
+        :param request: the request.
+        :param upstream: the upstream that it was sent to.
+        :param failure: what went wrong.
+        :param has_crashed: whether the process of the upstream has crashed.
+        """
+        tracked = request.tracked
+        if tracked is None or has_crashed or upstream.is_leaving:
+            return
+        outcome = _judge_failure(request, tracked, upstream, failure)
+        if outcome is not None:
+            self._record(request, outcome)
+
+    def record_success(self, request: OnlineRequest) -> None:
+        """Record a complete answer.
+
+        :param request: the request.
+        """
+        self._record(request, SendOutcome.succeeded)
+
+    def take(self, upstream: UpstreamState) -> SendReports | None:
+        """Take the reports that a reservation call carries.
+
+        :param upstream: the upstream.
+        :returns: the reports, ``None`` if there are none.
+        """
+        kept = self._kept.pop(upstream.start, None)
+        if not kept:
+            return None
+        oldest = time.monotonic() - KEEP_SECONDS
+        is_healthy = (
+            upstream.health is None
+            or upstream.health.state is HealthState.healthy
+        )
+        reports = tuple(
+            report
+            for at, report in kept
+            # A success from before the ejection is no successful trial.
+            if at > oldest
+            and (is_healthy or report.outcome is not SendOutcome.succeeded)
+        )
+        if not reports:
+            return None
+        self._count(reports, 'carried')
+        return SendReports(self._settings.name, upstream.incarnation, reports)
+
+    def restore(
+        self, upstream: UpstreamState, reports: SendReports | None
+    ) -> None:
+        """Keep the failures of a call that was lost for the next one.
+
+        :param upstream: the upstream.
+        :param reports: what the call carried.
+        """
+        if reports is not None:
+            self._keep_failures(upstream.start, reports.reports)
+
+    def _record(self, request: OnlineRequest, outcome: SendOutcome) -> None:
+        tracked = request.tracked
+        if tracked is None:
+            return
+        if outcome is not SendOutcome.silent:
+            tracked.stop_timer()
+        report = SendReport(request.fingerprint[:FINGERPRINT_DIGITS], outcome)
+        is_urgent = tracked.is_trial or tracked.is_silent
+        if outcome is SendOutcome.succeeded and not is_urgent:
+            self._keep(tracked.start, report)
+            return
+        if time.monotonic() < self._muted_until.get(tracked.address, 0):
+            return
+        is_sending = tracked.start in self._urgent
+        self._urgent.setdefault(tracked.start, []).append(report)
+        if not is_sending:
+            gevent.spawn(self._post_all, tracked)
+
+    def _report_silence(
+        self, request: OnlineRequest, upstream: UpstreamState
+    ) -> None:
+        """Report a request that has no answer although nothing else waits."""
+        tracked = request.tracked
+        if tracked is None or request.is_abandoned:
+            return
+        tracked.timer = None
+        is_waiting = (
+            request.upstream is upstream and not request.sends[-1].had_output
+        )
+        if is_waiting and _has_no_queue(upstream):
+            tracked.is_silent = True
+            self._record(request, SendOutcome.silent)
+
+    def _post_all(self, tracked: TrackedSend) -> None:
+        """Send the urgent reports on one start until none is left."""
+        with ExitStack() as stack:
+            stack.callback(self._urgent.pop, tracked.start)
+            while self._urgent[tracked.start]:
+                reports = tuple(self._urgent[tracked.start])
+                self._urgent[tracked.start] = []
+                self._post(tracked, reports)
+
+    def _post(
+        self, tracked: TrackedSend, reports: tuple[SendReport, ...]
+    ) -> None:
+        body = msgspec.json.encode(
+            SendReports(self._settings.name, tracked.incarnation, reports)
+        )
+        headers = [('Host', tracked.address)]
+        raw = make_request('POST', OUTCOMES_PATH, headers, body)
+        called = self._pool.call(tracked.address, raw, POST_TIMEOUT_SECONDS)
+        if isinstance(called, Err):
+            self._keep_failures(tracked.start, reports)
+            self._count(reports, 'lost')
+            return
+        if called.ok_value.status == HTTPStatus.NOT_FOUND:
+            muted_until = time.monotonic() + MUTE_SECONDS
+            self._muted_until[tracked.address] = muted_until
+        self._count(reports, 'sent' if called.ok_value.is_good else 'refused')
+
+    def _keep_failures(
+        self, start: str, reports: tuple[SendReport, ...]
+    ) -> None:
+        for report in reports:
+            if report.outcome is not SendOutcome.succeeded:
+                self._keep(start, report)
+
+    def _keep(self, start: str, report: SendReport) -> None:
+        kept = self._kept.setdefault(start, deque(maxlen=MAX_KEPT))
+        kept.append((time.monotonic(), report))
+        while len(self._kept) > MAX_STARTS:
+            self._kept.pop(next(iter(self._kept)))
+
+    def _count(self, reports: tuple[SendReport, ...], how: str) -> None:
+        self._metrics.count('outcome_reports_total', len(reports), how=how)
+
+
+def _has_no_queue(upstream: UpstreamState) -> bool:
+    """Check whether an upstream takes work and reports free slots."""
+    return (
+        upstream.load_fresh_until > time.monotonic()
+        and upstream.takes_work
+        and upstream.reported <= upstream.slots
+    )
+
+
+def _judge_failure(
+    request: OnlineRequest,
+    tracked: TrackedSend,
+    upstream: UpstreamState,
+    failure: SendFailure,
+) -> SendOutcome | None:
+    """Judge a broken answer.
+
+    :returns: its outcome, ``None`` where it shows no fault of the upstream.
+    """
+    had_output = request.sends[-1].had_output
+    if failure is SendFailure.lost:
+        is_fault = had_output or tracked.idle_seconds < MAX_IDLE_SECONDS
+        return SendOutcome.failed if is_fault else None
+    # An answer that pauses until the request's time is up may only be slow.
+    if failure is not SendFailure.silent or request.seconds_left <= 0:
+        return None
+    if had_output:
+        return SendOutcome.failed
+    return SendOutcome.silent if _has_no_queue(upstream) else None
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     import gevent
 
+    from wigeonpier.hosted.outcomes import TrackedSend
     from wigeonpier.platform.ingress import RequestHead
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.served import (
@@ -79,6 +80,7 @@
         its last failure is known.
     :param priority: rank among waiting requests, 0 is the highest.
     :param watcher: detects that the caller closes its connection.
+    :param tracked: current or last send if its outcome is to be reported.
     """
 
     http_request: Request
@@ -102,6 +104,7 @@
     is_retry_blocked: bool = False
     priority: int = 0
     watcher: gevent.Greenlet[..., None] | None = None
+    tracked: TrackedSend | None = None
     _fingerprint: str = ''
 
     @property
@@ -203,6 +206,8 @@
         :param is_broken: whether to abort the connection, which cancels the
             request at the upstream.
         """
+        if self.tracked is not None:
+            self.tracked.stop_timer()
         if self.upstream is not None:
             self.upstream.in_flight -= 1
             self.upstream = None
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -136,6 +136,8 @@
         ):
             body = self._stream(request)
         else:
+            if request.tracked is not None:
+                request.tracked.stop_timer()
             body = self._read_body(request, exchange)
         response = Response(exchange.status, body, content_type, headers)
         response.on_close.append(lambda: self._finish(request, 'answered'))
@@ -152,6 +154,8 @@
             request.release(is_broken=True)
             self._sender.record_failure(request, upstream, failure)
             raise Refusal(ErrorKind.upstream_lost, str(error)) from error
+        if ingress.is_success(exchange):
+            self._sender.outcomes.record_success(request)
         self._sender.binder.suspects.record_completion(request, upstream)
         return body
 
@@ -183,6 +187,7 @@
                 return classify_disconnect(error)
             if event is None:
                 record_outcome(upstream, went_well=True, now=time.monotonic())
+                self._sender.outcomes.record_success(request)
                 self._sender.binder.suspects.record_completion(
                     request, upstream
                 )
--- a/src/wigeonpier/hosted/reservations.py
+++ b/src/wigeonpier/hosted/reservations.py
@@ -21,6 +21,7 @@
 from wigeonpier.web.server import Route, make_route
 
 if TYPE_CHECKING:
+    from wigeonpier.hosted.healthkeeper import HealthKeeper
     from wigeonpier.hosted.loadfeed import LoadFeed
     from wigeonpier.hosted.news import TrialRequest
     from wigeonpier.hosted.runner import ItemRunner
@@ -91,6 +92,8 @@
         self._runner = runner
         self._feed = feed
         self._slots = slots
+        # Set where outcomes are to be taken into account.
+        self.health: HealthKeeper | None = None
 
     def make_routes(self) -> list[Route]:
         """List the paths for entries.
@@ -106,6 +109,8 @@
         self._usage.add(reservation.admitted)
         if now - self._upstream.polled_at > MAX_LOAD_AGE_SECONDS:
             self._upstream.poll()
+        if self.health is not None:
+            self.health.receive(reservation.outcomes)
         replica = self._upstream.replica
         if replica is None:
             raise Refusal(ErrorKind.no_upstream, 'the upstream is not known')
@@ -115,6 +120,7 @@
         is_granted = (
             not obstacle
             and load.takes_work
+            and self._is_healthy()
             and may_reserve(
                 SlotUse(replica.slots, load.questions, reserved),
                 is_late=reservation.is_late,
@@ -129,6 +135,9 @@
         )
         return Response(HTTPStatus.OK, msgspec.json.encode(answer), JSON_TYPE)
 
+    def _is_healthy(self) -> bool:
+        return self.health is None or self.health.may_reserve()
+
     def _find_obstacle(self, trial: TrialRequest | None, now: float) -> str:
         """Find the verdict that excludes a suspected request, or ``''``."""
         if trial is None:
@@ -139,6 +148,8 @@
 
     def _grant(self, trial: TrialRequest | None, now: float) -> None:
         self._slots.add(now)
+        if self.health is not None:
+            self.health.record_grant()
         self._runner.update_pace()
         if trial is not None:
             isolation = IsolationLevel(trial.company)
--- a/src/wigeonpier/hosted/reserver.py
+++ b/src/wigeonpier/hosted/reserver.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.customeruse import CustomerLimiter
+    from wigeonpier.hosted.outcomes import OutcomeReporter
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.pool import ConnectionPool
@@ -42,6 +43,7 @@
         pool: ConnectionPool,
         metrics: Metrics,
         limiter: CustomerLimiter,
+        outcomes: OutcomeReporter,
     ) -> None:
         """Create the reserver.
 
@@ -49,7 +51,9 @@
         :param pool: connections to the workers.
         :param metrics: metrics of this process.
         :param limiter: holds the counts that requests carry along.
+        :param outcomes: holds the outcomes that requests carry along.
         """
+        self._outcomes = outcomes
         self._limiter = limiter
         self._port = port
         self._pool = pool
@@ -75,12 +79,16 @@
         host = split_address(upstream.address)[0]
         address = f'{host}:{self._port}'
         admitted = self._limiter.take_unreported()
-        body = msgspec.json.encode(ReservationRequest(is_late, trial, admitted))
+        outcomes = self._outcomes.take(upstream)
+        body = msgspec.json.encode(
+            ReservationRequest(is_late, trial, admitted, outcomes=outcomes)
+        )
         headers = [('Host', address)]
         raw = make_request('POST', RESERVATION_PATH, headers, body)
         called = self._pool.call(address, raw, timeout)
         if isinstance(called, Err):
             self._limiter.restore_unreported(admitted)
+            self._outcomes.restore(upstream, outcomes)
             upstream.takes_work = False
             return self._count(ReservationOutcome.unanswered)
         if not called.ok_value.is_good:
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -244,6 +244,8 @@
             outcome is RunOutcome.broken
             and self._trials.record_interrupted_run(work)
         )
+        if outcome not in NOT_RUN and not has_crashed:
+            self._trials.health.record_item(work, went_well=False)
         if outcome is RunOutcome.failed:
             self._trials.record_completion(work)
             work.failures += 1
@@ -263,6 +265,8 @@
         self.work.pop(work.key, None)
         output = '\n'.join(work.texts) if state is ItemState.completed else ''
         self._finished.add(work.key)
+        if state is ItemState.completed:
+            self._trials.health.record_item(work, went_well=True)
         self._writer.add(work.key, ItemResult(work.item.name, state, output))
         self._log_item(Event.item_done, work, state=state.value)
         self._metrics.count('items_total', state=state.value)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.binder import SlotBinder
+    from wigeonpier.hosted.outcomes import OutcomeReporter
     from wigeonpier.hosted.question import OnlineRequest
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.web.exchange import Exchange
@@ -50,10 +51,12 @@
 
     :param binder: chooses the upstreams.
     :param pool: connections to the upstreams.
+    :param outcomes: reports outcomes to the workers of the upstreams.
     """
 
     binder: SlotBinder
     pool: ConnectionPool
+    outcomes: OutcomeReporter
 
     def send(self, request: OnlineRequest) -> Result[Exchange, SendFailure]:
         """Send a request, retrying until an upstream responds.
@@ -107,6 +110,9 @@
             failure in DISCONNECTS
             and self.binder.suspects.detect_crash(upstream)
         )
+        self.outcomes.record_failure(
+            request, upstream, failure, has_crashed=has_crashed
+        )
         if has_crashed and failure is SendFailure.lost:
             self.binder.suspects.record_crash(request, upstream)
         elif failure is SendFailure.lost:
@@ -186,8 +192,7 @@
             request.release(is_broken=True)
             return Err(classify_disconnect(error))
         self.binder.isolation_detector.record_contact()
-        _record_load(upstream, exchange)
-        failure = _check_head(request, upstream, exchange)
+        failure = self._check_answer(request, upstream, exchange)
         if failure is not None:
             request.release(is_broken=failure is SendFailure.foreign_answer)
             return Err(failure)
@@ -206,6 +211,7 @@
 
         :raises QueueLeftError: when the request is to leave this upstream.
         """
+        self.outcomes.track(request, upstream, exchange.idle_seconds)
         limit = request.choose_read_timeout(has_events=False)
         began = time.monotonic()
         exchange.write(_encode(request, upstream), limit)
@@ -224,6 +230,18 @@
                 break
         exchange.await_head(limit - (time.monotonic() - began))
 
+    def _check_answer(
+        self,
+        request: OnlineRequest,
+        upstream: UpstreamState,
+        exchange: Exchange,
+    ) -> SendFailure | None:
+        """Check the head of a response, and report a fault that it shows."""
+        _record_load(upstream, exchange)
+        failure = _check_head(request, upstream, exchange)
+        self.outcomes.record_answer(request, exchange, failure)
+        return failure
+
     def _check_queue(
         self,
         request: OnlineRequest,
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -8,6 +8,7 @@
 import gevent
 
 from wigeonpier.hosted.assignments import AssignmentFollower
+from wigeonpier.hosted.healthkeeper import HealthKeeper
 from wigeonpier.hosted.itemtrials import ItemTrials
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfeed import LoadFeed
@@ -64,12 +65,14 @@
             suspicions,
             context.store_health.wait,
         )
+        health = HealthKeeper(settings, self._upstream, context.metrics)
         self._trials = ItemTrials(
             self._upstream,
             suspicions,
             trials,
             CrashDetector(context.pool),
             quarantine,
+            health,
         )
         self._runner = ItemRunner(
             self._upstream,
@@ -92,6 +95,7 @@
             suspicions,
             usage,
         )
+        self._feed.details.read_health = health.read_health
         newest = NewestRevisionHandler(
             context.store, settings.bounds.revocation
         )
@@ -104,6 +108,7 @@
             trials,
             usage,
         )
+        reservations.health = health
         self._server = Server(
             *split_address(settings.peers),
             dispatch_to(
@@ -112,6 +117,7 @@
                 + newest.make_routes()
                 + usage.make_routes()
                 + reservations.make_routes()
+                + health.make_routes()
                 + SuspicionHandler(suspicions, trials).make_routes(),
             ),
         )
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -128,6 +128,21 @@
         WARNING_LEVEL,
         'A request that crashes upstreams was refused.',
     )
+    upstream_ejected = (
+        320,
+        WARNING_LEVEL,
+        'An upstream gets no requests: too many failed, at several entries.',
+    )
+    upstream_on_trial = (
+        321,
+        INFO_LEVEL,
+        'An ejected upstream gets single requests that may be repeated.',
+    )
+    upstream_returned = (
+        322,
+        INFO_LEVEL,
+        'An ejected upstream gets requests again.',
+    )
     load_followed = (
         305,
         INFO_LEVEL,
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -85,6 +85,11 @@
         """Return the HTTP status of the response."""
         return int(self._parser.get_code())
 
+    @property
+    def idle_seconds(self) -> float:
+        """Return how long the connection had been idle, 0 if it is new."""
+        return self._idle_seconds
+
     @property
     def is_whole(self) -> bool:
         """Check whether the response is complete according to its framing."""
--- a/tests/hosted/builders.py
+++ b/tests/hosted/builders.py
@@ -6,7 +6,7 @@
 import random
 import tempfile
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from types import MappingProxyType, SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -20,6 +20,7 @@
 from wigeonpier.hosted.chooser import UpstreamChooser
 from wigeonpier.hosted.common import DaemonContext
 from wigeonpier.hosted.entry import EntryApp
+from wigeonpier.hosted.outcomes import OutcomeReporter
 from wigeonpier.hosted.question import OnlineRequest
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.hosted.sender import (
@@ -201,7 +202,9 @@
         suspects,
         TrialPlacer(chooser, reserver, suspects),
     )
-    return RequestSender(binder, pool)
+    return RequestSender(
+        binder, pool, OutcomeReporter(settings, pool, Metrics())
+    )
 
 
 def wait_for(condition: Callable[[], object], what: str) -> None:
@@ -228,6 +231,7 @@
     peer_port: int = field(default_factory=take_port)
     configuration: dict[str, Any] = field(default_factory=make_configuration)
     revocation: float = 0
+    has_unreliable_upstreams: bool = False
 
     def start(self, replicas: int = 2, entries: int = 1, **shape: Any) -> None:
         """Start everything and wait until it is ready."""
@@ -302,13 +306,17 @@
         upstream: str = '',
         host: str = '127.0.0.1',
     ) -> DaemonContext:
+        settings = make_settings(
+            name,
+            self.store_address,
+            upstream,
+            peers=f'{host}:{self.peer_port}',
+            revocation=self.revocation,
+        )
         return DaemonContext(
-            make_settings(
-                name,
-                self.store_address,
-                upstream,
-                peers=f'{host}:{self.peer_port}',
-                revocation=self.revocation,
+            replace(
+                settings,
+                has_unreliable_upstreams=self.has_unreliable_upstreams,
             ),
         )
 
--- /dev/null
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -0,0 +1,272 @@
+"""Tests upstreams that fail requests while their health check passes."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+import pytest
+from result import Err, Ok
+
+from tests.builders import build_upstream
+from tests.hosted.builders import (
+    SERVICE,
+    HostedSite,
+    make_online_request,
+    make_settings,
+    wait_for,
+)
+from wigeonpier.hosted.healthkeeper import HealthKeeper
+from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
+from wigeonpier.hosted.outcomes import OutcomeReporter
+from wigeonpier.models import HostSettings, OnlineLoad, UpstreamReport
+from wigeonpier.policy.route import record_health, record_load
+from wigeonpier.reports import HealthState, UpstreamHealth
+from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.client import CallFailure, Reply
+
+if TYPE_CHECKING:
+    from wigeonpier.policy.route import UpstreamState
+
+MANY = 1_000_000
+# What the page of the work allows an upstream that fails everything to cost.
+MAX_FAILED = 6
+ENTRIES = 3
+
+
+def _start(site: HostedSite, *, is_unreliable: bool = True) -> None:
+    site.has_unreliable_upstreams = is_unreliable
+    site.start(replicas=4, entries=ENTRIES)
+    wait_for(
+        lambda: all(state.load_fresh_until for state in _list_states(site)),
+        'the load of each upstream is reported',
+    )
+
+
+def _list_states(site: HostedSite) -> list[UpstreamState]:
+    return [
+        state
+        for app in site.entries
+        for state in app._replicas.list_upstreams()
+    ]
+
+
+def _list_health(site: HostedSite, name: str) -> list[HealthState | None]:
+    return [
+        state.health and state.health.state
+        for state in _list_states(site)
+        if state.name == name
+    ]
+
+
+def _send(site: HostedSite, path: str, count: int) -> list[Reply]:
+    """Send requests that differ from each other, 50 a second."""
+    calls = []
+    for number in range(count):
+        calls.append(
+            gevent.spawn(
+                site.call,
+                'POST',
+                f'{path}{number}',
+                f'q{path}{number}',
+                entry=number % ENTRIES,
+            ),
+        )
+        gevent.sleep(0.02)
+    return [call.get() for call in calls]
+
+
+def _eject_first(site: HostedSite) -> list[Reply]:
+    site.replicas[0].faults.fail = MANY
+    replies = _send(site, '/once/', 150)
+    assert _list_health(site, 'i-0') == [HealthState.ejected] * ENTRIES
+    return replies
+
+
+def test_an_upstream_that_fails_everything_is_left_by_all_entries(
+    site: HostedSite,
+) -> None:
+    """Its own failures reach the callers unchanged until then."""
+    _start(site)
+    replies = _eject_first(site)
+    failed = [reply for reply in replies if reply.status != 200]
+    assert 3 <= len(failed) <= MAX_FAILED
+    assert {reply.status for reply in failed} == {500}
+    others = [f'i-{number}' for number in range(1, 4)]
+    for name in others:
+        assert _list_health(site, name) == [HealthState.healthy] * ENTRIES
+
+
+def test_an_upstream_returns_after_trials_with_repeatable_requests(
+    site: HostedSite,
+) -> None:
+    _start(site)
+    _eject_first(site)
+    site.replicas[0].faults.fail = 0
+    once = site.replicas[0].runs.total()
+    wait_for(
+        lambda: set(_list_health(site, 'i-0')) == {HealthState.on_trial},
+        'it is on trial',
+    )
+    assert {reply.status for reply in _send(site, '/once/b', 20)} == {200}
+    assert site.replicas[0].runs.total() == once
+    assert {reply.status for reply in _send(site, '/ask/', 100)} == {200}
+    wait_for(
+        lambda: set(_list_health(site, 'i-0')) == {HealthState.healthy},
+        'it is healthy',
+    )
+
+
+def test_a_batch_item_is_the_first_trial(site: HostedSite) -> None:
+    """No online request is needed for the return."""
+    _start(site)
+    _eject_first(site)
+    site.replicas[0].faults.fail = 0
+    site.submit_job('j', 40)
+    wait_for(
+        lambda: set(_list_health(site, 'i-0')) == {HealthState.healthy},
+        'it is healthy',
+    )
+    site.wait_for_results('j', 40)
+
+
+def test_nothing_is_reported_where_upstreams_are_reliable(
+    site: HostedSite,
+) -> None:
+    """Each deployment without the contract is served as before."""
+    _start(site, is_unreliable=False)
+    site.replicas[0].faults.fail = MANY
+    replies = _send(site, '/once/', 60)
+    assert sum(reply.status == 500 for reply in replies) > MAX_FAILED
+    assert set(_list_health(site, 'i-0')) == {None}
+    for app in site.entries:
+        assert 'outcome' not in app._context.metrics.render()
+
+
+def _make_keeper(
+    report: UpstreamReport | None, *, is_active: bool = True
+) -> HealthKeeper:
+    settings = _make_settings('side', is_active=is_active)
+    upstream = SimpleNamespace(report=report, address='10.0.0.1:1')
+    return HealthKeeper(settings, upstream, Metrics())
+
+
+def _make_settings(name: str, *, is_active: bool = True) -> HostSettings:
+    settings = make_settings(name, '127.0.0.1:1')
+    return replace(settings, has_unreliable_upstreams=is_active)
+
+
+def _fail(keeper: HealthKeeper, count: int, incarnation: int = 1) -> None:
+    for number in range(count):
+        report = SendReport(f'r{number}', SendOutcome.failed)
+        keeper.receive(SendReports(f'edge-{number}', incarnation, (report,)))
+
+
+def test_a_later_start_begins_as_healthy() -> None:
+    """Its earlier start was ejected; late reports on that do not count."""
+    keeper = _make_keeper(UpstreamReport(0, 0, incarnation=1))
+    _fail(keeper, 4)
+    assert keeper.read_health().state is HealthState.ejected
+    assert not keeper.may_reserve()
+    keeper._upstream.report = UpstreamReport(0, 0, incarnation=2)
+    assert keeper.read_health() == UpstreamHealth(HealthState.healthy, '', 2)
+    _fail(keeper, 8, incarnation=1)
+    assert keeper.may_reserve()
+
+
+@pytest.mark.parametrize(
+    ('report', 'is_active'),
+    [
+        (None, True),
+        (UpstreamReport(0, 0, is_leaving=True), True),
+        (UpstreamReport(0, 0), False),
+    ],
+)
+def test_outcomes_are_ignored_without_a_running_upstream(
+    report: UpstreamReport | None, is_active: bool
+) -> None:
+    """A crash and a planned leaving have rules of their own."""
+    keeper = _make_keeper(report, is_active=is_active)
+    _fail(keeper, 8, incarnation=0)
+    assert keeper.may_reserve()
+    assert keeper.may_start_item()
+    assert keeper.read_health() is None
+
+
+class _RecordingPool:
+    """Answers the calls of a reporter, and records what they carry."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.answers = list(answers)
+        self.bodies: list[SendReports] = []
+
+    def call(self, _address: str, raw: bytes, _timeout: float) -> Any:
+        body = raw.partition(b'\r\n\r\n')[2]
+        self.bodies.append(msgspec.json.decode(body, type=SendReports))
+        return self.answers.pop(0)
+
+
+def _report(
+    reporter: OutcomeReporter, state: UpstreamState, outcome: SendOutcome
+) -> None:
+    request = make_online_request()
+    request.record_send(state)
+    reporter.track(request, state, 0)
+    reporter._record(request, outcome)
+    gevent.sleep(0)
+
+
+def test_a_worker_of_an_earlier_build_is_called_once() -> None:
+    pool = _RecordingPool(Ok(Reply(404, b'')))
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE)
+    for _number in range(3):
+        _report(reporter, state, SendOutcome.failed)
+    assert len(pool.bodies) == 1
+
+
+def test_a_lost_failure_is_carried_by_the_next_reservation() -> None:
+    pool = _RecordingPool(Err(CallFailure.lost))
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE)
+    _report(reporter, state, SendOutcome.failed)
+    taken = reporter.take(state)
+    assert [report.outcome for report in taken.reports] == [SendOutcome.failed]
+    reporter.restore(state, taken)
+    assert reporter.take(state) == taken
+    assert reporter.take(state) is None
+
+
+def test_successes_wait_for_a_reservation() -> None:
+    """Those from before an ejection are no successful trials."""
+    pool = _RecordingPool()
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE)
+    _report(reporter, state, SendOutcome.succeeded)
+    assert reporter.take(state).reports[0].outcome is SendOutcome.succeeded
+    _report(reporter, state, SendOutcome.succeeded)
+    health = UpstreamHealth(HealthState.on_trial)
+    record_health(state, health, time.monotonic())
+    assert reporter.take(state) is None
+    assert not pool.bodies
+
+
+def test_a_silent_upstream_is_reported_while_the_request_waits() -> None:
+    """An answer takes that back at once."""
+    pool = _RecordingPool(*[Ok(Reply(200, b'{}'))] * 2)
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE)
+    record_load(state, OnlineLoad(1, takes_work=True), time.monotonic())
+    request = make_online_request()
+    request.record_send(state)
+    request.upstream = state
+    reporter.track(request, state, 0)
+    gevent.sleep(request.route.objective * 2 + 0.1)
+    assert pool.bodies[0].reports[0].outcome is SendOutcome.silent
+    reporter.record_success(request)
+    gevent.sleep(0)
+    assert pool.bodies[1].reports[0].outcome is SendOutcome.succeeded
--- a/tests/policy/ejections.py
+++ b/tests/policy/ejections.py
@@ -118,9 +118,7 @@
         self.states[entry][number].sent_since_report += 1
         is_hung = number in self.hanging and self.now >= self.fault_at
         if is_hung:
-            self._after(
-                SILENT_SECONDS, self._report, number, entry, name, True
-            )
+            self._after(SILENT_SECONDS, self._report, number, entry, name, True)
             self._after(
                 DEADLINE_SECONDS, self._fail, number, entry, name, attempt
             )
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -103,9 +103,7 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_most_upstreams_failing_leaves_half_in_use(seed: int) -> None:
-    fleet = FaultyFleet(
-        seed, failing=dict.fromkeys(range(16), 1.0), seconds=8
-    )
+    fleet = FaultyFleet(seed, failing=dict.fromkeys(range(16), 1.0), seconds=8)
     fleet.run()
     now = fleet.now
     for states in fleet.states:
@@ -230,9 +228,7 @@
 def test_only_repeatable_requests_try_an_upstream(is_repeatable: bool) -> None:
     states = _make_states(4, 1)
     record_health(states[0], UpstreamHealth(HealthState.on_trial), 1.0)
-    ask = RoutingCriteria(
-        's', 'm', '', 'a', 'r', is_repeatable=is_repeatable
-    )
+    ask = RoutingCriteria('s', 'm', '', 'a', 'r', is_repeatable=is_repeatable)
     assert (states[0] in find_usable(states, ask, 1.5)) == is_repeatable
 
 
