--- a/src/wigeonpier/hosted/healthkeeper.py
+++ b/src/wigeonpier/hosted/healthkeeper.py
@@ -124,7 +124,8 @@
 
         :returns: false if it has to wait until the upstream has returned.
         """
-        if not self._update():
+        # Each of some hundred waiting items is checked every 0.05 s.
+        if self._record.state is HealthState.healthy or not self._update():
             return True
         now = time.monotonic()
         self._items_seen_at = now
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -68,6 +68,15 @@
     assert fleet.last_sent[0] <= fleet.ejected_at[0] + 0.1
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_an_upstream_that_hangs_is_ejected(seed: int) -> None:
+    """Its requests fail only at their deadline, 5 s later."""
+    fleet = FaultyFleet(seed, hanging={0}, seconds=6)
+    fleet.run()
+    assert fleet.ejected_at[0] < fleet.fault_at + 2
+    assert fleet.last_sent[0] <= fleet.ejected_at[0] + 0.1
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_an_upstream_that_fails_45_in_100_is_ejected(seed: int) -> None:
     fleet = FaultyFleet(seed, failing={0: 0.45}, seconds=20, fault_at=0)
