--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -20,6 +20,7 @@
     make_settings,
     wait_for,
 )
+from tests.hosted.callers import BROKEN
 from wigeonpier.hosted.healthkeeper import HealthKeeper
 from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
 from wigeonpier.hosted.outcomes import OutcomeReporter
@@ -69,7 +70,7 @@
     for number in range(count):
         calls.append(
             gevent.spawn(
-                site.call,
+                site.try_call,
                 'POST',
                 f'{path}{number}',
                 f'q{path}{number}',
@@ -77,7 +78,7 @@
             ),
         )
         gevent.sleep(0.02)
-    return [call.get() for call in calls]
+    return [call.get().unwrap_or(BROKEN) for call in calls]
 
 
 def _eject_first(site: HostedSite) -> list[Reply]:
@@ -101,6 +102,17 @@
         assert _list_health(site, name) == [HealthState.healthy] * ENTRIES
 
 
+def test_an_upstream_that_breaks_off_its_answers_is_left(
+    site: HostedSite,
+) -> None:
+    """Its process is alive, so that no crash is counted."""
+    _start(site)
+    site.replicas[0].faults.break_after = MANY
+    replies = _send(site, '/once/', 50)
+    assert _list_health(site, 'i-0') == [HealthState.ejected] * ENTRIES
+    assert 3 <= sum(reply == BROKEN for reply in replies) <= MAX_FAILED
+
+
 def test_an_upstream_returns_after_trials_with_repeatable_requests(
     site: HostedSite,
 ) -> None:
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -247,3 +247,25 @@
     later = OnlineLoad(0, takes_work=True, incarnation=5)
     record_load(states[0], later, 1.2)
     assert len(find_usable(states, CRITERIA, 1.5)) == 4
+
+
+@given(
+    st.lists(st.sampled_from((0.0, 1.0, 3.0, 4.0)), max_size=10),
+    st.booleans(),
+)
+def test_without_reported_health_the_choice_is_as_before(
+    ejections: list[float], is_repeatable: bool
+) -> None:
+    """Deployments without the switch, and old workers, report none."""
+    states = [
+        build_upstream(f'vm-{number}', ejected_until=until)
+        for number, until in enumerate(ejections)
+    ]
+    ask = RoutingCriteria('s', 'm', '', 'a', 'r', is_repeatable=is_repeatable)
+    healthy = [state for state in states if state.ejected_until <= 2]
+    min_usable = len(states) - len(states) // 2
+    expected = healthy
+    if len(healthy) < min_usable:
+        soonest = sorted(states, key=lambda state: state.ejected_until)
+        expected = soonest[:min_usable]
+    assert find_usable(states, ask, 2.0) == expected
