--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -2,15 +2,15 @@
 
 Addresses upstreams that fail 45 to 100 in 100 requests while their health
 check passes, and requests that may be run only once, so that each failure
-reaches a caller.  20 entries that judge on their own, after three failures in
-a row each, lose 60 requests at one such upstream.  Here one process judges by
-the outcomes that all of them report.
+reaches a caller.  20 entries that judge on their own, after three failures in a row
+each, lose 67 to 91 requests at one such upstream in the replay.  Here one
+process judges by the outcomes that all of them report.
 
 The test is sequential (CUSUM): each outcome adds the logarithm of how much
 likelier it is at a failing upstream than at an ordinary one.  Four failures in
 a row eject.  Three would not do: an upstream that loses 5 in 100 answers has
-three in a row once in 8,000 requests, which is once in 80 s at a site where
-half of 22 upstreams lose that many at 100 requests a second.
+three in a row once in 8,000 requests, which is once in 160 s at a site where
+half of the upstreams lose that many at 100 requests a second.
 """
 
 from __future__ import annotations
