--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -2,8 +2,8 @@
 
 Addresses upstreams that fail 45 to 100 in 100 requests while their health
 check passes, and requests that may be run only once, so that each failure
-reaches a caller.  20 entries that judge on their own, after three failures in a row
-each, lose 67 to 91 requests at one such upstream in the replay.  Here one
+reaches a caller.  In the replay, 20 entries that each judge on their own, after three
+failures in a row, lose 67 to 91 requests at one such upstream.  Here one
 process judges by the outcomes that all of them report.
 
 The test is sequential (CUSUM): each outcome adds the logarithm of how much
