--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -2,9 +2,9 @@
 
 Addresses upstreams that fail 45 to 100 in 100 requests while their health
 check passes, and requests that may be run only once, so that each failure
-reaches a caller.  In the replay, 20 entries that each judge on their own, after three
-failures in a row, lose 67 to 91 requests at one such upstream.  Here one
-process judges by the outcomes that all of them report.
+reaches a caller.  In the replay, 20 entries that each judge on their own,
+after three failures in a row, lose 67 to 91 requests at one such upstream.
+Here one process judges by the outcomes that all of them report.
 
 The test is sequential (CUSUM): each outcome adds the logarithm of how much
 likelier it is at a failing upstream than at an ordinary one.  Four failures in
