Report the number of successes, so that none are dropped

Cause: entries kept at most 16 successes of 128 starts for 10 s, while failures were always delivered. At 600 upstreams, each of which gets a request from an entry every 14 s, most successes were dropped, and ordinary upstreams looked as if they failed 20 in 100. Change: UpstreamState counts the successes since the last report (SendReports.succeeded); the number goes with reservation calls and with failures that are sent at once, and is kept if the call is lost. It is cleared by a later start and by an ejection. Result: tests/policy/test_ejection.py and the tests of OutcomeReporter pass.

--- a/src/wigeonpier/hosted/healthkeeper.py
+++ b/src/wigeonpier/hosted/healthkeeper.py
@@ -88,6 +88,8 @@
         # A report on an earlier start says nothing about this one.
         if known and reports.incarnation and known != reports.incarnation:
             return
+        if reports.succeeded > 0:
+            self._record_successes(reports.entry, reports.succeeded)
         for report in reports.reports:
             self._metrics.count('outcomes_total', outcome=report.outcome.value)
             ejection.record_evidence(
@@ -167,6 +169,15 @@
         )
         self._report_change()
 
+    def _record_successes(self, entry: str, count: int) -> None:
+        self._metrics.count(
+            'outcomes_total', count, outcome=SendOutcome.succeeded.value
+        )
+        successes = ejection.Evidence(
+            time.monotonic(), entry, '', has_failed=False, count=count
+        )
+        ejection.record_successes(self._record, successes)
+
     def _answer(self, request: Request) -> Response:
         request.body_limit = MAX_REPORT_BYTES
         self.receive(decode_body(request.read_body(), SendReports))
--- a/src/wigeonpier/hosted/news.py
+++ b/src/wigeonpier/hosted/news.py
@@ -93,10 +93,15 @@
     :param fingerprint: short digest that tells requests apart; the same for
         repeats of one request.
     :param outcome: how the upstream handled it.
+    :param age: seconds since the outcome, for reports that were delayed.
+    :param is_trial: whether it was sent while the entry knew the upstream as
+        on trial.
     """
 
     fingerprint: str
     outcome: SendOutcome = SendOutcome.succeeded
+    age: float = 0
+    is_trial: bool = False
 
 
 class SendReports(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -105,11 +110,13 @@
     :param entry: name of the entry's VM.
     :param incarnation: start of the upstream, 0 where it is unknown.
     :param reports: outcomes since the last report, oldest first.
+    :param succeeded: number of further successes since the last report.
     """
 
     entry: str
     incarnation: int = 0
     reports: tuple[SendReport, ...] = ()
+    succeeded: int = 0
 
 
 class IdleWorker(msgspec.Struct, frozen=True):
--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -2,7 +2,10 @@
 
 An upstream that fails requests at once shows little load and attracts more of
 them, so failures are sent at once, in a call that no caller waits for.
-Successes are sent with the next reservation call.
+Of successes only their number is sent, with the next reservation call or the
+next failure: where an entry sends a request to each of hundreds of upstreams
+every 14 s, a limit on the number or age of kept successes would drop most of
+them, and an ordinary upstream would look as if it failed many requests.
 """
 
 from __future__ import annotations
@@ -37,11 +40,11 @@
 POST_TIMEOUT_SECONDS = 0.4
 # A worker of an earlier build answers 404; it is updated within minutes.
 MUTE_SECONDS = 30.0
-# Outcomes that wait for a reservation call to carry them.  At 150 requests a
-# second an entry sends one to the same upstream every 3 s.
+# Failures that wait for a reservation call to carry them because a call with
+# them was lost or refused.  A worker does not use older ones.
 MAX_KEPT = 16
 KEEP_SECONDS = 10.0
-MAX_STARTS = 128
+MAX_STARTS = 1024
 # Without a queue an answer begins within some 0.06 s, and within 0.3 s at an
 # upstream that is slow for a moment.
 SILENT_OBJECTIVES = 2
@@ -56,7 +59,7 @@
 class TrackedSend:
     """One send whose outcome is to be reported.
 
-    :param upstream: name of the upstream.
+    :param upstream: the upstream.
     :param incarnation: its start, 0 where it is unknown.
     :param address: ``host:port`` of its worker.
     :param is_trial: whether the upstream was on trial.
@@ -65,7 +68,7 @@
     :param timer: reports it as silent later.
     """
 
-    upstream: str
+    upstream: UpstreamState
     incarnation: int
     address: str
     is_trial: bool
@@ -76,7 +79,7 @@
     @property
     def start(self) -> str:
         """Identify the start of the upstream."""
-        return name_start(self.upstream, self.incarnation)
+        return name_start(self.upstream.name, self.incarnation)
 
     def stop_timer(self) -> None:
         """Report no silence any more."""
@@ -123,7 +126,7 @@
         port = split_address(self._settings.peers)[1]
         health = upstream.health
         tracked = TrackedSend(
-            upstream.name,
+            upstream,
             upstream.incarnation,
             f'{host}:{port}',
             health is not None and health.state is HealthState.on_trial,
@@ -194,36 +197,35 @@
         :param upstream: the upstream.
         :returns: the reports, ``None`` if there are none.
         """
-        kept = self._kept.pop(upstream.start, None)
-        if not kept:
-            return None
+        kept = self._kept.pop(upstream.start, ())
         oldest = time.monotonic() - KEEP_SECONDS
-        is_healthy = (
-            upstream.health is None
-            or upstream.health.state is HealthState.healthy
-        )
-        reports = tuple(
-            report
-            for at, report in kept
-            # A success from before the ejection is no successful trial.
-            if at > oldest
-            and (is_healthy or report.outcome is not SendOutcome.succeeded)
-        )
-        if not reports:
+        reports = tuple(report for at, report in kept if at > oldest)
+        succeeded = upstream.unreported_successes
+        if not reports and not succeeded:
             return None
-        self._count(reports, 'carried')
-        return SendReports(self._settings.name, upstream.incarnation, reports)
+        upstream.unreported_successes = 0
+        self._count(len(reports) + succeeded, 'carried')
+        return SendReports(
+            self._settings.name, upstream.incarnation, reports, succeeded
+        )
 
     def restore(
         self, upstream: UpstreamState, reports: SendReports | None
     ) -> None:
-        """Keep the failures of a call that was lost for the next one.
+        """Keep the outcomes of a call that was lost for the next one.
+
+        Failures without the successes of the same time would make an ordinary
+        upstream look like a failing one.
 
         :param upstream: the upstream.
         :param reports: what the call carried.
         """
-        if reports is not None:
-            self._keep_failures(upstream.start, reports.reports)
+        if reports is None:
+            return
+        for report in reports.reports:
+            self._keep(upstream.start, report)
+        if reports.incarnation == upstream.incarnation:
+            upstream.unreported_successes += reports.succeeded
 
     def _record(self, request: OnlineRequest, outcome: SendOutcome) -> None:
         tracked = request.tracked
@@ -234,7 +236,9 @@
         report = SendReport(request.fingerprint[:FINGERPRINT_DIGITS], outcome)
         is_urgent = tracked.is_trial or tracked.is_silent
         if outcome is SendOutcome.succeeded and not is_urgent:
-            self._keep(tracked.start, report)
+            # The upstream may have restarted meanwhile.
+            if tracked.incarnation == tracked.upstream.incarnation:
+                tracked.upstream.unreported_successes += 1
             return
         if time.monotonic() < self._muted_until.get(tracked.address, 0):
             return
@@ -270,27 +274,27 @@
     def _post(
         self, tracked: TrackedSend, reports: tuple[SendReport, ...]
     ) -> None:
-        body = msgspec.json.encode(
-            SendReports(self._settings.name, tracked.incarnation, reports)
+        upstream = tracked.upstream
+        succeeded = 0
+        if tracked.incarnation == upstream.incarnation:
+            succeeded = upstream.unreported_successes
+            upstream.unreported_successes = 0
+        sent = SendReports(
+            self._settings.name, tracked.incarnation, reports, succeeded
         )
+        body = msgspec.json.encode(sent)
         headers = [('Host', tracked.address)]
         raw = make_request('POST', OUTCOMES_PATH, headers, body)
         called = self._pool.call(tracked.address, raw, POST_TIMEOUT_SECONDS)
         if isinstance(called, Err):
-            self._keep_failures(tracked.start, reports)
-            self._count(reports, 'lost')
+            self.restore(upstream, sent)
+            self._count(len(reports) + succeeded, 'lost')
             return
         if called.ok_value.status == HTTPStatus.NOT_FOUND:
             muted_until = time.monotonic() + MUTE_SECONDS
             self._muted_until[tracked.address] = muted_until
-        self._count(reports, 'sent' if called.ok_value.is_good else 'refused')
-
-    def _keep_failures(
-        self, start: str, reports: tuple[SendReport, ...]
-    ) -> None:
-        for report in reports:
-            if report.outcome is not SendOutcome.succeeded:
-                self._keep(start, report)
+        how = 'sent' if called.ok_value.is_good else 'refused'
+        self._count(len(reports) + succeeded, how)
 
     def _keep(self, start: str, report: SendReport) -> None:
         kept = self._kept.setdefault(start, deque(maxlen=MAX_KEPT))
@@ -298,8 +302,8 @@
         while len(self._kept) > MAX_STARTS:
             self._kept.pop(next(iter(self._kept)))
 
-    def _count(self, reports: tuple[SendReport, ...], how: str) -> None:
-        self._metrics.count('outcome_reports_total', len(reports), how=how)
+    def _count(self, outcomes: int, how: str) -> None:
+        self._metrics.count('outcome_reports_total', outcomes, how=how)
 
 
 def _has_no_queue(upstream: UpstreamState) -> bool:
--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -64,6 +64,7 @@
     :param has_failed: whether the upstream failed the request.
     :param is_silent: whether it has only not answered so far; a later success
         of the same request takes this back.
+    :param count: number of requests, 1 unless all of them succeeded.
     """
 
     at: float
@@ -71,6 +72,7 @@
     fingerprint: str
     has_failed: bool
     is_silent: bool = False
+    count: int = 1
 
 
 @dataclass(slots=True)
@@ -114,7 +116,7 @@
     entries: Counter[str] = Counter()
     for outcome in sorted(evidence, key=_estimate_end):
         if not outcome.has_failed:
-            score = max(0, score + SUCCESS_SCORE)
+            score = max(0, score + outcome.count * SUCCESS_SCORE)
             if not score:
                 entries.clear()
         elif (
@@ -146,6 +148,17 @@
         _return(record, outcome.at, 'silent requests were answered')
 
 
+def record_successes(record: HealthRecord, successes: Evidence) -> None:
+    """Take successes into account of which only the number is known.
+
+    :param record: changed in place.
+    :param successes: their number; ignored unless the upstream is healthy,
+        since they may be from before its ejection.
+    """
+    if record.state is HealthState.healthy:
+        _judge(record, successes)
+
+
 def advance(record: HealthRecord, now: float, *, has_items: bool) -> None:
     """Begin trials with requests once the pause is over.
 
@@ -216,8 +229,9 @@
     silent = sum(outcome.is_silent for outcome in failed)
     entries = len({outcome.entry for outcome in failed})
     requests = len({outcome.fingerprint for outcome in failed})
+    total = sum(outcome.count for outcome in evidence)
     return (
-        f'{len(failed)} of {len(evidence)} outcomes failed, {silent} silent, '
+        f'{len(failed)} of {total} outcomes failed, {silent} silent, '
         f'{entries} entries, {requests} requests'
     )
 
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -81,6 +81,8 @@
     :param health: its health by the outcomes of requests of all entries,
         ``None`` where its worker does not report that.
     :param unhealthy_since: when it was reported as ejected, seconds.
+    :param unreported_successes: requests that it has completed since its worker
+        was last told.
     """
 
     name: str
@@ -107,6 +109,7 @@
     pace: UpstreamPace | None = None
     health: UpstreamHealth | None = None
     unhealthy_since: float = 0
+    unreported_successes: int = 0
 
     @property
     def start(self) -> str:
@@ -322,6 +325,8 @@
         state.unhealthy_since = 0
     elif health.state is HealthState.ejected:
         state.unhealthy_since = now
+        # Successes from before the ejection say nothing about the return.
+        state.unreported_successes = 0
 
 
 def is_ejected(state: UpstreamState, now: float) -> bool:
@@ -366,6 +371,7 @@
     state.pace = None
     state.health = None
     state.unhealthy_since = 0
+    state.unreported_successes = 0
 
 
 def _is_healthy(state: UpstreamState, now: float) -> bool:
--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -259,14 +259,44 @@
     reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
     state = build_upstream('vm-1', service=SERVICE)
     _report(reporter, state, SendOutcome.succeeded)
-    assert reporter.take(state).reports[0].outcome is SendOutcome.succeeded
+    assert reporter.take(state) == SendReports('edge-0', succeeded=1)
     _report(reporter, state, SendOutcome.succeeded)
-    health = UpstreamHealth(HealthState.on_trial)
+    health = UpstreamHealth(HealthState.ejected)
     record_health(state, health, time.monotonic())
     assert reporter.take(state) is None
     assert not pool.bodies
 
 
+def test_no_success_is_dropped_at_600_upstreams() -> None:
+    """Without them ordinary upstreams looked as if 20 in 100 failed."""
+    pool = _RecordingPool(Ok(Reply(200, b'{}')))
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    states = [
+        build_upstream(f'vm-{number}', service=SERVICE) for number in range(600)
+    ]
+    for _number in range(20):
+        for state in states:
+            _report(reporter, state, SendOutcome.succeeded)
+    _report(reporter, states[0], SendOutcome.failed)
+    assert pool.bodies[0].succeeded == 20
+    for state in states[1:]:
+        assert reporter.take(state) == SendReports('edge-0', succeeded=20)
+
+
+def test_a_later_start_has_no_successes_of_the_earlier() -> None:
+    pool = _RecordingPool()
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE, incarnation=1)
+    request = make_online_request()
+    request.record_send(state)
+    reporter.track(request, state, 0)
+    _report(reporter, state, SendOutcome.succeeded)
+    later = OnlineLoad(0, takes_work=True, incarnation=2)
+    record_load(state, later, time.monotonic())
+    reporter.record_success(request)
+    assert reporter.take(state) is None
+
+
 def test_a_silent_upstream_is_reported_while_the_request_waits() -> None:
     """An answer takes that back at once."""
     pool = _RecordingPool(*[Ok(Reply(200, b'{}'))] * 2)
--- a/tests/policy/ejections.py
+++ b/tests/policy/ejections.py
@@ -9,7 +9,7 @@
 
 import heapq
 import random
-from collections import Counter, deque
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +21,7 @@
     advance,
     may_reserve,
     record_evidence,
+    record_successes,
 )
 from wigeonpier.policy.reservation import MAX_RESERVATION_ATTEMPTS
 from wigeonpier.policy.route import (
@@ -48,7 +49,6 @@
 DEADLINE_SECONDS = 5.1
 # A silent request is reported after two latency objectives.
 SILENT_SECONDS = 0.616
-KEEP_SECONDS = 10.0
 
 
 @dataclass
@@ -73,7 +73,6 @@
         self.rng = random.Random(self.seed)
         self.records = [HealthRecord() for _ in range(UPSTREAMS)]
         self.running = [0] * UPSTREAMS
-        self.kept: dict[tuple[int, int], deque[tuple[float, str]]] = {}
         self.states = [
             [build_upstream(f'vm-{n}', slots=SLOTS) for n in range(UPSTREAMS)]
             for _ in range(ENTRIES)
@@ -127,9 +126,7 @@
             )
         else:
             spread = self.rng.uniform(0.8, 1.2)
-            self._after(
-                ANSWER_SECONDS * spread, self._succeed, number, entry, name
-            )
+            self._after(ANSWER_SECONDS * spread, self._succeed, number, entry)
 
     def _draws_failure(self, name: str, entry: int, number: int) -> bool:
         if name == 'poison' or entry in self.bad_entries:
@@ -157,10 +154,12 @@
         return None
 
     def _carry(self, entry: int, number: int) -> None:
-        """Report the successes that the entry has kept for this upstream."""
-        for at, name in self.kept.pop((entry, number), ()):
-            if self.now - at < KEEP_SECONDS:
-                self._receive(number, entry, name, False, False)
+        """Report the number of successes since the last report."""
+        state = self.states[entry][number]
+        count, state.unreported_successes = state.unreported_successes, 0
+        if count:
+            seen = Evidence(self.now, str(entry), '', False, count=count)
+            record_successes(self.records[number], seen)
 
     def _fail(self, number: int, entry: int, name: str, attempt: int) -> None:
         self.running[number] -= 1
@@ -172,29 +171,26 @@
             other = (entry + self.rng.randrange(1, ENTRIES)) % ENTRIES
             self._after(0.02, self._begin, name, other, 1)
 
-    def _succeed(self, number: int, entry: int, name: str) -> None:
+    def _succeed(self, number: int, entry: int) -> None:
         self.running[number] -= 1
         record_outcome(self.states[entry][number], True, self.now)
-        kept = self.kept.setdefault((entry, number), deque(maxlen=16))
-        kept.append((self.now, name))
+        self.states[entry][number].unreported_successes += 1
 
     def _report(
         self, number: int, entry: int, name: str, is_silent: bool
     ) -> None:
-        self._after(
-            HOP_SECONDS, self._receive, number, entry, name, True, is_silent
-        )
+        self._after(HOP_SECONDS, self._receive, number, entry, name, is_silent)
 
     def _receive(
         self,
         number: int,
         entry: int,
         name: str,
-        has_failed: bool,
         is_silent: bool,
     ) -> None:
+        self._carry(entry, number)
         record = self.records[number]
-        seen = Evidence(self.now, str(entry), name, has_failed, is_silent)
+        seen = Evidence(self.now, str(entry), name, True, is_silent)
         record_evidence(record, seen)
         if record.state is HealthState.ejected:
             self.ejected_at.setdefault(number, self.now)
