Judge batch items by the same outcomes as online requests

Cause: each failed or broken run of an item counted against the upstream: also 400, 429 and 504, a time-out while it waited for a slot, and a fault of this process. An item that failed on trial failed each later trial, so that one faulty item kept an upstream ejected. Change: run_item sets ItemWork.is_faulted for 5xx without 504 and for broken answers, as for online requests; record_item ignores another failure of an item that has failed before. Result: tests/policy/test_ejection.py and the tests of tests/hosted/test_unreliable_upstreams.py that open no ports pass.

--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from http import HTTPStatus
 
 
 class CallerGoneError(OSError):
@@ -42,6 +43,11 @@
         self.reason = reason
 
 
+# An upstream may close an idle connection without notice, and a request sent
+# on it is lost, which is no failure of the upstream.  A request that may not be
+# retried therefore uses only connections idle for less than the shortest idle
+# time-out observed at an upstream.
+MAX_SAFE_IDLE_SECONDS = 0.15
 # Failures after which the upstream process itself may have crashed.
 DISCONNECTS = frozenset((SendFailure.lost, SendFailure.no_connection))
 # Failures that do not count against the upstream's health.
@@ -50,6 +56,16 @@
 )
 
 
+def shows_fault(status: int) -> bool:
+    """Check whether the status of an answer shows a fault of the upstream.
+
+    :param status: HTTP status.
+    :returns: false also for 504, which tells that the request's time was up.
+    """
+    is_server_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    return is_server_error and status != HTTPStatus.GATEWAY_TIMEOUT
+
+
 def classify_disconnect(error: OSError) -> SendFailure:
     """Classify an error that was raised while reading from an upstream.
 
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from wigeonpier.hosted.events import EventReader
+from wigeonpier.hosted.failures import MAX_SAFE_IDLE_SECONDS, shows_fault
 from wigeonpier.platform import ingress
 from wigeonpier.policy.fingerprint import digest_request
 from wigeonpier.web.exchange import make_request
@@ -68,6 +69,7 @@
     :param isolation: which other suspected requests may run beside it, empty
         if it is not suspected itself.
     :param response: response that is being read.
+    :param is_faulted: whether the last run showed a fault of the upstream.
     """
 
     job: OpenJob
@@ -87,6 +89,7 @@
     is_dropped: bool = False
     isolation: str = ''
     response: Exchange | None = None
+    is_faulted: bool = False
     _fingerprint: str = ''
 
     @property
@@ -133,6 +136,7 @@
     """
     started_at = time.monotonic()
     work.events_before_run = len(work.texts)
+    work.is_faulted = False
     opened = pool.begin(replica.address, HEAD_TIMEOUT_SECONDS)
     if isinstance(opened, Err):
         return RunOutcome.unreachable
@@ -140,8 +144,11 @@
     work.response = response
     try:
         outcome = _send_and_read(work, replica, response)
-    except (OSError, UnicodeDecodeError):
+    except (OSError, UnicodeDecodeError) as error:
         outcome = RunOutcome.paused if work.is_paused else RunOutcome.broken
+        work.is_faulted = not work.is_paused and _judge_break(
+            work, response, error
+        )
     if not response.is_whole:
         response.abort()
     response.close()
@@ -167,11 +174,13 @@
         return RunOutcome.replaced if is_other_instance else RunOutcome.refused
     if not ingress.is_own_answer(response, work.item.name):
         response.abort()
+        work.is_faulted = True
         return RunOutcome.broken
     if not ingress.is_success(response):
         response.read(READ_TIMEOUT_SECONDS)
         if response.status == UNPROCESSABLE_STATUS:
             return RunOutcome.impossible
+        work.is_faulted = shows_fault(response.status)
         return RunOutcome.failed
     return _read_events(work, response)
 
@@ -183,9 +192,22 @@
         if event is None:
             # A response without a length may be truncated at the end of the
             # connection; the next run resumes after the last event.
+            work.is_faulted = response.is_unframed
             return (
                 RunOutcome.broken if response.is_unframed else RunOutcome.whole
             )
         if event.identity:
             work.texts.append(event.text)
             work.last_event = event.identity
+
+
+def _judge_break(work: ItemWork, response: Exchange, error: Exception) -> bool:
+    """Judge whether a run that broke off shows a fault of the upstream.
+
+    An item without events may have waited for a slot, or have been sent on a
+    connection that the upstream was closing.
+    """
+    if work.has_new_events or not isinstance(error, OSError):
+        return True
+    is_silent = isinstance(error, TimeoutError)
+    return not is_silent and response.idle_seconds < MAX_SAFE_IDLE_SECONDS
--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -21,7 +21,11 @@
 import msgspec
 from result import Err
 
-from wigeonpier.hosted.failures import SendFailure
+from wigeonpier.hosted.failures import (
+    MAX_SAFE_IDLE_SECONDS,
+    SendFailure,
+    shows_fault,
+)
 from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
 from wigeonpier.policy.incarnation import name_start
 from wigeonpier.reports import HealthState
@@ -48,11 +52,7 @@
 # Without a queue an answer begins within some 0.06 s, and within 0.3 s at an
 # upstream that is slow for a moment.
 SILENT_OBJECTIVES = 2
-# An upstream may close a connection that was idle for longer just as a request
-# is sent on it, which is no failure; see ``LAST_ATTEMPT_MAX_IDLE_SECONDS``.
-MAX_IDLE_SECONDS = 0.15
 FINGERPRINT_DIGITS = 16
-FIRST_SERVER_ERROR = 500
 
 
 @dataclass(slots=True)
@@ -153,12 +153,10 @@
         :param exchange: the exchange with its response head read.
         :param failure: why the answer is not forwarded, if so.
         """
-        is_error = (
-            exchange.status >= FIRST_SERVER_ERROR
-            # The request's time was up, which shows no fault.
-            and exchange.status != HTTPStatus.GATEWAY_TIMEOUT
-            and failure in {None, SendFailure.failed}
-        )
+        is_error = shows_fault(exchange.status) and failure in {
+            None,
+            SendFailure.failed,
+        }
         if is_error or failure is SendFailure.foreign_answer:
             self._record(request, SendOutcome.failed)
 
@@ -327,7 +325,7 @@
     """
     had_output = request.sends[-1].had_output
     if failure is SendFailure.lost:
-        is_fault = had_output or tracked.idle_seconds < MAX_IDLE_SECONDS
+        is_fault = had_output or tracked.idle_seconds < MAX_SAFE_IDLE_SECONDS
         return SendOutcome.failed if is_fault else None
     # An answer that pauses until the request's time is up may only be slow.
     if failure is not SendFailure.silent or request.seconds_left <= 0:
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -244,7 +244,7 @@
             outcome is RunOutcome.broken
             and self._trials.record_interrupted_run(work)
         )
-        if outcome not in NOT_RUN and not has_crashed:
+        if work.is_faulted and not has_crashed:
             self._trials.health.record_item(work, went_well=False)
         if outcome is RunOutcome.failed:
             self._trials.record_completion(work)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -12,6 +12,7 @@
 from wigeonpier.hosted.failures import (
     DISCONNECTS,
     HEALTH_NEUTRAL,
+    MAX_SAFE_IDLE_SECONDS,
     CallerGoneError,
     QueueLeftError,
     SendFailure,
@@ -38,11 +39,6 @@
 # A send that is rejected before it runs costs a few ms; this many rejections
 # show that the service is full.
 MAX_SENDS = 4
-# An upstream may close an idle connection without notice, and a request sent
-# on it is lost.  A request that may not be retried therefore uses only
-# connections idle for less than the shortest idle time-out observed at an
-# upstream.
-LAST_ATTEMPT_MAX_IDLE_SECONDS = 0.15
 
 
 @dataclass(slots=True)
@@ -175,7 +171,7 @@
         opened = self.pool.begin(
             upstream.address,
             request.seconds_left,
-            LAST_ATTEMPT_MAX_IDLE_SECONDS
+            MAX_SAFE_IDLE_SECONDS
             if request.is_last_attempt
             else MAX_IDLE_SECONDS,
         )
--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -164,12 +164,15 @@
     :param outcome: the outcome.
     :param is_trial: whether the item was started since the ejection.  The
         success of a whole item, which has many times the events of a request,
-        completes the return.
+        completes the return.  An item that has failed before may be at fault
+        itself, and fails no trial.
     """
     if record.state is HealthState.healthy:
         record_evidence(record, outcome)
     elif is_trial and outcome.has_failed:
-        _eject(record, outcome.at, 'a batch item failed on trial')
+        if not _is_known(record, outcome):
+            record.evidence.append(outcome)
+            _eject(record, outcome.at, 'a batch item failed on trial')
     elif is_trial:
         _return(record, outcome.at, 'a batch item completed on trial')
 
@@ -203,6 +206,13 @@
         _eject(record, outcome.at, describe(evidence))
 
 
+def _is_known(record: HealthRecord, outcome: Evidence) -> bool:
+    return any(
+        earlier.has_failed and earlier.fingerprint == outcome.fingerprint
+        for earlier in record.evidence
+    )
+
+
 def _judge_trial(record: HealthRecord, outcome: Evidence) -> None:
     if not outcome.has_failed:
         record.successes += 1
@@ -211,8 +221,7 @@
             _return(record, outcome.at, f'{record.successes} trials succeeded')
         return
     # Requests that were sent before the ejection may fail once more later.
-    known = {earlier.fingerprint for earlier in record.evidence}
-    if outcome.fingerprint not in known:
+    if not _is_known(record, outcome):
         record.evidence.append(outcome)
         _eject(record, outcome.at, 'a request failed on trial')
 
--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -22,9 +22,11 @@
 )
 from tests.hosted.callers import BROKEN
 from wigeonpier.hosted.healthkeeper import HealthKeeper
+from wigeonpier.hosted.items import ItemWork, run_item
 from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
 from wigeonpier.hosted.outcomes import OutcomeReporter
 from wigeonpier.models import HostSettings, OnlineLoad, UpstreamReport
+from wigeonpier.platform import wire
 from wigeonpier.policy.route import record_health, record_load
 from wigeonpier.reports import HealthState, UpstreamHealth
 from wigeonpier.telemetry.metrics import Metrics
@@ -209,6 +211,57 @@
     assert keeper.read_health() is None
 
 
+def _run_item(**answer: Any) -> ItemWork:
+    headers = {wire.REQUEST_ID: 'i1', wire.SIGNATURE: 's'}
+    response = SimpleNamespace(
+        **{
+            'send': lambda *_given: None,
+            'read': lambda _timeout: b'',
+            'abort': lambda: None,
+            'close': lambda: None,
+            'get_header': lambda name: headers.get(name, ''),
+            'is_whole': True,
+            'idle_seconds': 0,
+            'status': 200,
+        }
+        | answer
+    )
+    pool = SimpleNamespace(begin=lambda *_given: Ok(response))
+    job = SimpleNamespace(host='h', customer='', name='j')
+    item = SimpleNamespace(name='i1', path='/', body=b'', headers={})
+    work = ItemWork(job, 0, item, 0, 0)
+    run_item(work, SimpleNamespace(name='vm-1', address='a:1'), pool)
+    return work
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_fault'),
+    [(400, False), (422, False), (429, False), (504, False), (500, True)],
+)
+def test_an_item_counts_as_an_online_request_does(
+    status: int, is_fault: bool
+) -> None:
+    """An item that is refused by its content ejected the upstream."""
+    assert _run_item(status=status).is_faulted == is_fault
+
+
+@pytest.mark.parametrize(
+    ('error', 'idle', 'is_fault'),
+    [
+        (ConnectionResetError(), 0.0, True),
+        (ConnectionResetError(), 1.0, False),
+        (TimeoutError(), 0.0, False),
+    ],
+)
+def test_an_item_that_waits_for_a_slot_shows_no_fault(
+    error: OSError, idle: float, is_fault: bool
+) -> None:
+    def fail(*_given: object) -> None:
+        raise error
+
+    assert _run_item(send=fail, idle_seconds=idle).is_faulted == is_fault
+
+
 class _RecordingPool:
     """Answers the calls of a reporter, and records what they carry."""
 
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -257,6 +257,17 @@
     assert limit_items(record, 10) is None
 
 
+def test_an_item_that_failed_before_fails_no_later_trial() -> None:
+    """It may itself be at fault, and would keep the upstream ejected."""
+    record = _make_ejected()
+    record_item(record, Evidence(3, 'vm', 'item', True), is_trial=True)
+    assert record.ejections == 2
+    record_item(record, Evidence(9, 'vm', 'item', True), is_trial=True)
+    assert record.ejections == 2
+    record_item(record, Evidence(9, 'vm', 'other', True), is_trial=True)
+    assert record.ejections == 3
+
+
 def test_an_item_that_takes_too_long_is_not_waited_for() -> None:
     record = _make_ejected()
     late = record.trial_at + ITEM_TRIAL_SECONDS
