Count outcomes by when they were, and trials only by their own outcomes

Cause: failures that were delivered late counted as new, also after the upstream had returned; failures were dropped after 404 and other refusals while successes were delivered. During a trial the outcomes of earlier requests counted, an item of an earlier trial blocked or ended a later one, and an answer to a silent request undid a failed trial. An upstream of a service without repeatable requests and items stayed on trial for ever. During a trial only reports with is_trial count; the records of item trials are cleared at each ejection and return; taking back silence undoes only an ejection by score. After MAX_PAUSE_SECONDS without a trial an upstream on trial returns, with the log line upstream_returned. Each ejection is logged, also one during an ejection.

--- a/src/wigeonpier/hosted/healthkeeper.py
+++ b/src/wigeonpier/hosted/healthkeeper.py
@@ -56,7 +56,8 @@
         self._upstream = upstream
         self._metrics = metrics
         self._record = ejection.HealthRecord()
-        self._known = HealthState.healthy
+        # Changes of state that were logged.
+        self._reported_changes = 0
         self._items_seen_at: float = -ITEMS_KNOWN_SECONDS
         # The item that runs on trial, and the last one that did.
         self._trial_item: ItemWork | None = None
@@ -143,6 +144,7 @@
         if self._record.state is not HealthState.healthy:
             self._trial_item = work
             self._tried_item = work
+            self._record.tried_at = time.monotonic()
 
     def end_item(self, work: ItemWork) -> None:
         """Record that a batch item has stopped running.
@@ -212,14 +214,19 @@
 
     def _forget(self, incarnation: int) -> None:
         self._record = ejection.HealthRecord(incarnation)
-        self._known = HealthState.healthy
+        self._reported_changes = 0
+        self._trial_item = None
         self._tried_item = None
 
     def _report_change(self) -> None:
         state = self._record.state
-        if state is self._known:
+        if self._record.changes == self._reported_changes:
             return
-        self._known = state
+        self._reported_changes = self._record.changes
+        if state is not HealthState.on_trial:
+            # What started before tells nothing about a later trial.
+            self._trial_item = None
+            self._tried_item = None
         self._metrics.count('health_changes_total', state=state.value)
         log_event(
             _EVENTS[state],
@@ -232,12 +239,13 @@
 
     def _make_evidence(self, entry: str, report: SendReport) -> Evidence:
         return Evidence(
-            time.monotonic(),
+            time.monotonic() - max(0, report.age),
             entry,
             report.fingerprint,
             has_failed=report.outcome is not SendOutcome.succeeded,
             is_silent=report.outcome is SendOutcome.silent,
+            is_trial=report.is_trial,
         )
 
     def _count_ejected(self) -> float:
-        return float(self._known is not HealthState.healthy)
+        return float(self._record.state is not HealthState.healthy)
--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -19,7 +19,7 @@
 
 import gevent
 import msgspec
-from result import Err
+from result import Err, Ok
 
 from wigeonpier.hosted.failures import (
     MAX_SAFE_IDLE_SECONDS,
@@ -33,6 +33,8 @@
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wigeonpier.hosted.question import OnlineRequest
     from wigeonpier.models import HostSettings
     from wigeonpier.policy.route import UpstreamState
@@ -53,6 +55,7 @@
 # upstream that is slow for a moment.
 SILENT_OBJECTIVES = 2
 FINGERPRINT_DIGITS = 16
+AGE_DIGITS = 3
 
 
 @dataclass(slots=True)
@@ -88,6 +91,10 @@
             self.timer = None
 
 
+# A report and the time of its outcome, seconds.
+_Timed = tuple[float, SendReport]
+
+
 class OutcomeReporter:
     """Collects the outcomes of requests and sends them to the workers."""
 
@@ -105,9 +112,9 @@
         self._pool = pool
         self._metrics = metrics
         # Reports that wait for a reservation call, by start.
-        self._kept: dict[str, deque[tuple[float, SendReport]]] = {}
+        self._kept: dict[str, deque[_Timed]] = {}
         # Reports that a greenlet is sending, by start.
-        self._urgent: dict[str, list[SendReport]] = {}
+        self._urgent: dict[str, deque[_Timed]] = {}
         self._muted_until: dict[str, float] = {}
 
     def track(
@@ -196,8 +203,7 @@
         :returns: the reports, ``None`` if there are none.
         """
         kept = self._kept.pop(upstream.start, ())
-        oldest = time.monotonic() - KEEP_SECONDS
-        reports = tuple(report for at, report in kept if at > oldest)
+        reports = _make_reports(kept)
         succeeded = upstream.unreported_successes
         if not reports and not succeeded:
             return None
@@ -208,7 +214,10 @@
         )
 
     def restore(
-        self, upstream: UpstreamState, reports: SendReports | None
+        self,
+        upstream: UpstreamState,
+        reports: SendReports | None,
+        age: float = 0,
     ) -> None:
         """Keep the outcomes of a call that was lost for the next one.
 
@@ -217,11 +226,13 @@
 
         :param upstream: the upstream.
         :param reports: what the call carried.
+        :param age: time since the call was made, seconds.
         """
         if reports is None:
             return
+        now = time.monotonic()
         for report in reports.reports:
-            self._keep(upstream.start, report)
+            self._keep(upstream.start, (now - age - report.age, report))
         if reports.incarnation == upstream.incarnation:
             upstream.unreported_successes += reports.succeeded
 
@@ -231,17 +242,25 @@
             return
         if outcome is not SendOutcome.silent:
             tracked.stop_timer()
-        report = SendReport(request.fingerprint[:FINGERPRINT_DIGITS], outcome)
+        report = SendReport(
+            request.fingerprint[:FINGERPRINT_DIGITS],
+            outcome,
+            is_trial=tracked.is_trial,
+        )
         is_urgent = tracked.is_trial or tracked.is_silent
         if outcome is SendOutcome.succeeded and not is_urgent:
             # The upstream may have restarted meanwhile.
             if tracked.incarnation == tracked.upstream.incarnation:
                 tracked.upstream.unreported_successes += 1
             return
-        if time.monotonic() < self._muted_until.get(tracked.address, 0):
+        timed = (time.monotonic(), report)
+        if timed[0] < self._muted_until.get(tracked.address, 0):
+            self._keep(tracked.start, timed)
             return
         is_sending = tracked.start in self._urgent
-        self._urgent.setdefault(tracked.start, []).append(report)
+        self._urgent.setdefault(tracked.start, deque(maxlen=MAX_KEPT)).append(
+            timed
+        )
         if not is_sending:
             gevent.spawn(self._post_all, tracked)
 
@@ -265,9 +284,9 @@
         with ExitStack() as stack:
             stack.callback(self._urgent.pop, tracked.start)
             while self._urgent[tracked.start]:
-                reports = tuple(self._urgent[tracked.start])
-                self._urgent[tracked.start] = []
-                self._post(tracked, reports)
+                timed = self._urgent[tracked.start]
+                self._urgent[tracked.start] = deque(maxlen=MAX_KEPT)
+                self._post(tracked, _make_reports(timed))
 
     def _post(
         self, tracked: TrackedSend, reports: tuple[SendReport, ...]
@@ -283,20 +302,26 @@
         body = msgspec.json.encode(sent)
         headers = [('Host', tracked.address)]
         raw = make_request('POST', OUTCOMES_PATH, headers, body)
+        began = time.monotonic()
         called = self._pool.call(tracked.address, raw, POST_TIMEOUT_SECONDS)
-        if isinstance(called, Err):
-            self.restore(upstream, sent)
-            self._count(len(reports) + succeeded, 'lost')
+        if isinstance(called, Ok) and called.ok_value.is_good:
+            self._count(len(reports) + succeeded, 'sent')
             return
-        if called.ok_value.status == HTTPStatus.NOT_FOUND:
+        # Counts restored after a call whose answer was lost may be reported
+        # twice, which speaks for the upstream; a failure counts once.
+        self.restore(upstream, sent, age=time.monotonic() - began)
+        how = 'lost' if isinstance(called, Err) else 'refused'
+        self._count(len(reports) + succeeded, how)
+        if (
+            isinstance(called, Ok)
+            and called.ok_value.status == HTTPStatus.NOT_FOUND
+        ):
             muted_until = time.monotonic() + MUTE_SECONDS
             self._muted_until[tracked.address] = muted_until
-        how = 'sent' if called.ok_value.is_good else 'refused'
-        self._count(len(reports) + succeeded, how)
 
-    def _keep(self, start: str, report: SendReport) -> None:
+    def _keep(self, start: str, timed: _Timed) -> None:
         kept = self._kept.setdefault(start, deque(maxlen=MAX_KEPT))
-        kept.append((time.monotonic(), report))
+        kept.append(timed)
         while len(self._kept) > MAX_STARTS:
             self._kept.pop(next(iter(self._kept)))
 
@@ -304,6 +329,16 @@
         self._metrics.count('outcome_reports_total', outcomes, how=how)
 
 
+def _make_reports(kept: Iterable[_Timed]) -> tuple[SendReport, ...]:
+    """Set the ages of reports, and leave out those that are too old."""
+    now = time.monotonic()
+    return tuple(
+        msgspec.structs.replace(report, age=round(now - at, AGE_DIGITS))
+        for at, report in kept
+        if now - at < KEEP_SECONDS
+    )
+
+
 def _has_no_queue(upstream: UpstreamState) -> bool:
     """Check whether an upstream takes work and reports free slots."""
     return (
--- a/src/wigeonpier/hosted/reserver.py
+++ b/src/wigeonpier/hosted/reserver.py
@@ -85,15 +85,17 @@
         )
         headers = [('Host', address)]
         raw = make_request('POST', RESERVATION_PATH, headers, body)
+        began = time.monotonic()
         called = self._pool.call(address, raw, timeout)
         if isinstance(called, Err):
             self._limiter.restore_unreported(admitted)
-            self._outcomes.restore(upstream, outcomes)
+            self._outcomes.restore(upstream, outcomes, time.monotonic() - began)
             upstream.takes_work = False
             return self._count(ReservationOutcome.unanswered)
         if not called.ok_value.is_good:
             # The worker does not know its upstream yet, or does not support
             # reservations.
+            self._outcomes.restore(upstream, outcomes)
             return self._count(ReservationOutcome.unanswered)
         reservation = called.ok_value.decode(Reservation)
         record_load(upstream, reservation.load, time.monotonic())
--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -52,9 +52,15 @@
     :param evidence: outcomes by which the upstream was last judged.
     :param ejections: ejections since it last recovered.
     :param trial_at: no trial before then, seconds.
-    :param returned_at: when it was last found healthy, seconds.
+    :param changes: number of changes of the state, and of ejections during
+        an ejection.
+    :param changed_at: when the last of them was, seconds; earlier outcomes
+        do not count any more.
+    :param is_by_score: whether outcomes of several entries led to the ejection.
+    :param settled: requests that failed before the last return.
     :param successes: successful trials.
     :param granted_at: when the current trial began, seconds.
+    :param tried_at: when the last trial began, seconds.
     :param grants: when requests were granted a slot, oldest first, seconds.
     """
 
@@ -66,9 +72,13 @@
     )
     ejections: int = 0
     trial_at: float = 0
-    returned_at: float = -math.inf
+    changes: int = 0
+    changed_at: float = -math.inf
+    is_by_score: bool = False
+    settled: frozenset[str] = frozenset()
     successes: int = 0
     granted_at: float = -math.inf
+    tried_at: float = -math.inf
     grants: deque[float] = field(
         default_factory=lambda: deque(maxlen=MAX_GRANTS),
     )
@@ -81,6 +91,7 @@
     :param now: seconds.
     """
     record.granted_at = now
+    record.tried_at = now
     record.grants.append(now)
 
 
@@ -88,19 +99,21 @@
     """Take one outcome into account.
 
     :param record: changed in place.
-    :param outcome: the outcome.
+    :param outcome: the outcome; ignored if it is from before the last change
+        of the state, and during a trial unless it is one.
     """
+    if outcome.at < record.changed_at:
+        return
     is_taken_back = _take_back(record, outcome)
     if record.state is HealthState.healthy:
         _judge(record, outcome)
     elif record.state is HealthState.on_trial:
         _judge_trial(record, outcome)
+    elif is_taken_back:
+        _reconsider(record, outcome.at)
     elif outcome.has_failed:
         # Known, so that it does not count once more during the next trial.
         record.evidence.append(outcome)
-    elif is_taken_back and not shows_failing(record.evidence, record.grants):
-        record.ejections -= 1
-        _return(record, outcome.at, 'silent requests were answered')
 
 
 def record_successes(record: HealthRecord, successes: Evidence) -> None:
@@ -117,15 +130,23 @@
 def advance(record: HealthRecord, now: float, *, has_items: bool) -> None:
     """Begin trials with requests once the pause is over.
 
+    An upstream that gets neither requests that may be repeated nor items would
+    stay on trial for ever, so it returns without a trial in the end.
+
     :param record: changed in place.
     :param now: seconds.
     :param has_items: whether batch items wait or run, which are tried first.
     """
+    if (
+        record.state is HealthState.on_trial
+        and now - max(record.tried_at, record.changed_at) >= MAX_PAUSE_SECONDS
+    ):
+        _return(record, now, 'no request or batch item to try it with')
     if record.state is not HealthState.ejected or now < record.trial_at:
         return
     if has_items and now < record.trial_at + ITEM_TRIAL_SECONDS:
         return
-    record.state = HealthState.on_trial
+    _change(record, HealthState.on_trial, now)
     record.reason = f'paused after ejection {record.ejections}'
     record.successes = 0
     record.granted_at = -math.inf
@@ -169,12 +190,21 @@
     """
     if record.state is HealthState.healthy:
         record_evidence(record, outcome)
-    elif is_trial and outcome.has_failed:
-        if not _is_known(record, outcome):
-            record.evidence.append(outcome)
-            _eject(record, outcome.at, 'a batch item failed on trial')
-    elif is_trial:
+    elif not is_trial or outcome.at < record.changed_at:
+        return
+    elif not outcome.has_failed:
         _return(record, outcome.at, 'a batch item completed on trial')
+    elif not _is_known(record, outcome):
+        record.evidence.append(outcome)
+        _eject(record, outcome.at, 'a batch item failed on trial')
+
+
+def _reconsider(record: HealthRecord, now: float) -> None:
+    """Undo an ejection that the remaining outcomes do not support."""
+    is_failing = shows_failing(record.evidence, record.grants)
+    if record.is_by_score and not is_failing:
+        record.ejections -= 1
+        _return(record, now, 'silent requests were answered')
 
 
 def _take_back(record: HealthRecord, outcome: Evidence) -> bool:
@@ -194,16 +224,16 @@
 
 
 def _judge(record: HealthRecord, outcome: Evidence) -> None:
-    evidence = record.evidence
-    evidence.append(outcome)
-    while evidence[0].at < outcome.at - WINDOW_SECONDS:
-        evidence.popleft()
-    while record.grants and record.grants[0] < outcome.at - WINDOW_SECONDS:
-        record.grants.popleft()
+    is_recent = outcome.at - record.changed_at < RECOVERY_SECONDS
+    if outcome.has_failed and is_recent and _is_settled(record, outcome):
+        return
+    record.evidence.append(outcome)
+    _drop_old(record)
     if outcome.has_failed and shows_failing(record.evidence, record.grants):
-        if outcome.at - record.returned_at > RECOVERY_SECONDS:
+        if outcome.at - record.changed_at > RECOVERY_SECONDS:
             record.ejections = 0
-        _eject(record, outcome.at, describe(evidence))
+        _eject(record, outcome.at, describe(record.evidence))
+        record.is_by_score = True
 
 
 def _is_known(record: HealthRecord, outcome: Evidence) -> bool:
@@ -213,7 +243,24 @@
     )
 
 
+def _drop_old(record: HealthRecord) -> None:
+    """Drop outcomes from before the window; they come in any order."""
+    oldest = max(known.at for known in record.evidence) - WINDOW_SECONDS
+    if any(known.at < oldest for known in record.evidence):
+        recent = [known for known in record.evidence if known.at >= oldest]
+        record.evidence.clear()
+        record.evidence.extend(recent)
+    while record.grants and record.grants[0] < oldest:
+        record.grants.popleft()
+
+
+def _is_settled(record: HealthRecord, outcome: Evidence) -> bool:
+    return outcome.fingerprint in record.settled
+
+
 def _judge_trial(record: HealthRecord, outcome: Evidence) -> None:
+    if not outcome.is_trial:
+        return
     if not outcome.has_failed:
         record.successes += 1
         record.granted_at = -math.inf
@@ -228,15 +275,25 @@
 
 def _eject(record: HealthRecord, now: float, reason: str) -> None:
     pause = INITIAL_PAUSE_SECONDS * 2**record.ejections
-    record.state = HealthState.ejected
+    _change(record, HealthState.ejected, now)
+    record.is_by_score = False
     record.reason = reason
     record.trial_at = now + min(MAX_PAUSE_SECONDS, pause)
     record.ejections += 1
 
 
 def _return(record: HealthRecord, now: float, reason: str) -> None:
-    record.state = HealthState.healthy
+    _change(record, HealthState.healthy, now)
     record.reason = reason
-    record.returned_at = now
+    # A request from before the return may be reported once more.
+    record.settled = frozenset(
+        known.fingerprint for known in record.evidence if known.has_failed
+    )
     record.evidence.clear()
     record.grants.clear()
+
+
+def _change(record: HealthRecord, state: HealthState, now: float) -> None:
+    record.state = state
+    record.changes += 1
+    record.changed_at = max(now, record.changed_at)
--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -45,13 +45,14 @@
 class Evidence:
     """How the upstream handled one request.
 
-    :param at: when it was reported, seconds.
+    :param at: when that was known, seconds.
     :param entry: process that reports it.
     :param fingerprint: the same for repeats of one request.
     :param has_failed: whether the upstream failed the request.
     :param is_silent: whether it has only not answered so far; a later success
         of the same request takes this back.
     :param count: number of requests, 1 unless all of them succeeded.
+    :param is_trial: whether it was sent as a trial of an ejected upstream.
     """
 
     at: float
@@ -60,6 +61,7 @@
     has_failed: bool
     is_silent: bool = False
     count: int = 1
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
