Judge silence for streams only, also stalls, and count errors at the entry

Cause: the head of an answer that is no event stream may come with its end, so that slow answers were reported as silent. A once-only stream that stalls after its first event was reported only when its caller's time was up, and not even then. Change: silence is reported for routes of kind stream only; a stream for whose next event the entry has waited for 1 s (BETWEEN_EVENTS_SECONDS plus a margin) is silent, not so one whose caller does not read.

--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -27,8 +27,11 @@
     shows_fault,
 )
 from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
+from wigeonpier.policy import silence
 from wigeonpier.policy.incarnation import name_start
+from wigeonpier.policy.route import record_outcome
 from wigeonpier.reports import HealthState
+from wigeonpier.served import RouteKind
 from wigeonpier.settings.process import split_address
 from wigeonpier.web.exchange import make_request
 
@@ -54,6 +57,11 @@
 # Without a queue an answer begins within some 0.06 s, and within 0.3 s at an
 # upstream that is slow for a moment.
 SILENT_OBJECTIVES = 2
+# Longest pause between two events of a stream, with a margin.  A stream that may
+# continue elsewhere is left before; one that may run only once is not.
+STALL_MARGIN_SECONDS = 0.3
+STALL_SECONDS = silence.BETWEEN_EVENTS_SECONDS + STALL_MARGIN_SECONDS
+CHECK_SECONDS = 0.25
 FINGERPRINT_DIGITS = 16
 AGE_DIGITS = 3
 
@@ -69,6 +77,8 @@
     :param idle_seconds: how long the connection had been idle.
     :param is_silent: whether it was reported as silent.
     :param timer: reports it as silent later.
+    :param waits_since: when the entry began to wait for the next event of its
+        answer, seconds of the monotonic clock; 0 while it does not wait.
     """
 
     upstream: UpstreamState
@@ -78,6 +88,7 @@
     idle_seconds: float
     is_silent: bool = False
     timer: gevent.Greenlet[..., None] | None = None
+    waits_since: float = 0
 
     @property
     def start(self) -> str:
@@ -140,7 +151,9 @@
             idle,
         )
         request.tracked = tracked
-        if request.route.objective:
+        # The head of any other answer may come with its end.
+        is_stream = request.route.kind is RouteKind.stream
+        if is_stream and request.route.objective:
             tracked.timer = gevent.spawn_later(
                 request.route.objective * SILENT_OBJECTIVES,
                 self._report_silence,
@@ -156,6 +169,9 @@
     ) -> None:
         """Report an answer that shows a fault of the upstream.
 
+        An error that is passed on to the caller also counts at this entry,
+        which may be the only one that uses the upstream.
+
         :param request: the request.
         :param exchange: the exchange with its response head read.
         :param failure: why the answer is not forwarded, if so.
@@ -166,6 +182,12 @@
         }
         if is_error or failure is SendFailure.foreign_answer:
             self._record(request, SendOutcome.failed)
+        tracked = request.tracked
+        if tracked is not None and is_error and failure is None:
+            # A failure that is not forwarded is counted by the sender.
+            record_outcome(
+                tracked.upstream, went_well=False, now=time.monotonic()
+            )
 
     def record_failure(
         self,
@@ -195,6 +217,11 @@
         :param request: the request.
         """
         self._record(request, SendOutcome.succeeded)
+        tracked = request.tracked
+        if tracked is not None:
+            record_outcome(
+                tracked.upstream, went_well=True, now=time.monotonic()
+            )
 
     def take(self, upstream: UpstreamState) -> SendReports | None:
         """Take the reports that a reservation call carries.
@@ -267,17 +294,22 @@
     def _report_silence(
         self, request: OnlineRequest, upstream: UpstreamState
     ) -> None:
-        """Report a request that has no answer although nothing else waits."""
+        """Report a send without an event for long although nothing waits."""
         tracked = request.tracked
         if tracked is None or request.is_abandoned:
             return
-        tracked.timer = None
-        is_waiting = (
-            request.upstream is upstream and not request.sends[-1].had_output
-        )
-        if is_waiting and _has_no_queue(upstream):
-            tracked.is_silent = True
-            self._record(request, SendOutcome.silent)
+        has_no_event = not request.sends[-1].had_output
+        # ``stop_timer`` ends this greenlet when the send has ended.
+        while request.upstream is upstream:
+            is_silent = has_no_event or _is_stalled(tracked)
+            if is_silent and _has_no_queue(upstream):
+                tracked.timer = None
+                tracked.is_silent = True
+                self._record(request, SendOutcome.silent)
+                return
+            # It may have left a queue just now.
+            has_no_event = False
+            gevent.sleep(CHECK_SECONDS)
 
     def _post_all(self, tracked: TrackedSend) -> None:
         """Send the urgent reports on one start until none is left."""
@@ -339,6 +371,12 @@
     )
 
 
+def _is_stalled(tracked: TrackedSend) -> bool:
+    # While the caller reads slowly, events are not waited for.
+    waited = time.monotonic() - tracked.waits_since
+    return tracked.waits_since > 0 and waited > STALL_SECONDS
+
+
 def _has_no_queue(upstream: UpstreamState) -> bool:
     """Check whether an upstream takes work and reports free slots."""
     return (
@@ -367,4 +405,6 @@
         return None
     if had_output:
         return SendOutcome.failed
+    if request.route.kind is not RouteKind.stream:
+        return None
     return SendOutcome.silent if _has_no_queue(upstream) else None
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -178,7 +178,10 @@
         upstream, exchange = _get_current(request)
         reader = EventReader(exchange)
         has_events = False
+        tracked = request.tracked
         while True:
+            if tracked is not None:
+                tracked.waits_since = time.monotonic()
             try:
                 event = reader.read(
                     request.choose_read_timeout(has_events=has_events),
@@ -196,6 +199,8 @@
             has_events = True
             request.sends[-1].had_output = True
             request.first_event_at = request.first_event_at or time.monotonic()
+            if tracked is not None:
+                tracked.waits_since = 0
             yield event.raw
 
     def _resume_elsewhere(
--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -21,18 +21,30 @@
     wait_for,
 )
 from tests.hosted.callers import BROKEN
+from wigeonpier.hosted.failures import SendFailure
 from wigeonpier.hosted.healthkeeper import HealthKeeper
 from wigeonpier.hosted.items import ItemWork, run_item
 from wigeonpier.hosted.news import SendOutcome, SendReport, SendReports
-from wigeonpier.hosted.outcomes import OutcomeReporter
+from wigeonpier.hosted.outcomes import (
+    CHECK_SECONDS,
+    SILENT_OBJECTIVES,
+    STALL_SECONDS,
+    OutcomeReporter,
+)
 from wigeonpier.models import HostSettings, OnlineLoad, UpstreamReport
 from wigeonpier.platform import wire
-from wigeonpier.policy.route import record_health, record_load
+from wigeonpier.policy.route import (
+    FAILURES_TO_EJECT,
+    record_health,
+    record_load,
+)
 from wigeonpier.reports import HealthState, UpstreamHealth
+from wigeonpier.served import RouteKind
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.client import CallFailure, Reply
 
 if TYPE_CHECKING:
+    from wigeonpier.hosted.question import OnlineRequest
     from wigeonpier.policy.route import UpstreamState
 
 MANY = 1_000_000
@@ -426,3 +438,67 @@
     reporter.record_success(request)
     gevent.sleep(0)
     assert pool.bodies[1].reports[0].outcome is SendOutcome.succeeded
+
+
+def _send_tracked(
+    reporter: OutcomeReporter, kind: RouteKind, *, had_output: bool
+) -> OnlineRequest:
+    state = build_upstream('vm-1', service=SERVICE)
+    now = time.monotonic()
+    record_load(state, OnlineLoad(1, takes_work=True), now)
+    # No feed renews it here.
+    state.load_fresh_until = now + 60
+    request = make_online_request()
+    request.route = replace(request.route, kind=kind)
+    request.record_send(state)
+    request.upstream = state
+    reporter.track(request, state, 0)
+    request.sends[-1].had_output = had_output
+    return request
+
+
+def test_silence_is_judged_for_streams_only() -> None:
+    """The head of any other answer may come with its end."""
+    pool = _RecordingPool()
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    request = _send_tracked(reporter, RouteKind.once, had_output=False)
+    gevent.sleep(request.route.objective * SILENT_OBJECTIVES + 0.1)
+    assert not pool.bodies
+    reporter.record_failure(
+        request, request.upstream, SendFailure.silent, has_crashed=False
+    )
+    gevent.sleep(0)
+    assert not pool.bodies
+
+
+def test_a_stream_that_stalls_is_silent() -> None:
+    """One that may run only once fails only at its deadline."""
+    pool = _RecordingPool(Ok(Reply(200, b'{}')))
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    request = _send_tracked(reporter, RouteKind.stream, had_output=True)
+    reader = _send_tracked(reporter, RouteKind.stream, had_output=True)
+    request.tracked.waits_since = time.monotonic()
+    gevent.sleep(STALL_SECONDS - 0.1)
+    assert not pool.bodies
+    gevent.sleep(CHECK_SECONDS + 0.3)
+    assert pool.bodies[0].reports[0].outcome is SendOutcome.silent
+    # Its caller does not read, so that no event is waited for.
+    assert not reader.tracked.is_silent
+    reader.tracked.stop_timer()
+
+
+@pytest.mark.parametrize(('status', 'is_ejected'), [(500, True), (404, False)])
+def test_errors_that_reach_the_caller_count_at_the_entry(
+    status: int, is_ejected: bool
+) -> None:
+    """Where only one entry sends requests, no worker ejects."""
+    pool = _RecordingPool(*[Ok(Reply(200, b'{}'))] * 9)
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE)
+    for _number in range(FAILURES_TO_EJECT):
+        request = make_online_request()
+        request.record_send(state)
+        reporter.track(request, state, 0)
+        answer = SimpleNamespace(status=status)
+        reporter.record_answer(request, answer, None)
+    assert (state.ejected_until > 0) == is_ejected
