Count an entry with a bad link as one of the entries that report failures

Cause: an entry that failed before while others succeeded did not count at all, so at a site of three entries the two others could not eject an upstream. Change: its failures add nothing to the score, but count as one more entry. The state of a test is a class of its own.

--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -18,7 +18,7 @@
 
 import math
 from collections import Counter, deque
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -129,42 +129,67 @@
     )
 
 
-def _is_positive(
-    test: _Test, outcomes: list[Evidence], min_entries: int
-) -> bool:
-    """Apply a test.
+@dataclass(slots=True)
+class _Tally:
+    """State of a test.
 
     A request that failed counts once, whoever reports it, and an entry only
     :data:`MAX_FAILURES_PER_ENTRY` times.  An entry that has failed before while
-    others succeeded, and has not succeeded since, has a bad link.
-
-    :param outcomes: outcomes, oldest first.
-    :param min_entries: entries that failures have to come from.
+    others succeeded, and has not succeeded since, has a bad link: its failures
+    only count as those of one more entry.
+
+    :param test: the test.
+    :param score: score of the outcomes so far.
+    :param requests: requests that failed.
+    :param entries: failures that count since the score was 0, by entry.
+    :param doubtful: entries with a bad link.
     """
+
+    test: _Test
     score: float = 0
-    requests: set[str] = set()
-    entries: Counter[str] = Counter()
-    doubtful: set[str] = set()
-    for outcome in outcomes:
-        if not outcome.has_failed:
-            score = max(0, score + outcome.count * test.success_score)
-            doubtful.discard(outcome.entry)
-            if not score:
-                doubtful.update(entries)
-                entries.clear()
+    requests: set[str] = field(default_factory=set)
+    entries: Counter[str] = field(default_factory=Counter)
+    doubtful: set[str] = field(default_factory=set)
+
+    def add(self, outcome: Evidence) -> None:
+        """Add the next outcome."""
+        if outcome.has_failed:
+            self._add_failure(outcome)
+            return
+        gain = outcome.count * self.test.success_score
+        self.score = max(0, self.score + gain)
+        self.doubtful.discard(outcome.entry)
+        if not self.score:
+            self.doubtful.update(self.entries)
+            self.entries.clear()
+
+    def is_positive(self, min_entries: int) -> bool:
+        """Tell whether failures of so many entries reach the threshold."""
+        return (
+            self.score >= self.test.threshold
+            and self.entries.total() >= MIN_FAILURES
+            and len(self.entries) >= min_entries
+        )
+
+    def _add_failure(self, outcome: Evidence) -> None:
+        if outcome.entry in self.doubtful:
+            self.entries.setdefault(outcome.entry, 0)
         elif (
-            outcome.fingerprint not in requests
-            and outcome.entry not in doubtful
-            and entries[outcome.entry] < MAX_FAILURES_PER_ENTRY
+            outcome.fingerprint not in self.requests
+            and self.entries[outcome.entry] < MAX_FAILURES_PER_ENTRY
         ):
-            requests.add(outcome.fingerprint)
-            entries[outcome.entry] += 1
-            score += test.failure_score
-    return (
-        score >= test.threshold
-        and entries.total() >= MIN_FAILURES
-        and len(entries) >= min_entries
-    )
+            self.requests.add(outcome.fingerprint)
+            self.entries[outcome.entry] += 1
+            self.score += self.test.failure_score
+
+
+def _is_positive(
+    test: _Test, outcomes: list[Evidence], min_entries: int
+) -> bool:
+    tally = _Tally(test)
+    for outcome in outcomes:
+        tally.add(outcome)
+    return tally.is_positive(min_entries)
 
 
 def _list_outcomes(
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -142,6 +142,20 @@
     assert record.state is HealthState.ejected
 
 
+def test_a_bad_link_prevents_no_ejection() -> None:
+    """Failures of the third of three entries count for nothing themselves."""
+    record = HealthRecord()
+    for number in range(3):
+        _fail(record, f'a:{number}', at=number / 10)
+        for entry in 'bc':
+            seen = Evidence(number / 10, entry, '', False, count=9)
+            record_successes(record, seen)
+    _fail(record, 'b:5', 'c:6', 'b:7', 'c:8')
+    assert record.state is HealthState.healthy
+    _fail(record, 'a:9')
+    assert record.state is HealthState.ejected
+
+
 def test_granted_slots_stand_for_successes() -> None:
     """Successes that no later request has reported yet were missing."""
     record = HealthRecord()
