Merge the health of upstreams by the outcomes of all entries

Cause: each entry found out alone that an upstream fails while its health check is good; error answers to once-only requests did not count at all. Change: entries report outcomes to the worker, which ejects its upstream by the evidence of several entries and reports that with the load feed.

--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -14,7 +14,7 @@
 from wigeonpier.hosted.loadfeed import LOAD_PATH
 from wigeonpier.hosted.news import FeedLine
 from wigeonpier.loops import spawn_loop
-from wigeonpier.policy.route import record_load
+from wigeonpier.policy.route import record_health, record_load
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -125,12 +125,12 @@
         gevent.sleep(self._rng.uniform(*RETRY_DELAY_SECONDS))
 
     def _read(self, address: str, exchange: Exchange) -> None:
-        self._paces.pop(address, None)
         raw = make_request('GET', LOAD_PATH, [('Host', address)])
         reason = 'the feed ended'
         is_followed = False
         try:
             exchange.send(raw, READ_TIMEOUT_SECONDS)
+            self._forget_details(address)
             while line := exchange.read_line(READ_TIMEOUT_SECONDS):
                 self._dispatch(address, line)
                 if not is_followed:
@@ -180,4 +180,14 @@
             state.pace = pace if start == state.incarnation else None
             health = line.health
             if health and health.incarnation == state.incarnation:
-                state.health = health
+                record_health(state, health, time.monotonic())
+
+    def _forget_details(self, address: str) -> None:
+        """Forget the pace and health that an earlier process reported.
+
+        The one that answers may be of an earlier build, which reports none.
+        """
+        self._paces.pop(address, None)
+        for state in self._replicas.list_upstreams():
+            if state.address == address:
+                record_health(state, None, time.monotonic())
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -136,6 +136,8 @@
         ):
             body = self._stream(request)
         else:
+            if request.tracked is not None:
+                request.tracked.stop_timer()
             body = self._read_body(request, exchange)
         response = Response(exchange.status, body, content_type, headers)
         response.on_close.append(lambda: self._finish(request, 'answered'))
@@ -152,6 +154,8 @@
             request.release(is_broken=True)
             self._sender.record_failure(request, upstream, failure)
             raise Refusal(ErrorKind.upstream_lost, str(error)) from error
+        if ingress.is_success(exchange):
+            self._sender.outcomes.record_success(request)
         self._sender.binder.suspects.record_completion(request, upstream)
         return body
 
@@ -174,7 +178,10 @@
         upstream, exchange = _get_current(request)
         reader = EventReader(exchange)
         has_events = False
+        tracked = request.tracked
         while True:
+            if tracked is not None:
+                tracked.waits_since = time.monotonic()
             try:
                 event = reader.read(
                     request.choose_read_timeout(has_events=has_events),
@@ -183,6 +190,7 @@
                 return classify_disconnect(error)
             if event is None:
                 record_outcome(upstream, went_well=True, now=time.monotonic())
+                self._sender.outcomes.record_success(request)
                 self._sender.binder.suspects.record_completion(
                     request, upstream
                 )
@@ -191,6 +199,8 @@
             has_events = True
             request.sends[-1].had_output = True
             request.first_event_at = request.first_event_at or time.monotonic()
+            if tracked is not None:
+                tracked.waits_since = 0
             yield event.raw
 
     def _resume_elsewhere(
--- a/src/wigeonpier/hosted/reserver.py
+++ b/src/wigeonpier/hosted/reserver.py
@@ -21,6 +21,7 @@
 
     from wigeonpier.hosted.customeruse import CustomerLimiter
     from wigeonpier.hosted.news import IdleWorker
+    from wigeonpier.hosted.outcomes import OutcomeReporter
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.pool import ConnectionPool
@@ -49,6 +50,7 @@
         pool: ConnectionPool,
         metrics: Metrics,
         limiter: CustomerLimiter,
+        outcomes: OutcomeReporter,
         find_idle: Callable[[str], IdleWorker | None] = find_no_idle,
     ) -> None:
         """Create the reserver.
@@ -57,9 +59,11 @@
         :param pool: connections to the workers.
         :param metrics: metrics of this process.
         :param limiter: holds the counts that requests carry along.
+        :param outcomes: holds the outcomes that requests carry along.
         :param find_idle: finds a worker to which the worker on the VM with the
             given address could hand over batch items.
         """
+        self._outcomes = outcomes
         self._find_idle = find_idle
         self._limiter = limiter
         self._port = port
@@ -86,21 +90,29 @@
         host = split_address(upstream.address)[0]
         address = f'{host}:{self._port}'
         admitted = self._limiter.take_unreported()
+        outcomes = self._outcomes.take(upstream)
         body = msgspec.json.encode(
             ReservationRequest(
-                is_late, trial, admitted, idle=self._find_idle(host)
+                is_late,
+                trial,
+                admitted,
+                outcomes=outcomes,
+                idle=self._find_idle(host),
             )
         )
         headers = [('Host', address)]
         raw = make_request('POST', RESERVATION_PATH, headers, body)
+        began = time.monotonic()
         called = self._pool.call(address, raw, timeout)
         if isinstance(called, Err):
             self._limiter.restore_unreported(admitted)
+            self._outcomes.restore(upstream, outcomes, time.monotonic() - began)
             upstream.takes_work = False
             return self._count(ReservationOutcome.unanswered)
         if not called.ok_value.is_good:
             # The worker does not know its upstream yet, or does not support
             # reservations.
+            self._outcomes.restore(upstream, outcomes)
             return self._count(ReservationOutcome.unanswered)
         reservation = called.ok_value.decode(Reservation)
         record_load(upstream, reservation.load, time.monotonic())
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -274,6 +274,8 @@
             outcome is RunOutcome.broken
             and self._trials.record_interrupted_run(work)
         )
+        if work.is_faulted and not has_crashed:
+            self._trials.health.record_item(work, went_well=False)
         if outcome is RunOutcome.failed:
             self._trials.record_completion(work)
             work.failures += 1
@@ -293,6 +295,8 @@
         self.work.pop(work.key, None)
         output = '\n'.join(work.texts) if state is ItemState.completed else ''
         self._finished.add(work.key)
+        if state is ItemState.completed:
+            self._trials.health.record_item(work, went_well=True)
         self._writer.add(work.key, ItemResult(work.item.name, state, output))
         self._log_item(Event.item_done, work, state=state.value)
         self._metrics.count('items_total', state=state.value)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -12,6 +12,7 @@
 from wigeonpier.hosted.failures import (
     DISCONNECTS,
     HEALTH_NEUTRAL,
+    MAX_SAFE_IDLE_SECONDS,
     CallerGoneError,
     QueueLeftError,
     SendFailure,
@@ -29,6 +30,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.binder import SlotBinder
+    from wigeonpier.hosted.outcomes import OutcomeReporter
     from wigeonpier.hosted.question import OnlineRequest
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.web.exchange import Exchange
@@ -37,11 +39,6 @@
 # A send that is rejected before it runs costs a few ms; this many rejections
 # show that the service is full.
 MAX_SENDS = 4
-# An upstream may close an idle connection without notice, and a request sent
-# on it is lost.  A request that may not be retried therefore uses only
-# connections idle for less than the shortest idle time-out observed at an
-# upstream.
-LAST_ATTEMPT_MAX_IDLE_SECONDS = 0.15
 
 
 @dataclass(slots=True)
@@ -50,10 +47,12 @@
 
     :param binder: chooses the upstreams.
     :param pool: connections to the upstreams.
+    :param outcomes: reports outcomes to the workers of the upstreams.
     """
 
     binder: SlotBinder
     pool: ConnectionPool
+    outcomes: OutcomeReporter
 
     def send(self, request: OnlineRequest) -> Result[Exchange, SendFailure]:
         """Send a request, retrying until an upstream responds.
@@ -107,6 +106,9 @@
             failure in DISCONNECTS
             and self.binder.suspects.detect_crash(upstream)
         )
+        self.outcomes.record_failure(
+            request, upstream, failure, has_crashed=has_crashed
+        )
         if has_crashed and failure is SendFailure.lost:
             self.binder.suspects.record_crash(request, upstream)
         elif failure is SendFailure.lost:
@@ -169,7 +171,7 @@
         opened = self.pool.begin(
             upstream.address,
             request.seconds_left,
-            LAST_ATTEMPT_MAX_IDLE_SECONDS
+            MAX_SAFE_IDLE_SECONDS
             if request.is_last_attempt
             else MAX_IDLE_SECONDS,
         )
@@ -186,8 +188,7 @@
             request.release(is_broken=True)
             return Err(classify_disconnect(error))
         self.binder.isolation_detector.record_contact()
-        _record_load(upstream, exchange)
-        failure = _check_head(request, upstream, exchange)
+        failure = self._check_answer(request, upstream, exchange)
         if failure is not None:
             request.release(is_broken=failure is SendFailure.foreign_answer)
             return Err(failure)
@@ -206,6 +207,7 @@
 
         :raises QueueLeftError: when the request is to leave this upstream.
         """
+        self.outcomes.track(request, upstream, exchange.idle_seconds)
         limit = request.choose_read_timeout(has_events=False)
         began = time.monotonic()
         exchange.write(_encode(request, upstream), limit)
@@ -224,6 +226,18 @@
                 break
         exchange.await_head(limit - (time.monotonic() - began))
 
+    def _check_answer(
+        self,
+        request: OnlineRequest,
+        upstream: UpstreamState,
+        exchange: Exchange,
+    ) -> SendFailure | None:
+        """Check the head of a response, and report a fault that it shows."""
+        _record_load(upstream, exchange)
+        failure = _check_head(request, upstream, exchange)
+        self.outcomes.record_answer(request, exchange, failure)
+        return failure
+
     def _check_queue(
         self,
         request: OnlineRequest,
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -9,6 +9,7 @@
 
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.handoverparts import HandoverParts
+from wigeonpier.hosted.healthkeeper import HealthKeeper
 from wigeonpier.hosted.itemtrials import ItemTrials
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfeed import FeedDetails, LoadFeed
@@ -68,12 +69,14 @@
             suspicions,
             context.store_health.wait,
         )
+        health = HealthKeeper(settings, self._upstream, context.metrics)
         self._trials = ItemTrials(
             self._upstream,
             suspicions,
             trials,
             CrashDetector(context.pool),
             quarantine,
+            health,
         )
         self._runner = ItemRunner(
             self._upstream,
@@ -97,6 +100,7 @@
             usage,
             FeedDetails(read_pace=pace_meter.read),
         )
+        self._feed.details.read_health = health.read_health
         newest = NewestRevisionHandler(
             context.store, settings.bounds.revocation
         )
@@ -111,6 +115,7 @@
         )
         handover = HandoverParts(context, self._runner, self._trials, ledger)
         self._feed.details.read_items = handover.meter.read
+        reservations.health = health
         self._server = Server(
             *split_address(settings.peers),
             dispatch_to(
@@ -120,6 +125,7 @@
                 + usage.make_routes()
                 + reservations.make_routes()
                 + handover.offers.make_routes()
+                + health.make_routes()
                 + SuspicionHandler(suspicions, trials).make_routes(),
             ),
         )
