--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -22,7 +22,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
 # Share of requests that fail at an upstream that only has the failures that the
 # platform calls usual.
@@ -68,37 +68,41 @@
 class _Test:
     """A sequential test of an upstream.
 
-    :param share: share of requests that fail at an upstream to be ejected.
-    :param row: failures in a row that eject.
+    :param failure_score: what a failure adds to the score.
+    :param success_score: what a success adds to the score, below 0.
+    :param threshold: score that ejects.
     """
 
-    share: float
-    row: int
+    failure_score: float
+    success_score: float
+    threshold: float
 
-    @property
-    def failure_score(self) -> float:
-        """Tell how much a failure adds to the score."""
-        return math.log(self.share / ORDINARY_SHARE)
 
-    @property
-    def success_score(self) -> float:
-        """Tell how much a success adds to the score, below 0."""
-        return math.log((1 - self.share) / (1 - ORDINARY_SHARE))
+def _make_test(share: float, row: int) -> _Test:
+    """Make a test.
 
-    @property
-    def threshold(self) -> float:
-        """Tell the score that ejects, just below that of the row."""
-        return self.row * self.failure_score - 0.1
+    :param share: share of requests that fail at an upstream to be ejected.
+    :param row: failures in a row that eject.
+    """
+    failure_score = math.log(share / ORDINARY_SHARE)
+    return _Test(
+        failure_score,
+        math.log((1 - share) / (1 - ORDINARY_SHARE)),
+        # Rounding must not require one more failure.
+        row * failure_score - 0.1,
+    )
 
 
 _TESTS = (
-    _Test(TOTAL_SHARE, MIN_FAILURES),
-    _Test(PARTIAL_SHARE, PARTIAL_ROW),
+    _make_test(TOTAL_SHARE, MIN_FAILURES),
+    _make_test(PARTIAL_SHARE, PARTIAL_ROW),
 )
+# Stands for the success of a request that was granted a slot.
+_GRANTED = Evidence(0, '', '', has_failed=False)
 
 
 def shows_failing(
-    evidence: Iterable[Evidence], grants: Iterable[float]
+    evidence: Collection[Evidence], grants: Iterable[float]
 ) -> bool:
     """Weigh outcomes for and against a failing upstream.
 
@@ -106,6 +110,9 @@
     :param grants: when requests were granted a slot, oldest first, seconds.
     :returns: whether the upstream is to be ejected.
     """
+    failed = {outcome.fingerprint for outcome in evidence if outcome.has_failed}
+    if len(failed) < MIN_FAILURES:
+        return False
     reporting = {outcome.entry for outcome in evidence}
     min_entries = max(2, min(MIN_FAILING_ENTRIES, len(reporting)))
     outcomes = _list_outcomes(evidence, grants)
@@ -193,7 +200,7 @@
 
 
 def _list_outcomes(
-    evidence: Iterable[Evidence], grants: Iterable[float]
+    evidence: Collection[Evidence], grants: Iterable[float]
 ) -> list[Evidence]:
     """List outcomes, oldest first, with slots that stand for successes.
 
@@ -208,22 +215,21 @@
     listed: list[Evidence] = []
     for outcome in outcomes:
         while remaining and remaining[0] <= outcome.at:
-            listed.append(
-                Evidence(remaining.popleft(), '', '', has_failed=False)
-            )
+            remaining.popleft()
+            listed.append(_GRANTED)
         if not outcome.has_failed:
             listed.append(replace(outcome, count=0))
             continue
         _drop_last_grant(listed)
         listed.append(outcome)
     # Failures may be reported late.
-    listed.extend(Evidence(at, '', '', has_failed=False) for at in remaining)
+    listed.extend(_GRANTED for _at in remaining)
     return listed
 
 
 def _drop_last_grant(listed: list[Evidence]) -> None:
     for index in range(len(listed) - 1, -1, -1):
-        if not listed[index].has_failed and not listed[index].entry:
+        if listed[index] is _GRANTED:
             listed.pop(index)
             return
 
