--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -34,6 +34,10 @@
 # Failures count only from so many entries, where as many report within the
 # window, and otherwise from two.
 MIN_FAILING_ENTRIES = 3
+# Failures in a row after which an entry stops using the upstream by itself.
+# Two such entries are enough: at a site of three, the third one would be found
+# only by a seventh failed request.
+ROW_OF_ONE_ENTRY = 3
 # Shares of requests that fail at upstreams to be ejected, and failures in a row
 # that eject at the lower share.
 TOTAL_SHARE = 0.9
@@ -150,6 +154,7 @@
     :param requests: requests that failed.
     :param entries: failures that count since the score was 0, by entry.
     :param doubtful: entries with a bad link.
+    :param rows: failures since the last success of any request, by entry.
     """
 
     test: _Test
@@ -157,12 +162,15 @@
     requests: set[str] = field(default_factory=set)
     entries: Counter[str] = field(default_factory=Counter)
     doubtful: set[str] = field(default_factory=set)
+    rows: Counter[str] = field(default_factory=Counter)
 
     def add(self, outcome: Evidence) -> None:
         """Add the next outcome."""
         if outcome.has_failed:
             self._add_failure(outcome)
             return
+        if outcome.count:
+            self.rows.clear()
         gain = outcome.count * self.test.success_score
         self.score = max(0, self.score + gain)
         self.doubtful.discard(outcome.entry)
@@ -172,13 +180,14 @@
 
     def is_positive(self, min_entries: int) -> bool:
         """Tell whether failures of so many entries reach the threshold."""
-        return (
-            self.score >= self.test.threshold
-            and self.entries.total() >= MIN_FAILURES
-            and len(self.entries) >= min_entries
-        )
+        has_score = self.score >= self.test.threshold
+        if not has_score or self.entries.total() < MIN_FAILURES:
+            return False
+        stopped = [row for row in self.rows.values() if row >= ROW_OF_ONE_ENTRY]
+        return len(self.entries) >= min_entries or len(stopped) > 1
 
     def _add_failure(self, outcome: Evidence) -> None:
+        self.rows[outcome.entry] += outcome.fingerprint not in self.requests
         if outcome.entry in self.doubtful:
             self.entries.setdefault(outcome.entry, 0)
         elif (
