--- a/tests/hosted/test_backlogs.py
+++ b/tests/hosted/test_backlogs.py
@@ -138,6 +138,9 @@
         SimpleNamespace(
             take_unreported=dict, restore_unreported=lambda _counts: None
         ),
+        SimpleNamespace(
+            take=lambda _upstream: None, restore=lambda *_given: None
+        ),
         build_backlogs(FAST, SLOW, SLOW, late=1).find_idle,
     )
     upstream = build_upstream('slow', address=f'{HOSTS[1]}:1')
--- a/tests/hosted/test_items.py
+++ b/tests/hosted/test_items.py
@@ -32,6 +32,7 @@
         return Ok(
             SimpleNamespace(
                 is_whole=False,
+                idle_seconds=0,
                 send=lambda _raw, _timeout: self._send(),
                 abort=lambda: self.calls.append('abort'),
                 close=lambda: self.calls.append('close'),
--- a/tests/hosted/test_runlengths.py
+++ b/tests/hosted/test_runlengths.py
@@ -21,7 +21,9 @@
     monkeypatch.setattr(runner, 'run_item', lambda *_given: RunOutcome.whole)
     upstream = SimpleNamespace(replica=object(), report=None)
     trials = SimpleNamespace(
-        finish=lambda _work: None, record_completion=lambda _work: None
+        finish=lambda _work: None,
+        record_completion=lambda _work: None,
+        health=SimpleNamespace(record_item=lambda _work, **_given: None),
     )
     writer = SimpleNamespace(add=lambda _key, _result: None)
     parts = (upstream, writer, None, Metrics(), None, trials)
