--- a/src/wigeonpier/policy/claimwait.py
+++ b/src/wigeonpier/policy/claimwait.py
@@ -7,10 +7,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wigeonpier.policy.fairqueue import is_hopeless
+from wigeonpier.policy.reservation import MAX_RESERVATION_ATTEMPTS
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from wigeonpier.policy.route import UpstreamState
 
@@ -30,42 +34,112 @@
 RETRY_BOUNDS = (0.2, 1.5)
 
 
-def choose_max_wait(
-    probes: int, seconds_left: float, *, has_room: bool
-) -> float:
-    """Choose how long the next call may wait at the worker.
+@dataclass(slots=True)
+class SlotSearch:
+    """The search of one request for a slot.
 
-    :param probes: calls so far that found an upstream full.
-    :param seconds_left: time in which the request can still start in time.
-    :param has_room: whether an upstream other than those tried seems to have a
-        free slot, and no worker has kept one for other customers.
-    :returns: seconds, 0 for an answer at once.
+    :param calls: reservation calls so far.
+    :param tried: upstreams that were asked since all were last considered.
+    :param is_above_share: whether a worker has kept its free slots for
+        customers that are below their share.
+    :param hopeless: workers that expect no slot in time.
+    :param wait: wait that the last of them expects, seconds.
     """
-    if has_room and probes < PROBES:
-        return 0
-    return min(MAX_WAIT_SECONDS, max(0, seconds_left))
-
-
-def find_full(
-    upstreams: Iterable[UpstreamState], probes: int, now: float
-) -> set[str]:
-    """Find the upstreams that a request should rather not go to.
 
-    These are the ones whose slots all seem to be taken.  After a refusal they
-    are also those with one free slot, as long as others have more: the last
-    one is often taken within the 0.1 s that a load is old.
-
-    :param upstreams: upstreams that the request could go to.
-    :param probes: calls so far that found an upstream full.
-    :param now: seconds.
-    :returns: their names, none where all are full.
-    """
-    listed = list(upstreams)
-    for left in (LEFT_SLOTS if probes else 0, 0):
-        full = {state.name for state in listed if is_full(state, now, left)}
-        if len(full) < len(listed):
-            return full
-    return set()
+    calls: int = 0
+    tried: set[str] = field(default_factory=set)
+    is_above_share: bool = False
+    hopeless: int = 0
+    wait: float = 0
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Check whether the request is refused, as it starts too late."""
+        return self.hopeless >= HOPELESS_WORKERS
+
+    def find_full(
+        self, upstreams: Sequence[UpstreamState], now: float
+    ) -> set[str]:
+        """Find the upstreams that seem to have no slot for the request.
+
+        After a refusal, one free slot counts as none as long as others have
+        more: the last one is often taken within the 0.1 s that a load is old.
+        Where requests wait although slots are free, these are kept for
+        customers below their share.
+
+        :param upstreams: upstreams that the request could go to.
+        :param now: seconds.
+        :returns: their names; all where none seems to have a slot.
+        """
+        full: set[str] = set()
+        for left in (LEFT_SLOTS if self.calls else 0, 0):
+            full = {
+                state.name
+                for state in upstreams
+                if is_full(state, now, left)
+                or (self.is_above_share and state.queued)
+            }
+            if len(full) < len(upstreams):
+                break
+        return full
+
+    def list_excluded(
+        self, upstreams: Sequence[UpstreamState], now: float
+    ) -> set[str]:
+        """List the upstreams that are not asked next.
+
+        :param upstreams: upstreams that the request could go to.
+        :param now: seconds.
+        :returns: their names, only those asked already where all are full.
+        """
+        full = self.find_full(upstreams, now) | self.tried
+        names = {state.name for state in upstreams}
+        return full if names - full else self.tried
+
+    def choose_max_wait(
+        self,
+        upstreams: Sequence[UpstreamState],
+        chosen: UpstreamState,
+        seconds_left: float,
+        now: float,
+    ) -> float:
+        """Choose how long the next call may wait at the worker.
+
+        :param upstreams: upstreams that the request could go to.
+        :param chosen: upstream that is asked next.
+        :param seconds_left: time in which the request can still start.
+        :param now: seconds.
+        :returns: seconds, 0 for an answer at once while another upstream seems
+            to have room.
+        """
+        full = self.find_full(upstreams, now) | self.tried | {chosen.name}
+        has_room = any(state.name not in full for state in upstreams)
+        if has_room and self.calls < PROBES:
+            return 0
+        return min(MAX_WAIT_SECONDS, max(0, seconds_left))
+
+    def record_refusal(
+        self,
+        upstream: UpstreamState,
+        wait: float,
+        seconds_left: float,
+        now: float,
+    ) -> None:
+        """Record that a worker granted no slot.
+
+        :param upstream: its upstream, with the load that the worker reported.
+        :param wait: wait that it expects, seconds; 0 where it has no estimate.
+        :param seconds_left: time in which the request can still start.
+        :param now: seconds.
+        """
+        self.tried.add(upstream.name)
+        if len(self.tried) >= MAX_RESERVATION_ATTEMPTS:
+            self.tried.clear()
+        if wait and not is_full(upstream, now):
+            self.is_above_share = True
+        if wait and is_hopeless(wait, seconds_left):
+            self.hopeless += 1
+            self.wait = wait
 
 
 def is_full(state: UpstreamState, now: float, left: int = 0) -> bool:
--- a/src/wigeonpier/policy/fairqueue.py
+++ b/src/wigeonpier/policy/fairqueue.py
@@ -250,8 +250,6 @@
     def _may_start(self, claim: QueuedClaim, use: SlotUse, now: float) -> bool:
         if not may_reserve(use, is_late=claim.is_late):
             return False
-        if not self.demand.is_above_share(claim.customer, use.slots, now):
-            return True
         headroom = self.demand.compute_headroom(
             claim.customer, use.slots, now
         )
--- a/src/wigeonpier/policy/slotdemand.py
+++ b/src/wigeonpier/policy/slotdemand.py
@@ -220,15 +220,18 @@
         :param customer: the customer.
         :param slots: slots of the upstream.
         :param now: seconds.
-        :returns: number of slots, 0 where nobody else asks for any.
+        :returns: number of slots, 0 where nobody else asks for any or the
+            customer is not above its share.
         """
+        if not self.is_above_share(customer, slots, now):
+            return 0
         ratio = self.measure_others(customer, now) * self.run_seconds / slots
-        most = int(slots * MAX_HEADROOM_SHARE)
         if ratio <= MISS_SHARE:
             return 0
-        if ratio >= 1:
-            return most
-        return min(most, math.ceil(math.log(MISS_SHARE) / math.log(ratio)))
+        needed = slots * MAX_HEADROOM_SHARE
+        if ratio < 1:
+            needed = min(needed, math.log(MISS_SHARE) / math.log(ratio))
+        return math.ceil(needed)
 
     def _drop_inactive(self, now: float) -> None:
         """Drop the customers whose last claims are the oldest."""
--- a/tests/policy/hotcustomer.py
+++ b/tests/policy/hotcustomer.py
@@ -9,7 +9,7 @@
 
 import heapq
 import random
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -22,7 +22,10 @@
     is_hopeless,
     weigh_customer,
 )
-from wigeonpier.policy.reservation import SlotUse
+from wigeonpier.policy.reservation import (
+    MAX_RESERVATION_ATTEMPTS,
+    SlotUse,
+)
 from wigeonpier.policy.route import (
     RoutingCriteria,
     choose_upstream,
@@ -49,6 +52,10 @@
 OBJECTIVE = 0.308
 DEADLINE = 5.1
 HOT = 'hot'
+# How slots are shared: by claims that wait at workers, by shares that entries
+# enforce by counts of the load feeds, or by the queue of each entry alone.
+CLAIMS, ENTRY_SHARES, ENTRY_QUEUES = 'claims', 'entry shares', 'entry queues'
+SCARCE_SHARE = 0.85
 # Usual requests a second: one large customer, some of middle size, many small.
 USUAL = {HOT: 30.0, 'm1': 10.0, 'm2': 8.0, 'm3': 6.0} | {
     f's{number}': 0.5 for number in range(72)
@@ -104,7 +111,7 @@
     """One run of the model."""
 
     factor: float = 0
-    is_fair: bool = True
+    method: str = CLAIMS
     seconds: float = 23.2
     seed: int = 1
     usual: dict[str, float] = field(default_factory=lambda: USUAL)
@@ -115,6 +122,9 @@
         self.rng = random.Random(self.seed)
         self._events: list[tuple[float, int, Any, Any]] = []
         self._count = 0
+        # Slots by customer at all upstreams, and as the feeds last said.
+        self.taken_slots: Counter[str] = Counter()
+        self.reported_slots: Counter[str] = Counter()
         self.workers = [Worker(number) for number in range(UPSTREAMS)]
         self.states = [
             [
@@ -187,6 +197,7 @@
             for states in self.states:
                 for worker in self.workers:
                     self._report(states[worker.number], worker)
+            self.reported_slots = self.taken_slots.copy()
             yield FEED_SECONDS
 
     def _report(self, state: UpstreamState, worker: Worker) -> None:
@@ -200,7 +211,7 @@
     def _serve(self, ask: Ask) -> Generator[Any, Any, None]:
         """Serve a request at its entry; its caller retries once."""
         for _attempt in range(2):
-            find = self._claim if self.is_fair else self._poll_workers
+            find = self._claim if self.method == CLAIMS else self._poll_workers
             retry_after = yield from find(ask)
             if not retry_after:
                 return
@@ -222,7 +233,8 @@
         )
         states = self.states[ask.entry]
         drawn = choose_upstream(states, criteria, self.now, self.rng)
-        return drawn or self._draw(ask, set())
+        assert drawn is not None
+        return drawn
 
     def _claim(self, ask: Ask) -> Generator[Any, Any, float]:
         """Find a slot as an entry does that sends claims."""
@@ -230,26 +242,16 @@
         hold = reservation.limit_hold(
             ask.deadline - began, has_begun=False
         )
-        tried: set[str] = set()
-        hopeless = calls = 0
-        is_above = False
-        while True:
+        search = claimwait.SlotSearch()
+        states = self.states[ask.entry]
+        while not search.is_hopeless:
             left = began + hold - self.now
-            states = self.states[ask.entry]
-            full = claimwait.find_full(states, calls, self.now)
-            drawn = self._draw(ask, tried | full)
+            drawn = self._draw(ask, search.list_excluded(states, self.now))
             if left <= 0:
                 yield from self._transfer(ask, drawn)
                 return 0
-            others = [
-                one
-                for one in states
-                if one is not drawn and one.name not in tried | full
-            ]
-            max_wait = claimwait.choose_max_wait(
-                calls, left, has_room=bool(others) and not is_above
-            )
-            calls += 1
+            max_wait = search.choose_max_wait(states, drawn, left, self.now)
+            search.calls += 1
             ask.calls += 1
             worker = self.workers[states.index(drawn)]
             granted, wait = yield from self._call(
@@ -258,14 +260,9 @@
             if granted:
                 yield from self._transfer(ask, drawn, has_slot=True)
                 return 0
-            tried.add(drawn.name)
-            is_above = is_above or not claimwait.is_full(drawn, self.now)
-            if is_hopeless(wait, began + hold - self.now):
-                hopeless += 1
-            if hopeless >= claimwait.HOPELESS_WORKERS:
-                return claimwait.compute_retry(wait, self.rng.random())
-            if len(tried) >= reservation.MAX_RESERVATION_ATTEMPTS:
-                tried.clear()
+            left = began + hold - self.now
+            search.record_refusal(drawn, wait, left, self.now)
+        return claimwait.compute_retry(search.wait, self.rng.random())
 
     def _call(
         self,
@@ -342,7 +339,11 @@
             tried: set[str] = set()
             waited = (self.now - ask.arrived_at) / OBJECTIVE
             is_late = reservation.is_late(waited)
-            while len(tried) < reservation.MAX_RESERVATION_ATTEMPTS:
+            is_held = (
+                self.method == ENTRY_SHARES and self._is_above_share(ask)
+            )
+            drawn = self._draw(ask, tried)
+            while not is_held and len(tried) < MAX_RESERVATION_ATTEMPTS:
                 drawn = self._draw(ask, tried)
                 worker = self.workers[self.states[ask.entry].index(drawn)]
                 hop = self._measure_hop(ask, worker)
@@ -362,6 +363,16 @@
             pause = reservation.compute_round_pause(waited)
             yield pause * self.rng.uniform(0.5, 1.5)
 
+    def _is_above_share(self, ask: Ask) -> bool:
+        """Check by counts of the feeds whether a customer has to wait."""
+        taken = self.reported_slots
+        all_slots = UPSTREAMS * SLOTS
+        if sum(taken.values()) < SCARCE_SHARE * all_slots:
+            return False
+        active = sum(self.usual[name] for name in taken if taken[name])
+        share = self.usual[ask.customer] / max(1, active)
+        return taken[ask.customer] > share * all_slots
+
     def _transfer(
         self, ask: Ask, state: UpstreamState, *, has_slot: bool = False
     ) -> Generator[Any, Any, None]:
@@ -380,10 +391,15 @@
                 continue
             ask.wait = self.now - ask.arrived_at
             worker.running += 1
-            self._spawn(self._finish(worker), self.rng.uniform(*RUN_SECONDS))
+            self.taken_slots[ask.customer] += 1
+            seconds = self.rng.uniform(*RUN_SECONDS)
+            self._spawn(self._finish(worker, ask), seconds)
 
-    def _finish(self, worker: Worker) -> Generator[Any, Any, None]:
+    def _finish(
+        self, worker: Worker, ask: Ask
+    ) -> Generator[Any, Any, None]:
         worker.running -= 1
+        self.taken_slots[ask.customer] -= 1
         self._fill(worker)
         yield None
 
