--- a/src/wigeonpier/hosted/binder.py
+++ b/src/wigeonpier/hosted/binder.py
@@ -9,9 +9,11 @@
 
 import gevent
 
+from wigeonpier.hosted.claims import ClaimPlacer, make_claim
 from wigeonpier.hosted.failures import CallerGoneError, SendFailure
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.policy import reservation
+from wigeonpier.policy.claimwait import SlotSearch
 from wigeonpier.policy.prioritygate import PriorityGate
 from wigeonpier.policy.suspicion import RunMode
 
@@ -56,6 +58,11 @@
     suspects: SuspectTracker
     trials: TrialPlacer
     gate: PriorityGate = field(default_factory=PriorityGate)
+    claims: ClaimPlacer = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the component that finds slots for customers."""
+        self.claims = ClaimPlacer(self.chooser, self.reserver)
 
     def choose_upstream(self, request: OnlineRequest) -> UpstreamState | None:
         """Choose an upstream with a free slot; hold the request until one has.
@@ -69,6 +76,7 @@
         :raises CallerGoneError: if the caller has disconnected meanwhile.
         """
         request.isolation = ''
+        request.search = SlotSearch()
         if not self._needs_slot(request):
             return self.chooser.choose(request)
         self.gate.add(request.priority)
@@ -88,6 +96,8 @@
         # at two entries, crashed four upstreams within 0.43 s.
         if self.is_refused(request):
             return SendFailure.crashes_upstreams
+        if request.is_unplaced:
+            return SendFailure.no_slot
         return (
             SendFailure.cut_off if self.isolation_detector.is_isolated else None
         )
@@ -111,6 +121,9 @@
         :param upstream: the upstream.
         :returns: whether a slot is reserved.
         """
+        if request.weight:
+            claim = make_claim(request, request.seconds_left, 0)
+            return self.claims.reserve_at(request, upstream, claim)[0]
         request.reservation_attempts += 1
         return self.reserver.reserve(
             upstream,
@@ -121,7 +134,7 @@
     def _wait_for_slot(self, request: OnlineRequest) -> UpstreamState | None:
         deadline = self._compute_hold_deadline(request)
         while True:
-            chosen = self._try_reserve_in_turn(request)
+            chosen = self._try_reserve_in_turn(request, deadline)
             if chosen is not None:
                 return chosen
             is_expired = time.monotonic() >= deadline
@@ -129,19 +142,29 @@
                 return self._choose_after_wait(request)
             if not self._is_any_expected(request):
                 return None
-            pause = reservation.compute_round_pause(
-                self._measure_waited_share(request)
-            )
-            gevent.sleep(pause * self.rng.uniform(*PAUSE_JITTER))
+            self._pause(request)
             if request.is_abandoned:
                 raise CallerGoneError('the caller has left')
 
+    def _pause(self, request: OnlineRequest) -> None:
+        """Wait before the next round, unless the last one waited at a worker.
+
+        While the gate holds the request, it has asked no worker.
+        """
+        is_queued = request.weight and not request.search.is_quick
+        if is_queued and self.gate.is_admitted(request.priority):
+            return
+        pause = reservation.compute_round_pause(
+            self._measure_waited_share(request)
+        )
+        gevent.sleep(pause * self.rng.uniform(*PAUSE_JITTER))
+
     def _try_reserve_in_turn(
-        self, request: OnlineRequest
+        self, request: OnlineRequest, deadline: float
     ) -> UpstreamState | None:
         if not self.gate.is_admitted(request.priority):
             return None
-        return self._find_slot(request)
+        return self._find_slot(request, deadline)
 
     def _compute_hold_deadline(self, request: OnlineRequest) -> float:
         """Return the end of the hold, seconds of the monotonic clock."""
@@ -169,9 +192,13 @@
         """Check whether a request is held until a slot is reserved."""
         return bool(request.route.objective) or self._is_suspected(request)
 
-    def _find_slot(self, request: OnlineRequest) -> UpstreamState | None:
+    def _find_slot(
+        self, request: OnlineRequest, deadline: float
+    ) -> UpstreamState | None:
         """Reserve a slot, apart from other suspects if it is suspected."""
         run_mode = self.suspects.get_run_mode(request)
+        if run_mode is RunMode.free and request.weight:
+            return self.claims.reserve(request, deadline)
         if run_mode is RunMode.free:
             return self._reserve(request)
         return self.trials.reserve(request, run_mode)
--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -27,6 +27,7 @@
     silent = 'silent'
     queued = 'queued while another upstream had room'
     late = 'late in a queue, and gave way'
+    no_slot = 'no slot becomes free in time'
     crashes_upstreams = 'upstreams end when they run it'
 
 
--- a/src/wigeonpier/hosted/loadfeed.py
+++ b/src/wigeonpier/hosted/loadfeed.py
@@ -49,6 +49,14 @@
 NO_DETAILS: _Details = (None, None, None)
 
 
+def count_none() -> int:
+    """Count no waiting requests.
+
+    :returns: 0.
+    """
+    return 0
+
+
 def return_nothing() -> None:
     """Report nothing for a part of the feed that is not wired in."""
 
@@ -63,11 +71,14 @@
     :param read_pace: how fast the upstream works.
     :param read_health: health of the upstream by the outcomes of requests.
     :param read_items: batch items at this worker.
+    :param count_queued: counts the requests that wait for a slot, which is
+        part of the load.
     """
 
     read_pace: Callable[[], UpstreamPace | None] = return_nothing
     read_health: Callable[[], UpstreamHealth | None] = return_nothing
     read_items: Callable[[], ItemBacklog | None] = return_nothing
+    count_queued: Callable[[], int] = count_none
 
     def read(self) -> _Details:
         """Read all parts.
@@ -137,6 +148,7 @@
             takes_work=not report.is_leaving,
             incarnation=report.incarnation,
             has_store=not self._store_health.is_unreachable,
+            queued=self.details.count_queued(),
         )
 
     def _answer(self, _request: Request) -> Response:
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.hosted.failures import SendFailure
+from wigeonpier.policy.claimwait import SlotSearch
 from wigeonpier.policy.fingerprint import digest_request
 from wigeonpier.policy.silence import choose_read_timeout
 from wigeonpier.policy.waiting import QueueTime
@@ -79,6 +80,10 @@
         its last failure is known.
     :param priority: rank among waiting requests, 0 is the highest.
     :param watcher: detects that the caller closes its connection.
+    :param weight: weight of its customer, 0 if it makes no claim for slots.
+    :param search: its search for a slot.
+    :param slot_call: reservation call that waits at a worker, if any.
+    :param slot_wait: time that such calls have taken, seconds.
     """
 
     http_request: Request
@@ -102,6 +107,10 @@
     is_retry_blocked: bool = False
     priority: int = 0
     watcher: gevent.Greenlet[..., None] | None = None
+    weight: float = 0
+    search: SlotSearch = field(default_factory=SlotSearch)
+    slot_call: Exchange | None = None
+    slot_wait: float = 0
     _fingerprint: str = ''
 
     @property
@@ -122,6 +131,11 @@
         """Give the time left until ``deadline``, in seconds."""
         return self.deadline - time.monotonic()
 
+    @property
+    def is_unplaced(self) -> bool:
+        """Tell whether it is refused since no slot becomes free in time."""
+        return self.search.is_hopeless and not self.runs
+
     @property
     def is_last_attempt(self) -> bool:
         """Tell whether the next run is the last one that is allowed."""
@@ -212,8 +226,27 @@
             self.exchange.close()
             self.exchange = None
 
+    def begin_slot_call(self, exchange: Exchange) -> None:
+        """Record a reservation call that may wait at a worker.
+
+        :param exchange: the exchange with the worker.
+        """
+        self.slot_call = exchange
+        if self.is_abandoned:
+            exchange.abort()
+
+    def end_slot_call(self, began_at: float) -> None:
+        """Record that a reservation call has ended.
+
+        :param began_at: when it began, seconds of the monotonic clock.
+        """
+        self.slot_call = None
+        self.slot_wait += time.monotonic() - began_at
+
     def abandon(self) -> None:
         """Cancel the request at the upstream after the caller disconnected."""
         self.is_abandoned = True
+        if self.slot_call is not None:
+            self.slot_call.abort()
         if self.exchange is not None:
             self.exchange.abort()
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -17,6 +17,8 @@
 )
 from wigeonpier.hosted.question import OnlineRequest
 from wigeonpier.platform import ingress
+from wigeonpier.policy.claimwait import compute_retry
+from wigeonpier.policy.fairqueue import weigh_customer
 from wigeonpier.policy.matching import choose_service
 from wigeonpier.policy.route import record_outcome
 from wigeonpier.telemetry.events import Event
@@ -91,7 +93,11 @@
         """
         request = self._make_request(routed)
         if routed.customer is not None:
-            self._limiter.admit(routed.customer, routed.head.identity)
+            self._limiter.admit(
+                routed.customer,
+                routed.head.identity,
+                is_scarce=self._sender.binder.claims.is_scarce(request.service),
+            )
         request.watcher = watch_close(
             routed.request.connection,
             request.abandon,
@@ -118,6 +124,7 @@
             deadline=now + min(timeout, route.timeout),
             resume_after=routed.head.resume_after,
             priority=routed.priority,
+            weight=_weigh(routed),
         )
 
     def _answer(self, request: OnlineRequest) -> Response:
@@ -218,8 +225,28 @@
     def _refuse(self, request: OnlineRequest, failure: SendFailure) -> Refusal:
         if failure is SendFailure.crashes_upstreams:
             self._sender.binder.suspects.record_refusal(request)
+        if failure is SendFailure.no_slot:
+            return self._refuse_unplaced(request)
         return _make_refusal(request, failure)
 
+    def _refuse_unplaced(self, request: OnlineRequest) -> Refusal:
+        """Refuse a request that cannot start in time and has not run."""
+        retry = compute_retry(request.search.wait, self._rng.random())
+        log_event(
+            Event.request_unplaced,
+            request=request.head.identity,
+            customer=request.http_request.customer,
+            wait=request.search.wait,
+            retry=round(retry, 3),
+            asks=request.reservation_attempts,
+            seconds_left=round(request.seconds_left, 3),
+        )
+        return Refusal(
+            ErrorKind.overloaded,
+            SendFailure.no_slot.value,
+            retry_seconds=round(retry, 3),
+        )
+
     def _finish(self, request: OnlineRequest, outcome: str) -> None:
         if request.watcher is not None:
             request.watcher.kill(block=False)
@@ -240,12 +267,20 @@
                 outcome=outcome,
                 sends=[asdict(send) for send in request.sends],
                 asks=request.reservation_attempts,
+                slot_wait=round(request.slot_wait, 3),
                 runs=request.runs,
                 last_event=request.resume_after,
                 seconds=round(seconds, 3),
             )
 
 
+def _weigh(routed: RoutedRequest) -> float:
+    """Compute the weight of a request, 0 if it has no customer."""
+    if routed.customer is None:
+        return 0
+    return weigh_customer(routed.customer.rate, routed.priority)
+
+
 def _is_logged(request: OnlineRequest, outcome: str) -> bool:
     """Tell whether to log a finished request; ordinary ones are sampled."""
     if outcome != 'answered' or len(request.sends) > 1:
--- a/src/wigeonpier/hosted/reservations.py
+++ b/src/wigeonpier/hosted/reservations.py
@@ -10,10 +10,10 @@
 
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.news import ReservationRequest
+from wigeonpier.hosted.slotqueue import SlotQueue
 from wigeonpier.models import Reservation
 from wigeonpier.policy.reservation import (
     ARRIVAL_SECONDS,
-    SlotUse,
     may_reserve,
 )
 from wigeonpier.policy.trial import IsolationLevel, Verdict
@@ -21,19 +21,15 @@
 from wigeonpier.web.server import Route, make_route
 
 if TYPE_CHECKING:
-    from wigeonpier.hosted.loadfeed import LoadFeed
     from wigeonpier.hosted.news import TrialRequest
-    from wigeonpier.hosted.runner import ItemRunner
-    from wigeonpier.hosted.upstream import LocalUpstream
+    from wigeonpier.hosted.upstreamslots import UpstreamSlots
     from wigeonpier.hosted.usagecounter import UsageCounter
     from wigeonpier.policy.trial import TrialTable
+    from wigeonpier.telemetry.metrics import Metrics
 
 RESERVATION_PATH = '/reservation'
 # Holds the unreported counts of some hundred customers.
 MAX_REQUEST_BYTES = 64_000
-# Polling the upstream on the same VM takes about 1 ms, which a load report of
-# this age saves.
-MAX_LOAD_AGE_SECONDS = 0.01
 
 
 class SlotTable:
@@ -69,28 +65,22 @@
 
     def __init__(
         self,
-        upstream: LocalUpstream,
-        runner: ItemRunner,
-        feed: LoadFeed,
-        slots: SlotTable,
+        upstream_slots: UpstreamSlots,
         trials: TrialTable,
         usage: UsageCounter,
+        metrics: Metrics,
     ) -> None:
         """Create the handler.
 
-        :param upstream: the upstream on this VM.
-        :param runner: runs batch items, which reservations preempt.
-        :param feed: measures the load of the upstream.
-        :param slots: reserved slots.
+        :param upstream_slots: slots of the upstream on this VM.
         :param trials: suspected requests at the upstream.
         :param usage: counts the requests of customers.
+        :param metrics: metrics of this process.
         """
-        self._usage = usage
+        self._slots = upstream_slots
+        self.queue = SlotQueue(upstream_slots, metrics)
         self._trials = trials
-        self._upstream = upstream
-        self._runner = runner
-        self._feed = feed
-        self._slots = slots
+        self._usage = usage
 
     def make_routes(self) -> list[Route]:
         """List the paths for entries.
@@ -100,35 +90,42 @@
         return [make_route('POST', RESERVATION_PATH, self._answer)]
 
     def _answer(self, request: Request) -> Response:
-        now = time.monotonic()
         reservation = _read_reservation(request)
         # These requests count whether or not this reservation is granted.
         self._usage.add(reservation.admitted)
-        if now - self._upstream.polled_at > MAX_LOAD_AGE_SECONDS:
-            self._upstream.poll()
-        replica = self._upstream.replica
-        if replica is None:
+        self._slots.update()
+        if not self._slots.is_known:
             raise Refusal(ErrorKind.no_upstream, 'the upstream is not known')
-        load = self._feed.measure()
-        reserved = self._slots.count(self._upstream.polled_at)
-        obstacle = self._find_obstacle(reservation.trial, now)
-        is_granted = (
-            not obstacle
-            and load.takes_work
-            and may_reserve(
-                SlotUse(replica.slots, load.questions, reserved),
+        if reservation.claim and reservation.trial is None:
+            is_granted, retry_after = self.queue.request_slot(
+                reservation.claim,
+                request.connection,
                 is_late=reservation.is_late,
             )
-        )
-        if is_granted:
-            self._grant(reservation.trial, now)
-        answer = Reservation(
-            is_granted,
-            msgspec.structs.replace(load, questions=load.questions + reserved),
-            obstacle,
-        )
+            answer = Reservation(
+                is_granted,
+                self._slots.measure_load(left_out=int(is_granted)),
+                retry_after=retry_after,
+            )
+        else:
+            answer = self._answer_at_once(reservation)
         return Response(HTTPStatus.OK, msgspec.json.encode(answer), JSON_TYPE)
 
+    def _answer_at_once(self, reservation: ReservationRequest) -> Reservation:
+        now = time.monotonic()
+        load = self._slots.measure_load()
+        use = self._slots.measure()
+        obstacle = self._find_obstacle(reservation.trial, now)
+        if (
+            obstacle
+            or use is None
+            or not may_reserve(use, is_late=reservation.is_late)
+        ):
+            return Reservation(is_granted=False, load=load, trial=obstacle)
+        self.queue.record_unclaimed(use)
+        self._grant(reservation.trial, now)
+        return Reservation(is_granted=True, load=load)
+
     def _find_obstacle(self, trial: TrialRequest | None, now: float) -> str:
         """Find the verdict that excludes a suspected request, or ``''``."""
         if trial is None:
@@ -138,8 +135,7 @@
         return '' if verdict is Verdict.granted else verdict.value
 
     def _grant(self, trial: TrialRequest | None, now: float) -> None:
-        self._slots.add(now)
-        self._runner.update_pace()
+        self._slots.reserve()
         if trial is not None:
             isolation = IsolationLevel(trial.company)
             self._trials.add(trial.fingerprint, isolation, now)
--- a/src/wigeonpier/hosted/reserver.py
+++ b/src/wigeonpier/hosted/reserver.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import time
+from contextlib import ExitStack
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from wigeonpier.hosted.news import ReservationRequest, TrialRequest
 from wigeonpier.hosted.reservations import RESERVATION_PATH
@@ -18,8 +20,11 @@
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.customeruse import CustomerLimiter
+    from wigeonpier.hosted.news import SlotClaim
+    from wigeonpier.hosted.question import OnlineRequest
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
+    from wigeonpier.web.client import CallFailure, Reply
     from wigeonpier.web.pool import ConnectionPool
 
 
@@ -31,6 +36,22 @@
     occupied = 'occupied'
     running = 'running'
     unanswered = 'unanswered'
+    abandoned = 'abandoned'
+
+
+@dataclass(slots=True)
+class ClaimCall:
+    """A reservation call that may wait at the worker.
+
+    :param claim: the claim.
+    :param request: its request; the call ends when its caller disconnects.
+    :param retry_after: wait that the worker expects where it grants no slot,
+        seconds; set by the call.
+    """
+
+    claim: SlotClaim
+    request: OnlineRequest
+    retry_after: float = 0
 
 
 class SlotReserver:
@@ -62,23 +83,34 @@
         *,
         is_late: bool,
         trial: TrialRequest | None = None,
+        call: ClaimCall | None = None,
     ) -> ReservationOutcome:
         """Request a slot.
 
         :param upstream: the upstream; its load is updated.  If its worker does
             not respond, it gets no work until its load is reported again.
-        :param timeout: longest wait for the response, seconds.
+        :param timeout: longest wait for the response, beyond the one that a
+            claim allows at the worker, seconds.
         :param is_late: whether the request has exceeded its latency objective.
         :param trial: trial of a suspected request, ``None`` for any other.
+        :param call: claim for a slot, ``None`` for an answer at once.
         :returns: the outcome.
         """
         host = split_address(upstream.address)[0]
         address = f'{host}:{self._port}'
         admitted = self._limiter.take_unreported()
-        body = msgspec.json.encode(ReservationRequest(is_late, trial, admitted))
+        body = msgspec.json.encode(
+            ReservationRequest(
+                is_late, trial, admitted, call.claim if call else None
+            )
+        )
         headers = [('Host', address)]
         raw = make_request('POST', RESERVATION_PATH, headers, body)
-        called = self._pool.call(address, raw, timeout)
+        called = self._call(address, raw, timeout, call)
+        if isinstance(called, Err) and call and call.request.is_abandoned:
+            # The worker has counted them when the call arrived, and has not
+            # failed to answer.
+            return self._count(ReservationOutcome.abandoned)
         if isinstance(called, Err):
             self._limiter.restore_unreported(admitted)
             upstream.takes_work = False
@@ -91,10 +123,32 @@
         record_load(upstream, reservation.load, time.monotonic())
         if reservation.is_granted:
             return self._count(ReservationOutcome.granted)
+        if call is not None:
+            call.retry_after = reservation.retry_after
         return self._count(
             ReservationOutcome(reservation.trial or ReservationOutcome.refused)
         )
 
+    def _call(
+        self,
+        address: str,
+        raw: bytes,
+        timeout: float,
+        call: ClaimCall | None,
+    ) -> Result[Reply, CallFailure]:
+        if call is None:
+            return self._pool.call(address, raw, timeout)
+        request = call.request
+        with ExitStack() as stack:
+            # The connection may be reused by other calls afterwards.
+            stack.callback(request.end_slot_call, time.monotonic())
+            return self._pool.call(
+                address,
+                raw,
+                timeout + call.claim.max_wait,
+                request.begin_slot_call,
+            )
+
     def _count(self, outcome: ReservationOutcome) -> ReservationOutcome:
         self._metrics.count('reservations_total', outcome=outcome.value)
         return outcome
--- /dev/null
+++ b/src/wigeonpier/hosted/slotqueue.py
@@ -0,0 +1,183 @@
+"""Lets reservation calls wait at the worker until a slot frees."""
+
+from __future__ import annotations
+
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+
+from wigeonpier.policy.fairqueue import FairQueue, QueuedClaim, is_hopeless
+from wigeonpier.web.exchange import watch_close
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from wigeonpier.hosted.news import SlotClaim
+    from wigeonpier.hosted.upstreamslots import UpstreamSlots
+    from wigeonpier.policy.reservation import SlotUse
+    from wigeonpier.telemetry.metrics import Metrics
+
+# A slot that frees is seen within this time; polling the upstream on the same
+# VM takes about 1 ms.
+POLL_SECONDS = 0.015
+# Longest wait that a worker grants, whatever an entry asks for.
+MAX_WAIT_SECONDS = 1.0
+
+
+class WaitOutcome(StrEnum):
+    """How a claim ended; the values are metric labels."""
+
+    granted = 'granted'
+    refused = 'refused'
+    expired = 'expired'
+    gone = 'gone'
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """A call that waits.
+
+    :param claim: its place in the queue.
+    :param ended: set when it is granted or its connection is closed.
+    :param is_granted: whether it has a slot.
+    """
+
+    claim: QueuedClaim
+    ended: Event = field(default_factory=Event)
+    is_granted: bool = False
+
+
+class SlotQueue:
+    """Grants the slots of the upstream to claims, in their fair order."""
+
+    def __init__(self, upstream_slots: UpstreamSlots, metrics: Metrics) -> None:
+        """Create an empty queue.
+
+        :param upstream_slots: slots of the upstream.
+        :param metrics: metrics of this process.
+        """
+        self._slots = upstream_slots
+        self._metrics = metrics
+        self._queue = FairQueue()
+        self._waiters: dict[QueuedClaim, _Waiter] = {}
+        self._poller: gevent.Greenlet[..., None] | None = None
+
+    def count(self) -> int:
+        """Count the waiting claims.
+
+        :returns: number of claims.
+        """
+        return len(self._waiters)
+
+    def record_unclaimed(self, use: SlotUse) -> None:
+        """Record that a request without a claim gets a slot.
+
+        :param use: what took the slots before.
+        """
+        now = time.monotonic()
+        self._queue.demand.observe(use, now)
+        self._queue.demand.record_grant('', now)
+
+    def request_slot(
+        self,
+        claim: SlotClaim,
+        connection: Any,
+        *,
+        is_late: bool,
+    ) -> tuple[bool, float]:
+        """Request a slot, and wait for it as long as the claim allows.
+
+        :param claim: the claim of the reservation request.
+        :param connection: connection of the entry; the claim is dropped when
+            the entry closes it.
+        :param is_late: whether the request has exceeded its latency objective.
+        :returns: whether a slot is reserved; if not, the expected wait in
+            seconds, 0 without an estimate.
+        """
+        use = self._slots.measure()
+        if use is None:
+            return False, 0
+        now = time.monotonic()
+        queued = QueuedClaim(
+            claim.customer,
+            claim.weight,
+            now + claim.seconds_left,
+            is_late,
+            now,
+        )
+        waiter = _Waiter(queued)
+        self._waiters[queued] = waiter
+        self._queue.add(queued, use.slots, now)
+        with ExitStack() as stack:
+            stack.callback(self._remove, waiter)
+            return self._wait(waiter, claim, connection)
+
+    def _remove(self, waiter: _Waiter) -> None:
+        self._waiters.pop(waiter.claim, None)
+        self._queue.remove(waiter.claim)
+
+    def _wait(
+        self, waiter: _Waiter, claim: SlotClaim, connection: Any
+    ) -> tuple[bool, float]:
+        self._grant_all()
+        if waiter.is_granted:
+            return self._finish(waiter, WaitOutcome.granted)
+        wait = self._estimate(waiter)
+        max_wait = min(claim.max_wait, MAX_WAIT_SECONDS)
+        if max_wait <= 0 or is_hopeless(wait, claim.seconds_left):
+            return self._finish(waiter, WaitOutcome.refused)
+        watcher = watch_close(connection, waiter.ended.set)
+        self._start_polling()
+        has_ended = waiter.ended.wait(max_wait)
+        watcher.kill(block=False)
+        if waiter.is_granted:
+            return self._finish(waiter, WaitOutcome.granted)
+        return self._finish(
+            waiter, WaitOutcome.gone if has_ended else WaitOutcome.expired
+        )
+
+    def _finish(
+        self, waiter: _Waiter, outcome: WaitOutcome
+    ) -> tuple[bool, float]:
+        self._metrics.count('slot_claims_total', outcome=outcome.value)
+        seconds = time.monotonic() - waiter.claim.queued_at
+        self._metrics.observe('slot_wait', seconds, outcome=outcome.value)
+        if waiter.is_granted:
+            return True, 0
+        return False, round(self._estimate(waiter), 3)
+
+    def _estimate(self, waiter: _Waiter) -> float:
+        use = self._slots.measure()
+        if use is None:
+            return 0
+        return self._queue.estimate_wait(waiter.claim, use, time.monotonic())
+
+    def _grant_all(self) -> None:
+        """Grant the free slots."""
+        while self._waiters:
+            use = self._slots.measure()
+            if use is None:
+                return
+            now = time.monotonic()
+            claim = self._queue.grant_next(use, now)
+            if claim is None:
+                return
+            self._slots.reserve()
+            waiter = self._waiters.pop(claim)
+            waiter.is_granted = True
+            waiter.ended.set()
+
+    def _start_polling(self) -> None:
+        if self._poller is None or self._poller.dead:
+            self._poller = gevent.spawn(self._poll)
+
+    def _poll(self) -> None:
+        while self._waiters:
+            gevent.sleep(POLL_SECONDS)
+            self._slots.update()
+            self._grant_all()
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -21,6 +21,7 @@
 from wigeonpier.hosted.runner import ItemRunner
 from wigeonpier.hosted.suspicionhandler import SuspicionHandler
 from wigeonpier.hosted.upstream import LocalUpstream
+from wigeonpier.hosted.upstreamslots import UpstreamSlots
 from wigeonpier.hosted.usagecounter import UsageCounter
 from wigeonpier.loops import spawn_loop
 from wigeonpier.membership.ends import CrashDetector
@@ -96,14 +97,13 @@
             context.store, settings.bounds.revocation
         )
         relay = RelayHandler(context.store.calls, context.pool)
+        upstream_slots = UpstreamSlots(
+            self._upstream, self._runner, self._feed, slots
+        )
         reservations = ReservationHandler(
-            self._upstream,
-            self._runner,
-            self._feed,
-            slots,
-            trials,
-            usage,
+            upstream_slots, trials, usage, context.metrics
         )
+        self._feed.details.count_queued = reservations.queue.count
         self._server = Server(
             *split_address(settings.peers),
             dispatch_to(
--- a/src/wigeonpier/policy/claimwait.py
+++ b/src/wigeonpier/policy/claimwait.py
@@ -44,6 +44,8 @@
         customers that are below their share.
     :param hopeless: workers that expect no slot in time.
     :param wait: wait that the last of them expects, seconds.
+    :param is_quick: whether the last worker refused at once although the call
+        could wait, as one of an earlier build does.
     """
 
     calls: int = 0
@@ -51,6 +53,7 @@
     is_above_share: bool = False
     hopeless: int = 0
     wait: float = 0
+    is_quick: bool = False
 
     @property
     def is_hopeless(self) -> bool:
--- a/src/wigeonpier/policy/fairqueue.py
+++ b/src/wigeonpier/policy/fairqueue.py
@@ -109,14 +109,12 @@
 
         :param claim: a queued claim.
         """
-        customer = claim.customer
-        start = self.starts[customer]
-        self.virtual = max(self.virtual, start)
+        start = self.starts[claim.customer]
         finish = start + 1 / claim.share
-        self.finishes[customer] = finish
+        self.virtual = max(self.virtual, start)
+        self.starts[claim.customer] = finish
+        self.finishes[claim.customer] = finish
         self.remove(claim)
-        if customer in self.starts:
-            self.starts[customer] = finish
         if len(self.finishes) > MAX_TAGS:
             self._drop_tags()
 
@@ -125,14 +123,8 @@
 
         :returns: the claims, the first to be served first.
         """
-        customers = sorted(self.waiting, key=lambda name: self.starts[name])
-        return [
-            min(
-                self.waiting[customer],
-                key=lambda claim: (claim.start_before, claim.queued_at),
-            )
-            for customer in customers
-        ]
+        customers = sorted(self.waiting, key=self.starts.__getitem__)
+        return [min(self.waiting[name], key=_order) for name in customers]
 
     def count_ahead(self, claim: QueuedClaim) -> int:
         """Count the waiting claims that are served before another one.
@@ -147,7 +139,10 @@
         start = self.starts.get(claim.customer, self._compute_start(claim))
         tag = start + own / claim.share
         others = [
-            min(len(claims), math.ceil((tag - self.starts[name]) * claims[0].share))
+            min(
+                len(claims),
+                math.ceil((tag - self.starts[name]) * claims[0].share),
+            )
             for name, claims in self.waiting.items()
             if name != claim.customer and self.starts[name] < tag
         ]
@@ -250,12 +245,14 @@
     def _may_start(self, claim: QueuedClaim, use: SlotUse, now: float) -> bool:
         if not may_reserve(use, is_late=claim.is_late):
             return False
-        headroom = self.demand.compute_headroom(
-            claim.customer, use.slots, now
-        )
+        headroom = self.demand.compute_headroom(claim.customer, use.slots, now)
         return use.online + use.reserved + headroom < use.slots
 
 
+def _order(claim: QueuedClaim) -> tuple[float, float]:
+    return claim.start_before, claim.queued_at
+
+
 def weigh_customer(rate: float, rank: int) -> float:
     """Compute the weight of a customer.
 
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -66,6 +66,11 @@
         INFO_LEVEL,
         'A request was refused: its customer has reached a limit.',
     )
+    request_unplaced = (
+        208,
+        INFO_LEVEL,
+        'A request was refused: no slot becomes free in time.',
+    )
     limit_unreadable = (
         207,
         ERROR_LEVEL,
--- a/tests/policy/hotcustomer.py
+++ b/tests/policy/hotcustomer.py
@@ -239,9 +239,7 @@
     def _claim(self, ask: Ask) -> Generator[Any, Any, float]:
         """Find a slot as an entry does that sends claims."""
         began = self.now
-        hold = reservation.limit_hold(
-            ask.deadline - began, has_begun=False
-        )
+        hold = reservation.limit_hold(ask.deadline - began, has_begun=False)
         search = claimwait.SlotSearch()
         states = self.states[ask.entry]
         while not search.is_hopeless:
@@ -339,9 +337,7 @@
             tried: set[str] = set()
             waited = (self.now - ask.arrived_at) / OBJECTIVE
             is_late = reservation.is_late(waited)
-            is_held = (
-                self.method == ENTRY_SHARES and self._is_above_share(ask)
-            )
+            is_held = self.method == ENTRY_SHARES and self._is_above_share(ask)
             drawn = self._draw(ask, tried)
             while not is_held and len(tried) < MAX_RESERVATION_ATTEMPTS:
                 drawn = self._draw(ask, tried)
@@ -395,9 +391,7 @@
             seconds = self.rng.uniform(*RUN_SECONDS)
             self._spawn(self._finish(worker, ask), seconds)
 
-    def _finish(
-        self, worker: Worker, ask: Ask
-    ) -> Generator[Any, Any, None]:
+    def _finish(self, worker: Worker, ask: Ask) -> Generator[Any, Any, None]:
         worker.running -= 1
         self.taken_slots[ask.customer] -= 1
         self._fill(worker)
