--- a/src/wigeonpier/hosted/customeruse.py
+++ b/src/wigeonpier/hosted/customeruse.py
@@ -69,9 +69,6 @@
     :param unseen: those of them that the reports may not include yet.
     :param demand: requests that this entry received, including refused ones.
     :param refused: requests that this entry refused.
-    :param spans: reported requests in the shorter spans that are checked while
-        slots are scarce.
-    :param own_spans: requests that this entry admitted in these spans.
     """
 
     reported: Window
@@ -83,8 +80,6 @@
         default_factory=lambda: Window(allowance.DEMAND_SECONDS),
     )
     refused: int = 0
-    spans: list[Window] = field(default_factory=list)
-    own_spans: list[Window] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -163,17 +158,15 @@
             self._bounds.quota_slack,
         )
         checks = [
-            (checked, self._measure(account, position, now))
-            for position, checked in enumerate(
-                limitspread.list_limits(limit, is_scarce=is_scarce)
-            )
+            (checked, self._measure(account, checked.seconds, now))
+            for checked in limitspread.list_limits(limit, is_scarce=is_scarce)
         ]
         chances = [allowance.estimate_admission(*check) for check in checks]
         if self._rng.random() >= min(chances):
-            exceeded = chances.index(min(chances))
             account.refused += 1
-            _log_limited(request, customer.name, *checks[exceeded])
-            raise self._refuse(account, checks[exceeded], exceeded, now)
+            exceeded = checks[chances.index(min(chances))]
+            _log_limited(request, customer.name, *exceeded)
+            raise self._refuse(account, *exceeded, now)
         self._count(customer.name, account, 1, now)
 
     def refund(self, customer: ServedCustomer) -> None:
@@ -232,9 +225,7 @@
         counter.contact_at = now
         counter.totals |= report.totals
         for name, count in increments.items():
-            account = self._find_account(name)
-            for window in (account.reported, *account.spans):
-                spend(window, count, now)
+            spend(self._find_account(name).reported, count, now)
 
     def list_rows(self) -> list[CustomerRow]:
         """List the counts of all customers that this entry has counts of.
@@ -284,9 +275,6 @@
         if account is None:
             span = self._bounds.quota_window
             account = Account(Window(span), Window(span))
-            for share in limitspread.SPAN_SHARES:
-                account.spans.append(Window(span * share))
-                account.own_spans.append(Window(span * share))
             self._accounts[name] = account
         return account
 
@@ -301,25 +289,23 @@
         count: int,
         now: float,
     ) -> None:
-        for window in (account.own, account.unseen, *account.own_spans):
-            spend(window, count, now)
+        spend(account.own, count, now)
+        spend(account.unseen, count, now)
         self._unreported[name] += count
 
     def _measure(
-        self, account: Account, position: int, now: float
+        self, account: Account, span: float, now: float
     ) -> allowance.UsageCount:
-        """Measure what is known of one span; the first one is the window."""
-        own_window = (account.own, *account.own_spans)[position]
-        reported_window = (account.reported, *account.spans)[position]
-        own = sum_spent(own_window, now)
+        """Measure what is known of the requests in a span of the window."""
+        own = limitspread.sum_since(account.own, span, now)
         # Without a counter, only the requests of this entry are known.
-        reported = max(own, sum_spent(reported_window, now))
+        reported = max(own, limitspread.sum_since(account.reported, span, now))
         return allowance.UsageCount(
             reported,
             sum_spent(account.unseen, now),
             own,
             sum_spent(account.demand, now) / allowance.DEMAND_SECONDS,
-            self._measure_certainty(now, own_window.seconds),
+            self._measure_certainty(now, span),
         )
 
     def _measure_certainty(self, now: float, span: float = 0) -> float:
@@ -340,15 +326,14 @@
     def _refuse(
         self,
         account: Account,
-        check: tuple[allowance.Limit, allowance.UsageCount],
-        position: int,
+        limit: allowance.Limit,
+        use: allowance.UsageCount,
         now: float,
     ) -> Refusal:
-        limit, use = check
-        window = (account.reported, *account.spans)[position]
+        window = limitspread.cut_window(account.reported, limit.seconds, now)
         wait = time_until_available([window], limit.requests, 1, now)
         seconds = max(wait, allowance.UNSEEN_SECONDS)
-        if position:
+        if limit.seconds < self._bounds.quota_window:
             demand = allowance.estimate_demand(limit, use)
             draw = self._rng.random()
             seconds = limitspread.spread_retry(seconds, demand, limit, draw)
--- a/src/wigeonpier/policy/limitspread.py
+++ b/src/wigeonpier/policy/limitspread.py
@@ -9,9 +9,13 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from wigeonpier.policy.window import WINDOW_PARTS, Window, sum_spent
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -93,6 +97,35 @@
     return [limit, *spans]
 
 
+def cut_window(window: Window, seconds: float, now: float) -> Window:
+    """Copy the amounts that were spent in the last part of a window.
+
+    :param window: the window.
+    :param seconds: length of the part; the whole window is returned as it is.
+    :param now: seconds.
+    :returns: a window of that length.
+    """
+    if seconds >= window.seconds:
+        return window
+    # An element also holds amounts spent up to one part of the window later.
+    kept = seconds + window.seconds / WINDOW_PARTS
+    spent = deque(pair for pair in window.spent if now - pair[0] < kept)
+    return Window(seconds, math.fsum(amount for _at, amount in spent), spent)
+
+
+def sum_since(window: Window, seconds: float, now: float) -> float:
+    """Sum the amounts spent in the last part of a window.
+
+    :param window: older amounts than its length are dropped from it.
+    :param seconds: length of the part.
+    :param now: seconds.
+    :returns: the sum.
+    """
+    if seconds >= window.seconds:
+        return sum_spent(window, now)
+    return cut_window(window, seconds, now).total
+
+
 def spread_retry(
     wait: float, demand: float, limit: Limit, draw: float
 ) -> float:
