--- a/src/wigeonpier/hosted/slotqueue.py
+++ b/src/wigeonpier/hosted/slotqueue.py
@@ -163,14 +163,14 @@
             use = self._slots.measure()
             if use is None:
                 return
-            now = time.monotonic()
-            claim = self._queue.grant_next(use, now)
+            claim = self._queue.grant_next(use, time.monotonic())
             if claim is None:
                 return
-            self._slots.reserve()
             waiter = self._waiters.pop(claim)
             waiter.is_granted = True
             waiter.ended.set()
+            # Preempts a batch item, during which other greenlets may run.
+            self._slots.reserve()
 
     def _start_polling(self) -> None:
         if self._poller is None or self._poller.dead:
--- a/src/wigeonpier/policy/fairqueue.py
+++ b/src/wigeonpier/policy/fairqueue.py
@@ -63,7 +63,7 @@
     @property
     def share(self) -> float:
         """Give the share of its customer relative to others of its rank."""
-        return self.weight * RANK_FACTOR**self.rank
+        return max(1.0, self.weight * RANK_FACTOR**self.rank)
 
 
 @dataclass(slots=True)
--- a/tests/policy/test_fairqueue.py
+++ b/tests/policy/test_fairqueue.py
@@ -77,6 +77,15 @@
     assert 1 <= claim.share < RANK_FACTOR
 
 
+def test_a_weight_of_nothing_does_no_harm() -> None:
+    """Guards against an error by a message without a valid weight."""
+    queue = FairQueue()
+    claim = QueuedClaim('c', 0, NOW)
+    add_all(queue, claim)
+    assert queue.estimate_wait(claim, FULL, NOW) > 0
+    assert queue.grant_next(ONE_FREE, NOW) is claim
+
+
 @given(st.lists(st.integers(1, 40), min_size=2, max_size=6))
 def test_customers_that_wait_get_slots_by_weight(rates: list[int]) -> None:
     """Guards against a share that depends on the number of claims."""
