--- a/src/wigeonpier/hosted/binder.py
+++ b/src/wigeonpier/hosted/binder.py
@@ -76,7 +76,7 @@
         :raises CallerGoneError: if the caller has disconnected meanwhile.
         """
         request.isolation = ''
-        request.search = SlotSearch()
+        request.search = SlotSearch(self.chooser.settings.data_centre)
         if not self._needs_slot(request):
             return self.chooser.choose(request)
         self.gate.add(request.priority)
--- a/src/wigeonpier/policy/claimwait.py
+++ b/src/wigeonpier/policy/claimwait.py
@@ -38,6 +38,7 @@
 class SlotSearch:
     """The search of one request for a slot.
 
+    :param data_centre: data centre of the entry.
     :param calls: reservation calls so far.
     :param tried: upstreams that were asked since all were last considered.
     :param is_above_share: whether a worker has kept its free slots for
@@ -48,6 +49,7 @@
         could wait, as one of an earlier build does.
     """
 
+    data_centre: str = ''
     calls: int = 0
     tried: set[str] = field(default_factory=set)
     is_above_share: bool = False
@@ -91,13 +93,25 @@
     ) -> set[str]:
         """List the upstreams that are not asked next.
 
+        After a refusal the ones in the entry's data centre are preferred, as
+        the request has lost a call already and one there takes 0.4 ms instead
+        of 2.8 ms.
+
         :param upstreams: upstreams that the request could go to.
         :param now: seconds.
         :returns: their names, only those asked already where all are full.
         """
         full = self.find_full(upstreams, now) | self.tried
         names = {state.name for state in upstreams}
-        return full if names - full else self.tried
+        if not names - full:
+            return self.tried
+        near = {
+            state.name
+            for state in upstreams
+            if state.data_centre == self.data_centre
+        }
+        is_near_open = self.calls and near - full
+        return full | (names - near) if is_near_open else full
 
     def choose_max_wait(
         self,
--- a/src/wigeonpier/policy/slotdemand.py
+++ b/src/wigeonpier/policy/slotdemand.py
@@ -18,6 +18,9 @@
 
 # Time constant of the counts.  A load peak lasts 2.4 s.
 DECAY_SECONDS = 2.0
+# Time constant of the claims of one customer, which show within some 0.3 s
+# that it has begun to send several times its usual load.
+CLAIM_SECONDS = 0.8
 # Time constant of the demand of a peak after it; peaks recur every 5.8 s.
 PEAK_SECONDS = 8.0
 # A customer counts as active for this long; small ones seldom reach the same
@@ -89,6 +92,7 @@
     :param share: its share relative to others.
     :param seen_at: time of its last claim, seconds.
     :param below: claims that it made while it was not above its share.
+    :param claims: all claims that it made lately.
     :param others: highest recent demand of the other customers, requests a
         second.
     :param grants: times of its latest grants, oldest first.
@@ -97,6 +101,9 @@
     share: float
     seen_at: float
     below: DecayingSum = field(default_factory=DecayingSum)
+    claims: DecayingSum = field(
+        default_factory=lambda: DecayingSum(seconds=CLAIM_SECONDS)
+    )
     others: DecayingSum = field(
         default_factory=lambda: DecayingSum(seconds=PEAK_SECONDS)
     )
@@ -138,6 +145,7 @@
             self.customers[customer] = known
         known.share = share
         known.seen_at = now
+        known.claims.add(1, now)
         if not self.is_above_share(customer, slots, now):
             known.below.add(1, now)
             self._below.add(1, now)
@@ -173,6 +181,8 @@
         """Check whether one more slot exceeds a customer's share of all slots.
 
         Its grants within the time of a request are the slots that it holds.
+        By chance, a large customer at its usual load holds more than its share
+        at some workers; the slots that it asks for show that it needs less.
 
         :param customer: the customer.
         :param slots: slots of the upstream.
@@ -193,7 +203,9 @@
         )
         if total <= known.share:
             return False
-        return held + 1 > slots * known.share / total
+        fair = slots * known.share / total
+        asked = known.claims.read(now) / CLAIM_SECONDS * self.run_seconds
+        return held + 1 > fair and asked > fair
 
     def measure_others(self, customer: str, now: float) -> float:
         """Measure the demand of the others that are not above their share.
