Serve lower ranks past a customer that leaves slots to others

grant_next looked only at the highest rank that waits, so a customer of a high priority above its share blocked all lower priorities while slots were free. It goes on to the next rank if each customer of a rank has to leave the free slots to others; a claim that is only late is still not overtaken by a lower rank.

tests/policy/test_fairqueue.py passes; its new test for this failed before.

--- a/src/wigeonpier/policy/fairqueue.py
+++ b/src/wigeonpier/policy/fairqueue.py
@@ -205,7 +205,8 @@
     def grant_next(self, use: SlotUse, now: float) -> QueuedClaim | None:
         """Grant a slot to the claim that is next.
 
-        While a claim of a higher rank waits, no lower rank is served.
+        Lower ranks are served only while each customer of a higher one that
+        waits has to leave the free slots to others.
 
         :param use: what takes the slots now.
         :param now: seconds.
@@ -215,12 +216,14 @@
         waiting = [rank for rank, order in self.ranks.items() if order.waiting]
         if not waiting or not may_reserve(use, is_late=False):
             return None
-        order = self.ranks[min(waiting)]
-        for claim in order.list_next():
-            if self._may_start(claim, use, now):
-                order.record_grant(claim)
-                self.demand.record_grant(claim.customer, now)
-                return claim
+        for rank in sorted(waiting):
+            unkept = [
+                claim
+                for claim in self.ranks[rank].list_next()
+                if self._fits_headroom(claim, use, now)
+            ]
+            if unkept:
+                return self._grant_first(rank, unkept, use, now)
         return None
 
     def estimate_wait(
@@ -248,9 +251,20 @@
             freed -= min(freed / 2, others)
         return (ahead + 1) / freed
 
-    def _may_start(self, claim: QueuedClaim, use: SlotUse, now: float) -> bool:
-        if not may_reserve(use, is_late=claim.is_late):
-            return False
+    def _grant_first(
+        self, rank: int, claims: list[QueuedClaim], use: SlotUse, now: float
+    ) -> QueuedClaim | None:
+        """Grant a slot to the first claim that is not too late for it."""
+        for claim in claims:
+            if may_reserve(use, is_late=claim.is_late):
+                self.ranks[rank].record_grant(claim)
+                self.demand.record_grant(claim.customer, now)
+                return claim
+        return None
+
+    def _fits_headroom(
+        self, claim: QueuedClaim, use: SlotUse, now: float
+    ) -> bool:
         headroom = self.demand.compute_headroom(claim.customer, use.slots, now)
         return use.online + use.reserved + headroom < use.slots
 
--- a/tests/policy/test_fairqueue.py
+++ b/tests/policy/test_fairqueue.py
@@ -181,6 +181,30 @@
     assert claim.customer == 'other'
 
 
+def test_slots_kept_by_a_higher_rank_go_to_a_lower_one() -> None:
+    """Guards against free slots while a hot customer of a high rank waits."""
+    queue = FairQueue()
+    for number in range(6):
+        add_all(queue, make_claim(f'c{number}'))
+        assert queue.grant_next(SlotUse(SLOTS, number, 0), NOW) is not None
+    later = NOW + 0.6
+    granted = 0
+    for _ in range(2 * SLOTS):
+        queue.add(make_claim('hot'), SLOTS, later)
+        use = SlotUse(SLOTS, granted, 0)
+        granted += queue.grant_next(use, later) is not None
+    assert granted < SLOTS
+    low = make_claim('low', rank=1)
+    queue.add(low, SLOTS, later)
+    assert queue.grant_next(SlotUse(SLOTS, granted, 0), later) is low
+
+
+def test_a_late_claim_of_a_higher_rank_is_not_overtaken() -> None:
+    queue = FairQueue()
+    add_all(queue, make_claim('a', is_late=True), make_claim('b', rank=1))
+    assert queue.grant_next(ONE_FREE, NOW) is None
+
+
 def test_the_memory_of_many_customers_is_bounded() -> None:
     queue = FairQueue()
     for number in range(5000):
