Pause between rounds that waited at no worker

A round counted as one that had waited until a worker had refused at once. With all upstreams down and a customer present, no worker was asked, so the loop ran without a pause and stopped the whole entry. The pause is now skipped only if a call of the last round waited at a worker for at least half of the time that it could.

--- a/src/wigeonpier/hosted/binder.py
+++ b/src/wigeonpier/hosted/binder.py
@@ -149,10 +149,9 @@
     def _pause(self, request: OnlineRequest) -> None:
         """Wait before the next round, unless the last one waited at a worker.
 
-        While the gate holds the request, it has asked no worker.
+        A round that asked no worker has not yielded to other greenlets.
         """
-        is_queued = request.weight and not request.search.is_quick
-        if is_queued and self.gate.is_admitted(request.priority):
+        if request.search.has_waited:
             return
         pause = reservation.compute_round_pause(
             self._measure_waited_share(request)
@@ -162,6 +161,7 @@
     def _try_reserve_in_turn(
         self, request: OnlineRequest, deadline: float
     ) -> UpstreamState | None:
+        request.search.has_waited = False
         if not self.gate.is_admitted(request.priority):
             return None
         return self._find_slot(request, deadline)
--- a/src/wigeonpier/hosted/claims.py
+++ b/src/wigeonpier/hosted/claims.py
@@ -117,7 +117,9 @@
             search.record_refusal(
                 upstream, wait, hold_until - answered_at, answered_at
             )
-            search.is_quick = answered_at - now < max_wait / 2
+            waited = answered_at - now
+            if max_wait > 0 and waited >= max_wait / 2:
+                search.has_waited = True
         return outcome
 
     def _draw(self, request: OnlineRequest) -> Iterator[UpstreamState]:
--- a/src/wigeonpier/policy/claimwait.py
+++ b/src/wigeonpier/policy/claimwait.py
@@ -45,8 +45,8 @@
         customers that are below their share.
     :param hopeless: workers that expect no slot in time.
     :param wait: wait that the last of them expects, seconds.
-    :param is_quick: whether the last worker refused at once although the call
-        could wait, as one of an earlier build does.
+    :param has_waited: whether a call of the last round waited at a worker for
+        at least half of the time that it could.
     """
 
     data_centre: str = ''
@@ -55,7 +55,7 @@
     is_above_share: bool = False
     hopeless: int = 0
     wait: float = 0
-    is_quick: bool = False
+    has_waited: bool = False
 
     @property
     def is_hopeless(self) -> bool:
--- a/tests/hosted/test_slotqueue.py
+++ b/tests/hosted/test_slotqueue.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import time
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -12,12 +14,15 @@
 
 from tests.hosted.builders import HostedSite, make_customer, wait_for
 from wigeonpier.hosted import reservations
+from wigeonpier.hosted.binder import SlotBinder
 from wigeonpier.hosted.news import ReservationRequest, SlotClaim
+from wigeonpier.hosted.question import OnlineRequest
 from wigeonpier.hosted.reservations import RESERVATION_PATH
 from wigeonpier.hosted.slotqueue import SlotQueue
 from wigeonpier.models import Reservation
 from wigeonpier.policy.fairqueue import weigh_customer
 from wigeonpier.policy.reservation import SlotUse
+from wigeonpier.policy.suspicion import RunMode
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.exchange import make_request
 
@@ -141,6 +146,67 @@
     )
 
 
+def make_binder(**chooser) -> SlotBinder:
+    """Make a binder whose chooser finds no upstream, with a recent crash."""
+    replicas = SimpleNamespace(
+        list_upstreams=list,
+        is_outdated=False,
+        has_recent_crash=lambda _service: True,
+    )
+    found = SimpleNamespace(
+        choose=lambda _request, _excluded=(): None,
+        replicas=replicas,
+        settings=SimpleNamespace(data_centre=''),
+    )
+    found.__dict__.update(chooser)
+    return SlotBinder(
+        replicas,
+        found,
+        random.Random(1),
+        SimpleNamespace(is_isolated=False),
+        SimpleNamespace(),
+        SimpleNamespace(get_run_mode=lambda _request: RunMode.free),
+        SimpleNamespace(),
+    )
+
+
+def make_request_of_customer(seconds: float) -> OnlineRequest:
+    now = time.monotonic()
+    return OnlineRequest(
+        SimpleNamespace(customer='c'),
+        SimpleNamespace(identity='q'),
+        SimpleNamespace(objective=0.3),
+        's',
+        b'',
+        now,
+        now + seconds,
+        '',
+        weight=weigh_customer(10, 0),
+    )
+
+
+def test_a_request_without_upstreams_lets_others_run() -> None:
+    """Guards against an entry that stops while all upstreams are down.
+
+    A round that asked no worker counted as one that had waited, so that the
+    next one followed without a pause.
+    """
+    binder = make_binder()
+    ticks: list[float] = []
+
+    def tick() -> None:
+        while True:
+            ticks.append(time.monotonic())
+            gevent.sleep(0.01)
+
+    ticker = gevent.spawn(tick)
+    request = make_request_of_customer(0.6)
+    held = gevent.spawn(binder.choose_upstream, request)
+    assert held.get(timeout=2) is None
+    ticker.kill()
+    assert len(ticks) >= 10
+
+
 @pytest.fixture
 def shared(site: HostedSite) -> HostedSite:
     """Start a site with two customers and upstreams with few slots."""
