Keep counts of a call whose caller left before it was sent

The counts of customers that a reservation call carries were dropped when the caller disconnected while the connection was opened, although no worker had received them. They are queued again unless the call had been sent.

--- a/src/wigeonpier/hosted/reserver.py
+++ b/src/wigeonpier/hosted/reserver.py
@@ -25,6 +25,7 @@
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import CallFailure, Reply
+    from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.pool import ConnectionPool
 
 
@@ -47,11 +48,22 @@
     :param request: its request; the call ends when its caller disconnects.
     :param retry_after: wait that the worker expects where it grants no slot,
         seconds; set by the call.
+    :param is_sent: whether it was sent before its caller disconnected; set by
+        the call.
     """
 
     claim: SlotClaim
     request: OnlineRequest
     retry_after: float = 0
+    is_sent: bool = False
+
+    def begin(self, exchange: Exchange) -> None:
+        """Record that a connection is open and the call is sent next.
+
+        :param exchange: the exchange with the worker.
+        """
+        self.is_sent = not self.request.is_abandoned
+        self.request.begin_slot_call(exchange)
 
 
 class SlotReserver:
@@ -108,8 +120,10 @@
         raw = make_request('POST', RESERVATION_PATH, headers, body)
         called = self._call(address, raw, timeout, call)
         if isinstance(called, Err) and call and call.request.is_abandoned:
-            # The worker has counted them when the call arrived, and has not
+            # The worker has counted them if the call arrived, and has not
             # failed to answer.
+            if not call.is_sent:
+                self._limiter.restore_unreported(admitted)
             return self._count(ReservationOutcome.abandoned)
         if isinstance(called, Err):
             self._limiter.restore_unreported(admitted)
@@ -146,7 +160,7 @@
                 address,
                 raw,
                 timeout + call.claim.max_wait,
-                request.begin_slot_call,
+                call.begin,
             )
 
     def _count(self, outcome: ReservationOutcome) -> ReservationOutcome:
--- a/tests/hosted/test_slotqueue.py
+++ b/tests/hosted/test_slotqueue.py
@@ -11,19 +11,27 @@
 import msgspec
 import pytest
 from gevent import socket as green
+from result import Err
 
+from tests.builders import build_upstream
 from tests.hosted.builders import HostedSite, make_customer, wait_for
 from wigeonpier.hosted import reservations
 from wigeonpier.hosted.binder import SlotBinder
 from wigeonpier.hosted.news import ReservationRequest, SlotClaim
 from wigeonpier.hosted.question import OnlineRequest
 from wigeonpier.hosted.reservations import RESERVATION_PATH
+from wigeonpier.hosted.reserver import (
+    ClaimCall,
+    ReservationOutcome,
+    SlotReserver,
+)
 from wigeonpier.hosted.slotqueue import SlotQueue
 from wigeonpier.models import Reservation
 from wigeonpier.policy.fairqueue import weigh_customer
 from wigeonpier.policy.reservation import SlotUse
 from wigeonpier.policy.suspicion import RunMode
 from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
@@ -207,6 +215,40 @@
     assert len(ticks) >= 10
 
 
+@pytest.mark.parametrize(
+    ('leaves', 'restored'),
+    [('connecting', 3), ('opened', 3), ('sent', 0)],
+)
+def test_counts_of_a_call_that_was_not_sent_are_kept(
+    leaves: str, restored: int
+) -> None:
+    """Guards against lost counts when a caller leaves before the call."""
+    request = make_request_of_customer(2)
+
+    def call(_address, _raw, _timeout, on_open) -> Err[CallFailure]:
+        exchange = SimpleNamespace(abort=lambda: None)
+        request.is_abandoned = leaves != 'sent'
+        if leaves == 'connecting':
+            return Err(CallFailure.not_sent)
+        on_open(exchange)
+        request.is_abandoned = True
+        return Err(CallFailure.lost)
+
+    kept: dict[str, int] = {}
+    limiter = SimpleNamespace(
+        take_unreported=lambda: {'c': 3}, restore_unreported=kept.update
+    )
+    reserver = SlotReserver(1, SimpleNamespace(call=call), Metrics(), limiter)
+    outcome = reserver.reserve(
+        build_upstream('vm-1'),
+        0.1,
+        is_late=False,
+        call=ClaimCall(make_claim(), request),
+    )
+    assert outcome is ReservationOutcome.abandoned
+    assert kept.get('c', 0) == restored
+
+
 @pytest.fixture
 def shared(site: HostedSite) -> HostedSite:
     """Start a site with two customers and upstreams with few slots."""
