Apply uncertain counts to the whole window only

With a counter out of contact, the allowance of a short span of a small customer fell below its simultaneous requests, which were refused. The reduction by certainty now applies to the whole window, which holds the limit.

tests/policy/test_limitspread.py passes; its new test, with one of two counters lost, failed before.

--- a/src/wigeonpier/hosted/customeruse.py
+++ b/src/wigeonpier/hosted/customeruse.py
@@ -298,6 +298,10 @@
     ) -> allowance.UsageCount:
         """Measure what is known of the requests in a span of the window."""
         own = limitspread.sum_since(account.own, span, now)
+        # A lost counter lowers what the whole window allows.  Short spans allow
+        # a small customer two requests, and would refuse the second one.
+        is_whole = span >= self._bounds.quota_window
+        certainty = self._measure_certainty(now) if is_whole else 1
         # Without a counter, only the requests of this entry are known.
         reported = max(own, limitspread.sum_since(account.reported, span, now))
         return allowance.UsageCount(
@@ -305,11 +309,11 @@
             sum_spent(account.unseen, now),
             own,
             sum_spent(account.demand, now) / allowance.DEMAND_SECONDS,
-            self._measure_certainty(now, span),
+            certainty,
         )
 
-    def _measure_certainty(self, now: float, span: float = 0) -> float:
-        """Measure how much of a span, by default the window, is known."""
+    def _measure_certainty(self, now: float) -> float:
+        """Measure how much of the window is known."""
         window = self._bounds.quota_window
         # The counts of a counter that is silent for longer have expired.
         self._counters = {
@@ -321,7 +325,7 @@
             now - counter.complete_since if _is_in_contact(counter, now) else 0
             for counter in self._counters.values()
         ]
-        return allowance.measure_certainty(covered, span or window)
+        return allowance.measure_certainty(covered, window)
 
     def _refuse(
         self,
--- a/tests/policy/test_limitspread.py
+++ b/tests/policy/test_limitspread.py
@@ -189,6 +189,21 @@
         clock.now += 0.01
 
 
+def test_a_lost_counter_does_not_refuse_two_calls_at_once(
+    clock: Clock,
+) -> None:
+    """Guards against short spans that allow one request by low certainty."""
+    limiter = CustomerLimiter(BOUNDS, None, list, random.Random(1))
+    for host in ('h1', 'h2'):
+        limiter.record_report(host, UsageReport('a', {}, {}, 60.0))
+    clock.now += 3
+    limiter.record_report('h1', UsageReport('a', {}, {}, 63.0))
+    assert limiter._measure_certainty(clock.now) == 0.5
+    small = ServedCustomer('s', rate=1)
+    for _ in range(3):
+        limiter.admit(small, 'r', is_scarce=True)
+
+
 def test_retries_of_refused_callers_are_spread(clock: Clock) -> None:
     """Guards against callers that were refused together and return together."""
     fleet = Fleet(clock)
