End waiting claims when the upstream becomes unusable

Claims that waited stayed at the worker for up to 0.5 s after its upstream was gone or took no work. They are refused at once, so that their entries ask other workers. A claim whose connection is closed leaves the queue at once as well, so that no slot is granted to it before its greenlet runs.

--- a/src/wigeonpier/hosted/slotqueue.py
+++ b/src/wigeonpier/hosted/slotqueue.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
@@ -43,13 +44,22 @@
     """A call that waits.
 
     :param claim: its place in the queue.
-    :param ended: set when it is granted or its connection is closed.
-    :param is_granted: whether it has a slot.
+    :param ended: set when its outcome is known.
+    :param outcome: how it ended; ``expired`` until another one is known.
     """
 
     claim: QueuedClaim
     ended: Event = field(default_factory=Event)
-    is_granted: bool = False
+    outcome: WaitOutcome = WaitOutcome.expired
+
+    def end(self, outcome: WaitOutcome) -> None:
+        """End the wait, unless it has ended.
+
+        :param outcome: how it ends.
+        """
+        if not self.ended.is_set():
+            self.outcome = outcome
+            self.ended.set()
 
 
 class SlotQueue:
@@ -117,6 +127,11 @@
             stack.callback(self._remove, waiter)
             return self._wait(waiter, claim, connection)
 
+    def _drop(self, waiter: _Waiter) -> None:
+        """Drop a claim whose entry has closed the connection."""
+        waiter.end(WaitOutcome.gone)
+        self._remove(waiter)
+
     def _remove(self, waiter: _Waiter) -> None:
         self._waiters.pop(waiter.claim, None)
         self._queue.remove(waiter.claim)
@@ -125,29 +140,25 @@
         self, waiter: _Waiter, claim: SlotClaim, connection: Any
     ) -> tuple[bool, float]:
         self._grant_all()
-        if waiter.is_granted:
-            return self._finish(waiter, WaitOutcome.granted)
+        if waiter.ended.is_set():
+            return self._finish(waiter)
         wait = self._estimate(waiter)
         max_wait = min(claim.max_wait, MAX_WAIT_SECONDS)
         if max_wait <= 0 or is_hopeless(wait, claim.seconds_left):
-            return self._finish(waiter, WaitOutcome.refused)
-        watcher = watch_close(connection, waiter.ended.set)
+            waiter.end(WaitOutcome.refused)
+            return self._finish(waiter)
+        watcher = watch_close(connection, partial(self._drop, waiter))
         self._start_polling()
-        has_ended = waiter.ended.wait(max_wait)
+        waiter.ended.wait(max_wait)
         watcher.kill(block=False)
-        if waiter.is_granted:
-            return self._finish(waiter, WaitOutcome.granted)
-        return self._finish(
-            waiter, WaitOutcome.gone if has_ended else WaitOutcome.expired
-        )
+        return self._finish(waiter)
 
-    def _finish(
-        self, waiter: _Waiter, outcome: WaitOutcome
-    ) -> tuple[bool, float]:
+    def _finish(self, waiter: _Waiter) -> tuple[bool, float]:
+        outcome = waiter.outcome
         self._metrics.count('slot_claims_total', outcome=outcome.value)
         seconds = time.monotonic() - waiter.claim.queued_at
         self._metrics.observe('slot_wait', seconds, outcome=outcome.value)
-        if waiter.is_granted:
+        if outcome is WaitOutcome.granted:
             return True, 0
         return False, round(self._estimate(waiter), 3)
 
@@ -162,16 +173,21 @@
         while self._waiters:
             use = self._slots.measure()
             if use is None:
+                self._refuse_all()
                 return
             claim = self._queue.grant_next(use, time.monotonic())
             if claim is None:
                 return
-            waiter = self._waiters.pop(claim)
-            waiter.is_granted = True
-            waiter.ended.set()
+            self._waiters.pop(claim).end(WaitOutcome.granted)
             # Preempts a batch item, during which other greenlets may run.
             self._slots.reserve()
 
+    def _refuse_all(self) -> None:
+        """End all waits, so that the entries ask other workers at once."""
+        for waiter in list(self._waiters.values()):
+            waiter.end(WaitOutcome.refused)
+            self._remove(waiter)
+
     def _start_polling(self) -> None:
         if self._poller is None or self._poller.dead:
             self._poller = gevent.spawn(self._poll)
