Refund short spans by their newest amounts; keep cut windows consistent

A refund took the oldest amount of the window, which may be outside of a short span: there, a request that did not run counted on, and its retry was refused with a 429. Short spans are now cut from windows of their own that give back the newest amounts. The whole window, which holds the limit, still gives back the oldest.

A cut window kept amounts for its seconds and one part of the whole window, while the wait for room counted a part of the short span only. The window now holds the length of its parts, and all functions use it.

--- a/src/wigeonpier/hosted/customeruse.py
+++ b/src/wigeonpier/hosted/customeruse.py
@@ -69,10 +69,14 @@
     :param unseen: those of them that the reports may not include yet.
     :param demand: requests that this entry received, including refused ones.
     :param refused: requests that this entry refused.
+    :param recent_reported: as ``reported``, for spans shorter than the window.
+    :param recent_own: as ``own``, for these.
     """
 
     reported: Window
     own: Window
+    recent_reported: Window
+    recent_own: Window
     unseen: Window = field(
         default_factory=lambda: Window(allowance.UNSEEN_SECONDS),
     )
@@ -225,7 +229,9 @@
         counter.contact_at = now
         counter.totals |= report.totals
         for name, count in increments.items():
-            spend(self._find_account(name).reported, count, now)
+            account = self._find_account(name)
+            spend(account.reported, count, now)
+            spend(account.recent_reported, count, now)
 
     def list_rows(self) -> list[CustomerRow]:
         """List the counts of all customers that this entry has counts of.
@@ -274,7 +280,12 @@
         account = self._accounts.get(name)
         if account is None:
             span = self._bounds.quota_window
-            account = Account(Window(span), Window(span))
+            account = Account(
+                Window(span),
+                Window(span),
+                limitspread.make_recent(span),
+                limitspread.make_recent(span),
+            )
             self._accounts[name] = account
         return account
 
@@ -290,6 +301,7 @@
         now: float,
     ) -> None:
         spend(account.own, count, now)
+        spend(account.recent_own, count, now)
         spend(account.unseen, count, now)
         self._unreported[name] += count
 
@@ -297,13 +309,18 @@
         self, account: Account, span: float, now: float
     ) -> allowance.UsageCount:
         """Measure what is known of the requests in a span of the window."""
-        own = limitspread.sum_since(account.own, span, now)
         # A lost counter lowers what the whole window allows.  Short spans allow
         # a small customer two requests, and would refuse the second one.
         is_whole = span >= self._bounds.quota_window
         certainty = self._measure_certainty(now) if is_whole else 1
         # Without a counter, only the requests of this entry are known.
-        reported = max(own, limitspread.sum_since(account.reported, span, now))
+        counted, admitted = (
+            (account.reported, account.own)
+            if is_whole
+            else (account.recent_reported, account.recent_own)
+        )
+        own = limitspread.sum_since(admitted, span, now)
+        reported = max(own, limitspread.sum_since(counted, span, now))
         return allowance.UsageCount(
             reported,
             sum_spent(account.unseen, now),
@@ -334,10 +351,12 @@
         use: allowance.UsageCount,
         now: float,
     ) -> Refusal:
-        window = limitspread.cut_window(account.reported, limit.seconds, now)
+        is_whole = limit.seconds >= self._bounds.quota_window
+        counted = account.reported if is_whole else account.recent_reported
+        window = limitspread.cut_window(counted, limit.seconds, now)
         wait = time_until_available([window], limit.requests, 1, now)
         seconds = max(wait, allowance.UNSEEN_SECONDS)
-        if limit.seconds < self._bounds.quota_window:
+        if not is_whole:
             demand = allowance.estimate_demand(limit, use)
             draw = self._rng.random()
             seconds = limitspread.spread_retry(seconds, demand, limit, draw)
--- a/src/wigeonpier/policy/limitspread.py
+++ b/src/wigeonpier/policy/limitspread.py
@@ -10,11 +10,10 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from wigeonpier.policy.window import WINDOW_PARTS, Window, sum_spent
+from wigeonpier.policy.window import Window, sum_spent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -107,10 +106,26 @@
     """
     if seconds >= window.seconds:
         return window
-    # An element also holds amounts spent up to one part of the window later.
-    kept = seconds + window.seconds / WINDOW_PARTS
-    spent = deque(pair for pair in window.spent if now - pair[0] < kept)
-    return Window(seconds, math.fsum(amount for _at, amount in spent), spent)
+    part = Window(seconds, part_seconds=window.part_seconds)
+    part.spent.extend(
+        pair for pair in window.spent if now - pair[0] < part.kept_seconds
+    )
+    part.total = math.fsum(amount for _at, amount in part.spent)
+    return part
+
+
+def make_recent(seconds: float) -> Window:
+    """Make the window from which the short spans are cut.
+
+    A request that did not run is taken from its newest amounts: the oldest may
+    be outside of a short span, in which the request would count on and lead to
+    the refusal of its retry.  The limit holds over the whole window, from which
+    the oldest are taken.
+
+    :param seconds: length of the whole window.
+    :returns: an empty window as long as the longest short span.
+    """
+    return Window(seconds * max(SPAN_SHARES), refunds_newest=True)
 
 
 def sum_since(window: Window, seconds: float, now: float) -> float:
--- a/src/wigeonpier/policy/window.py
+++ b/src/wigeonpier/policy/window.py
@@ -24,11 +24,28 @@
     :param seconds: length of the window.
     :param total: sum of the amounts in it, as of the last update.
     :param spent: time and amount, oldest first.
+    :param part_seconds: amounts spent within this time are merged; by default
+        one of the parts of the window.
+    :param refunds_newest: whether the newest amounts are given back first.
     """
 
     seconds: float
     total: float = 0
     spent: deque[tuple[float, float]] = field(default_factory=deque)
+    part_seconds: float = 0
+    refunds_newest: bool = False
+
+    def __post_init__(self) -> None:
+        """Choose the length of a part."""
+        self.part_seconds = self.part_seconds or self.seconds / WINDOW_PARTS
+
+    @property
+    def kept_seconds(self) -> float:
+        """Give the time for which an element counts.
+
+        An element also holds amounts spent up to one part later.
+        """
+        return self.seconds + self.part_seconds
 
 
 def spend(window: Window, amount: float, now: float) -> None:
@@ -43,8 +60,7 @@
         _refund(window, -amount)
         return
     window.total += amount
-    part_seconds = window.seconds / WINDOW_PARTS
-    if window.spent and now - window.spent[-1][0] < part_seconds:
+    if window.spent and now - window.spent[-1][0] < window.part_seconds:
         at, merged = window.spent[-1]
         window.spent[-1] = (at, merged + amount)
     else:
@@ -58,8 +74,7 @@
     :param now: seconds.
     :returns: the sum.
     """
-    # An element also holds amounts spent up to one part of the window later.
-    kept = window.seconds * (1 + 1 / WINDOW_PARTS)
+    kept = window.kept_seconds
     while window.spent and now - window.spent[0][0] >= kept:
         window.total -= window.spent.popleft()[1]
     if not window.spent:
@@ -68,19 +83,22 @@
 
 
 def _refund(window: Window, amount: float) -> None:
-    """Take back an amount, oldest first.
+    """Take back an amount, by default oldest first.
 
     A negative element would stay in the window longer than the one that it
     takes back, and free room that later requests have used.
     """
+    place = -1 if window.refunds_newest else 0
     remaining = amount
     while remaining > 0 and window.spent:
-        at, spent = window.spent.popleft()
+        at, spent = window.spent[place]
         refunded = min(remaining, spent)
         remaining -= refunded
         window.total -= refunded
         if refunded < spent:
-            window.spent.appendleft((at, spent - refunded))
+            window.spent[place] = (at, spent - refunded)
+        else:
+            del window.spent[place]
 
 
 def time_until_available(
@@ -102,7 +120,7 @@
     if excess <= 0:
         return 0
     expiring = sorted(
-        (at + window.seconds * (1 + 1 / WINDOW_PARTS), spent)
+        (at + window.kept_seconds, spent)
         for window in windows
         for at, spent in window.spent
     )
--- a/tests/policy/test_limitspread.py
+++ b/tests/policy/test_limitspread.py
@@ -24,7 +24,12 @@
 )
 from wigeonpier.policy.limitspread import ScarcityState
 from wigeonpier.policy.route import record_load
-from wigeonpier.policy.window import spend, sum_spent
+from wigeonpier.policy.window import (
+    Window,
+    spend,
+    sum_spent,
+    time_until_available,
+)
 from wigeonpier.served import ServedCustomer
 
 if TYPE_CHECKING:
@@ -204,6 +209,41 @@
         limiter.admit(small, 'r', is_scarce=True)
 
 
+def test_a_request_that_never_ran_counts_in_no_short_span(
+    clock: Clock,
+) -> None:
+    """Guards against a 429 for the retry of a request that did not run."""
+    limiter = CustomerLimiter(BOUNDS, None, list, random.Random(1))
+    limiter.record_report('h', UsageReport('a', {}, {}, 60.0))
+    small = ServedCustomer('s', rate=1)
+    # These are outside of all short spans by the time that others are refunded.
+    for _ in range(10):
+        limiter.admit(small, 'r', is_scarce=True)
+        clock.now += 0.1
+    clock.now += 1.3
+    limiter.record_contact('h')
+    clock.now += 1.3
+    limiter.record_contact('h')
+    for _ in range(20):
+        limiter.admit(small, 'r', is_scarce=True)
+        limiter.refund(small)
+        clock.now += 0.02
+
+
+@given(age=st.floats(0, 4.9), part=st.sampled_from(limitspread.SPAN_SHARES))
+def test_a_cut_window_agrees_with_the_wait_for_room(
+    age: float, part: float
+) -> None:
+    """Guards against a wait of 0 for a request that is refused."""
+    window = Window(SPAN)
+    spend(window, 10, 0.0)
+    cut = limitspread.cut_window(window, SPAN * part, age)
+    wait = time_until_available([cut], 10, 1, age)
+    assert (wait > 0) == (limitspread.sum_since(window, SPAN * part, age) > 0)
+    later = age + wait + 1e-6
+    assert limitspread.sum_since(window, SPAN * part, later) == 0
+
+
 def test_retries_of_refused_callers_are_spread(clock: Clock) -> None:
     """Guards against callers that were refused together and return together."""
     fleet = Fleet(clock)
