Tidy the changes of refunds and polls by the style checks

No change of behaviour; flake8 passes on hosted and policy. tests/policy/test_limitspread.py, test_window.py, test_fairqueue.py and tests/test_layers.py pass.

--- a/src/wigeonpier/hosted/customeruse.py
+++ b/src/wigeonpier/hosted/customeruse.py
@@ -356,12 +356,12 @@
         window = limitspread.cut_window(counted, limit.seconds, now)
         wait = time_until_available([window], limit.requests, 1, now)
         seconds = max(wait, allowance.UNSEEN_SECONDS)
-        if not is_whole:
+        if is_whole:
+            seconds *= self._rng.uniform(*RETRY_JITTER)
+        else:
             demand = allowance.estimate_demand(limit, use)
             draw = self._rng.random()
             seconds = limitspread.spread_retry(seconds, demand, limit, draw)
-        else:
-            seconds *= self._rng.uniform(*RETRY_JITTER)
         maximum = round(limit.requests)
         return Refusal(
             ErrorKind.limit_reached,
--- a/src/wigeonpier/hosted/upstreamslots.py
+++ b/src/wigeonpier/hosted/upstreamslots.py
@@ -59,8 +59,10 @@
     def update(self) -> None:
         """Poll the upstream unless its report is recent."""
         age = time.monotonic() - self._upstream.polled_at
-        has_failed = self._upstream.has_failed_poll
-        if age > (FAILED_POLL_SECONDS if has_failed else MAX_LOAD_AGE_SECONDS):
+        max_age = (
+            MAX_LOAD_AGE_SECONDS if self.is_current else FAILED_POLL_SECONDS
+        )
+        if age > max_age:
             self._upstream.poll()
 
     def measure(self) -> SlotUse | None:
--- a/src/wigeonpier/policy/window.py
+++ b/src/wigeonpier/policy/window.py
@@ -89,6 +89,7 @@
     takes back, and free room that later requests have used.
     """
     place = -1 if window.refunds_newest else 0
+    take = window.spent.pop if window.refunds_newest else window.spent.popleft
     remaining = amount
     while remaining > 0 and window.spent:
         at, spent = window.spent[place]
@@ -98,7 +99,7 @@
         if refunded < spent:
             window.spent[place] = (at, spent - refunded)
         else:
-            del window.spent[place]
+            take()
 
 
 def time_until_available(
