Count distinct workers before a request is refused

A request was refused with 503 when one worker expected no slot in time twice. Only distinct workers count now, and none after the end of the hold, from which on the request is sent without a slot.

Partial: a request is still refused after two such workers although other upstreams seem to have free slots, or shortly before the end of its hold.

tests/policy/test_fairqueue.py and test_hotcustomer.py pass.

--- a/src/wigeonpier/policy/claimwait.py
+++ b/src/wigeonpier/policy/claimwait.py
@@ -43,7 +43,7 @@
     :param tried: upstreams that were asked since all were last considered.
     :param is_above_share: whether a worker has kept its free slots for
         customers that are below their share.
-    :param hopeless: workers that expect no slot in time.
+    :param hopeless: upstreams whose workers expect no slot in time.
     :param wait: wait that the last of them expects, seconds.
     :param has_waited: whether a call of the last round waited at a worker for
         at least half of the time that it could.
@@ -53,14 +53,14 @@
     calls: int = 0
     tried: set[str] = field(default_factory=set)
     is_above_share: bool = False
-    hopeless: int = 0
+    hopeless: set[str] = field(default_factory=set)
     wait: float = 0
     has_waited: bool = False
 
     @property
     def is_hopeless(self) -> bool:
         """Check whether the request is refused, as it starts too late."""
-        return self.hopeless >= HOPELESS_WORKERS
+        return len(self.hopeless) >= HOPELESS_WORKERS
 
     def find_full(
         self, upstreams: Sequence[UpstreamState], now: float
@@ -154,8 +154,9 @@
             self.tried.clear()
         if wait and not is_full(upstream, now):
             self.is_above_share = True
-        if wait and is_hopeless(wait, seconds_left):
-            self.hopeless += 1
+        # After its hold the request is sent without a slot.
+        if seconds_left > 0 and is_hopeless(wait, seconds_left):
+            self.hopeless.add(upstream.name)
             self.wait = wait
 
 
--- a/tests/policy/test_fairqueue.py
+++ b/tests/policy/test_fairqueue.py
@@ -264,6 +264,22 @@
     assert search.is_hopeless
 
 
+def test_one_worker_alone_does_not_lead_to_a_refusal() -> None:
+    """Guards against a refusal by one worker that is asked several times."""
+    search = SlotSearch()
+    for _ in range(HOPELESS_WORKERS + 2):
+        search.record_refusal(build_upstream('vm-1'), 3.0, 2.0, NOW)
+    assert not search.is_hopeless
+
+
+def test_a_request_whose_hold_has_ended_is_not_refused() -> None:
+    """Guards against a refusal of a resumed stream, which is not held."""
+    search = SlotSearch()
+    for number in range(3):
+        search.record_refusal(build_upstream(f'vm-{number}'), 0.1, 0.0, NOW)
+    assert not search.is_hopeless
+
+
 def test_workers_without_an_estimate_never_lead_to_a_refusal() -> None:
     """Guards against a refusal by workers of an earlier build."""
     search = SlotSearch()
