Complete the round of a request that is not held

A resumed stream has no hold, so its round ended after one refusal and it was sent without a slot. It now asks three workers, with calls that are answered at once. The tests of this change, of waits at an unusable upstream and of failed polls are added to tests/hosted/test_slotqueue.py.

--- a/src/wigeonpier/hosted/claims.py
+++ b/src/wigeonpier/hosted/claims.py
@@ -65,7 +65,9 @@
             if outcome is ReservationOutcome.granted:
                 return candidate
             outcomes.add(outcome)
-            if self._is_over(request, hold_until):
+            # A request that is not held, as a resumed stream, completes its
+            # round with calls that are answered at once.
+            if request.search.is_hopeless:
                 break
         if ReservationOutcome.refused in outcomes:
             return None
@@ -136,9 +138,6 @@
             drawn += 1
             yield chosen
 
-    def _is_over(self, request: OnlineRequest, hold_until: float) -> bool:
-        return time.monotonic() >= hold_until or request.search.is_hopeless
-
     def _list_open(self, request: OnlineRequest) -> list[UpstreamState]:
         return [
             state
--- a/tests/hosted/test_slotqueue.py
+++ b/tests/hosted/test_slotqueue.py
@@ -26,9 +26,12 @@
     SlotReserver,
 )
 from wigeonpier.hosted.slotqueue import SlotQueue
-from wigeonpier.models import Reservation
+from wigeonpier.hosted.upstream import LocalUpstream
+from wigeonpier.hosted.upstreamslots import UpstreamSlots
+from wigeonpier.models import OnlineLoad, Reservation
 from wigeonpier.policy.fairqueue import weigh_customer
 from wigeonpier.policy.reservation import SlotUse
+from wigeonpier.policy.route import UpstreamState, record_load
 from wigeonpier.policy.suspicion import RunMode
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.client import CallFailure
@@ -50,6 +53,7 @@
         self.online = SLOTS
         self.reserved = 0
         self.is_usable = True
+        self.is_current = True
 
     def update(self) -> None:
         """Poll nothing."""
@@ -143,17 +147,55 @@
 def test_no_slot_is_granted_while_the_upstream_is_unusable(pair) -> None:
     upstream = FakeSlots()
     queue = SlotQueue(upstream, Metrics())
-    call = begin(queue, make_claim(wait=0.2), pair[0])
+    calls = [begin(queue, make_claim(wait=1.0), pair[0]) for _ in range(3)]
     gevent.sleep(0.02)
     upstream.is_usable = False
     upstream.online = 0
-    assert call.get(timeout=1) == (False, 0)
+    began = time.monotonic()
+    for call in calls:
+        assert call.get(timeout=1) == (False, 0)
+    assert time.monotonic() - began < 0.1
+    assert upstream.reserved == 0
+    assert queue.count() == 0
     assert queue.request_slot(make_claim(), pair[0], is_late=False) == (
         False,
         0,
     )
 
 
+def test_no_slot_is_granted_after_a_failed_poll(pair) -> None:
+    upstream = FakeSlots()
+    queue = SlotQueue(upstream, Metrics())
+    call = begin(queue, make_claim(wait=1.0), pair[0])
+    gevent.sleep(0.02)
+    upstream.is_current = False
+    upstream.online = 0
+    gevent.sleep(0.1)
+    assert upstream.reserved == 0
+    upstream.is_current = True
+    assert call.get(timeout=0.2) == (True, 0)
+
+
+def test_failed_polls_are_repeated_as_often_as_without_claims() -> None:
+    """Guards against an upstream given up after 45 ms without a report."""
+    upstream = LocalUpstream(None, SimpleNamespace(), '127.0.0.1:1')
+    polls: list[float] = []
+
+    def fail(*_given) -> Err[CallFailure]:
+        polls.append(time.monotonic())
+        return Err(CallFailure.lost)
+
+    upstream._pool.call = fail
+    upstream.report = SimpleNamespace()
+    slots = UpstreamSlots(upstream, None, None, None)
+    began = time.monotonic()
+    while upstream.report is not None:
+        slots.update()
+        gevent.sleep(0.005)
+    assert time.monotonic() - began >= 0.1
+    assert len(polls) == 3
+
+
 def make_binder(**chooser) -> SlotBinder:
     """Make a binder whose chooser finds no upstream, with a recent crash."""
     replicas = SimpleNamespace(
@@ -215,6 +257,32 @@
     assert len(ticks) >= 10
 
 
+def test_a_resumed_stream_asks_three_workers_before_it_is_sent() -> None:
+    """Guards against a stream sent without a slot after one refusal."""
+    now = time.monotonic()
+    states = [build_upstream(f'vm-{number}') for number in range(4)]
+    for state in states:
+        record_load(state, OnlineLoad(1, takes_work=True), now)
+    asked: list[str] = []
+
+    def choose(_request, excluded=()) -> UpstreamState | None:
+        return next((one for one in states if one.name not in excluded), None)
+
+    def refuse(upstream, _timeout, *, call, **_more) -> ReservationOutcome:
+        asked.append(upstream.name)
+        assert call.claim.max_wait == 0
+        return ReservationOutcome.refused
+
+    binder = make_binder(choose=choose)
+    binder.replicas.list_upstreams = lambda: states
+    binder.reserver.reserve = refuse
+    request = make_request_of_customer(2)
+    request.service = states[0].service
+    request.first_event_at = now
+    assert binder.choose_upstream(request) is not None
+    assert asked == ['vm-0', 'vm-1', 'vm-2']
+
+
 @pytest.mark.parametrize(
     ('leaves', 'restored'),
     [('connecting', 3), ('opened', 3), ('sent', 0)],
