--- a/src/wigeonpier/hosted/customeruse.py
+++ b/src/wigeonpier/hosted/customeruse.py
@@ -14,7 +14,7 @@
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.usagecounter import USAGE_PATH
 from wigeonpier.loops import spawn_loop
-from wigeonpier.policy import allowance
+from wigeonpier.policy import allowance, limitspread
 from wigeonpier.policy.window import (
     Window,
     spend,
@@ -69,10 +69,14 @@
     :param unseen: those of them that the reports may not include yet.
     :param demand: requests that this entry received, including refused ones.
     :param refused: requests that this entry refused.
+    :param recent_reported: as ``reported``, for spans shorter than the window.
+    :param recent_own: as ``own``, for these.
     """
 
     reported: Window
     own: Window
+    recent_reported: Window
+    recent_own: Window
     unseen: Window = field(
         default_factory=lambda: Window(allowance.UNSEEN_SECONDS),
     )
@@ -130,11 +134,19 @@
         """Begin to send reports that no slot reservation has carried."""
         spawn_loop('usage', self._report)
 
-    def admit(self, customer: ServedCustomer, request: str) -> None:
+    def admit(
+        self,
+        customer: ServedCustomer,
+        request: str,
+        *,
+        is_scarce: bool = False,
+    ) -> None:
         """Admit one request of a customer.
 
         :param customer: the customer.
         :param request: id of the request, for the log.
+        :param is_scarce: whether slots are scarce, so that the limit is spread
+            over its window.
         :raises Refusal: when the limit of the customer is reached.
         """
         if not customer.rate:
@@ -149,21 +161,16 @@
             self._bounds.quota_overage,
             self._bounds.quota_slack,
         )
-        use = self._measure(account, now)
-        if self._rng.random() >= allowance.estimate_admission(limit, use):
+        checks = [
+            (checked, self._measure(account, checked.seconds, now))
+            for checked in limitspread.list_limits(limit, is_scarce=is_scarce)
+        ]
+        chances = [allowance.estimate_admission(*check) for check in checks]
+        if self._rng.random() >= min(chances):
             account.refused += 1
-            log_event(
-                Event.customer_limited,
-                request=request,
-                customer=customer.name,
-                limit=limit.requests,
-                told=use.reported,
-                unseen=use.unseen,
-                own=use.own,
-                demand=use.demand,
-                certainty=round(use.certainty, 2),
-            )
-            raise self._refuse(account, limit, now)
+            exceeded = checks[chances.index(min(chances))]
+            _log_limited(request, customer.name, *exceeded)
+            raise self._refuse(account, *exceeded, now)
         self._count(customer.name, account, 1, now)
 
     def refund(self, customer: ServedCustomer) -> None:
@@ -222,7 +229,9 @@
         counter.contact_at = now
         counter.totals |= report.totals
         for name, count in increments.items():
-            spend(self._find_account(name).reported, count, now)
+            account = self._find_account(name)
+            spend(account.reported, count, now)
+            spend(account.recent_reported, count, now)
 
     def list_rows(self) -> list[CustomerRow]:
         """List the counts of all customers that this entry has counts of.
@@ -271,7 +280,12 @@
         account = self._accounts.get(name)
         if account is None:
             span = self._bounds.quota_window
-            account = Account(Window(span), Window(span))
+            account = Account(
+                Window(span),
+                Window(span),
+                limitspread.make_recent(span),
+                limitspread.make_recent(span),
+            )
             self._accounts[name] = account
         return account
 
@@ -287,44 +301,67 @@
         now: float,
     ) -> None:
         spend(account.own, count, now)
+        spend(account.recent_own, count, now)
         spend(account.unseen, count, now)
         self._unreported[name] += count
 
-    def _measure(self, account: Account, now: float) -> allowance.UsageCount:
-        own = sum_spent(account.own, now)
+    def _measure(
+        self, account: Account, span: float, now: float
+    ) -> allowance.UsageCount:
+        """Measure what is known of the requests in a span of the window."""
+        # A lost counter lowers what the whole window allows.  Short spans allow
+        # a small customer two requests, and would refuse the second one.
+        is_whole = span >= self._bounds.quota_window
+        certainty = self._measure_certainty(now) if is_whole else 1
         # Without a counter, only the requests of this entry are known.
-        reported = max(own, sum_spent(account.reported, now))
+        counted, admitted = (
+            (account.reported, account.own)
+            if is_whole
+            else (account.recent_reported, account.recent_own)
+        )
+        own = limitspread.sum_since(admitted, span, now)
+        reported = max(own, limitspread.sum_since(counted, span, now))
         return allowance.UsageCount(
             reported,
             sum_spent(account.unseen, now),
             own,
             sum_spent(account.demand, now) / allowance.DEMAND_SECONDS,
-            self._measure_certainty(now),
+            certainty,
         )
 
     def _measure_certainty(self, now: float) -> float:
-        span = self._bounds.quota_window
+        """Measure how much of the window is known."""
+        window = self._bounds.quota_window
         # The counts of a counter that is silent for longer have expired.
         self._counters = {
             host: counter
             for host, counter in self._counters.items()
-            if now - counter.contact_at < span + CONTACT_TIMEOUT_SECONDS
+            if now - counter.contact_at < window + CONTACT_TIMEOUT_SECONDS
         }
         covered = [
             now - counter.complete_since if _is_in_contact(counter, now) else 0
             for counter in self._counters.values()
         ]
-        return allowance.measure_certainty(covered, span)
+        return allowance.measure_certainty(covered, window)
 
     def _refuse(
         self,
         account: Account,
         limit: allowance.Limit,
+        use: allowance.UsageCount,
         now: float,
     ) -> Refusal:
-        wait = time_until_available([account.reported], limit.requests, 1, now)
-        jitter = self._rng.uniform(*RETRY_JITTER)
-        seconds = max(wait, allowance.UNSEEN_SECONDS) * jitter
+        is_whole = limit.seconds >= self._bounds.quota_window
+        counted = account.reported if is_whole else account.recent_reported
+        window = limitspread.cut_window(counted, limit.seconds, now)
+        wait = time_until_available([window], limit.requests, 1, now)
+        seconds = max(wait, allowance.UNSEEN_SECONDS)
+        if is_whole:
+            seconds *= self._rng.uniform(*RETRY_JITTER)
+        else:
+            demand = allowance.estimate_demand(limit, use)
+            draw = self._rng.random()
+            seconds = limitspread.spread_retry(seconds, demand, limit, draw)
         maximum = round(limit.requests)
         return Refusal(
             ErrorKind.limit_reached,
@@ -346,6 +383,26 @@
             self.restore_unreported(unreported)
 
 
+def _log_limited(
+    request: str,
+    customer: str,
+    limit: allowance.Limit,
+    use: allowance.UsageCount,
+) -> None:
+    log_event(
+        Event.customer_limited,
+        request=request,
+        customer=customer,
+        limit=limit.requests,
+        span=limit.seconds,
+        told=use.reported,
+        unseen=use.unseen,
+        own=use.own,
+        demand=use.demand,
+        certainty=round(use.certainty, 2),
+    )
+
+
 def _is_in_contact(counter: CounterState, now: float) -> bool:
     return (
         bool(counter.start)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -24,6 +24,7 @@
 from wigeonpier.hosted.runner import ItemRunner
 from wigeonpier.hosted.suspicionhandler import SuspicionHandler
 from wigeonpier.hosted.upstream import LocalUpstream
+from wigeonpier.hosted.upstreamslots import UpstreamSlots
 from wigeonpier.hosted.usagecounter import UsageCounter
 from wigeonpier.loops import spawn_loop
 from wigeonpier.membership.ends import CrashDetector
@@ -105,17 +106,15 @@
             context.store, settings.bounds.revocation
         )
         relay = RelayHandler(context.store.calls, context.pool)
+        upstream_slots = UpstreamSlots(
+            self._upstream, self._runner, self._feed, slots, health
+        )
         reservations = ReservationHandler(
-            self._upstream,
-            self._runner,
-            self._feed,
-            slots,
-            trials,
-            usage,
+            upstream_slots, trials, usage, context.metrics, health
         )
+        self._feed.details.count_queued = reservations.queue.count
         handover = HandoverParts(context, self._runner, self._trials, ledger)
         self._feed.details.read_items = handover.meter.read
-        reservations.health = health
         self._server = Server(
             *split_address(settings.peers),
             dispatch_to(
