--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -74,7 +74,7 @@
         self._adopted: defaultdict[str, set[int]] = defaultdict(set)
         # The open jobs with items here, and the revisions of their keys on the
         # board.  Each write of such a key writes the assignments that it
-        # changes in the same transaction, so an assignment tells both.
+        # changes in the same transaction, so an assignment shows both.
         self._boards: dict[str, tuple[OpenJob, int]] = {}
         # Revisions at which this process itself handed items over.
         self._moved_at: dict[str, int] = {}
@@ -176,7 +176,7 @@
             saved = ItemProgress(found.texts, found.last_event, found.failures)
             work = _make_work(job, found.index, found.item, saved, age)
             work.saved_events = found.saved_events
-            # The offer does not tell how many of them are saved.
+            # The offer does not say how many of them are saved.
             work.saved_failures = 0
             work.moves = found.moves + 1
             self._adopted[job.name].add(found.index)
--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -61,7 +61,7 @@
     """Check whether the status of an answer shows a fault of the upstream.
 
     :param status: HTTP status.
-    :returns: false also for 504, which tells that the request's time was up.
+    :returns: false also for 504, which says that the request's time was up.
     """
     is_server_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
     return is_server_error and status != HTTPStatus.GATEWAY_TIMEOUT
--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -65,7 +65,7 @@
     :param assignments: items that are assigned to this process.
     :param ledger: jobs in the store.
     :param pool: connections to other workers.
-    :param trials: tells which items are suspected of crashing upstreams.
+    :param trials: knows which items are suspected of crashing upstreams.
     :param store_health: state of the connection to the store.
     :param metrics: metrics of this process.
     :param next_at: earliest time of the next offer, seconds of the monotonic
--- a/src/wigeonpier/hosted/handoverparts.py
+++ b/src/wigeonpier/hosted/handoverparts.py
@@ -30,7 +30,7 @@
 
         :param context: what all daemons share.
         :param runner: runs the items.
-        :param trials: tells which items are suspected of crashing upstreams.
+        :param trials: knows which items are suspected of crashing upstreams.
         :param ledger: jobs in the store.
         """
         self._context = context
--- a/src/wigeonpier/hosted/healthkeeper.py
+++ b/src/wigeonpier/hosted/healthkeeper.py
@@ -224,7 +224,7 @@
             return
         self._reported_changes = self._record.changes
         if state is not HealthState.on_trial:
-            # What started before tells nothing about a later trial.
+            # What started before says nothing about a later trial.
             self._trial_item = None
             self._tried_item = None
         self._metrics.count('health_changes_total', state=state.value)
--- a/src/wigeonpier/hosted/itemclaims.py
+++ b/src/wigeonpier/hosted/itemclaims.py
@@ -153,7 +153,7 @@
     :param runner: runs the items here.
     :param meter: measures the slots that items get.
     :param claims: where claimed items wait for their assignment.
-    :param trials: tells which items are suspected of crashing upstreams.
+    :param trials: knows which items are suspected of crashing upstreams.
     :param store_health: state of the connection to the store.
     :param metrics: metrics of this process.
     """
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -164,7 +164,7 @@
     response = opened.ok_value
     work.response = response
     if work.is_paused:
-        # It was told to stop while the connection was being opened.
+        # It was stopped while the connection was being opened.
         response.abort()
         response.close()
         work.response = None
--- a/src/wigeonpier/hosted/news.py
+++ b/src/wigeonpier/hosted/news.py
@@ -90,7 +90,7 @@
 class SendReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """Outcome of one request at an upstream.
 
-    :param fingerprint: short digest that tells requests apart; the same for
+    :param fingerprint: short digest that distinguishes requests; the same for
         repeats of one request.
     :param outcome: how the upstream handled it.
     :param age: seconds since the outcome, for reports that were delayed.
--- a/src/wigeonpier/policy/backlog.py
+++ b/src/wigeonpier/policy/backlog.py
@@ -177,7 +177,7 @@
 
     :param vm: name of the worker's VM.
     :param run_seconds: how long a whole item runs there, 0 where too few have
-        completed to tell.
+        completed to know.
     :returns: a backlog behind which no item is placed.
     """
     return ItemBacklog(vm, round(run_seconds, 1), CLOSED_SECONDS)
--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -47,7 +47,7 @@
     """What the outcomes of requests show of one start of an upstream.
 
     :param incarnation: the start, 0 where it is unknown.
-    :param state: what entries are told.
+    :param state: state that is reported to entries.
     :param reason: counts of outcomes that led to the state.
     :param evidence: outcomes by which the upstream was last judged.
     :param ejections: ejections since it last recovered.
--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -214,7 +214,7 @@
     """List outcomes, oldest first, with slots that stand for successes.
 
     The slots of failed requests are left out: for each failure that which was
-    granted last before it.  Reported successes then only tell which entries
+    granted last before it.  Reported successes then only show which entries
     succeed.
     """
     outcomes = sorted(evidence, key=_get_time)
--- a/src/wigeonpier/policy/fairqueue.py
+++ b/src/wigeonpier/policy/fairqueue.py
@@ -27,7 +27,7 @@
 from wigeonpier.policy.slotdemand import SlotDemand
 
 # Weights of two ranks differ by this factor, and shares of one rank by less,
-# so that a weight alone tells the rank.
+# so that a weight alone gives the rank.
 RANK_FACTOR = 4096.0
 MAX_RANK = 80
 # Share of a customer without a limit, as if its limit was this many requests a
@@ -278,7 +278,7 @@
 
     :param rate: its limit, requests a second; 0 for none.
     :param rank: its priority, 0 is the highest.
-    :returns: weight that also tells the rank.
+    :returns: weight that also gives the rank.
     """
     share = min(max(rate or UNLIMITED_SHARE, 1), RANK_FACTOR - 1)
     return float(share / RANK_FACTOR ** min(rank, MAX_RANK))
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -92,7 +92,7 @@
         ``None`` where its worker does not report that.
     :param unhealthy_since: when it was reported as ejected, seconds.
     :param unreported_successes: requests that it has completed since its worker
-        was last told.
+        was last sent.
     """
 
     name: str
--- a/src/wigeonpier/policy/runlengths.py
+++ b/src/wigeonpier/policy/runlengths.py
@@ -15,7 +15,7 @@
 # Weight of the last run in the moving averages.
 RUN_WEIGHT = 0.2
 # A mean of fewer runs says little about the upstream.  That of 3 runs still
-# varies; the entries tell a difference by chance from a real one.
+# varies; the entries distinguish a difference by chance from a real one.
 MIN_MEASURED_RUNS = 3
 # Where items differ by 10 % (standard deviation), a weight of 0.2 makes the means
 # of 22 equal upstreams differ by 20 % at some time within 100 runs in 3 of 4
--- a/src/wigeonpier/reports.py
+++ b/src/wigeonpier/reports.py
@@ -52,7 +52,7 @@
 
     :param vm: name of the worker's VM.
     :param run_seconds: how long a whole item runs there, 0 where too few have
-        completed to tell.
+        completed to know.
     :param waiting_seconds: time after which an item that is assigned now
         starts.
     :param late: items that cannot complete there when they are due.
