Log the software versions of streams, and which streams callers resume

Cause: the lines of an incident cannot show that a stream continued at another software version, nor that a request resumes a stream: versions are in no line, and the attempt that a caller names is not read. No decision changes.

--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -39,6 +39,7 @@
     :param outcome: how it ended.
     :param instance: id of the instance that responded instead of the upstream.
     :param had_output: whether any event of its response arrived.
+    :param version: software version of the upstream.
     """
 
     upstream: str
@@ -50,6 +51,7 @@
     outcome: str = 'answered'
     instance: str = ''
     had_output: bool = False
+    version: str = ''
 
 
 @dataclass(slots=True)
@@ -200,6 +202,7 @@
                 round(now - upstream.reported_at, 3),
                 round(now - self.received_at, 3),
                 self.isolation,
+                version=upstream.version,
             ),
         )
 
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -225,10 +225,18 @@
             raise self._refuse(request, sent.err_value)
         if isinstance(sent, Err) or not ingress.is_success(sent.ok_value):
             raise BrokenStreamError(f'cannot resume stream: {failure.value}')
+        began = _find_last_version(request)
+        resumed_at = _get_current(request)[0]
+        self._metrics.count(
+            'streams_resumed_total',
+            version=_compare_versions(began, resumed_at.version),
+        )
         log_event(
             Event.stream_resumed,
             request=request.head.identity,
-            upstream=_get_current(request)[0].name,
+            upstream=resumed_at.name,
+            version=resumed_at.version,
+            began=began,
             after=request.resume_after,
         )
 
@@ -279,6 +287,8 @@
                 asks=request.reservation_attempts,
                 slot_wait=round(request.slot_wait, 3),
                 runs=request.runs,
+                resumes=request.head.resumes,
+                resumed_after=request.head.resume_after,
                 last_event=request.resume_after,
                 seconds=round(seconds, 3),
             )
@@ -291,10 +301,25 @@
     return weigh_customer(routed.customer.rate, routed.priority)
 
 
+def _find_last_version(request: OnlineRequest) -> str:
+    """Find the software version of the last events, empty without any."""
+    versions = [send.version for send in request.sends if send.had_output]
+    return versions[-1] if versions else ''
+
+
+def _compare_versions(began: str, resumed: str) -> str:
+    """Compare software versions, as the label of a metric."""
+    if not began or not resumed:
+        return 'unknown'
+    return 'same' if began == resumed else 'other'
+
+
 def _is_logged(request: OnlineRequest, outcome: str) -> bool:
     """Tell whether to log a finished request; ordinary ones are sampled."""
     if outcome != 'answered' or len(request.sends) > 1:
         return True
+    if request.head.resumes or request.head.resume_after:
+        return True
     latency = request.first_event_at - request.received_at
     if latency > request.route.objective:
         return True
--- a/src/wigeonpier/hosted/replicas.py
+++ b/src/wigeonpier/hosted/replicas.py
@@ -282,6 +282,7 @@
             service=state.service,
             data_centre=state.data_centre,
             incarnation=state.incarnation,
+            version=state.version,
             revision=revision,
         )
 
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -311,10 +311,12 @@
         self, event: Event, work: ItemWork, **fields: str | bool
     ) -> None:
         report = self._upstream.report
+        replica = self._upstream.replica
         log_event(
             event,
             job=work.job.name,
             item=work.item.name,
+            version=replica.version if replica else '',
             events=len(work.texts),
             failures=work.failures,
             due_in=round(work.due_at - time.monotonic(), 3),
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -251,6 +251,7 @@
                 upstream=found.name,
                 address=found.address,
                 incarnation=found.incarnation,
+                version=found.version,
             )
         elif found.is_leaving and not known.is_leaving:
             log_event(Event.upstream_leaving, upstream=found.name)
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -42,6 +42,8 @@
     :param seconds: how long the caller waits, ``None`` where not stated.
     :param prompt_parts: ids of the parts of the prompt, shared ones first.
     :param resume_after: last event that the caller has, or empty.
+    :param resumes: id of the attempt that received the first event of the
+        stream that the caller resumes, or empty.
     """
 
     identity: str
@@ -49,6 +51,7 @@
     seconds: float | None
     prompt_parts: tuple[str, ...]
     resume_after: str
+    resumes: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +87,7 @@
             part.partition(':')[0].strip() for part in parts.split(',') if part
         ),
         resume_after=found.get(wire.RESUME_AFTER.lower(), ''),
+        resumes=found.get(wire.RESUMES.lower(), ''),
     )
 
 
--- a/src/wigeonpier/platform/wire.py
+++ b/src/wigeonpier/platform/wire.py
@@ -22,6 +22,8 @@
 CUSTOMER = 'X-Tenant'
 RETRY_AFTER = 'Retry-After'
 RESUME_AFTER = 'Last-Event-Id'
+# Attempt of the caller that received the first event of a resumed stream.
+RESUMES = 'Resumes'
 # Longest time that a call may wait.
 WAIT_MS = 'X-Wait-Ms'
 
