--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -145,6 +145,7 @@
     :param runs: number of runs by id of the request.
     :param incarnation: grows with each start, 0 if it is not reported.
     :param version: version of its software.
+    :param keeps_name: whether it restarts under the id that it had.
     :param restart_seconds: time from a crash to the next start.
     :param register_seconds: time from the next start to its registration.
     :param lapse_seconds: time from a crash until its registration is removed.
@@ -168,6 +169,7 @@
     incarnation: int = 0
     is_leaving: bool = False
     version: str = 'v1'
+    keeps_name: bool = False
     restart_seconds: float = 1.0
     register_seconds: float = 0
     lapse_seconds: float = 1.5
@@ -242,7 +244,7 @@
             self._server = None
 
     def end(self, fingerprint: str = '') -> None:
-        """Crash, and restart later under a new id.
+        """Crash, and restart later, under a new id unless it keeps its own.
 
         :param fingerprint: fingerprint of the request that caused the crash,
             empty for none.
@@ -258,28 +260,32 @@
         for connection in self._life.connections:
             with suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
-        entry_key = name_replica(self.name)
-        gevent.spawn_later(self.lapse_seconds, self.store.remove, entry_key)
+        if not self.keeps_name:
+            entry_key = name_replica(self.name)
+            gevent.spawn_later(self.lapse_seconds, self.store.remove, entry_key)
         restart = partial(self._restart, host, int(port))
         gevent.spawn_later(self.restart_seconds, restart)
 
-    def make_text(self, identity: str, number: int) -> str:
-        """Make the data of one event.
+    def make_text(self, identity: str, number: int, version: str = '') -> str:
+        """Make the data of one event, which shows the software version.
 
         :param identity: id of the request.
         :param number: number of the event, from 1.
+        :param version: version that writes it, empty for the current one.
         :returns: the data.
         """
-        return f'{identity}-{number}'
+        written_by = version or self.version
+        return f'{identity}-{number}@{written_by}'
 
-    def make_output(self, identity: str) -> str:
+    def make_output(self, identity: str, version: str = '') -> str:
         """Make the complete text of a request.
 
         :param identity: id of the request.
+        :param version: version that writes it, empty for the current one.
         :returns: data of all events, separated by line feeds.
         """
         return '\n'.join(
-            self.make_text(identity, number + 1)
+            self.make_text(identity, number + 1, version)
             for number in range(self.events)
         )
 
@@ -290,8 +296,11 @@
         return self._server.address
 
     def _restart(self, host: str, port: int) -> None:
-        base = self.name.partition('.')[0]
-        self.name = f'{base}.{len(self.ended_by)}'
+        if not self.keeps_name:
+            base = self.name.partition('.')[0]
+            self.name = f'{base}.{len(self.ended_by)}'
+        elif self.incarnation:
+            self.incarnation += 1
         self._listen(host, port)
         for frontend in self.frontends:
             frontend.reopen()
@@ -372,6 +381,7 @@
 
     def _stream(self, identity: str, last: int) -> Iterator[bytes]:
         life = self._life
+        version = self.version
         is_broken = self.faults.break_after > 0
         self.faults.break_after = max(0, self.faults.break_after - 1)
         with ExitStack() as stack:
@@ -386,7 +396,7 @@
                     raise ConnectionAbortedError(
                         'stream broken by an injected fault'
                     )
-                text = self.make_text(identity, number)
+                text = self.make_text(identity, number, version)
                 yield f'id: {number}\ndata: {text}\n\n'.encode()
 
     def _run_crashing(self, request: Request, body: bytes) -> Iterator[bytes]:
--- a/tests/hosted/test_whole_path.py
+++ b/tests/hosted/test_whole_path.py
@@ -49,7 +49,7 @@
         reply = site.call('POST', '/ask/1', f'q{number}', b'{}')
         texts = [line for line in reply.body.splitlines() if b'data' in line]
         assert texts == [
-            f'data: q{number}-{event}'.encode() for event in range(1, 11)
+            f'data: q{number}-{event}@v1'.encode() for event in range(1, 11)
         ]
 
 
