Continue streams only at the software version that began them

Cause: the version of an upstream was known and not part of any choice. An entry continued a broken stream at any upstream of its service, and an entry at which a caller resumed a stream did not read which one it resumes. The class: state of a stream that only one process has, while other processes continue it. Change: a request that continues a stream is bound to the service and version that began it, in each way in which an upstream is chosen. The entry that forwards the first event records them at two workers, which any other entry finds by the attempt that the caller names. Why this works: no entry has to know the versions, the register or the first entry as another one does; where a record cannot be found nothing is guessed.

--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -39,6 +39,8 @@
     upstream_failed = 'upstream_failed'
     outcome_unknown = 'outcome_unknown'
     ends_upstreams = 'ends_upstreams'
+    version_gone = 'version_gone'
+    origin_unknown = 'origin_unknown'
     internal = 'internal'
 
 
@@ -184,6 +186,19 @@
             None,
             'Upstreams end when they run it; change it, or ask an operator.',
         ),
+        ErrorKind.version_gone: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            None,
+            'The version that began the stream serves no more; begin it anew.',
+        ),
+        ErrorKind.origin_unknown: ErrorAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            Ran.no,
+            1,
+            'It is unknown which version began the stream; try another entry,'
+            ' or begin it anew.',
+        ),
         ErrorKind.internal: ErrorAnswer(
             HTTPStatus.INTERNAL_SERVER_ERROR,
             Ran.unknown,
--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -12,7 +12,9 @@
     choose_upstream,
     find_usable,
     find_usual_pace,
+    is_down,
 )
+from wigeonpier.policy.streamorigin import may_continue
 
 if TYPE_CHECKING:
     import random
@@ -87,7 +89,7 @@
         :returns: the upstream, ``None`` if there is none.
         """
         now = time.monotonic()
-        upstreams = self.replicas.list_upstreams()
+        upstreams = self._list_upstreams(request)
         criteria = self._make_criteria(request, excluded)
         usual = self.usual_paces.find(upstreams, criteria, now)
         return choose_upstream(upstreams, criteria, now, self.rng, usual)
@@ -105,6 +107,34 @@
             time.monotonic(),
         )
 
+    def is_version_gone(self, request: OnlineRequest) -> bool:
+        """Check whether no upstream can continue the stream of a request.
+
+        :param request: the request.
+        :returns: false if it continues none.
+        """
+        if request.origin is None:
+            return False
+        now = time.monotonic()
+        return not any(
+            may_continue(state, request.origin)
+            and not state.is_leaving
+            and not is_down(state, now)
+            for state in self.replicas.upstreams.values()
+        )
+
+    def _list_upstreams(self, request: OnlineRequest) -> list[UpstreamState]:
+        """List the upstreams that this entry routes to.
+
+        Where none of them is of the version that began the stream, all others
+        are listed.
+        """
+        routed = self.replicas.list_upstreams()
+        origin = request.origin
+        if any(may_continue(state, origin) for state in routed):
+            return routed
+        return list(self.replicas.upstreams.values())
+
     def _make_criteria(
         self, request: OnlineRequest, excluded: Set[str]
     ) -> RoutingCriteria:
@@ -117,4 +147,5 @@
             region=self.settings.region,
             excluded=frozenset(request.tried | excluded),
             is_repeatable=not request.is_last_attempt,
+            origin=request.origin,
         )
--- a/src/wigeonpier/hosted/claims.py
+++ b/src/wigeonpier/hosted/claims.py
@@ -11,6 +11,7 @@
 from wigeonpier.hosted.reserver import ClaimCall, ReservationOutcome
 from wigeonpier.policy import reservation
 from wigeonpier.policy.limitspread import ScarcityState, measure_use
+from wigeonpier.policy.streamorigin import may_continue
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -142,7 +143,9 @@
         return [
             state
             for state in self._list_all(request.service)
-            if state.name not in request.tried and state.takes_work
+            if state.name not in request.tried
+            and state.takes_work
+            and may_continue(state, request.origin)
         ]
 
     def _list_all(self, service: str) -> list[UpstreamState]:
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -23,6 +23,7 @@
 from wigeonpier.hosted.knowledge import ConfigurationFreshness
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfollower import FeedListeners, LoadFollower
+from wigeonpier.hosted.origins import StreamOrigins
 from wigeonpier.hosted.outcomes import OutcomeReporter
 from wigeonpier.hosted.proofs import FreshnessProver
 from wigeonpier.hosted.quarantine.publisher import QuarantinePublisher
@@ -119,6 +120,13 @@
         self._backlogs = WorkerBacklogs(
             split_address(settings.peers)[1], self._replicas
         )
+        self._origins = StreamOrigins(
+            settings,
+            self._replicas,
+            context.store_health,
+            context.pool,
+            context.metrics,
+        )
         self._loads = LoadFollower(
             settings,
             self._replicas,
@@ -127,7 +135,7 @@
             FeedListeners(
                 self._record_load,
                 self._receive_update,
-                self._publisher.publish_all,
+                self._greet_worker,
                 self._limiter.record_report,
                 self._backlogs.record,
             ),
@@ -138,6 +146,7 @@
             context.metrics,
             context.rng,
             self._limiter,
+            self._origins,
         )
         ledger = JobLedger(context.store)
         self._disk_job_writer = DiskJobWriter(
@@ -279,6 +288,11 @@
         self._relays.record_offer(host, has_store=load.has_store)
         self._limiter.record_contact(host)
 
+    def _greet_worker(self, address: str) -> None:
+        """Send what a worker that may have just started has to know."""
+        self._publisher.publish_all(address)
+        self._origins.resend(address)
+
     def _list_counters(self) -> list[str]:
         """List the counters whose load feeds are fresh."""
         port = split_address(self._context.settings.peers)[1]
--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -4,6 +4,9 @@
 
 from enum import StrEnum
 from http import HTTPStatus
+from types import MappingProxyType
+
+from wigeonpier.errors import ErrorKind
 
 
 class CallerGoneError(OSError):
@@ -30,6 +33,17 @@
     late = 'late in a queue, and gave way'
     no_slot = 'no slot becomes free in time'
     crashes_upstreams = 'upstreams end when they run it'
+    origin_unknown = 'it is unknown which version began the stream'
+    version_gone = 'no upstream of the version that began the stream is left'
+
+
+# Why a stream that has begun elsewhere cannot continue.
+STREAM_REFUSALS = MappingProxyType(
+    {
+        SendFailure.origin_unknown: ErrorKind.origin_unknown,
+        SendFailure.version_gone: ErrorKind.version_gone,
+    }
+)
 
 
 class QueueLeftError(Exception):
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -11,6 +11,7 @@
 from wigeonpier.policy.fingerprint import digest_request
 from wigeonpier.policy.silence import choose_read_timeout
 from wigeonpier.policy.waiting import QueueTime
+from wigeonpier.served import RouteKind
 
 if TYPE_CHECKING:
     import gevent
@@ -18,6 +19,7 @@
     from wigeonpier.hosted.outcomes import TrackedSend
     from wigeonpier.platform.ingress import RequestHead
     from wigeonpier.policy.route import UpstreamState
+    from wigeonpier.policy.streamorigin import StreamOrigin
     from wigeonpier.served import (
         ServedRoute,
     )
@@ -88,6 +90,8 @@
     :param search: its search for a slot.
     :param slot_call: reservation call that waits at a worker, if any.
     :param slot_wait: time that such calls have taken, seconds.
+    :param origin: what wrote the first event that the caller has, ``None`` if
+        it has none.
     """
 
     http_request: Request
@@ -116,6 +120,7 @@
     search: SlotSearch = field(default_factory=SlotSearch)
     slot_call: Exchange | None = None
     slot_wait: float = 0
+    origin: StreamOrigin | None = None
     _fingerprint: str = ''
 
     @property
@@ -131,6 +136,13 @@
             )
         return self._fingerprint
 
+    @property
+    def is_resumption(self) -> bool:
+        """Tell whether the caller has received events of the stream already."""
+        if self.route.kind is not RouteKind.stream:
+            return False
+        return self.head.is_resumption
+
     @property
     def seconds_left(self) -> float:
         """Give the time left until ``deadline``, in seconds."""
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING
 
 import xxhash
-from result import Err
+from result import Err, Ok
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.hosted.failures import (
+    STREAM_REFUSALS,
     SendFailure,
     classify_disconnect,
 )
@@ -33,6 +34,7 @@
     from wigeonpier.hosted.arrival import RoutedRequest
     from wigeonpier.hosted.configuration import ConfigurationWatch
     from wigeonpier.hosted.customeruse import CustomerLimiter
+    from wigeonpier.hosted.origins import StreamOrigins
     from wigeonpier.hosted.sender import (
         RequestSender,
     )
@@ -69,6 +71,7 @@
         metrics: Metrics,
         rng: random.Random,
         limiter: CustomerLimiter,
+        origins: StreamOrigins,
     ) -> None:
         """Create the handler.
 
@@ -77,7 +80,9 @@
         :param metrics: metrics of this process.
         :param rng: source of randomness.
         :param limiter: admits requests within the customers' limits.
+        :param origins: records and finds what began streams.
         """
+        self._origins = origins
         self._limiter = limiter
         self._configuration = configuration
         self._sender = sender
@@ -128,6 +133,10 @@
         )
 
     def _answer(self, request: OnlineRequest) -> Response:
+        if request.is_resumption:
+            failure = self._origins.bind(request)
+            if failure is not None:
+                raise self._refuse(request, failure)
         sent = self._sender.send(request)
         if isinstance(sent, Err):
             raise self._refuse(request, sent.err_value)
@@ -203,6 +212,8 @@
                 )
                 return None
             request.resume_after = event.identity or request.resume_after
+            if not request.first_event_at:
+                self._origins.record(request)
             has_events = True
             request.sends[-1].had_output = True
             request.first_event_at = request.first_event_at or time.monotonic()
@@ -223,20 +234,23 @@
             # No byte of the response has been sent, so an error response is
             # still possible.
             raise self._refuse(request, sent.err_value)
-        if isinstance(sent, Err) or not ingress.is_success(sent.ok_value):
-            raise BrokenStreamError(f'cannot resume stream: {failure.value}')
-        began = _find_last_version(request)
-        resumed_at = _get_current(request)[0]
+        if isinstance(sent, Err):
+            failure = sent.err_value
+        is_resumed = isinstance(sent, Ok) and ingress.is_success(sent.ok_value)
         self._metrics.count(
             'streams_resumed_total',
-            version=_compare_versions(began, resumed_at.version),
+            by='entry',
+            outcome='resumed' if is_resumed else failure.name,
         )
+        if not is_resumed:
+            raise BrokenStreamError(f'cannot resume stream: {failure.value}')
+        resumed_at = _get_current(request)[0]
         log_event(
             Event.stream_resumed,
             request=request.head.identity,
             upstream=resumed_at.name,
             version=resumed_at.version,
-            began=began,
+            began=request.origin.version if request.origin else '',
             after=request.resume_after,
         )
 
@@ -301,19 +315,6 @@
     return weigh_customer(routed.customer.rate, routed.priority)
 
 
-def _find_last_version(request: OnlineRequest) -> str:
-    """Find the software version of the last events, empty without any."""
-    versions = [send.version for send in request.sends if send.had_output]
-    return versions[-1] if versions else ''
-
-
-def _compare_versions(began: str, resumed: str) -> str:
-    """Compare software versions, as the label of a metric."""
-    if not began or not resumed:
-        return 'unknown'
-    return 'same' if began == resumed else 'other'
-
-
 def _is_logged(request: OnlineRequest, outcome: str) -> bool:
     """Tell whether to log a finished request; ordinary ones are sampled."""
     if outcome != 'answered' or len(request.sends) > 1:
@@ -344,6 +345,14 @@
             failure.value,
             ran=Ran.unknown if request.runs else Ran.no,
         )
+    if failure in STREAM_REFUSALS and not request.runs:
+        return Refusal(
+            STREAM_REFUSALS[failure],
+            failure.value,
+            retry_seconds=RETRY_ELSEWHERE_SECONDS
+            if failure is SendFailure.origin_unknown
+            else None,
+        )
     if not request.runs:
         is_isolated = failure is SendFailure.cut_off
         return Refusal(
--- a/src/wigeonpier/hosted/replicas.py
+++ b/src/wigeonpier/hosted/replicas.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from wigeonpier.hosted.servedversions import ServedVersions
 from wigeonpier.platform.port import Change
 from wigeonpier.platform.register import (
     REGISTER,
@@ -64,6 +65,9 @@
         self._created_revisions: dict[str, int] = {}
         self._last_incarnations: dict[str, int] = {}
         self._routed: list[UpstreamState] | None = None
+        self.versions = ServedVersions()
+        # Grows with each change of the upstreams.
+        self.changes = 0
         self._replaced_at = -math.inf
         self._settings = settings
         self._store_health = store_health
@@ -94,6 +98,7 @@
         # The callback reads ``is_leaving``, so that it runs before the change.
         self.on_restart(state)
         state.is_leaving = True
+        self.changes += 1
         self._replaced_at = time.monotonic()
         entry = self.view.entries.get(name_replica(instance))
         if entry is not None and self.upstreams.get(state.name) is state:
@@ -139,6 +144,7 @@
 
     def _apply(self, change: Change) -> None:
         self._routed = None
+        self.changes += 1
         name = change.key.removeprefix(REGISTER)
         if change.value is None:
             self._remove_after_grace(name, change.key)
@@ -179,6 +185,8 @@
             self._log(Event.upstream_leaving, state, change.revision)
         record_return(state, time.monotonic())
         state.slots = replica.slots
+        # A load report of the same start may have come before its entry.
+        state.version = replica.version
         state.is_leaving = replica.is_leaving
 
     def _get_last_start(self, name: str) -> int:
@@ -267,9 +275,11 @@
 
     def _remove(self, name: str) -> None:
         self._routed = None
+        self.changes += 1
         self._created_revisions.pop(name, None)
         state = self.upstreams.pop(name, None)
         if state is not None:
+            self.versions.record_removed(state)
             state.is_leaving = True
             self._forget_address(state.address)
             self._log(Event.upstream_removed, state, 0)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -22,6 +22,7 @@
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy import waiting
 from wigeonpier.policy.route import record_outcome
+from wigeonpier.policy.streamorigin import may_continue
 from wigeonpier.policy.trial import IsolationLevel
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -143,6 +144,10 @@
             return Err(failure)
         upstream = request.next_upstream or self.binder.choose_upstream(request)
         request.next_upstream = None
+        if upstream and not may_continue(upstream, request.origin):
+            # The answer to a reservation shows that it has restarted.
+            request.tried.add(upstream.name)
+            upstream = self.binder.chooser.choose(request)
         failure = self.binder.find_send_failure(request)
         if failure is not None:
             return Err(failure)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -15,6 +15,7 @@
 from wigeonpier.hosted.loadfeed import FeedDetails, LoadFeed
 from wigeonpier.hosted.membership import Membership
 from wigeonpier.hosted.newest import NewestRevisionHandler
+from wigeonpier.hosted.originkeeper import OriginKeeper
 from wigeonpier.hosted.pacemeter import PaceMeter
 from wigeonpier.hosted.progress import ProgressSaver
 from wigeonpier.hosted.quarantine.store import QuarantineStore
@@ -113,6 +114,7 @@
             upstream_slots, trials, usage, context.metrics, health
         )
         self._feed.details.count_queued = reservations.queue.count
+        self._origins = OriginKeeper(context.metrics)
         handover = HandoverParts(context, self._runner, self._trials, ledger)
         self._feed.details.read_items = handover.meter.read
         self._server = Server(
@@ -125,6 +127,7 @@
                 + reservations.make_routes()
                 + handover.offers.make_routes()
                 + health.make_routes()
+                + self._origins.make_routes()
                 + SuspicionHandler(suspicions, trials).make_routes(),
             ),
         )
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -53,6 +53,11 @@
     resume_after: str
     resumes: str = ''
 
+    @property
+    def is_resumption(self) -> bool:
+        """Tell whether the caller has events of the stream; ids begin at 1."""
+        return bool(self.resumes) or self.resume_after not in {'', '0'}
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
--- a/src/wigeonpier/platform/view.py
+++ b/src/wigeonpier/platform/view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -39,6 +41,7 @@
     :param rng: spreads the reads of many processes after an outage.
     :param entries: last known entry of each key.
     :param is_complete: whether all keys were read once.
+    :param completed_at: when they were, seconds of the monotonic clock.
     :param pause: seconds until the next attempt.
     :param wait: waits for a number of seconds, or less where an attempt can
         succeed earlier.
@@ -50,6 +53,7 @@
     rng: random.Random
     entries: dict[str, Entry] = field(default_factory=dict)
     is_complete: bool = False
+    completed_at: float = math.inf
     pause: float = INITIAL_PAUSE_SECONDS
     wait: Callable[[float], object] = gevent.sleep
     _is_urgent: Signal = field(default_factory=Signal)
@@ -93,6 +97,7 @@
                     ),
                 )
         self.is_complete = True
+        self.completed_at = min(self.completed_at, time.monotonic())
         for change in self.platform.watch(
             self.prefix,
             snapshot.revision,
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -17,12 +17,14 @@
 from wigeonpier.policy.incarnation import is_earlier, name_start
 from wigeonpier.policy.pace import compare_time, find_reference
 from wigeonpier.policy.ranking import rank_by_key
+from wigeonpier.policy.streamorigin import UNKNOWN_VERSION, may_continue
 from wigeonpier.reports import HealthState
 
 if TYPE_CHECKING:
     import random
 
     from wigeonpier.models import OnlineLoad
+    from wigeonpier.policy.streamorigin import StreamOrigin
     from wigeonpier.reports import UpstreamHealth, UpstreamPace
 
 FAILURES_TO_EJECT = 3
@@ -83,7 +85,8 @@
     :param ejections: ejections since it last recovered.
     :param ejected_until: gets no requests before then, seconds.
     :param incarnation: grows with each start, 0 where it is unknown.
-    :param version: version of its software.
+    :param version: version of its software, ``UNKNOWN_VERSION`` after a start
+        that the register does not show yet.
     :param crashed_at: when it was last known to have crashed, seconds.
     :param queued: requests that wait at its worker for a slot.
     :param pace: how fast it works, ``None`` where its worker does not report
@@ -139,6 +142,8 @@
     :param excluded: upstreams that were tried already.
     :param is_repeatable: whether the request may run once more if the upstream
         fails it, and so may be sent to an upstream on trial.
+    :param origin: what began the stream that the request continues, ``None``
+        if it begins one.
     """
 
     service: str
@@ -148,6 +153,7 @@
     region: str
     excluded: frozenset[str] = field(default_factory=frozenset)
     is_repeatable: bool = True
+    origin: StreamOrigin | None = None
 
 
 def choose_upstream(
@@ -205,9 +211,7 @@
     serving = [
         state
         for state in upstreams
-        if state.service == criteria.service
-        and (not criteria.model or criteria.model in state.models)
-        and not state.is_leaving
+        if _may_serve(state, criteria)
         # Crashed upstreams do not count towards the share that may be ejected.
         and not is_down(state, now)
     ]
@@ -246,7 +250,7 @@
     :param now: seconds.
     :returns: usual baseline, seconds; 0 where baselines are nearly equal.
     """
-    every = replace(criteria, excluded=frozenset())
+    every = replace(criteria, excluded=frozenset(), origin=None)
     return find_reference(
         [
             state.pace
@@ -321,6 +325,8 @@
     if is_earlier(state.incarnation, load.incarnation):
         _clear_outcomes(state)
         state.incarnation = load.incarnation
+        # Only the register can say what the new start runs.
+        state.version = UNKNOWN_VERSION
     state.reported = load.questions
     state.reported_at = now
     state.queued = load.queued
@@ -425,6 +431,14 @@
     state.unreported_successes = 0
 
 
+def _may_serve(state: UpstreamState, criteria: RoutingCriteria) -> bool:
+    if state.service != criteria.service or state.is_leaving:
+        return False
+    if criteria.model and criteria.model not in state.models:
+        return False
+    return may_continue(state, criteria.origin)
+
+
 def _is_healthy(state: UpstreamState, now: float) -> bool:
     reports_unhealthy = state.load_fresh_until > now and not state.takes_work
     return state.ejected_until <= now and not reports_unhealthy
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -61,6 +61,11 @@
         WARNING_LEVEL,
         'A stream was resumed at another upstream.',
     )
+    stream_not_resumed = (
+        209,
+        WARNING_LEVEL,
+        'A stream was not resumed: its version is unknown or serves no more.',
+    )
     customer_limited = (
         205,
         INFO_LEVEL,
--- a/tests/hosted/test_explained.py
+++ b/tests/hosted/test_explained.py
@@ -106,18 +106,17 @@
     assert {json.loads(line)['process'] for line in lines} == {'site'}
 
 
-def test_resumed_stream_shows_versions(site, explain) -> None:
+def test_resumed_stream_shows_versions(site, tmp_path) -> None:
     site.replicas[0].faults.break_after = 9
-    names = [f'q{number}' for number in range(8)]
-    for name in names:
+    for number in range(8):
+        name = f'q{number}'
         assert site.call('POST', '/ask/1', name, b'{}').status == 200
-    resumed = next(
-        line
-        for name in names
-        for line in find_lines(explain(name), 'stream_resumed')
-    )
-    assert 'began=v1' in resumed
-    assert 'version=v1' in resumed
+    lines = (tmp_path / 'log').read_text().splitlines()
+    resumed = [line for line in map(json.loads, lines) if 'began' in line]
+    assert {line['event'] for line in resumed} == {'stream_resumed'}
+    assert {(line['began'], line['version']) for line in resumed} == {
+        ('v1', 'v1')
+    }
 
 
 def test_stream_that_its_caller_resumes_names_both_attempts(
--- a/tests/hosted/test_stream_versions.py
+++ b/tests/hosted/test_stream_versions.py
@@ -6,21 +6,28 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import gevent
 import pytest
 
-from tests.hosted.builders import wait_for
-from tests.hosted.streams import StreamCaller, find_versions
+from tests.hosted.builders import DATA_CENTRE, wait_for
+from tests.hosted.streams import RefusedError, StreamCaller, find_versions
+from wigeonpier.hosted.origintable import OriginTable
 
 if TYPE_CHECKING:
     from tests.hosted.builders import HostedSite
 
 ENTRIES = 4
 STREAMS = 16
+MIN_BROKEN_STREAMS = 3
+MAX_STREAMS = 200
 EVENTS = 10
 EVENTS_BEFORE_LEAVING = 3
+UNAVAILABLE = 503
+# A quarter of the latency objective earns the caller half of its next attempt.
+MAX_REFUSAL_SECONDS = 0.3
 
 
 @pytest.fixture
@@ -42,11 +49,14 @@
 def test_an_entry_continues_a_stream_at_the_version_that_began_it(
     site: HostedSite, caller: StreamCaller
 ) -> None:
-    site.replicas[0].faults.break_after = STREAMS
-    texts = [caller.read_all(f'q{number}') for number in range(STREAMS)]
-    assert len(site.replicas[0].runs) > 1
-    assert [len(find_versions(text)) for text in texts] == [1] * STREAMS
-    assert [len(text) for text in texts] == [EVENTS] * STREAMS
+    breaking = site.replicas[0]
+    breaking.faults.break_after = STREAMS
+    texts: list[list[str]] = []
+    while len(breaking.runs) < MIN_BROKEN_STREAMS:
+        assert len(texts) < MAX_STREAMS, 'an upstream gets no streams'
+        texts.append(caller.read_all(f'q{len(texts)}'))
+    assert [len(find_versions(text)) for text in texts] == [1] * len(texts)
+    assert [len(text) for text in texts] == [EVENTS] * len(texts)
 
 
 def test_callers_resume_streams_at_the_version_that_began_them(
@@ -60,3 +70,138 @@
     )
     texts = [outcome.value for outcome in outcomes]
     assert [len(find_versions(text)) for text in texts] == [1] * STREAMS
+    assert [len(text) for text in texts] == [EVENTS] * STREAMS
+
+
+def test_streams_go_on_without_the_store_and_their_first_entry(
+    site: HostedSite, caller: StreamCaller
+) -> None:
+    parts = [
+        caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
+        for number in range(STREAMS)
+    ]
+    site.store.faults.is_down = True
+    site.entries[0]._callers.stop()
+    for number, part in enumerate(parts):
+        entry = 1 + number % (ENTRIES - 1)
+        part += caller.resume(f'r{number}', f'q{number}', len(part), entry)
+    assert [len(find_versions(part)) for part in parts] == [1] * STREAMS
+    assert [len(part) for part in parts] == [EVENTS] * STREAMS
+
+
+def test_streams_are_known_to_workers_that_have_restarted(
+    site: HostedSite, caller: StreamCaller
+) -> None:
+    """Entries send them again to each worker that they begin to follow."""
+    parts = [
+        caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
+        for number in range(STREAMS)
+    ]
+    for worker in site.workers:
+        worker._origins.table = OriginTable()
+    for state in site.entries[0]._replicas.list_upstreams():
+        site.entries[0]._origins.resend(state.address)
+    gevent.sleep(0.1)
+    for number, part in enumerate(parts):
+        part += caller.resume(f'r{number}', f'q{number}', len(part), 1)
+    assert [len(part) for part in parts] == [EVENTS] * STREAMS
+
+
+def test_a_stream_is_resumed_several_times(caller: StreamCaller) -> None:
+    """Each attempt names the first one, at another entry each time."""
+    for number in range(STREAMS):
+        texts = caller.read(f'q{number}', 0, 2)
+        for entry in range(1, ENTRIES):
+            texts += caller.read(
+                f'q{number}-{entry}',
+                entry,
+                2,
+                Last_Event_Id=str(len(texts)),
+                Resumes=f'q{number}',
+            )
+        assert len(texts) == 2 * ENTRIES
+        assert len(find_versions(texts)) == 1
+
+
+def test_a_stream_of_which_nothing_is_known_is_refused_at_once(
+    caller: StreamCaller,
+) -> None:
+    began_at = time.monotonic()
+    with pytest.raises(RefusedError) as refused:
+        caller.resume('q1', 'never-seen', 3, 1)
+    assert time.monotonic() - began_at < MAX_REFUSAL_SECONDS
+    assert refused.value.status == UNAVAILABLE
+    assert refused.value.error['type'] == 'origin_unknown'
+    assert refused.value.error['ran'] == 'no'
+    assert 0 < float(refused.value.retry_after) < 1
+    assert not any('q1' in one.runs for one in caller.site.replicas)
+
+
+def test_a_stream_whose_version_is_gone_is_refused_at_once(
+    site: HostedSite, caller: StreamCaller
+) -> None:
+    """It can go on nowhere, so the caller is not told to come again."""
+    parts = {
+        f'q{number}': caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
+        for number in range(STREAMS)
+    }
+    old = [
+        name for name, part in parts.items() if find_versions(part) == {'v1'}
+    ]
+    assert old
+    for replica in site.replicas:
+        if replica.version == 'v1':
+            replica.announce(is_leaving=True)
+    gevent.sleep(0.5)
+    began_at = time.monotonic()
+    with pytest.raises(RefusedError) as refused:
+        caller.resume('r1', old[0], EVENTS_BEFORE_LEAVING, 1)
+    assert time.monotonic() - began_at < MAX_REFUSAL_SECONDS
+    assert refused.value.status == UNAVAILABLE
+    assert refused.value.error['type'] == 'version_gone'
+    assert refused.value.error['ran'] == 'no'
+    assert not refused.value.retry_after
+
+
+def test_an_upstream_reborn_as_another_version_continues_no_stream(
+    site: HostedSite, caller: StreamCaller
+) -> None:
+    """It restarts under its id, so that requests still reach it."""
+    parts = {
+        f'q{number}': caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
+        for number in range(STREAMS)
+    }
+    for replica in site.replicas[:2]:
+        replica.keeps_name = True
+        replica.incarnation = 1
+        replica.register(DATA_CENTRE)
+    gevent.sleep(0.5)
+    for replica in site.replicas[:2]:
+        replica.version = 'v3'
+        replica.restart_seconds = 0.1
+        replica.end()
+    for name, part in parts.items():
+        try:
+            part += caller.resume(f'{name}-again', name, len(part), 1)
+        except RefusedError as error:
+            assert error.error['type'] in {'version_gone', 'no_upstream'}
+        assert len(find_versions(part)) == 1
+
+
+def test_callers_that_name_no_attempt_resume_where_one_version_serves(
+    site: HostedSite,
+) -> None:
+    site.start(entries=2)
+    caller = StreamCaller(site)
+    texts = caller.read('q1', 0, EVENTS_BEFORE_LEAVING)
+    texts += caller.read('q2', 1, Last_Event_Id=str(len(texts)))
+    assert len(texts) == EVENTS
+
+
+def test_callers_that_name_no_attempt_are_refused_where_two_versions_serve(
+    caller: StreamCaller,
+) -> None:
+    texts = caller.read('q1', 0, EVENTS_BEFORE_LEAVING)
+    with pytest.raises(RefusedError) as refused:
+        caller.read('q2', 1, Last_Event_Id=str(len(texts)))
+    assert refused.value.error['type'] == 'origin_unknown'
--- /dev/null
+++ b/tests/policy/test_streamorigin.py
@@ -0,0 +1,53 @@
+"""Where a stream that has begun may continue."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.builders import build_upstream
+from wigeonpier.policy.streamorigin import (
+    UNKNOWN_VERSION,
+    StreamOrigin,
+    VersionHistory,
+    digest_attempt,
+    infer_version,
+    may_continue,
+)
+
+VERSIONS = st.sampled_from((UNKNOWN_VERSION, 'v1', 'v2'))
+
+
+@given(VERSIONS, VERSIONS, st.sampled_from(('s', 't')))
+def test_unknown_is_no_version(began, serves, service) -> None:
+    state = build_upstream('vm', version=serves, service=service)
+    allowed = may_continue(state, StreamOrigin('s', began))
+    is_known = UNKNOWN_VERSION not in {began, serves}
+    assert allowed == (is_known and began == serves and service == 's')
+
+
+def test_a_new_stream_may_begin_at_an_unknown_version() -> None:
+    assert may_continue(build_upstream('vm', version=UNKNOWN_VERSION), None)
+
+
+@pytest.mark.parametrize(
+    ('versions', 'is_settled', 'names_attempt', 'expected'),
+    [
+        (('v1',), True, True, 'v1'),
+        (('v1',), False, True, UNKNOWN_VERSION),
+        (('v1',), False, False, 'v1'),
+        (('v1', 'v2'), True, True, UNKNOWN_VERSION),
+        (('v1', 'v2'), True, False, UNKNOWN_VERSION),
+        ((), True, False, UNKNOWN_VERSION),
+    ],
+)
+def test_a_version_is_inferred_only_without_a_second_one(
+    versions, is_settled, names_attempt, expected
+) -> None:
+    history = VersionHistory(frozenset(versions), is_settled=is_settled)
+    assert infer_version(history, names_attempt=names_attempt) == expected
+
+
+def test_attempts_of_two_customers_do_not_share_a_record() -> None:
+    assert digest_attempt('q1', 'a') != digest_attempt('q1', 'b')
