Begin a batch item anew at another software version

Callers saw: results whose text two versions of an upstream had written, found by a search for the cause of the streams that continued at another version. Cause: an item goes on after its last event whatever upstream its worker has by then, and with text that another worker saved or handed over. Change: text has the version that wrote it, in memory, in saved progress and in offers; an item is continued by the same version and else begins anew. Text of an earlier build has no version and is not continued.

--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -173,7 +173,9 @@
         age = self._clock.measure_age(job.sent_at, time.monotonic())
         offered = claims.take(job.name, assignment.indexes)
         for found in offered:
-            saved = ItemProgress(found.texts, found.last_event, found.failures)
+            saved = ItemProgress(
+                found.texts, found.last_event, found.failures, found.version
+            )
             work = _make_work(job, found.index, found.item, saved, age)
             work.saved_events = found.saved_events
             # The offer does not say how many of them are saved.
@@ -300,4 +302,5 @@
         saved_events=len(saved.texts),
         saved_failures=saved.failures,
         inherited_events=len(saved.texts),
+        version=saved.version,
     )
--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -325,4 +325,5 @@
         work.failures,
         work.saved_events,
         work.moves,
+        work.version,
     )
--- a/src/wigeonpier/hosted/itemclaims.py
+++ b/src/wigeonpier/hosted/itemclaims.py
@@ -13,6 +13,7 @@
 from wigeonpier.models import JobItem, OpenJob
 from wigeonpier.policy import handover
 from wigeonpier.policy.pacing import ItemView
+from wigeonpier.policy.streamorigin import is_same_version
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.messages import JSON_TYPE, Request, Response, decode_body
@@ -46,6 +47,7 @@
     :param failures: runs that failed at an upstream.
     :param saved_events: events whose text is saved in the store.
     :param moves: earlier handovers.
+    :param version: software version of the upstream that wrote the events.
     """
 
     index: int
@@ -57,6 +59,7 @@
     failures: int = 0
     saved_events: int = 0
     moves: int = 0
+    version: str = ''
 
 
 class ItemOffer(msgspec.Struct, frozen=True):
@@ -197,12 +200,12 @@
         """Choose the positions of the items to claim."""
         if self.store_health.is_unreachable or not self.meter.may_take_items:
             return set()
+        seen = self.runner.observe()
         offered = [
-            _make_view(offer.job, found)
+            _make_view(offer.job, found, seen.version)
             for found in offer.items
             if self._is_acceptable(offer.job, found)
         ]
-        seen = self.runner.observe()
         keys = {item.key for item in offered}
         # An item that is offered again replaces its earlier claim.
         claimed = [
@@ -221,10 +224,12 @@
         return not (is_known or has_moved or self.trials.is_suspected(work))
 
 
-def _make_view(job: OpenJob, offered: OfferedItem) -> ItemView:
+def _make_view(job: OpenJob, offered: OfferedItem, version: str) -> ItemView:
+    """Describe an item; events of another version are written anew."""
+    may_continue = is_same_version(offered.version, version)
     return ItemView(
         (job.name, offered.index),
         offered.seconds_left,
-        offered.done_share,
+        offered.done_share if may_continue else 0,
         job.priority,
     )
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -13,6 +13,7 @@
 from wigeonpier.hosted.failures import MAX_SAFE_IDLE_SECONDS, shows_fault
 from wigeonpier.platform import ingress
 from wigeonpier.policy.fingerprint import digest_request
+from wigeonpier.policy.streamorigin import UNKNOWN_VERSION, is_same_version
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
     :param moves: how often it was handed over to another process.
     :param response: response that is being read.
     :param is_faulted: whether the last run showed a fault of the upstream.
+    :param version: software version of the upstream that wrote the events.
     """
 
     job: OpenJob
@@ -99,6 +101,7 @@
     moves: int = 0
     response: Exchange | None = None
     is_faulted: bool = False
+    version: str = UNKNOWN_VERSION
     _fingerprint: str = ''
 
     @property
@@ -124,6 +127,33 @@
         """Check whether the current run has produced events."""
         return len(self.texts) > self.events_before_run
 
+    def count_events(self, version: str) -> int:
+        """Count the events that a software version can continue after.
+
+        :param version: version of the upstream.
+        :returns: 0 if the item begins anew there.
+        """
+        is_same = is_same_version(self.version, version)
+        return len(self.texts) if is_same else 0
+
+    def bind_version(self, version: str) -> bool:
+        """Prepare a run; the item begins anew at another software version.
+
+        :param version: version of the upstream.
+        :returns: whether events were dropped.
+        """
+        is_anew = bool(self.texts) and not is_same_version(
+            self.version, version
+        )
+        if is_anew:
+            self.texts.clear()
+            self.last_event = ''
+            self.saved_events = 0
+            self.inherited_events = 0
+            self.run_seconds = 0
+        self.version = version
+        return is_anew
+
     def stop(self) -> None:
         """Stop the current run; the text so far is kept."""
         self.is_paused = True
--- a/src/wigeonpier/hosted/progress.py
+++ b/src/wigeonpier/hosted/progress.py
@@ -95,6 +95,7 @@
                 tuple(work.texts),
                 work.last_event,
                 work.failures,
+                work.version,
             )
             for work in batch
         }
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -50,12 +50,14 @@
     :param items: all items, running or waiting.
     :param running: how many of them run.
     :param lengths: how long items run.
+    :param version: software version of the upstream.
     """
 
     upstream: pacing.UpstreamView
     items: list[pacing.ItemView]
     running: int
     lengths: RunLengths
+    version: str
 
 
 class ItemRunner:
@@ -141,6 +143,7 @@
             [self._make_item_view(work, now) for work in self.work.values()],
             sum(work.is_running for work in self.work.values()),
             self._lengths,
+            self._upstream.version,
         )
 
     def drop_job(self, job: str) -> None:
@@ -256,6 +259,8 @@
     def _run_once(self, work: ItemWork, replica: Replica | None) -> RunOutcome:
         if replica is None:
             return RunOutcome.unreachable
+        if work.bind_version(self._upstream.version):
+            self._log_item(Event.item_restarted, work)
         try:
             return run_item(work, replica, self._pool)
         except Exception:
@@ -311,12 +316,11 @@
         self, event: Event, work: ItemWork, **fields: str | bool
     ) -> None:
         report = self._upstream.report
-        replica = self._upstream.replica
         log_event(
             event,
             job=work.job.name,
             item=work.item.name,
-            version=replica.version if replica else '',
+            version=self._upstream.version,
             events=len(work.texts),
             failures=work.failures,
             due_in=round(work.due_at - time.monotonic(), 3),
@@ -329,6 +333,6 @@
         return pacing.ItemView(
             work.key,
             work.due_at - now,
-            len(work.texts) / self._lengths.events,
+            work.count_events(self._upstream.version) / self._lengths.events,
             work.job.priority,
         )
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -14,6 +14,7 @@
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy.backoff import Backoff
 from wigeonpier.policy.incarnation import is_earlier, name_start
+from wigeonpier.policy.streamorigin import UNKNOWN_VERSION
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.exchange import make_request
@@ -127,6 +128,17 @@
             self.report.incarnation,
         )
 
+    @property
+    def version(self) -> str:
+        """Return the software version, unknown for a start not yet listed."""
+        replica = self.replica
+        report = self.report
+        if replica is None:
+            return UNKNOWN_VERSION
+        if report and is_earlier(replica.incarnation, report.incarnation):
+            return UNKNOWN_VERSION
+        return replica.version
+
     @property
     def has_failed_poll(self) -> bool:
         """Check whether the last poll got no report."""
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -310,8 +310,11 @@
     :param texts: data of its events so far.
     :param last_event: id of the last event.
     :param failures: number of runs that failed at an upstream.
+    :param version: software version of the upstream that wrote the events,
+        empty if it is unknown, as in what an earlier build has saved.
     """
 
     texts: tuple[str, ...]
     last_event: str
     failures: int
+    version: str = ''
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -255,6 +255,11 @@
         'A batch item was paused for online requests.',
     )
     item_broken = (615, WARNING_LEVEL, 'A run of a batch item ended early.')
+    item_restarted = (
+        639,
+        INFO_LEVEL,
+        'A batch item begins anew: its upstream has another software version.',
+    )
     item_done = (616, INFO_LEVEL, 'A batch item has its final state.')
     results_written = (617, INFO_LEVEL, 'Results of batch items are stored.')
     results_waiting = (618, WARNING_LEVEL, 'Results could not be written yet.')
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -116,6 +116,9 @@
             self.entries.pop(key, None)
 
 
+VERSION = 'v1'
+
+
 class FakeRunner:
     """Queue of items that never run; the upstream has one slot."""
 
@@ -144,7 +147,7 @@
             for work in self.work.values()
         ]
         upstream = UpstreamView(self.slots, 0, 0, self.run_seconds, 0)
-        return ObservedItems(upstream, views, 0, RunLengths())
+        return ObservedItems(upstream, views, 0, RunLengths(), VERSION)
 
 
 class FakeWorker:
--- a/tests/hosted/test_runlengths.py
+++ b/tests/hosted/test_runlengths.py
@@ -19,7 +19,7 @@
 ) -> None:
     """The rest of a moved item made its new worker seem faster than it is."""
     monkeypatch.setattr(runner, 'run_item', lambda *_given: RunOutcome.whole)
-    upstream = SimpleNamespace(replica=object(), report=None)
+    upstream = SimpleNamespace(replica=object(), report=None, version='v1')
     trials = SimpleNamespace(
         finish=lambda _work: None,
         record_completion=lambda _work: None,
@@ -31,6 +31,7 @@
     work = ItemWork(
         make_open_job(), 0, JobItem('i', '/p', {}, b'', 1), 9, 9, ['a'] * 100
     )
+    work.version = upstream.version
     work.run_seconds = 0.4
     work.inherited_events = inherited
     made._run(work)
