Let the fault soak play two software versions and resumed streams

Cause: replicas of the soak wrote the same text whatever their version, its callers asked once and never resumed a stream, so that it could not find a stream of two versions. Change: a part of the soak in which replicas of two versions serve, restart with the other one, half of the time under their id, and callers leave streams in the middle and resume them at any entry. Every stream must have the events of one version, each once and in order. The parts of a run are one value, since a function took seven arguments.

--- a/src/wigeonpier/bench/experiments.py
+++ b/src/wigeonpier/bench/experiments.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from wigeonpier.bench.batchcost import measure_batch
-from wigeonpier.bench.faultsoak import run_fault_soak
+from wigeonpier.bench.faultsoak import SoakParts, run_fault_soak
 from wigeonpier.bench.largefile import measure_uploads
 from wigeonpier.bench.mix import run_mix
 from wigeonpier.bench.overhead import measure_overhead
@@ -98,8 +98,9 @@
         parsed.seconds,
         make_folder('hosted'),
         parsed.processes,
-        has_crashes=bool(parsed.crashes),
-        has_keys=bool(parsed.keys),
+        SoakParts(
+            bool(parsed.crashes), bool(parsed.keys), bool(parsed.versions)
+        ),
     )
 
 
@@ -148,6 +149,7 @@
             Option('processes', 0, 'daemons to start, 0 for a small site'),
             Option('crashes', 0, '1 where replicas end as well'),
             Option('keys', 0, '1 where customers have keys and limits'),
+            Option('versions', 0, '1 where two software versions serve'),
         ),
         _run_fault_soak,
     ),
--- a/src/wigeonpier/bench/soakfaults.py
+++ b/src/wigeonpier/bench/soakfaults.py
@@ -11,6 +11,7 @@
 import gevent
 
 from wigeonpier.bench.proxy import ProxyFault
+from wigeonpier.bench.soaksite import VERSIONS
 
 if TYPE_CHECKING:
     import random
@@ -26,6 +27,7 @@
 RESTART_SECONDS = 0.3
 FAULT_SECONDS = (0.5, 3.0)
 STEP_SECONDS = 0.05
+KEEP_NAME_SHARE = 0.5
 PROXY_FAULTS = (ProxyFault.delayed, ProxyFault.silent, ProxyFault.one_way)
 
 
@@ -51,6 +53,7 @@
             *self._list_process_faults(),
             *self._list_store_faults(),
             *self._list_replica_faults(),
+            *self._list_version_faults(),
         ]
 
     def _list_process_faults(self) -> Iterator[Fault]:
@@ -90,6 +93,10 @@
                 partial(self._disturb_replica_link, kind),
             )
 
+    def _list_version_faults(self) -> Iterator[Fault]:
+        if self.site.has_versions:
+            yield 'replica updated', self._update_replica
+
     def _choose_process(self) -> HostedProcess:
         return self.rng.choice(self.site.processes)
 
@@ -144,6 +151,13 @@
     def _break_stream(self) -> None:
         self._choose_replica().faults.break_after += 2
 
+    def _update_replica(self) -> None:
+        """Restart a replica with another version, perhaps under its id."""
+        replica = self._choose_replica()
+        replica.version = self.rng.choice(VERSIONS)
+        replica.keeps_name = self.rng.random() < KEEP_NAME_SHARE
+        replica.end()
+
     def _refuse_requests(self) -> None:
         self._choose_replica().faults.turn_away += 3
 
--- a/src/wigeonpier/bench/soaksite.py
+++ b/src/wigeonpier/bench/soaksite.py
@@ -35,6 +35,7 @@
 # An answer takes 0.4 s, so that faults hit it while it is streamed.
 EVENTS = 20
 EVENT_SECONDS = 0.02
+VERSIONS = ('v1', 'v2')
 TIMEOUT_SECONDS = 5.0
 OBJECTIVE_SECONDS = 0.3
 RUN_SECONDS = 18.0
@@ -69,6 +70,7 @@
     :param version: version of the newest configuration.
     :param start_count: number of replica starts.
     :param customers: customers by key, ``None`` where keys are not required.
+    :param has_versions: whether replicas of two software versions serve.
     """
 
     folder: Path
@@ -81,6 +83,7 @@
     version: int = 1
     start_count: int = 0
     customers: dict[str, ServedCustomer] | None = None
+    has_versions: bool = False
     _store_address: str = ''
 
     @property
@@ -181,6 +184,9 @@
             events=EVENTS,
             event_seconds=EVENT_SECONDS,
         )
+        if self.has_versions:
+            replica.version = VERSIONS[number % len(VERSIONS)]
+            replica.incarnation = 1
         # A worker is addressed at the VM of its upstream.
         vm = FIRST_VM_NUMBER + number
         ip = f'127.0.0.{vm}'
