Let a stream go on at the only upstream of its version

Cause: a broken stream is not sent to the same upstream again, so that a reset connection ended each stream whose version has one upstream, although that was well; the one retry of its caller was spent on it. Change: where nothing else can continue a stream whose connection was lost, the upstream may get it again, unless it has crashed. A register entry with another version under a known id counts as another start, also where starts have no time.

--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -123,6 +123,23 @@
             for state in self.replicas.upstreams.values()
         )
 
+    def allow_again(self, request: OnlineRequest) -> None:
+        """Allow a stream to continue at upstreams that it was sent to already.
+
+        A connection may break although its upstream is well, which may be the
+        only one of the version that began the stream.
+
+        :param request: the request; what it was sent to is cleared if nothing
+            else can continue it.
+        """
+        usable = find_usable(
+            self._list_upstreams(request),
+            self._make_criteria(request, NONE_EXCLUDED),
+            time.monotonic(),
+        )
+        if request.origin is not None and not usable:
+            request.tried.clear()
+
     def _list_upstreams(self, request: OnlineRequest) -> list[UpstreamState]:
         """List the upstreams that this entry routes to.
 
--- a/src/wigeonpier/hosted/replicas.py
+++ b/src/wigeonpier/hosted/replicas.py
@@ -26,6 +26,7 @@
     record_crash,
     record_return,
 )
+from wigeonpier.policy.streamorigin import UNKNOWN_VERSION
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
@@ -306,6 +307,8 @@
 
     Failures, load and connections of the earlier start don't apply to it.
     """
+    if UNKNOWN_VERSION != state.version != replica.version:
+        return True
     return (state.incarnation, state.address, state.service) != (
         replica.incarnation,
         replica.address,
--- a/tests/hosted/test_replicas.py
+++ b/tests/hosted/test_replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import msgspec
@@ -12,7 +13,10 @@
 from tests.hosted.builders import SERVICE, make_settings
 from wigeonpier.hosted.common import DaemonContext
 from wigeonpier.hosted.replicas import ReplicaRegister
+from wigeonpier.models import OnlineLoad
 from wigeonpier.platform.port import Change
+from wigeonpier.policy.route import record_load
+from wigeonpier.policy.streamorigin import UNKNOWN_VERSION
 
 ENTRY = {
     'service': SERVICE,
@@ -209,3 +213,22 @@
     assert sorted(mixed.upstreams) == sorted(clean.upstreams)
     for name, state in clean.upstreams.items():
         assert mixed.upstreams[name] == state
+
+
+def test_another_version_under_the_same_id_is_another_start(register) -> None:
+    register._apply(build_change('i', 5))
+    first = register.upstreams['i']
+    register._apply(build_change('i', 9, created=5, version='v2'))
+    assert register.upstreams['i'] is not first
+    assert register.upstreams['i'].version == 'v2'
+
+
+def test_a_start_that_only_a_load_shows_has_no_version(register) -> None:
+    register._apply(build_change('i', 5, born=900))
+    state = register.upstreams['i']
+    load = OnlineLoad(0, takes_work=True, incarnation=950)
+    record_load(state, load, time.monotonic())
+    assert state.version == UNKNOWN_VERSION
+    register._apply(build_change('i', 9, created=5, born=950, version='v2'))
+    assert register.upstreams['i'] is state
+    assert state.version == 'v2'
--- a/tests/hosted/test_stream_versions.py
+++ b/tests/hosted/test_stream_versions.py
@@ -59,6 +59,24 @@
     assert [len(text) for text in texts] == [EVENTS] * len(texts)
 
 
+def test_a_stream_continues_at_the_only_upstream_of_its_version(
+    site: HostedSite,
+) -> None:
+    """Its connection broke, and no other upstream may continue it."""
+    site.start(replicas=1)
+    site.add_replica('i-new', version='v2')
+    wait_for(
+        lambda: len(site.entries[0]._replicas.list_upstreams()) > 1,
+        'the entry knows both',
+    )
+    caller = StreamCaller(site)
+    for number in range(STREAMS):
+        site.replicas[number % 2].faults.break_after = 1
+        text = caller.read_all(f'q{number}')
+        assert len(text) == EVENTS
+        assert len(find_versions(text)) == 1
+
+
 def test_callers_resume_streams_at_the_version_that_began_them(
     caller: StreamCaller,
 ) -> None:
