Continue streams of the own interface at engines of one version

Callers saw: nothing reported; found by the search for the cause of the streams that continued at another version. Cause: an entry continues a broken completion at any upstream of its service, and a local process continues a batch item at whatever its engine has become. Change: the fingerprint that chunks of the published interface carry decides. An entry prefers upstreams that are known to have it and checks the first chunk of a continuation before it forwards anything; an item whose engine has another one begins anew. Engines without a fingerprint are continued as before. Without a known version, two of three attempts may be spent on other engines.

--- a/src/wigeonpier/bench/batching.py
+++ b/src/wigeonpier/bench/batching.py
@@ -58,6 +58,7 @@
     :param produced: tokens made so far, an earlier part included.
     :param tokens: tokens on their way to the caller, ``None`` at the end.
     :param is_cancelled: whether no more tokens are wanted.
+    :param version: software version of the engine.
     """
 
     identity: str
@@ -67,6 +68,7 @@
     produced: int = 0
     tokens: Queue[Any] = field(default_factory=Queue)
     is_cancelled: bool = False
+    version: str = 'v1'
 
     @property
     def is_batch(self) -> bool:
--- a/src/wigeonpier/bench/completions.py
+++ b/src/wigeonpier/bench/completions.py
@@ -47,6 +47,7 @@
         'object': shape,
         'created': int(time.time()),
         'model': sequence.model,
+        'system_fingerprint': sequence.version,
     }
 
 
--- a/src/wigeonpier/bench/engine.py
+++ b/src/wigeonpier/bench/engine.py
@@ -88,6 +88,7 @@
         self.batcher = Batcher(shape)
         self.state = EngineState(dict.fromkeys(models, '1'))
         self.orders = OrderHandler(self.state, checks_fencing)
+        self.version = 'v1'
         self.is_down = False
         self.crashes = 0
         self.prompt_starts: Counter[str] = Counter()
@@ -175,6 +176,7 @@
             prompt=prompt,
             length=int(body.get('max_tokens') or DEFAULT_LENGTH),
             produced=_read_delivered(body),
+            version=self.version,
         )
         if sequence.model not in self.state.models:
             raise Refusal(ErrorKind.model_not_found, 'model is not loaded')
@@ -237,6 +239,7 @@
             kept.prompt,
             kept.length,
             int(message['delivered']),
+            version=self.version,
         )
         self.batcher.add(sequence)
         return self._stream(sequence, message.get('object', CHAT), True)
--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -5,6 +5,7 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -36,6 +37,7 @@
     is_end_line,
     is_text_line,
     join_chunks,
+    read_version,
 )
 
 if TYPE_CHECKING:
@@ -129,12 +131,27 @@
 
     state: UpstreamState
     reply: StreamReply
+    lines: Iterator[bytes]
     is_open: bool = True
+    is_version_known: bool = False
 
-    def attach(self, state: UpstreamState, reply: StreamReply) -> None:
+    def attach(
+        self,
+        state: UpstreamState,
+        reply: StreamReply,
+        lines: Iterator[bytes],
+    ) -> None:
         self.state = state
         self.reply = reply
+        self.lines = lines
         self.is_open = True
+        self.is_version_known = False
+
+    def record_version(self, line: bytes) -> None:
+        """Record which engine writes, from its first chunk."""
+        if not self.is_version_known:
+            self.is_version_known = True
+            self.state.version = read_version(line)
 
     def release(self) -> None:
         if self.is_open:
@@ -298,7 +315,7 @@
         state: UpstreamState,
         reply: StreamReply,
     ) -> Response:
-        connection = _StreamConnection(state, reply)
+        connection = _StreamConnection(state, reply, reply.iterate_lines())
         return Response(
             reply.status,
             self._relay(pending, connection),
@@ -312,7 +329,7 @@
         sent: list[bytes] = []
         try:
             while True:
-                yield from self._relay_part(pending, connection.reply, sent)
+                yield from self._relay_part(pending, connection, sent)
                 if sent and is_end_line(sent[-1]):
                     return
                 connection.release()
@@ -325,13 +342,14 @@
     def _relay_part(
         self,
         pending: PendingRequest,
-        reply: StreamReply,
+        connection: _StreamConnection,
         sent: list[bytes],
     ) -> Iterator[bytes]:
         last: float = 0
         with suppress(OSError, HTTPParseError):
-            for line in reply.iterate_lines():
+            for line in connection.lines:
                 if is_text_line(line):
+                    connection.record_version(line)
                     now = time.monotonic()
                     self._record_token(
                         pending, now - (last or pending.arrived), last
@@ -359,7 +377,12 @@
         pending: PendingRequest,
         state: UpstreamState,
         sent: list[bytes],
-    ) -> tuple[UpstreamState, StreamReply]:
+    ) -> tuple[UpstreamState, StreamReply, Iterator[bytes]]:
+        """Continue a stream at an engine with the fingerprint of the first one.
+
+        :returns: the upstream, its answer, and the lines of the answer.
+        :raises Refusal: when no further attempt is allowed.
+        """
         record_outcome(state, went_well=False, now=self.directory.clock())
         pending.compute_fingerprint()
         delivered = join_chunks(sent)
@@ -372,9 +395,12 @@
         # did not run.
         pending.may_have_run = True
         continuation = replace(pending, body=body)
+        failure = _classify_failure(CallFailure.lost)
         while True:
-            failure = _classify_failure(CallFailure.lost)
             self._plan_retry(continuation, state, failure)
+            continuation.criteria = self._exclude_other_versions(
+                continuation.criteria, delivered.version
+            )
             state = self._choose(continuation)
             self.suspect_filter.check(continuation, state)
             log_event(
@@ -386,10 +412,34 @@
             continuation.attempts += 1
             state.in_flight += 1
             opened = self._open(continuation, state)
+            failure = _classify_failure(CallFailure.lost)
             if isinstance(opened, Ok):
-                return state, opened.ok_value
+                reply = opened.ok_value
+                lines = _continue_lines(reply, delivered.version)
+                if lines is not None:
+                    return state, reply, lines
+                reply.close()
+                failure = _classify_other_version()
             state.in_flight -= 1
 
+    def _exclude_other_versions(
+        self, criteria: RoutingCriteria, version: str
+    ) -> RoutingCriteria:
+        """Exclude upstreams whose last stream had another fingerprint.
+
+        Those without a stream yet are tried only if no other one is left.
+        """
+        known = {
+            state.name: state.version
+            for state in self.directory.list_upstreams()
+            if state.service == criteria.service
+            and state.name not in criteria.excluded
+        }
+        same = {name for name, shown in known.items() if shown == version}
+        unknown = {name for name, shown in known.items() if not shown}
+        others = set(known) - (same or unknown)
+        return replace(criteria, excluded=criteria.excluded | others)
+
     def _plan_retry(
         self,
         pending: PendingRequest,
@@ -426,6 +476,34 @@
         )
 
 
+def _classify_other_version() -> RefusedAttempt:
+    return RefusedAttempt(
+        ExecutionState.may_have_run,
+        Refusal(
+            ErrorKind.version_gone,
+            'no upstream of the version that began the stream is left',
+            ran=Ran.unknown,
+        ),
+    )
+
+
+def _continue_lines(reply: StreamReply, version: str) -> Iterator[bytes] | None:
+    """Read on until the first chunk shows which engine continues.
+
+    :returns: all lines, ``None`` if it is another one than began the stream.
+    """
+    lines = reply.iterate_lines()
+    first: list[bytes] = []
+    with suppress(OSError, HTTPParseError):
+        for line in lines:
+            first.append(line)
+            if is_text_line(line):
+                break
+    if first and is_text_line(first[-1]) and read_version(first[-1]) != version:
+        return None
+    return chain(first, lines)
+
+
 def _correct_ran(pending: PendingRequest, refusal: Refusal) -> Refusal:
     """Make a refusal report whether any attempt, not only the last, ran."""
     if pending.may_have_run and refusal.ran is Ran.no:
--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -13,6 +13,8 @@
 from result import Err, Result
 
 from wigeonpier.batch.models import CHAT_PATH
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web import headers
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, JSON_TYPE
@@ -211,6 +213,8 @@
                 if run.assembler.feed(line):
                     self._observe_token(run, watch.last)
                     watch.record_token()
+                if run.assembler.is_mixed:
+                    return _drop_text(run)
         if not run.assembler.is_whole:
             return RunEnd.stopped if run.is_paused else RunEnd.lost
         run.answer = msgspec.json.encode(run.assembler.make_body())
@@ -219,6 +223,13 @@
         return RunEnd.answered
 
 
+def _drop_text(run: Run) -> RunEnd:
+    """Let a run begin anew after the engine has another fingerprint."""
+    log_event(Event.run_restarted, run=run.identity)
+    run.assembler = Assembler()
+    return RunEnd.lost
+
+
 def prepare_body(raw: bytes, is_stream: bool) -> bytes:
     """Prepare the body of an item's request for the upstream.
 
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -260,6 +260,11 @@
         INFO_LEVEL,
         'A batch item begins anew: its upstream has another software version.',
     )
+    run_restarted = (
+        640,
+        INFO_LEVEL,
+        'A run of an item begins anew: the engine has another fingerprint.',
+    )
     item_done = (616, INFO_LEVEL, 'A batch item has its final state.')
     results_written = (617, INFO_LEVEL, 'Results of batch items are stored.')
     results_waiting = (618, WARNING_LEVEL, 'Results could not be written yet.')
--- a/src/wigeonpier/web/sse.py
+++ b/src/wigeonpier/web/sse.py
@@ -47,6 +47,8 @@
     model: str = ''
     choices: list[_Choice] = []
     usage: TokenUsage | None = None
+    # Of the software and the configuration that generate; engines may omit it.
+    system_fingerprint: str | None = None
 
 
 class Completion(msgspec.Struct):
@@ -70,6 +72,7 @@
     :param usage: token counts reported by the engine.
     :param finish_reason: why the completion ended.
     :param is_whole: whether the end mark was received.
+    :param is_mixed: whether engines with different fingerprints wrote it.
     """
 
     parts: list[str] = field(default_factory=list)
@@ -77,6 +80,12 @@
     usage: TokenUsage | None = None
     finish_reason: str | None = None
     is_whole: bool = False
+    is_mixed: bool = False
+
+    @property
+    def version(self) -> str:
+        """Return the fingerprint of the engine, empty if it has none."""
+        return get_version(self.head)
 
     @property
     def text(self) -> str:
@@ -103,6 +112,7 @@
             text = choice.delta.content or choice.text
             if text:
                 self.parts.append(text)
+                self.is_mixed |= self.version != get_version(chunk)
                 return True
         return False
 
@@ -130,6 +140,28 @@
         }
 
 
+def get_version(chunk: _Chunk) -> str:
+    """Get which engine wrote a chunk.
+
+    :param chunk: the chunk.
+    :returns: fingerprint of the engine, empty if it has none.
+    """
+    return chunk.system_fingerprint or ''
+
+
+def read_version(line: bytes) -> str:
+    """Read which engine wrote a line that contains a chunk.
+
+    :param line: the line.
+    :returns: fingerprint of the engine, empty if it has none or the line
+        cannot be read.
+    """
+    try:
+        return get_version(_DECODER.decode(line[len(DATA_PREFIX) :]))
+    except msgspec.DecodeError:
+        return ''
+
+
 def is_text_line(line: bytes) -> bool:
     """Check whether a line contains a chunk, without decoding it.
 
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -6,10 +6,11 @@
 import random
 import time
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from result import Err
+from result import Err, Ok
 
 from tests.builders import build_upstream
 from wigeonpier.entry.forward import Forwarder, PendingRequest
@@ -104,3 +105,91 @@
     assert all(
         state.in_flight == 0 for state in forwarder.directory.upstreams.values()
     )
+
+
+class StreamingClient:
+    """Connections to engines that break off after two tokens."""
+
+    def __init__(self, versions: dict[str, str]) -> None:
+        """Set the fingerprint of each engine by address."""
+        self.versions = versions
+        self.bodies: list[bytes] = []
+
+    def open(self, address: str, _method, _path, body: bytes, **_options):
+        self.bodies.append(body)
+        is_first = len(self.bodies) == 1
+        return Ok(StreamedReply(self.versions[address], is_whole=not is_first))
+
+    def call(self, *_details, **_options):
+        """Fail every exchange of suspected requests."""
+        return Err(CallFailure.lost)
+
+
+class StreamedReply:
+    """Answer of an engine with two tokens."""
+
+    status = 200
+
+    def __init__(self, version: str, *, is_whole: bool) -> None:
+        self.version = version
+        self.is_whole = is_whole
+
+    def get_header(self, name: str) -> str:
+        return {'content-type': 'text/event-stream'}.get(name, 'r-1')
+
+    def iterate_lines(self):
+        for _token in range(2):
+            chunk = {
+                'id': 'c',
+                'choices': [{'text': self.version}],
+                'system_fingerprint': self.version,
+            }
+            yield b'data: %b\n' % msgspec.json.encode(chunk)
+            yield b'\n'
+        if not self.is_whole:
+            raise ConnectionResetError('the engine is gone')
+        yield b'data: [DONE]\n'
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def _read_stream(
+    versions: list[str], seed: int, known: bool = False
+) -> tuple[str, list[bytes]]:
+    """Stream from engines, the first of which breaks off.
+
+    :param known: whether earlier streams have shown the versions.
+    :returns: version that began the stream, and the data of all its lines.
+    """
+    addresses = [f'10.0.0.{number}:1' for number in range(len(versions))]
+    client = StreamingClient(dict(zip(addresses, versions, strict=True)))
+    forwarder = Forwarder(
+        _make_directory(len(versions)),
+        client,
+        Metrics(),
+        random.Random(seed),
+        SuspectFilter(Suspicions(), client),
+    )
+    for state in forwarder.directory.list_upstreams():
+        state.version = client.versions[state.address] if known else ''
+    pending = _make_request(is_idempotent=True)
+    pending.body = b'{"prompt":"p"}'
+    lines = list(forwarder.send(pending).body)
+    texts = [line for line in lines if line.startswith(b'data: {')]
+    return msgspec.json.decode(texts[0][6:])['system_fingerprint'], texts
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_a_stream_continues_at_an_engine_with_its_fingerprint(seed) -> None:
+    began, texts = _read_stream(['a', 'b', 'a', 'b', 'b'], seed, known=True)
+    assert len(texts) == 4
+    assert all(began.encode() in text for text in texts)
+
+
+def test_a_stream_does_not_continue_at_another_engine() -> None:
+    _began, texts = _read_stream(['a', 'b'], 1)
+    assert len(texts) == 3
+    error = msgspec.json.decode(texts[-1][6:])['error']
+    assert error['ran'] == 'unknown'
+    assert error['type'] in {'version_gone', 'no_upstream'}
