Split the calls to keepers from the records of streams; rebuild the ring less

Change: hosted/originkeepers has the calls, hosted/origins the records; the register counts upstreams that come, leave or go.

--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -132,12 +132,14 @@
         :param request: the request; what it was sent to is cleared if nothing
             else can continue it.
         """
+        if request.origin is None:
+            return
         usable = find_usable(
             self._list_upstreams(request),
             self._make_criteria(request, NONE_EXCLUDED),
             time.monotonic(),
         )
-        if request.origin is not None and not usable:
+        if not usable:
             request.tried.clear()
 
     def _list_upstreams(self, request: OnlineRequest) -> list[UpstreamState]:
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -23,6 +23,7 @@
 from wigeonpier.hosted.knowledge import ConfigurationFreshness
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfollower import FeedListeners, LoadFollower
+from wigeonpier.hosted.originkeepers import OriginKeepers
 from wigeonpier.hosted.origins import StreamOrigins
 from wigeonpier.hosted.outcomes import OutcomeReporter
 from wigeonpier.hosted.proofs import FreshnessProver
@@ -121,10 +122,9 @@
             split_address(settings.peers)[1], self._replicas
         )
         self._origins = StreamOrigins(
-            settings,
             self._replicas,
             context.store_health,
-            context.pool,
+            OriginKeepers(settings, self._replicas, context.pool),
             context.metrics,
         )
         self._loads = LoadFollower(
--- a/src/wigeonpier/hosted/replicas.py
+++ b/src/wigeonpier/hosted/replicas.py
@@ -67,7 +67,7 @@
         self._last_incarnations: dict[str, int] = {}
         self._routed: list[UpstreamState] | None = None
         self.versions = ServedVersions()
-        # Grows with each change of the upstreams.
+        # Grows when an upstream comes, leaves or goes.
         self.changes = 0
         self._replaced_at = -math.inf
         self._settings = settings
@@ -145,7 +145,6 @@
 
     def _apply(self, change: Change) -> None:
         self._routed = None
-        self.changes += 1
         name = change.key.removeprefix(REGISTER)
         if change.value is None:
             self._remove_after_grace(name, change.key)
@@ -188,6 +187,8 @@
         state.slots = replica.slots
         # A load report of the same start may have come before its entry.
         state.version = replica.version
+        if state.is_leaving != replica.is_leaving:
+            self.changes += 1
         state.is_leaving = replica.is_leaving
 
     def _get_last_start(self, name: str) -> int:
@@ -208,6 +209,7 @@
             version=replica.version,
         )
         self.upstreams[replica.name] = state
+        self.changes += 1
         self._remember_start(replica)
         self._log(Event.upstream_added, state, revision)
         return state
@@ -276,10 +278,10 @@
 
     def _remove(self, name: str) -> None:
         self._routed = None
-        self.changes += 1
         self._created_revisions.pop(name, None)
         state = self.upstreams.pop(name, None)
         if state is not None:
+            self.changes += 1
             self.versions.record_removed(state)
             state.is_leaving = True
             self._forget_address(state.address)
--- a/tests/hosted/test_replicas.py
+++ b/tests/hosted/test_replicas.py
@@ -232,3 +232,17 @@
     register._apply(build_change('i', 9, created=5, born=950, version='v2'))
     assert register.upstreams['i'] is state
     assert state.version == 'v2'
+
+
+def test_only_upstreams_that_come_leave_or_go_are_changes(register) -> None:
+    """The ring of keepers is built anew with each change."""
+    changes = []
+    for number, changed in enumerate(
+        ({}, {'coldLeftMs': 5}, {'sequence': 2}, {'state': 'draining'})
+    ):
+        register._apply(build_change('i', 5 + number, created=5, **changed))
+        changes.append(register.changes)
+    register._apply(Change('servers/i', None, 9))
+    register._remove('i')
+    assert changes == [1, 1, 1, 2]
+    assert register.changes == 3
