Log each stream that is not resumed in one place

Change: the handler records every refusal of a resumed stream, and counts those that go on with their first event.

--- a/src/wigeonpier/hosted/origins.py
+++ b/src/wigeonpier/hosted/origins.py
@@ -69,6 +69,10 @@
         if origin is None:
             origin = StreamOrigin(request.service, request.sends[-1].version)
             request.origin = origin
+        else:
+            self._metrics.count(
+                'streams_resumed_total', by='caller', outcome='resumed'
+            )
         if not request.route.is_resumable:
             return
         customer = request.http_request.customer
@@ -88,25 +92,31 @@
         if origin is None:
             origin = self._infer(request, names_attempt=is_named)
         failure = _check_origin(request, origin)
-        self._metrics.count(
-            'streams_resumed_total',
-            by='caller',
-            outcome=failure.name if failure else 'bound',
-        )
         if failure is None:
             request.origin = origin
             request.service = origin.service
-            return None
+        return failure
+
+    def record_refusal(
+        self, request: OnlineRequest, failure: SendFailure
+    ) -> None:
+        """Record that a stream is not resumed.
+
+        :param request: the request of the caller that resumes it.
+        :param failure: why it cannot continue.
+        """
+        self._metrics.count(
+            'streams_resumed_total', by='caller', outcome=failure.name
+        )
         log_event(
             Event.stream_not_resumed,
             request=request.head.identity,
             resumes=request.head.resumes,
             after=request.head.resume_after,
             service=request.service,
-            began=origin.version,
+            began=request.origin.version if request.origin else '',
             why=failure.value,
         )
-        return failure
 
     def resend(self, address: str) -> None:
         """Send recent records to a worker that may have just started.
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -259,6 +259,8 @@
     def _refuse(self, request: OnlineRequest, failure: SendFailure) -> Refusal:
         if failure is SendFailure.crashes_upstreams:
             self._sender.binder.suspects.record_refusal(request)
+        if failure in STREAM_REFUSALS:
+            self._origins.record_refusal(request, failure)
         if failure is SendFailure.no_slot:
             return self._refuse_unplaced(request)
         return _make_refusal(request, failure)
--- a/tests/hosted/test_explained.py
+++ b/tests/hosted/test_explained.py
@@ -131,3 +131,13 @@
     assert "'version': 'v1'" in done[0]
     assert 'resumes=q5' in done[1]
     assert 'resumed_after=5' in done[1]
+
+
+def test_stream_that_is_not_resumed_says_why(site, explain) -> None:
+    reply = site.call(
+        'POST', '/ask/1', 'q7', b'{}', Last_Event_Id='5', Resumes='nobody'
+    )
+    assert reply.status == 503
+    refused = find_lines(explain('q7'), 'stream_not_resumed')[0]
+    assert 'resumes=nobody' in refused
+    assert 'why=it is unknown which version began the stream' in refused
