Reach keepers whose open connections are dead

Cause: a search waited 0.1 s on connections that may have gone silent without a reset, and a record that one worker did not get went to one more only; an entry whose loop is late would have refused streams of which two workers know. Change: a call is tried once more on a new connection; a record goes to the next two keepers, those that are searched as well; a search waits 0.25 s a pair.

--- a/src/wigeonpier/hosted/originkeepers.py
+++ b/src/wigeonpier/hosted/originkeepers.py
@@ -7,7 +7,7 @@
 
 import gevent
 import msgspec
-from result import Err
+from result import Ok
 
 from wigeonpier.hosted.originkeeper import (
     ORIGINS_PATH,
@@ -26,17 +26,23 @@
     from wigeonpier.hosted.replicas import ReplicaRegister
     from wigeonpier.models import HostSettings
     from wigeonpier.policy.streamorigin import StreamOrigin
+    from wigeonpier.web.client import Reply
     from wigeonpier.web.pool import ConnectionPool
 
 # Collects the streams that begin at the same moment into one call.
 BATCH_SECONDS = 0.003
 COPIES = 2
-# Asked in pairs; the second pair has the record if keepers came or went since.
-MAX_ASKED = 4
-# A worker in the same region answers within 10 ms.  A caller waits for both
-# pairs, so that a stream of which nothing is known is refused early.
-ASK_SECONDS = 0.1
+# Keepers that may have a record.  The second pair has it if keepers came or
+# went since, or one of the first pair did not answer.
+MAX_KEEPERS = 4
+# A worker in the same region answers within 10 ms, a process that has just
+# started or is overloaded later.  A caller waits twice as long at most, for
+# its stream is over after a pause of two seconds.
+ASK_SECONDS = 0.25
 SEND_SECONDS = 0.4
+# Open connections may be dead without a reset, so the second try is on a new
+# one.
+TRIES = 2
 
 
 class OriginKeepers:
@@ -80,7 +86,7 @@
         :returns: what began the stream, ``None`` if no keeper has it or
             answers.
         """
-        hosts = self._update_ring().choose(key, MAX_ASKED)
+        hosts = self._update_ring().choose(key, MAX_KEEPERS)
         for start in range(0, len(hosts), COPIES):
             found = self._ask_all(hosts[start : start + COPIES], key)
             if found is not None:
@@ -108,11 +114,10 @@
         pending = self._pending
         self._pending = {}
         ring = self._update_ring()
-        chosen = {key: ring.choose(key, COPIES + 1) for key in pending}
+        chosen = {key: ring.choose(key, MAX_KEEPERS) for key in pending}
         failed = self._send_all(
             pending, ((key, chosen[key][:COPIES]) for key in pending)
         )
-        # The next keeper on the ring is the third one that is asked.
         self._send_all(pending, ((key, chosen[key][COPIES:]) for key in failed))
 
     def _send_all(
@@ -137,11 +142,8 @@
     ) -> frozenset[str]:
         """Send records to one keeper; return the keys that it did not get."""
         body = msgspec.json.encode(OriginReport(records))
-        raw, address = self._make_call(host, ORIGINS_PATH, body)
-        called = self._pool.call(address, raw, SEND_SECONDS)
-        if isinstance(called, Err) or not called.ok_value.is_good:
-            return frozenset(records)
-        return frozenset()
+        reply = self._call(host, ORIGINS_PATH, body, SEND_SECONDS)
+        return frozenset() if reply else frozenset(records)
 
     def _ask_all(self, hosts: list[str], key: str) -> StreamOrigin | None:
         """Ask some keepers at once, and use the first record."""
@@ -153,18 +155,22 @@
 
     def _ask(self, host: str, key: str) -> StreamOrigin | None:
         body = msgspec.json.encode(OriginSearch(key))
-        raw, address = self._make_call(host, SEARCH_PATH, body)
-        called = self._pool.call(address, raw, ASK_SECONDS)
-        if isinstance(called, Err) or not called.ok_value.is_good:
-            return None
-        return called.ok_value.decode(OriginAnswer).origin
-
-    def _make_call(
-        self, host: str, path: str, body: bytes
-    ) -> tuple[bytes, str]:
+        reply = self._call(host, SEARCH_PATH, body, ASK_SECONDS)
+        return reply.decode(OriginAnswer).origin if reply else None
+
+    def _call(
+        self, host: str, path: str, body: bytes, seconds: float
+    ) -> Reply | None:
+        """Call a keeper, once more if the first connection does not work."""
         # Workers listen at the same port on their VMs as this process here.
         address = f'{host}:{self._port}'
-        return make_request('POST', path, [('Host', address)], body), address
+        raw = make_request('POST', path, [('Host', address)], body)
+        for _ in range(TRIES):
+            called = self._pool.call(address, raw, seconds / TRIES)
+            if isinstance(called, Ok):
+                return called.ok_value if called.ok_value.is_good else None
+            self._pool.forget(address)
+        return None
 
     def _update_ring(self) -> KeeperRing:
         """Return the ring of the workers whose upstreams are not leaving.
