Tell callers of a crashed version when to come again

Change: a version of which crashed upstreams are in the register is down, not gone; the caller may come again in a second.

--- a/src/wigeonpier/hosted/binder.py
+++ b/src/wigeonpier/hosted/binder.py
@@ -99,11 +99,11 @@
             return SendFailure.crashes_upstreams
         if request.is_unplaced:
             return SendFailure.no_slot
-        if self._is_version_gone(request):
-            return SendFailure.version_gone
-        return (
-            SendFailure.cut_off if self.isolation_detector.is_isolated else None
-        )
+        if self.isolation_detector.is_isolated:
+            return SendFailure.cut_off
+        if self.replicas.is_outdated:
+            return None
+        return self.chooser.find_version_failure(request)
 
     def is_refused(self, request: OnlineRequest) -> bool:
         """Check whether a request is no longer run.
@@ -188,12 +188,6 @@
                 return upstream
         return self.chooser.choose(request)
 
-    def _is_version_gone(self, request: OnlineRequest) -> bool:
-        """Check whether no upstream will continue the stream of a request."""
-        if self.replicas.is_outdated:
-            return False
-        return self.chooser.is_version_gone(request)
-
     def _is_suspected(self, request: OnlineRequest) -> bool:
         return self.suspects.get_run_mode(request) is not RunMode.free
 
--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wigeonpier.hosted.failures import SendFailure
 from wigeonpier.policy.route import (
     RoutingCriteria,
     choose_upstream,
@@ -107,21 +108,27 @@
             time.monotonic(),
         )
 
-    def is_version_gone(self, request: OnlineRequest) -> bool:
-        """Check whether no upstream can continue the stream of a request.
+    def find_version_failure(
+        self, request: OnlineRequest
+    ) -> SendFailure | None:
+        """Find out why no upstream can continue the stream of a request now.
 
         :param request: the request.
-        :returns: false if it continues none.
+        :returns: the reason, ``None`` if an upstream can, or it continues none.
         """
         if request.origin is None:
-            return False
-        now = time.monotonic()
-        return not any(
-            may_continue(state, request.origin)
-            and not state.is_leaving
-            and not is_down(state, now)
+            return None
+        staying = [
+            state
             for state in self.replicas.upstreams.values()
-        )
+            if may_continue(state, request.origin) and not state.is_leaving
+        ]
+        if not staying:
+            return SendFailure.version_gone
+        now = time.monotonic()
+        if all(is_down(state, now) for state in staying):
+            return SendFailure.version_down
+        return None
 
     def allow_again(self, request: OnlineRequest) -> None:
         """Allow a stream to continue at upstreams that it was sent to already.
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -18,6 +18,7 @@
 from wigeonpier.hosted.configuration import ConfigurationWatch
 from wigeonpier.hosted.customerpage import CustomerPage
 from wigeonpier.hosted.customeruse import CustomerLimiter
+from wigeonpier.hosted.failures import RETRY_ELSEWHERE_SECONDS
 from wigeonpier.hosted.holder import DiskJobWriter
 from wigeonpier.hosted.jobs import JobHandler
 from wigeonpier.hosted.knowledge import ConfigurationFreshness
@@ -29,7 +30,7 @@
 from wigeonpier.hosted.proofs import FreshnessProver
 from wigeonpier.hosted.quarantine.publisher import QuarantinePublisher
 from wigeonpier.hosted.quarantine.store import QuarantineStore
-from wigeonpier.hosted.questions import RETRY_ELSEWHERE_SECONDS, OnlineHandler
+from wigeonpier.hosted.questions import OnlineHandler
 from wigeonpier.hosted.reach import IsolationDetector
 from wigeonpier.hosted.reader import JobReader
 from wigeonpier.hosted.relay import Relays
--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -34,14 +34,26 @@
     no_slot = 'no slot becomes free in time'
     crashes_upstreams = 'upstreams end when they run it'
     origin_unknown = 'it is unknown which version began the stream'
+    version_down = 'the upstreams of the version that began it have crashed'
     version_gone = 'no upstream of the version that began the stream is left'
 
 
-# Why a stream that has begun elsewhere cannot continue.
+# For requests that another entry or upstream can serve at once.
+RETRY_ELSEWHERE_SECONDS = 0.05
+# A replica that has crashed restarts within some seconds.
+RETRY_RESTARTED_SECONDS = 1.0
+# Why a stream that has begun elsewhere cannot continue, and when to try again.
 STREAM_REFUSALS = MappingProxyType(
     {
-        SendFailure.origin_unknown: ErrorKind.origin_unknown,
-        SendFailure.version_gone: ErrorKind.version_gone,
+        SendFailure.origin_unknown: (
+            ErrorKind.origin_unknown,
+            RETRY_ELSEWHERE_SECONDS,
+        ),
+        SendFailure.version_down: (
+            ErrorKind.no_upstream,
+            RETRY_RESTARTED_SECONDS,
+        ),
+        SendFailure.version_gone: (ErrorKind.version_gone, None),
     }
 )
 
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -12,6 +12,7 @@
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.hosted.failures import (
+    RETRY_ELSEWHERE_SECONDS,
     STREAM_REFUSALS,
     SendFailure,
     classify_disconnect,
@@ -44,8 +45,6 @@
 
 # Time after which one of the running requests has freed its slot.
 RETRY_AFTER_SECONDS = 0.3
-# For requests that another entry or upstream can serve at once.
-RETRY_ELSEWHERE_SECONDS = 0.05
 # For callers that state no deadline.
 DEFAULT_TIMEOUT_SECONDS = 60.0
 MIN_READ_TIMEOUT_SECONDS = 0.01
@@ -350,13 +349,8 @@
             ran=Ran.unknown if request.runs else Ran.no,
         )
     if failure in STREAM_REFUSALS and not request.runs:
-        return Refusal(
-            STREAM_REFUSALS[failure],
-            failure.value,
-            retry_seconds=RETRY_ELSEWHERE_SECONDS
-            if failure is SendFailure.origin_unknown
-            else None,
-        )
+        kind, retry_seconds = STREAM_REFUSALS[failure]
+        return Refusal(kind, failure.value, retry_seconds=retry_seconds)
     if not request.runs:
         is_isolated = failure is SendFailure.cut_off
         return Refusal(
--- a/tests/hosted/test_slotqueue.py
+++ b/tests/hosted/test_slotqueue.py
@@ -205,7 +205,7 @@
     )
     found = SimpleNamespace(
         choose=lambda _request, _excluded=(): None,
-        is_version_gone=lambda _request: False,
+        find_version_failure=lambda _request: None,
         replicas=replicas,
         settings=SimpleNamespace(data_centre=''),
     )
--- a/tests/hosted/test_stream_versions.py
+++ b/tests/hosted/test_stream_versions.py
@@ -181,6 +181,24 @@
     assert not refused.value.retry_after
 
 
+def test_a_stream_whose_upstreams_have_crashed_may_come_again(
+    site: HostedSite, caller: StreamCaller
+) -> None:
+    """They may be back in a second, so the version is not gone."""
+    texts = caller.read('q1', 0, EVENTS_BEFORE_LEAVING)
+    version = next(iter(find_versions(texts)))
+    for replica in site.replicas:
+        if replica.version == version:
+            replica.lapse_seconds = 9
+            replica.restart_seconds = 9
+            replica.end()
+    with pytest.raises(RefusedError) as refused:
+        caller.resume('r1', 'q1', len(texts), 1)
+    assert refused.value.error['type'] == 'no_upstream'
+    assert refused.value.error['ran'] == 'no'
+    assert float(refused.value.retry_after) == pytest.approx(1)
+
+
 def test_an_upstream_reborn_as_another_version_continues_no_stream(
     site: HostedSite, caller: StreamCaller
 ) -> None:
