--- a/src/wigeonpier/hosted/arrival.py
+++ b/src/wigeonpier/hosted/arrival.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.hosted.failures import RETRY_ELSEWHERE_SECONDS
 from wigeonpier.platform import ingress
 from wigeonpier.policy.identity import Verdict, identify
 from wigeonpier.policy.matching import match_route
@@ -21,9 +22,6 @@
     )
     from wigeonpier.web.messages import Request
 
-# Another entry may have a newer configuration and can serve the retry at once.
-RETRY_ELSEWHERE_SECONDS = 0.05
-
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
