Let silent streams go on at the only upstream of their version; words

Cause: a stream that paused for 0.7 s was cut where no other upstream is of its version, although its own may be well. Change: a silent stream is continued at the same upstream once, like one whose connection was lost; the soak's streams send the key of its callers.

--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -120,7 +120,10 @@
             self.site, callers, random.Random(self.seed + KEYS_SEED)
         )
         streams = SoakStreams(
-            self.site.entries, random.Random(self.seed + STREAMS_SEED), EVENTS
+            self.site.entries,
+            random.Random(self.seed + STREAMS_SEED),
+            EVENTS,
+            callers,
         )
         with ExitStack() as stack:
             stack.callback(self.site.stop)
--- a/src/wigeonpier/bench/soakstreams.py
+++ b/src/wigeonpier/bench/soakstreams.py
@@ -20,6 +20,7 @@
     import random
 
     from wigeonpier.bench.processes import HostedProcess
+    from wigeonpier.bench.soakcallers import SoakCallers
     from wigeonpier.web.exchange import Exchange
 
 STREAM_GAP_SECONDS = (0.02, 0.15)
@@ -54,14 +55,20 @@
     """Begins streams, leaves some of them, and resumes them at any entry."""
 
     def __init__(
-        self, entries: list[HostedProcess], rng: random.Random, events: int
+        self,
+        entries: list[HostedProcess],
+        rng: random.Random,
+        events: int,
+        callers: SoakCallers,
     ) -> None:
         """Create callers; they do nothing until `run`.
 
         :param entries: entries to call.
         :param rng: draws entries and pauses.
         :param events: number of events of a complete stream.
+        :param callers: callers with the same key, which may change.
         """
+        self._callers = callers
         self.streams: list[SoakStream] = []
         self.counts: Counter[str] = Counter()
         self._entries = entries
@@ -113,6 +120,8 @@
             (wire.REQUEST_ID, identity),
             (wire.DEADLINE_MS, DEADLINE_MS),
         ]
+        if self._callers.key:
+            headers.append((wire.KEY_HEADER, self._callers.key))
         if stream.numbers:
             headers.append((wire.RESUME_AFTER, str(stream.numbers[-1])))
             headers.append((wire.RESUMES, stream.first))
--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -133,8 +133,8 @@
     def allow_again(self, request: OnlineRequest) -> None:
         """Allow a stream to continue at upstreams that it was sent to already.
 
-        A connection may break although its upstream is well, which may be the
-        only one of the version that began the stream.
+        A connection may break, or be silent for a moment, although its upstream
+        is well, which may be the only one of the version that began the stream.
 
         :param request: the request; what it was sent to is cleared if nothing
             else can continue it.
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -228,8 +228,7 @@
         upstream, _exchange = _get_current(request)
         request.release(is_broken=True)
         self._sender.record_failure(request, upstream, failure)
-        if failure is SendFailure.lost:
-            self._sender.binder.chooser.allow_again(request)
+        self._sender.binder.chooser.allow_again(request)
         sent = self._sender.send(request)
         if isinstance(sent, Err) and not request.first_event_at:
             # No byte of the response has been sent, so an error response is
--- a/src/wigeonpier/policy/streamorigin.py
+++ b/src/wigeonpier/policy/streamorigin.py
@@ -1,9 +1,9 @@
 """Decides where a stream that has begun may continue.
 
 Addresses fleets in which several software versions of an upstream serve side
-by side, while entries are killed and connections are reset: a tenth of the
-streams in progress then continue elsewhere within a second.  What two versions
-write does not fit together, and upstreams do not check it.
+by side, while entries are killed and connections are reset, so that streams
+continue elsewhere.  What two versions write does not fit together, and
+upstreams do not check it.
 """
 
 from __future__ import annotations
@@ -17,8 +17,7 @@
 
 # Never equal to a version, not even to itself.
 UNKNOWN_VERSION = ''
-# 96 bits; longer than any id that callers are known to send, and of a fixed
-# length.
+# 96 bits, whatever the length of the id.
 KEY_BYTES = 12
 
 
