Close what sites of the tests open; share builders of streams

The HTTP library uses select(), which fails above 1,023 descriptors; with 1,100 open the test fails in the same way each time, with 10 it passes. Each site of the in-process tests left some 60 open (7, 69, 129, 188 after three sites), and the new tests start a dozen more. Change: sites close their metrics listeners and idle connections. An answer of an engine and the beginning of streams stood twice in tests.

--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from tests.builders import build_upstream
+from tests.streamedreply import StreamedReply
 from wigeonpier.entry.forward import Forwarder, PendingRequest
 from wigeonpier.entry.suspects import SuspectFilter
 from wigeonpier.errors import Ran, Refusal
@@ -125,35 +126,6 @@
         return Err(CallFailure.lost)
 
 
-class StreamedReply:
-    """Answer of an engine with two tokens."""
-
-    status = 200
-
-    def __init__(self, version: str, *, is_whole: bool) -> None:
-        self.version = version
-        self.is_whole = is_whole
-
-    def get_header(self, name: str) -> str:
-        return {'content-type': 'text/event-stream'}.get(name, 'r-1')
-
-    def iterate_lines(self):
-        for _token in range(2):
-            chunk = {
-                'id': 'c',
-                'choices': [{'text': self.version}],
-                'system_fingerprint': self.version,
-            }
-            yield b'data: %b\n' % msgspec.json.encode(chunk)
-            yield b'\n'
-        if not self.is_whole:
-            raise ConnectionResetError('the engine is gone')
-        yield b'data: [DONE]\n'
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
 def _read_stream(
     versions: list[str], seed: int, known: bool = False
 ) -> tuple[str, list[bytes]]:
--- a/tests/hosted/builders.py
+++ b/tests/hosted/builders.py
@@ -50,6 +50,7 @@
 
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.web.client import CallFailure, Reply
+    from wigeonpier.web.server import Route, Server
 
 HOST = 'site.example'
 SERVICE = 'assistant'
@@ -222,6 +223,32 @@
         gevent.sleep(POLL_SECONDS)
 
 
+class SiteContext(DaemonContext):
+    """What one daemon of a site shares, which can be closed."""
+
+    def serve_metrics(self, *routes: Route) -> Server:
+        """Serve the metrics until the site stops."""
+        self.metrics_server = super().serve_metrics(*routes)
+        return self.metrics_server
+
+    def close(self) -> None:
+        """Close the listener and the idle connections."""
+        server = getattr(self, 'metrics_server', None)
+        if server is not None:
+            server.stop()
+        close_idle(self.pool)
+
+
+def close_idle(pool: ConnectionPool) -> None:
+    """Close the idle connections of a pool.
+
+    Some thousand tests run in one process, and parts of it fail with more than
+    1,023 descriptors.
+    """
+    for address in list(pool._idle):
+        pool.forget(address)
+
+
 @dataclass
 class HostedSite:
     """A site: a store, replicas with workers, entries and disks."""
@@ -236,6 +263,7 @@
     store_address: str = ''
     greenlets: list[gevent.Greenlet] = field(default_factory=list)
     folders: list[str] = field(default_factory=list)
+    contexts: list[SiteContext] = field(default_factory=list)
     peer_port: int = field(default_factory=take_port)
     configuration: dict[str, Any] = field(default_factory=make_configuration)
     revocation: float = 0
@@ -280,6 +308,9 @@
             disk._server.stop()
         self.store.stop()
         gevent.killall(self.greenlets, timeout=1)
+        for context in self.contexts:
+            context.close()
+        close_idle(self.pool)
         for folder in self.folders:
             shutil.rmtree(folder, ignore_errors=True)
 
@@ -307,7 +338,7 @@
         folder = tempfile.mkdtemp(dir=DISK_PARENT)
         self.folders.append(folder)
         settings = make_settings(name, self.store_address, folder=folder)
-        disk = StorageApp(DaemonContext(settings))
+        disk = StorageApp(self._add_context(settings))
         disk.start()
         self.disks.append(disk)
 
@@ -324,13 +355,18 @@
             peers=f'{host}:{self.peer_port}',
             revocation=self.revocation,
         )
-        return DaemonContext(
+        return self._add_context(
             replace(
                 settings,
                 has_unreliable_upstreams=self.has_unreliable_upstreams,
             ),
         )
 
+    def _add_context(self, settings: HostSettings) -> SiteContext:
+        context = SiteContext(settings)
+        self.contexts.append(context)
+        return context
+
     def configure(self, **changes: Any) -> None:
         """Change the configuration as the operator does."""
         version = self.configuration['version'] + 1
--- a/tests/hosted/streams.py
+++ b/tests/hosted/streams.py
@@ -90,6 +90,14 @@
         """Read a stream until it ends or breaks off."""
         return self.read(identity, entry)
 
+    def begin(self, count: int, events: int) -> dict[str, list[str]]:
+        """Begin streams at the first entry, and leave them after some events.
+
+        :returns: the data of these events by id of the attempt.
+        """
+        names = [f'q{number}' for number in range(count)]
+        return {name: self.read(name, 0, events) for name in names}
+
     def resume(
         self, identity: str, resumes: str, after: int, entry: int
     ) -> list[str]:
--- a/tests/hosted/test_stream_versions.py
+++ b/tests/hosted/test_stream_versions.py
@@ -94,35 +94,29 @@
 def test_streams_go_on_without_the_store_and_their_first_entry(
     site: HostedSite, caller: StreamCaller
 ) -> None:
-    parts = [
-        caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
-        for number in range(STREAMS)
-    ]
+    parts = caller.begin(STREAMS, EVENTS_BEFORE_LEAVING)
     site.store.faults.is_down = True
     site.entries[0]._callers.stop()
-    for number, part in enumerate(parts):
+    for number, (name, part) in enumerate(parts.items()):
         entry = 1 + number % (ENTRIES - 1)
-        part += caller.resume(f'r{number}', f'q{number}', len(part), entry)
-    assert [len(find_versions(part)) for part in parts] == [1] * STREAMS
-    assert [len(part) for part in parts] == [EVENTS] * STREAMS
+        part += caller.resume(f'{name}-again', name, len(part), entry)
+        assert len(part) == EVENTS
+        assert len(find_versions(part)) == 1
 
 
 def test_streams_are_known_to_workers_that_have_restarted(
     site: HostedSite, caller: StreamCaller
 ) -> None:
     """Entries send them again to each worker that they begin to follow."""
-    parts = [
-        caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
-        for number in range(STREAMS)
-    ]
+    parts = caller.begin(STREAMS, EVENTS_BEFORE_LEAVING)
     for worker in site.workers:
         worker._origins.table = OriginTable()
     for state in site.entries[0]._replicas.list_upstreams():
         site.entries[0]._origins.resend(state.address)
     gevent.sleep(0.1)
-    for number, part in enumerate(parts):
-        part += caller.resume(f'r{number}', f'q{number}', len(part), 1)
-    assert [len(part) for part in parts] == [EVENTS] * STREAMS
+    for name, part in parts.items():
+        part += caller.resume(f'{name}-again', name, len(part), 1)
+        assert len(part) == EVENTS
 
 
 def test_a_stream_is_resumed_several_times(caller: StreamCaller) -> None:
@@ -159,10 +153,7 @@
     site: HostedSite, caller: StreamCaller
 ) -> None:
     """It can go on nowhere, so the caller is not told to come again."""
-    parts = {
-        f'q{number}': caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
-        for number in range(STREAMS)
-    }
+    parts = caller.begin(STREAMS, EVENTS_BEFORE_LEAVING)
     old = [
         name for name, part in parts.items() if find_versions(part) == {'v1'}
     ]
@@ -203,10 +194,7 @@
     site: HostedSite, caller: StreamCaller
 ) -> None:
     """It restarts under its id, so that requests still reach it."""
-    parts = {
-        f'q{number}': caller.read(f'q{number}', 0, EVENTS_BEFORE_LEAVING)
-        for number in range(STREAMS)
-    }
+    parts = caller.begin(STREAMS, EVENTS_BEFORE_LEAVING)
     for replica in site.replicas[:2]:
         replica.keeps_name = True
         replica.incarnation = 1
--- a/tests/local/test_engine_versions.py
+++ b/tests/local/test_engine_versions.py
@@ -6,39 +6,12 @@
 import pytest
 from result import Ok
 
+from tests.streamedreply import StreamedReply
 from wigeonpier.local.engine import Engine, Run, RunEnd
 from wigeonpier.local.gate import Gate
 from wigeonpier.telemetry.metrics import Metrics
 
 
-class StreamedReply:
-    """Answer of an engine that may break off after two tokens."""
-
-    status = 200
-
-    def __init__(self, version: str, *, is_whole: bool) -> None:
-        self.version = version
-        self.is_whole = is_whole
-
-    def get_header(self, _name: str) -> str:
-        return 'text/event-stream'
-
-    def iterate_lines(self):
-        for _token in range(2):
-            chunk = {
-                'id': 'c',
-                'choices': [{'text': self.version}],
-                'system_fingerprint': self.version,
-            }
-            yield b'data: %b\n' % msgspec.json.encode(chunk)
-        if not self.is_whole:
-            raise ConnectionResetError('the engine is gone')
-        yield b'data: [DONE]\n'
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
 class StreamingClient:
     """Connections to an engine that is updated."""
 
