--- a/src/wigeonpier/bench/batching.py
+++ b/src/wigeonpier/bench/batching.py
@@ -72,7 +72,7 @@
 
     @property
     def is_batch(self) -> bool:
-        """Tell batch work by its id, which only the bench looks at."""
+        """Return whether its id marks it as batch work, which only the bench looks at."""
         return self.identity.startswith(BATCH_MARK)
 
     def iterate_tokens(self) -> Iterator[str]:
--- a/src/wigeonpier/bench/quotamodel.py
+++ b/src/wigeonpier/bench/quotamodel.py
@@ -1,6 +1,6 @@
 """A model of a customer's requests at many entries, to compare limiters.
 
-Every limiter sees the same requests.  Counts that are told arrive some 0.1 s
+Every limiter sees the same requests.  Counts that are reported arrive some 0.1 s
 late; a limiter that asks one process for each request is exact, and costs a
 call each.
 """
@@ -29,7 +29,7 @@
 SPAN_SECONDS = 5.0
 # A line each 0.1 s, and up to that much again at a busy process.
 LAG_SECONDS = (0.05, 0.2)
-# Rates are told with heartbeats.
+# Rates are reported with heartbeats.
 RATE_LAG_SECONDS = 0.5
 CYCLE_SECONDS = 6.0
 CREST_FROM_SECONDS = 3.6
@@ -144,7 +144,7 @@
 
 
 def limit_by_counts(world: World, now: float, entry: int) -> bool:
-    """Admit while the counts that were told leave room."""
+    """Admit while the reported counts leave room."""
     use = _look(world, now, entry)
     return use.reported + use.unseen < world.scene.limit.requests
 
--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -190,14 +190,14 @@
             HTTPStatus.SERVICE_UNAVAILABLE,
             Ran.no,
             None,
-            'The version that began the stream serves no more; begin it anew.',
+            'The version that began the stream is no longer served; start again.',
         ),
         ErrorKind.origin_unknown: ErrorAnswer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             Ran.no,
             1,
             'It is unknown which version began the stream; try another entry,'
-            ' or begin it anew.',
+            ' or start again.',
         ),
         ErrorKind.internal: ErrorAnswer(
             HTTPStatus.INTERNAL_SERVER_ERROR,
--- a/src/wigeonpier/hosted/customeruse.py
+++ b/src/wigeonpier/hosted/customeruse.py
@@ -395,7 +395,7 @@
         customer=customer,
         limit=limit.requests,
         span=limit.seconds,
-        told=use.reported,
+        reported=use.reported,
         unseen=use.unseen,
         own=use.own,
         demand=use.demand,
--- a/src/wigeonpier/hosted/itemclaims.py
+++ b/src/wigeonpier/hosted/itemclaims.py
@@ -225,7 +225,7 @@
 
 
 def _make_view(job: OpenJob, offered: OfferedItem, version: str) -> ItemView:
-    """Describe an item; events of another version are written anew."""
+    """Describe an item; events of another version do not count."""
     may_continue = is_same_version(offered.version, version)
     return ItemView(
         (job.name, offered.index),
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -68,7 +68,7 @@
     :param saved_failures: number of failures that are saved there.
     :param events_before_run: number of events before the current run.
     :param is_running: whether it is at the upstream.
-    :param is_paused: whether its current run was told to stop.
+    :param is_paused: whether its current run is being stopped.
     :param is_dropped: whether it is no longer assigned to this process.
     :param isolation: which other suspected requests may run beside it, empty
         if it is not suspected itself.
@@ -131,28 +131,28 @@
         """Count the events that a software version can continue after.
 
         :param version: version of the upstream.
-        :returns: 0 if the item begins anew there.
+        :returns: 0 if the item restarts there.
         """
         is_same = is_same_version(self.version, version)
         return len(self.texts) if is_same else 0
 
     def bind_version(self, version: str) -> bool:
-        """Prepare a run; the item begins anew at another software version.
+        """Prepare a run; the item restarts at another software version.
 
         :param version: version of the upstream.
         :returns: whether events were dropped.
         """
-        is_anew = bool(self.texts) and not is_same_version(
+        is_restarted = bool(self.texts) and not is_same_version(
             self.version, version
         )
-        if is_anew:
+        if is_restarted:
             self.texts.clear()
             self.last_event = ''
             self.saved_events = 0
             self.inherited_events = 0
             self.run_seconds = 0
         self.version = version
-        return is_anew
+        return is_restarted
 
     def stop(self) -> None:
         """Stop the current run; the text so far is kept."""
--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -224,7 +224,7 @@
 
 
 def _drop_text(run: Run) -> RunEnd:
-    """Let a run begin anew after the engine has another fingerprint."""
+    """Restart a run after the fingerprint of the engine has changed."""
     log_event(Event.run_restarted, run=run.identity)
     run.assembler = Assembler()
     return RunEnd.lost
--- a/src/wigeonpier/platform/confirmedwrite.py
+++ b/src/wigeonpier/platform/confirmedwrite.py
@@ -37,7 +37,7 @@
     :param key: what to write.
     :param value: its bytes.
     :param revision: revision that it replaces, 0 to create.
-    :param is_own: tells whether an entry is this caller's own write.
+    :param is_own: checks whether an entry is this caller's own write.
     :param timeout: longest time for all attempts, seconds.
     :returns: the new revision; ``conflict`` when another write won,
         ``unavailable`` when the write certainly did not take effect,
--- a/src/wigeonpier/policy/placement.py
+++ b/src/wigeonpier/policy/placement.py
@@ -116,7 +116,7 @@
 
 @dataclass(slots=True)
 class RunComparison:
-    """Tells whether the upstreams of a service differ, and not by chance.
+    """Checks whether the upstreams of a service differ, and not by chance.
 
     :param differs_since: since when their run times have differed, seconds;
         ``None`` while they are about equal or not known.
--- a/src/wigeonpier/policy/trial.py
+++ b/src/wigeonpier/policy/trial.py
@@ -2,7 +2,7 @@
 
 Addresses a few requests that were lost with an upstream, one of which crashes
 the next one too.  If they ran side by side they would be lost together again,
-and the cause could not be told from the others.
+and the cause could not be distinguished from the others.
 """
 
 from __future__ import annotations
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -64,7 +64,7 @@
     stream_not_resumed = (
         209,
         WARNING_LEVEL,
-        'A stream was not resumed: its version is unknown or serves no more.',
+        'A stream was not resumed: its version is unknown or no longer served.',
     )
     customer_limited = (
         205,
@@ -258,12 +258,12 @@
     item_restarted = (
         639,
         INFO_LEVEL,
-        'A batch item begins anew: its upstream has another software version.',
+        'A batch item restarts: its upstream has another software version.',
     )
     run_restarted = (
         640,
         INFO_LEVEL,
-        'A run of an item begins anew: the engine has another fingerprint.',
+        'A run of an item restarts: the engine has another fingerprint.',
     )
     item_done = (616, INFO_LEVEL, 'A batch item has its final state.')
     results_written = (617, INFO_LEVEL, 'Results of batch items are stored.')
--- a/tests/hosted/test_item_versions.py
+++ b/tests/hosted/test_item_versions.py
@@ -35,6 +35,7 @@
 def test_an_item_begins_anew_when_its_upstream_is_updated(
     site: HostedSite,
 ) -> None:
+    """Its result had the text of both versions."""
     site.start(
         replicas=1, events=EVENTS, event_seconds=0.02, restart_seconds=0.1
     )
--- a/tests/hosted/test_originkeepers.py
+++ b/tests/hosted/test_originkeepers.py
@@ -38,12 +38,16 @@
         self.down: set[str] = set()
         # Workers whose open connections are dead.
         self.stale: set[str] = set()
+        # Workers of an earlier build, which keep no records.
+        self.old: set[str] = set()
         self.calls: list[str] = []
 
     def call(self, address: str, raw: bytes, _timeout: float):
         self.calls.append(address)
         if address in self.down | self.stale:
             return Err(CallFailure.lost)
+        if address in self.old:
+            return Ok(Reply(404, b'{}'))
         head, _blank, body = raw.partition(b'\r\n\r\n')
         kept = self.records.setdefault(address, {})
         if head.startswith(f'POST {ORIGINS_PATH} '.encode()):
@@ -103,6 +107,16 @@
     assert make_keepers(pool).search(KEY) == ORIGIN
 
 
+def test_workers_of_an_earlier_build_are_passed_over(pool) -> None:
+    keepers = make_keepers(pool)
+    publish(keepers)
+    pool.old = pool.list_keepers()
+    pool.records.clear()
+    publish(keepers)
+    assert len(pool.list_keepers()) == MAX_KEEPERS - COPIES
+    assert keepers.search(KEY) == ORIGIN
+
+
 def test_a_dead_connection_does_not_hide_a_record(pool) -> None:
     keepers = make_keepers(pool)
     publish(keepers)
--- a/tests/hosted/test_stream_versions.py
+++ b/tests/hosted/test_stream_versions.py
@@ -49,6 +49,7 @@
 def test_an_entry_continues_a_stream_at_the_version_that_began_it(
     site: HostedSite, caller: StreamCaller
 ) -> None:
+    """Broken streams continued at any upstream of the service."""
     breaking = site.replicas[0]
     breaking.faults.break_after = STREAMS
     texts: list[list[str]] = []
@@ -80,6 +81,7 @@
 def test_callers_resume_streams_at_the_version_that_began_them(
     caller: StreamCaller,
 ) -> None:
+    """The other entry treated them like new requests."""
     outcomes = gevent.joinall(
         [
             gevent.spawn(caller.leave_and_resume, number, EVENTS_BEFORE_LEAVING)
