Log the shared parts of the prompts of lost requests and items

Cause: no line named the parts of a prompt, so a part that several crashes have in common could not be told from replicas that crash by themselves. Change: request_retried, request_done and item_broken have the shared parts, request_retried also whether the run had output. Measured: tests/hosted/test_explained.py and tests/platform pass.

--- a/src/wigeonpier/hosted/chooser.py
+++ b/src/wigeonpier/hosted/chooser.py
@@ -164,7 +164,7 @@
     def _make_criteria(
         self, request: OnlineRequest, excluded: Set[str]
     ) -> RoutingCriteria:
-        shared_parts = request.head.prompt_parts[:-1]
+        shared_parts = request.head.shared_parts
         return RoutingCriteria(
             service=request.service,
             model='',
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -296,6 +296,7 @@
                 request=request.head.identity,
                 caller=request.http_request.caller,
                 fingerprint=request.fingerprint,
+                parts=request.head.shared_parts,
                 route=route,
                 version=self._configuration.get_version(),
                 outcome=outcome,
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -18,6 +18,7 @@
 )
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import ItemResult, ItemState
+from wigeonpier.platform import ingress
 from wigeonpier.policy import pacing
 from wigeonpier.policy.breaker import CircuitBreaker
 from wigeonpier.policy.runlengths import RunLengths
@@ -290,6 +291,7 @@
             work,
             end=outcome.value,
             fingerprint=work.fingerprint,
+            parts=' '.join(ingress.list_shared_parts(work.item)),
             has_ended=has_crashed,
         )
         if work.failures >= work.job.tries:
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -123,6 +123,8 @@
             Event.request_retried,
             request=request.head.identity,
             fingerprint=request.fingerprint,
+            parts=request.head.shared_parts,
+            had_output=request.sends[-1].had_output,
             upstream=upstream.name,
             failures=upstream.failures,
             runs=request.runs,
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -58,6 +58,11 @@
         """Tell whether the caller has events of the stream; ids begin at 1."""
         return bool(self.resumes) or self.resume_after not in {'', '0'}
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """List the parts that other requests may have; the last is its own."""
+        return self.prompt_parts[:-1]
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
@@ -83,19 +88,28 @@
     """
     found = request.headers
     deadline = found.get(wire.DEADLINE_MS.lower(), '')
-    parts = found.get(wire.PROMPT_PARTS.lower(), '')
     return RequestHead(
         identity=found.get(wire.REQUEST_ID.lower(), ''),
         host=found.get('host', '').lower(),
         seconds=int(deadline) / MILLISECONDS if deadline.isdigit() else None,
-        prompt_parts=tuple(
-            part.partition(':')[0].strip() for part in parts.split(',') if part
-        ),
+        prompt_parts=_split_parts(found.get(wire.PROMPT_PARTS.lower(), '')),
         resume_after=found.get(wire.RESUME_AFTER.lower(), ''),
         resumes=found.get(wire.RESUMES.lower(), ''),
     )
 
 
+def list_shared_parts(item: JobItem) -> tuple[str, ...]:
+    """List the parts of a batch item's prompt that other requests may have.
+
+    :param item: the item.
+    :returns: ids of the parts, without the last one, which is its own.
+    """
+    for name, text in item.headers.items():
+        if name.lower() == wire.PROMPT_PARTS.lower():
+            return _split_parts(text)[:-1]
+    return ()
+
+
 def list_onward_headers(
     received: dict[str, str],
     send: Send,
@@ -212,6 +226,13 @@
     return request.headers.pop(wire.KEY_HEADER.lower(), '')
 
 
+def _split_parts(text: str) -> tuple[str, ...]:
+    """Read the ids of ID:TOKENS entries that are separated by commas."""
+    return tuple(
+        part.partition(':')[0].strip() for part in text.split(',') if part
+    )
+
+
 def _list_send_headers(send: Send) -> list[tuple[str, str]]:
     listed = [
         (wire.EXPECTED_INSTANCE, send.instance),
--- a/tests/hosted/test_explained.py
+++ b/tests/hosted/test_explained.py
@@ -141,3 +141,15 @@
     refused = find_lines(explain('q7'), 'stream_not_resumed')[0]
     assert 'resumes=nobody' in refused
     assert 'why=it is unknown which version began the stream' in refused
+
+
+def test_lost_request_names_the_shared_parts_of_its_prompt(
+    site, explain
+) -> None:
+    for replica in site.replicas:
+        replica.faults.break_after = 1
+    prompt = {'X-Prompt-Prefix': 'aa:200,bb:100,cc:250'}
+    site.try_call('POST', '/ask/1', 'q1', b'{}', **prompt)
+    lines = explain('q1')
+    for event in ('request_retried', 'request_done'):
+        assert "parts=['aa', 'bb']" in find_lines(lines, event)[0]
