Failing tests of prompt parts that crash upstreams, and of unframed answers

Callers saw requests lost with one upstream after the other. The stand-in crashes under a set part of a prompt, and can end answers with their connection.

--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -1,8 +1,8 @@
 """Stand-in for a replica on the users' platform: slots, streams, refusals.
 
-A request whose body contains :data:`DEADLY_MARK` crashes the replica that
-runs it, as a fault in an engine does.  The replica restarts after a delay
-under a new id.
+A request whose body contains :data:`DEADLY_MARK`, or whose prompt has a part
+that is set as deadly, crashes the replica that runs it, as a fault in an
+engine does.  The replica restarts after a delay under a new id.
 """
 
 from __future__ import annotations
@@ -41,6 +41,8 @@
 SIGNATURE = 'stand-in'
 UNRESPONSIVE_STEP_SECONDS = 0.05
 DEADLY_MARK = b'[[crash]]'
+# Precedes the id of the part in the fingerprint of a run.
+DEADLY_PART_PREFIX = 'part '
 # From the start of the run to the crash of the replica.
 DEADLY_SECONDS = 0.05
 
@@ -71,6 +73,9 @@
     :param is_dark: accepts connections and does not answer.
     :param is_cured: runs crashing requests like any other request.
     :param impossible: ids of requests that always fail with 422.
+    :param deadly_parts: ids of the prompt parts that crash it.
+    :param is_unframed: streams have neither a length nor chunks and end with
+        their connection.
     """
 
     break_after: int = 0
@@ -79,13 +84,16 @@
     is_dark: bool = False
     is_cured: bool = False
     impossible: set[str] = field(default_factory=set)
+    deadly_parts: set[str] = field(default_factory=set)
+    is_unframed: bool = False
 
 
 @dataclass(slots=True)
 class CrashingRun:
     """One run of a request that crashes replicas.
 
-    :param fingerprint: fingerprint of the request.
+    :param fingerprint: fingerprint of the request, or the deadly part of its
+        prompt after :data:`DEADLY_PART_PREFIX`.
     :param started_at: start, seconds of the monotonic clock.
     :param crashed_at: time of the crash that it caused, seconds of the
         monotonic clock, 0 for none.
@@ -366,10 +374,32 @@
             return Response(status, b'{}', headers=headers)
         last = int(request.headers.get(wire.RESUME_AFTER.lower(), 0))
         stream = self._stream(identity, last)
-        if DEADLY_MARK in body and not self.faults.is_cured:
-            stream = self._run_crashing(request, body)
+        if self.faults.is_unframed:
+            stream = _write_unframed(request.connection, headers, stream)
+        cause = self._find_cause(request, body)
+        if cause:
+            stream = self._run_crashing(cause)
         return Response(HTTPStatus.OK, stream, EVENT_STREAM_TYPE, headers)
 
+    def _find_cause(self, request: Request, body: bytes) -> str:
+        """Find what in a request crashes the replica, empty for nothing."""
+        if self.faults.is_cured:
+            return ''
+        prompt = request.headers.get(wire.PROMPT_PARTS.lower(), '')
+        for part in prompt.split(',')[:-1]:
+            name = part.partition(':')[0]
+            if name in self.faults.deadly_parts:
+                return f'{DEADLY_PART_PREFIX}{name}'
+        if DEADLY_MARK not in body:
+            return ''
+        return digest_request(
+            request.headers['host'],
+            request.method,
+            request.target,
+            body,
+            request.headers.get(wire.CUSTOMER.lower(), ''),
+        )
+
     def _count_tokens(self) -> dict[str, int]:
         if not self.token_seconds:
             return {}
@@ -399,25 +429,17 @@
                 text = self.make_text(identity, number, version)
                 yield f'id: {number}\ndata: {text}\n\n'.encode()
 
-    def _run_crashing(self, request: Request, body: bytes) -> Iterator[bytes]:
+    def _run_crashing(self, cause: str) -> Iterator[bytes]:
         """Run a request that crashes the replica."""
         life = self._life
-        host = request.headers['host']
-        fingerprint = digest_request(
-            host,
-            request.method,
-            request.target,
-            body,
-            request.headers.get(wire.CUSTOMER.lower(), ''),
-        )
         with ExitStack() as stack:
             _enter_slot(life, stack)
-            run = CrashingRun(fingerprint, time.monotonic())
+            run = CrashingRun(cause, time.monotonic())
             self.crashing_runs.append(run)
             gevent.sleep(DEADLY_SECONDS)
             if not life.is_over:
                 run.crashed_at = time.monotonic()
-                self.end(fingerprint)
+                self.end(cause)
             yield b''
             raise ConnectionAbortedError('the replica has crashed')
 
@@ -429,3 +451,26 @@
     life.waiting -= 1
     life.running += 1
     stack.callback(life.leave_slot)
+
+
+def _write_unframed(
+    connection: Any, headers: dict[str, str], stream: Iterator[bytes]
+) -> Iterator[bytes]:
+    """Write a stream that ends with its connection.
+
+    The server would send chunks, so the response is written past it.
+    """
+    head = ['HTTP/1.1 200 OK', f'Content-Type: {EVENT_STREAM_TYPE}']
+    head += [f'{name}: {text}' for name, text in headers.items()]
+    connection.sendall('\r\n'.join((*head, '', '')).encode())
+    try:
+        for event in stream:
+            connection.sendall(event)
+    except ConnectionAbortedError:
+        # The end of the connection alone would look complete.
+        connection.sendall(b'id: ')
+        connection.shutdown(socket.SHUT_RDWR)
+        raise
+    connection.shutdown(socket.SHUT_RDWR)
+    yield b''
+    raise ConnectionAbortedError('the response ended with its connection')
--- a/tests/bench/test_replica.py
+++ b/tests/bench/test_replica.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
+
 import gevent
 
 from tests.hosted.builders import wait_for
@@ -35,3 +37,37 @@
     again = make_request('POST', '/a', headers, b'other')
     assert pool.call(address, again, 5).unwrap().is_good
     replica.stop()
+
+
+def test_deadly_part_crashes_a_replica_unless_it_is_the_last() -> None:
+    replica = StandInReplica('i', 's', StandInStore(), event_seconds=0)
+    replica.faults.deadly_parts = {'bad'}
+    address = replica.start('a')
+    pool = ConnectionPool()
+
+    def call(prompt: str) -> bool:
+        headers = [('X-Attempt-Id', 'q'), ('X-Prompt-Prefix', prompt)]
+        raw = make_request('POST', '/a', [('Host', 'h'), *headers])
+        return pool.call(address, raw, 5).is_ok()
+
+    assert call('a:1,bad:1')
+    assert not call('a:1,bad:1,b:1')
+    assert replica.ended_by == ['part bad']
+    replica.stop()
+
+
+def test_unframed_stream_ends_with_its_connection() -> None:
+    replica = StandInReplica('i', 's', StandInStore(), event_seconds=0)
+    replica.faults.is_unframed = True
+    address = replica.start('a')
+    pool = ConnectionPool()
+    headers = [('Host', 'h'), ('X-Attempt-Id', 'q')]
+    with ExitStack() as stack:
+        exchange = pool.begin(address, 1).unwrap()
+        stack.callback(exchange.close)
+        exchange.send(make_request('POST', '/a', headers), 1)
+        body = exchange.read(1)
+        assert exchange.is_unframed
+        assert not exchange.get_header('Transfer-Encoding')
+    assert body.count(b'data: ') == replica.events
+    replica.stop()
--- a/tests/hosted/callers.py
+++ b/tests/hosted/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -12,6 +13,8 @@
 from wigeonpier.web.client import Reply
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
     from tests.hosted.builders import HostedSite
 
 DEADLY_BODY = b'%s one' % DEADLY_MARK
@@ -119,3 +122,78 @@
         for line in body.decode().splitlines()
         if line.startswith('data: ')
     ]
+
+
+@dataclass(frozen=True)
+class PromptReply:
+    """How a request with a prompt of several parts was answered.
+
+    :param at: when it was sent, seconds of the monotonic clock.
+    :param parts: shared parts of its prompt.
+    :param statuses: status of each attempt, 0 for a truncated answer.
+    :param body: body of the last answer.
+    """
+
+    at: float
+    parts: tuple[str, ...]
+    statuses: tuple[int, ...]
+    body: bytes
+
+
+@dataclass
+class PromptCallers:
+    """Send requests with prompts of several parts, no two of them alike."""
+
+    site: HostedSite = field(repr=False)
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    replies: list[PromptReply] = field(default_factory=list)
+    sending: list[gevent.Greenlet] = field(default_factory=list)
+
+    def send_for(
+        self, seconds: float, pause: float, choose: Callable[[], Sequence[str]]
+    ) -> None:
+        """Send requests until the time is up; ``choose`` makes the prompt."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            self.sending.append(gevent.spawn(self._send, tuple(choose())))
+            gevent.sleep(self.rng.uniform(0.5, 1.5) * pause)
+
+    def finish(self) -> None:
+        """Wait for the last answers."""
+        gevent.joinall(self.sending, timeout=TIMEOUT_SECONDS)
+
+    def measure_served(
+        self,
+        since: float,
+        until: float,
+        chooses: Callable[[tuple[str, ...]], bool],
+    ) -> tuple[int, float]:
+        """Count requests and the share served at the first attempt."""
+        chosen = [
+            reply
+            for reply in self.replies
+            if since <= reply.at < until and chooses(reply.parts)
+        ]
+        served = sum(reply.statuses[0] == OK for reply in chosen)
+        return len(chosen), served / max(1, len(chosen))
+
+    def _send(self, parts: tuple[str, ...]) -> None:
+        number = len(self.sending)
+        at = time.monotonic()
+        prompt = ','.join(f'{part}:100' for part in (*parts, f'own{number}'))
+        statuses: list[int] = []
+        reply = BROKEN
+        for attempt in range(ATTEMPTS):
+            reply = self.site.try_call(
+                'POST',
+                f'/ask/{number}',
+                f'p{number}-{attempt}',
+                b'prompt %d' % number,
+                entry=self.rng.randrange(len(self.site.addresses)),
+                **{'X-Prompt-Prefix': prompt},
+            ).unwrap_or(BROKEN)
+            statuses.append(reply.status)
+            if reply.status in FINAL:
+                break
+            gevent.sleep(RETRY_SECONDS)
+        self.replies.append(PromptReply(at, parts, tuple(statuses), reply.body))
--- a/tests/hosted/test_crashing_items.py
+++ b/tests/hosted/test_crashing_items.py
@@ -18,6 +18,8 @@
     from tests.hosted.builders import HostedSite
 
 MAX_CRASHES = 3
+# The rules allow five until a part of a prompt must be known.
+MAX_PART_CRASHES = 5
 ITEMS = 6
 CRASHING_ITEM = 2
 
@@ -66,3 +68,22 @@
     )
     known = site.workers[0]._trials.suspicions
     assert len(known.suspects) == 1
+
+
+def test_items_with_a_crashing_part_do_not_run_on(site: HostedSite) -> None:
+    """No two items are alike, and one part of their prompts crashes upstreams.
+
+    Each item used to crash upstreams anew.
+    """
+    site.start(replicas=3)
+    for replica in site.replicas:
+        replica.restart_seconds = 0.4
+        replica.lapse_seconds = 0.6
+        replica.faults.deadly_parts = {'bad'}
+    bodies = {number: b'item %d' % number for number in range(ITEMS)}
+    headers = {'X-Prompt-Prefix': 'a:10,bad:10,own:10'}
+    site.submit_job('j', ITEMS, bodies=bodies, item_headers=headers)
+    site.submit_job('sound', ITEMS, bodies=bodies)
+    gevent.sleep(6)
+    assert count_crashes(site) <= MAX_PART_CRASHES
+    assert len(site.read_results('sound')['results']) == ITEMS
