Take unframed streams for complete unless they have no event

Callers' batch items whose answers end with their connection never completed, since each such answer counted as broken; a stream that ended so without any event was answered as complete, and cleared its request of crashes. Cause: the end of a connection was judged differently at both places, and neither looked at the events. Change: one reader decides for both: cut off only where no event came.

--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -47,6 +47,16 @@
     def __init__(self, answer: Exchange) -> None:
         """Read from the current position of the answer's body."""
         self._answer = answer
+        self._has_events = False
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Check whether the stream ended with its connection, without events.
+
+        An upstream that crashes before its first event closes the connection
+        like one that ends a response without a length.
+        """
+        return self._answer.is_unframed and not self._has_events
 
     def read(self, timeout: float) -> StreamEvent | None:
         """Read the next event.
@@ -66,6 +76,7 @@
                 return None
             lines.append(line)
             if line in BLANK:
+                self._has_events = True
                 return _make_event(lines)
 
 
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -247,12 +247,8 @@
     while True:
         event = reader.read(READ_TIMEOUT_SECONDS)
         if event is None:
-            # A response without a length may be truncated at the end of the
-            # connection; the next run resumes after the last event.
-            work.is_faulted = response.is_unframed
-            return (
-                RunOutcome.broken if response.is_unframed else RunOutcome.whole
-            )
+            work.is_faulted = reader.is_cut_off
+            return RunOutcome.broken if reader.is_cut_off else RunOutcome.whole
         if event.identity:
             work.texts.append(event.text)
             work.last_event = event.identity
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -204,12 +204,7 @@
             except OSError as error:
                 return classify_disconnect(error)
             if event is None:
-                record_outcome(upstream, went_well=True, now=time.monotonic())
-                self._sender.outcomes.record_success(request)
-                self._sender.binder.suspects.record_completion(
-                    request, upstream
-                )
-                return None
+                return self._end_stream(request, upstream, reader)
             request.resume_after = event.identity or request.resume_after
             if not request.first_event_at:
                 self._origins.record(request)
@@ -220,6 +215,19 @@
                 tracked.waits_since = 0
             yield event.raw
 
+    def _end_stream(
+        self,
+        request: OnlineRequest,
+        upstream: UpstreamState,
+        reader: EventReader,
+    ) -> SendFailure | None:
+        if reader.is_cut_off:
+            return SendFailure.lost
+        record_outcome(upstream, went_well=True, now=time.monotonic())
+        self._sender.outcomes.record_success(request)
+        self._sender.binder.suspects.record_completion(request, upstream)
+        return None
+
     def _resume_elsewhere(
         self,
         request: OnlineRequest,
