Refuse requests whose prompts have a part that crashes upstreams

Callers' requests were lost with one upstream after the other: requests of which no two were alike shared one part of their prompts. Cause: a crash was held against the whole content of a request alone, so that requests with one cause had nothing in common, each began anew, and a retry changed nothing. Change: lost runs are reported with the shared parts of their prompts; a part is cleared by completed runs, which are reported only when a run with it is lost, and blamed by the evidence that is enough for a request, from two different requests on. Parts that nothing separates are blamed together. The same holds for batch items. Why it works: sound requests share all other parts, and their completed runs leave the cause alone.

--- a/src/wigeonpier/cli/suspects.py
+++ b/src/wigeonpier/cli/suspects.py
@@ -1,4 +1,4 @@
-"""Sub-command for requests that are suspected of crashing upstreams."""
+"""Sub-command for requests and parts that are suspected of crashes."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     parser.add_argument(
         'address', help="host:port of an entry's metrics listener"
     )
-    parser.add_argument('--clear', help='fingerprint of a request to run again')
+    parser.add_argument('--clear', help='fingerprint to run again')
     parser.add_argument(
         '--json',
         action='store_true',
@@ -49,10 +49,10 @@
     write_table(
         (
             'fingerprint',
-            'state',
-            'age s',
+            'state, age s',
             'crashed upstreams',
             'running only it',
+            'parts',
         ),
         [_make_row(row) for row in rows],
     )
@@ -61,10 +61,11 @@
 
 def _make_row(row: SuspectRow) -> tuple[str, ...]:
     isolated = [crash.upstream for crash in row.ends if crash.was_alone]
+    state = 'refused' if row.is_refused else 'suspected'
     return (
         row.fingerprint,
-        'refused' if row.is_refused else 'suspected',
-        f'{row.age:.0f}',
+        f'{state} {row.age:.0f}',
         ' '.join(crash.upstream for crash in row.ends),
         ' '.join(isolated),
+        ' '.join(row.parts),
     )
--- a/src/wigeonpier/hosted/binder.py
+++ b/src/wigeonpier/hosted/binder.py
@@ -184,7 +184,8 @@
     ) -> UpstreamState | None:
         if self._is_suspected(request):
             upstream = self.trials.reserve_late(request)
-            if upstream is not None:
+            is_blamed = bool(self.suspects.list_tried_versions(request))
+            if upstream is not None or is_blamed:
                 return upstream
         return self.chooser.choose(request)
 
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -237,6 +237,7 @@
         metrics = self._context.metrics
         metrics.add_gauge('suspects', lambda: len(self._suspicions.suspects))
         metrics.add_gauge('refused_requests', page.count_refused)
+        metrics.add_gauge('refused_parts', page.count_parts)
         customers = CustomerPage(
             self._configuration,
             self._freshness,
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -13,6 +13,7 @@
 from wigeonpier.hosted.failures import MAX_SAFE_IDLE_SECONDS, shows_fault
 from wigeonpier.platform import ingress
 from wigeonpier.policy.fingerprint import digest_request
+from wigeonpier.policy.promptparts import make_part_key
 from wigeonpier.policy.streamorigin import UNKNOWN_VERSION, is_same_version
 from wigeonpier.web.exchange import make_request
 
@@ -78,6 +79,10 @@
     :param response: response that is being read.
     :param is_faulted: whether the last run showed a fault of the upstream.
     :param version: software version of the upstream that wrote the events.
+    :param trial: what excludes other runs of the same cause at the upstream,
+        empty if it is not suspected itself.
+    :param started_at: when its current run began, seconds of the monotonic
+        clock.
     """
 
     job: OpenJob
@@ -102,7 +107,10 @@
     response: Exchange | None = None
     is_faulted: bool = False
     version: str = UNKNOWN_VERSION
+    trial: str = ''
+    started_at: float = 0
     _fingerprint: str = ''
+    _part_keys: tuple[str, ...] | None = None
 
     @property
     def fingerprint(self) -> str:
@@ -117,6 +125,16 @@
             )
         return self._fingerprint
 
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Return the keys of the shared parts of its prompt, in order."""
+        if self._part_keys is None:
+            self._part_keys = tuple(
+                make_part_key(self.job.service, part)
+                for part in ingress.list_shared_parts(self.item)
+            )
+        return self._part_keys
+
     @property
     def key(self) -> tuple[str, int]:
         """Return the id of the job and the position."""
@@ -186,6 +204,7 @@
     :returns: how the run ended.
     """
     started_at = time.monotonic()
+    work.started_at = started_at
     work.events_before_run = len(work.texts)
     work.is_faulted = False
     opened = pool.begin(replica.address, HEAD_TIMEOUT_SECONDS)
--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.incarnation import name_start
+from wigeonpier.policy.promptparts import rank_mode
 from wigeonpier.policy.suspicion import RunMode
 from wigeonpier.policy.trial import IsolationLevel, Verdict
 
@@ -102,11 +103,11 @@
         now = time.monotonic()
         for work in running:
             if work.isolation == IsolationLevel.exclusive:
-                self.trials.add(work.fingerprint, IsolationLevel.exclusive, now)
-            elif self.trials.started_before(
-                work.fingerprint, now - CRASH_WINDOW_SECONDS
+                self.trials.add(work.trial, IsolationLevel.exclusive, now)
+            elif work.trial and self.trials.started_before(
+                work.trial, now - CRASH_WINDOW_SECONDS
             ):
-                self.trials.remove(work.fingerprint)
+                self.trials.remove(work.trial)
 
     def finish(self, work: ItemWork) -> None:
         """End the trial of an item that has stopped running.
@@ -115,7 +116,7 @@
         """
         self.health.end_item(work)
         if work.isolation:
-            self.trials.remove(work.fingerprint)
+            self.trials.remove(work.trial)
 
     def record_interrupted_run(self, work: ItemWork) -> bool:
         """Record a run that broke off.
@@ -131,14 +132,16 @@
             return False
         # An upstream that shuts down aborts what it did not finish in time.
         if not replica.is_leaving:
-            self.suspicions.record_crash(
+            update = self.suspicions.record_crash(
                 work.fingerprint,
                 start,
                 replica.version,
                 was_alone=work.isolation == IsolationLevel.exclusive,
                 had_output=work.has_new_events,
+                parts=work.part_keys,
             )
             self.quarantine.record(work.fingerprint)
+            self.quarantine.record_parts(update.parts)
         return True
 
     def record_completion(self, work: ItemWork) -> None:
@@ -146,14 +149,29 @@
 
         :param work: the item.
         """
-        if not self.suspicions.is_empty:
-            self.suspicions.clear(work.fingerprint)
+        self.suspicions.record_completion(
+            '' if self.suspicions.is_empty else work.fingerprint,
+            work.part_keys,
+            work.version,
+            work.started_at,
+        )
 
     def _get_run_mode(self, work: ItemWork) -> RunMode:
         if self.suspicions.is_empty or self.upstream.replica is None:
             return RunMode.free
         versions = {self.upstream.replica.version}
-        return self.suspicions.get_run_mode(work.fingerprint, versions)
+        return max(
+            self.suspicions.get_run_mode(work.fingerprint, versions),
+            self.suspicions.parts.get_run_mode(work.part_keys, versions),
+            key=rank_mode,
+        )
+
+    def _choose_trial(self, work: ItemWork, run_mode: RunMode) -> str:
+        """Choose what excludes other runs of the same cause."""
+        if run_mode is not RunMode.alone:
+            return work.fingerprint
+        part = self.suspicions.parts.choose_trial_part(work.part_keys)
+        return part or work.fingerprint
 
     def _try_isolate(self, work: ItemWork) -> bool:
         run_mode = self._get_run_mode(work)
@@ -163,9 +181,11 @@
         if isolation is None:
             return False
         now = time.monotonic()
-        verdict = self.trials.check(work.fingerprint, isolation, now)
+        trial = self._choose_trial(work, run_mode)
+        verdict = self.trials.check(trial, isolation, now)
         if verdict is not Verdict.granted:
             return False
         work.isolation = isolation.value
-        self.trials.add(work.fingerprint, isolation, now)
+        work.trial = trial
+        self.trials.add(trial, isolation, now)
         return True
--- a/src/wigeonpier/hosted/news.py
+++ b/src/wigeonpier/hosted/news.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from wigeonpier.hosted.usagecounter import UsageReport
-from wigeonpier.membership.updates import CrashReport, SuspicionUpdate
+from wigeonpier.membership.updates import (
+    NO_PARTS,
+    CrashReport,
+    PartUpdate,
+    SuspicionUpdate,
+)
 from wigeonpier.models import OnlineLoad
 from wigeonpier.reports import ItemBacklog, UpstreamHealth, UpstreamPace
 
@@ -36,7 +41,9 @@
 
 
 class QuarantineEntry(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A suspected request as stored in the key-value service and on disks.
+    """Suspected requests as stored in the key-value service and on disks.
+
+    It is about one request, or about parts of prompts.
 
     :param ends: upstreams that crashed while running it; their ages refer to
         the time at which it was written.
@@ -44,11 +51,14 @@
         ages refer to the time at which it is read.
     :param is_proved: whether it is refused; only disks store requests that are
         merely suspected.
+    :param parts: culprits and lost runs, likewise; a process of an earlier
+        build does not read them.
     """
 
     ends: tuple[CrashReport, ...]
     kept_at: float
     is_proved: bool = True
+    parts: PartUpdate = NO_PARTS
 
 
 class TrialRequest(msgspec.Struct, frozen=True):
--- a/src/wigeonpier/hosted/quarantine/replica.py
+++ b/src/wigeonpier/hosted/quarantine/replica.py
@@ -23,6 +23,7 @@
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.news import QuarantineEntry
 from wigeonpier.loops import spawn_loop
+from wigeonpier.membership.updates import add_age, add_part_age
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Commit
 from wigeonpier.telemetry.events import Event
@@ -193,8 +194,9 @@
 
 def _update_ages(entry: QuarantineEntry, seconds: float) -> QuarantineEntry:
     """Add the time since an entry was received to the ages of its crashes."""
-    crashes = tuple(
-        msgspec.structs.replace(crash, age=crash.age + seconds)
-        for crash in entry.ends
+    return QuarantineEntry(
+        tuple(add_age(entry.ends, seconds)),
+        0,
+        entry.is_proved,
+        add_part_age(entry.parts, seconds),
     )
-    return QuarantineEntry(crashes, 0, entry.is_proved)
--- a/src/wigeonpier/hosted/quarantine/store.py
+++ b/src/wigeonpier/hosted/quarantine/store.py
@@ -18,9 +18,14 @@
 from result import Err
 
 from wigeonpier.hosted.news import QuarantineEntry
-from wigeonpier.membership.updates import CrashReport, SuspicionUpdate
+from wigeonpier.membership.updates import (
+    SuspicionUpdate,
+    add_age,
+    add_part_age,
+)
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Commit
+from wigeonpier.policy.promptparts import digest_part
 from wigeonpier.policy.suspicion import CRASHES_BEFORE_ISOLATION, MEMORY_SECONDS
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -29,6 +34,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from wigeonpier.membership.suspicions import Suspicions
+    from wigeonpier.membership.updates import PartUpdate
     from wigeonpier.platform.store import KeyValueStore
 
 # Combines the reads for jobs that start at the same time.
@@ -62,6 +68,9 @@
         self._unwritten: set[str] = set()
         # Entries that were copied to the disks.
         self._replicated: set[str] = set()
+        # Parts of prompts that this process has stored.
+        self._stored_culprits: set[str] = set()
+        suspicions.parts.culprits.on_change = self.update_culprit
         self._read_at = -math.inf
         # Copies an entry to the disks.
         self.replicate: Callable[[str, bytes], object] = _ignore_entry
@@ -80,10 +89,44 @@
             if len(crashes) >= CRASHES_BEFORE_ISOLATION:
                 self.replicate(fingerprint, self._encode(fingerprint))
             return
-        is_writing = bool(self._unwritten)
-        self._unwritten.add(fingerprint)
-        if not is_writing:
-            gevent.spawn(self._write_all)
+        self._begin_write(fingerprint)
+
+    def record_parts(self, update: PartUpdate) -> None:
+        """Store the culprits of an update, and copy its suspects to the disks.
+
+        :param update: an update of this process, after it was merged.
+        """
+        for culprit in update.culprits:
+            self.record_culprit(culprit.name)
+        suspects = {part for run in update.lost for part in run.parts}
+        for part in sorted(suspects):
+            found = self._suspicions.parts.describe_suspect(part)
+            if len(found.lost) >= CRASHES_BEFORE_ISOLATION:
+                entry = QuarantineEntry(
+                    (), time.time(), is_proved=False, parts=found
+                )
+                self.replicate(digest_part(part), msgspec.json.encode(entry))
+
+    def record_culprit(self, name: str) -> None:
+        """Store parts of prompts that crash upstreams.
+
+        :param name: name of the culprit.
+        """
+        self._stored_culprits.add(name)
+        self._begin_write(name)
+
+    def update_culprit(self, name: str) -> None:
+        """Store a culprit that has changed, or remove one that has ended.
+
+        :param name: name of a culprit; ignored unless this process stored it.
+        """
+        if name not in self._stored_culprits:
+            return
+        if name in self._suspicions.parts.culprits.by_name:
+            self._begin_write(name)
+        else:
+            self._stored_culprits.discard(name)
+            gevent.spawn(self.forget, name)
 
     def replicate_refused(self, condemned: Iterable[str]) -> None:
         """Copy requests to the disks that another process has refused.
@@ -141,12 +184,20 @@
             if age > MEMORY_SECONDS + MAX_CLOCK_SKEW_SECONDS:
                 gevent.spawn(self.forget, fingerprint)
             elif age <= MEMORY_SECONDS:
-                crashes = tuple(_add_age(entry.ends, age))
-                confirmed = (fingerprint,) if entry.is_proved else ()
                 self._suspicions.merge(
-                    SuspicionUpdate(crashes, condemned=confirmed)
+                    SuspicionUpdate(
+                        tuple(add_age(entry.ends, age)),
+                        condemned=(fingerprint,) if entry.is_proved else (),
+                        parts=add_part_age(entry.parts, age),
+                    )
                 )
 
+    def _begin_write(self, name: str) -> None:
+        is_writing = bool(self._unwritten)
+        self._unwritten.add(name)
+        if not is_writing:
+            gevent.spawn(self._write_all)
+
     def _write_all(self) -> None:
         """Write until the store has accepted all entries."""
         while self._unwritten:
@@ -156,6 +207,11 @@
                 self._wait(RETRY_DELAY_SECONDS)
 
     def _write(self, fingerprint: str) -> None:
+        is_culprit = fingerprint in self._suspicions.parts.culprits.by_name
+        if not is_culprit and not self._suspicions.is_refused(fingerprint):
+            # It was cleared before it could be written.
+            self._unwritten.discard(fingerprint)
+            return
         key = storekeys.name_key(storekeys.REFUSED, fingerprint)
         content = self._encode(fingerprint)
         result = self._store.commit(Commit(writes={key: content}))
@@ -173,6 +229,11 @@
             self.replicate(fingerprint, self._encode(fingerprint))
 
     def _encode(self, fingerprint: str) -> bytes:
+        parts = self._suspicions.parts.describe_culprit(fingerprint)
+        if parts.culprits:
+            return msgspec.json.encode(
+                QuarantineEntry((), time.time(), parts=parts)
+            )
         crashes = tuple(self._suspicions.list_crashes(fingerprint))
         is_proved = self._suspicions.is_refused(fingerprint)
         return msgspec.json.encode(
@@ -185,11 +246,3 @@
 
 def _ignore_entry(_fingerprint: str, _content: bytes) -> None:
     """Do nothing, in processes that do not know the disks."""
-
-
-def _add_age(
-    crashes: Iterable[CrashReport], age: float
-) -> Iterable[CrashReport]:
-    return (
-        msgspec.structs.replace(crash, age=crash.age + age) for crash in crashes
-    )
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -9,6 +9,7 @@
 from wigeonpier.hosted.failures import SendFailure
 from wigeonpier.policy.claimwait import SlotSearch
 from wigeonpier.policy.fingerprint import digest_request
+from wigeonpier.policy.promptparts import make_part_key
 from wigeonpier.policy.silence import choose_read_timeout
 from wigeonpier.policy.waiting import QueueTime
 from wigeonpier.served import RouteKind
@@ -42,6 +43,11 @@
     :param instance: id of the instance that responded instead of the upstream.
     :param had_output: whether any event of its response arrived.
     :param version: software version of the upstream.
+    :param trial: what excludes other runs of the same cause at the upstream,
+        empty if the request was not suspected itself.
+    :param sent_at: when it was sent, seconds of the monotonic clock.
+    :param first_event_at: when its first event arrived, likewise; 0 before.
+    :param is_proven: whether the parts of its prompt are recorded as sound.
     """
 
     upstream: str
@@ -54,6 +60,10 @@
     instance: str = ''
     had_output: bool = False
     version: str = ''
+    trial: str = ''
+    sent_at: float = 0
+    first_event_at: float = 0
+    is_proven: bool = False
 
 
 @dataclass(slots=True)
@@ -75,6 +85,7 @@
     :param next_upstream: upstream chosen for the next send, if any.
     :param isolation: which other suspected requests are allowed at the next
         upstream, empty if the request is not suspected itself.
+    :param trial: what excludes other runs of the same cause there.
     :param exchange: exchange with the current upstream.
     :param sends: its sends, for the log.
     :param reservation_attempts: number of slot reservations requested for it.
@@ -107,6 +118,7 @@
     upstream: UpstreamState | None = None
     next_upstream: UpstreamState | None = None
     isolation: str = ''
+    trial: str = ''
     exchange: Exchange | None = None
     sends: list[SendRecord] = field(default_factory=list)
     reservation_attempts: int = 0
@@ -122,6 +134,17 @@
     slot_wait: float = 0
     origin: StreamOrigin | None = None
     _fingerprint: str = ''
+    _part_keys: tuple[str, ...] | None = None
+
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Return the keys of the shared parts of its prompt, in order."""
+        if self._part_keys is None:
+            self._part_keys = tuple(
+                make_part_key(self.service, part)
+                for part in self.head.shared_parts
+            )
+        return self._part_keys
 
     @property
     def fingerprint(self) -> str:
@@ -215,6 +238,8 @@
                 round(now - self.received_at, 3),
                 self.isolation,
                 version=upstream.version,
+                trial=self.trial if self.isolation else '',
+                sent_at=now,
             ),
         )
 
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -210,6 +210,7 @@
                 self._origins.record(request)
             has_events = True
             request.sends[-1].had_output = True
+            self._sender.binder.suspects.record_progress(request, upstream)
             request.first_event_at = request.first_event_at or time.monotonic()
             if tracked is not None:
                 tracked.waits_since = 0
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -119,6 +119,9 @@
             request.is_retry_blocked = (
                 request.sends[-1].company == IsolationLevel.exclusive
             )
+        # A trial whose upstream may have crashed goes on until that is known.
+        if has_crashed or failure is not SendFailure.lost:
+            self.binder.suspects.release_trial(request, upstream)
         log_event(
             Event.request_retried,
             request=request.head.identity,
--- a/src/wigeonpier/hosted/suspects.py
+++ b/src/wigeonpier/hosted/suspects.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wigeonpier.policy.promptparts import PROOF_SECONDS, rank_mode
 from wigeonpier.policy.suspicion import CRASHES_BEFORE_ISOLATION, RunMode
 from wigeonpier.policy.trial import IsolationLevel
 from wigeonpier.telemetry.events import Event
@@ -19,6 +20,7 @@
     from wigeonpier.hosted.suspicionpublisher import SuspicionPublisher
     from wigeonpier.membership.ends import CrashDetector
     from wigeonpier.membership.suspicions import Suspicions
+    from wigeonpier.membership.updates import SuspicionUpdate
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
 
@@ -38,6 +40,7 @@
     :param was_alone: whether no other suspected request ran there.
     :param had_output: whether its run there had produced events.
     :param at: when it was lost, seconds of the monotonic clock.
+    :param parts: keys of the shared parts of its prompt.
     """
 
     fingerprint: str
@@ -45,6 +48,7 @@
     was_alone: bool
     had_output: bool
     at: float
+    parts: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +98,22 @@
         :param request: the request.
         :returns: versions that it crashed, empty unless it is refused.
         """
-        return self.suspicions.list_tried_versions(request.fingerprint)
+        return self.suspicions.list_tried_versions(
+            request.fingerprint, request.part_keys
+        )
+
+    def choose_trial(self, request: OnlineRequest, run_mode: RunMode) -> str:
+        """Choose what excludes other runs of the same cause.
+
+        :param request: the request.
+        :param run_mode: how it may run.
+        :returns: the suspected part of its prompt for a request that runs
+            alone, else its fingerprint.
+        """
+        if run_mode is not RunMode.alone:
+            return request.fingerprint
+        part = self.suspicions.parts.choose_trial_part(request.part_keys)
+        return part or request.fingerprint
 
     def detect_crash(self, upstream: UpstreamState) -> bool:
         """Check whether an upstream has crashed.
@@ -118,7 +137,8 @@
         # An upstream that shuts down drops requests that are unfinished when
         # its time is up, which is no crash.  One that was replaced while the
         # connection was checked counts as leaving as well, but it has crashed.
-        if upstream.is_leaving and upstream.start not in self.replaced_starts:
+        was_replaced = upstream.start in self.replaced_starts
+        if upstream.is_leaving and not was_replaced:
             return
         update = self.suspicions.record_crash(
             request.fingerprint,
@@ -126,11 +146,10 @@
             upstream.version,
             was_alone=request.sends[-1].company == IsolationLevel.exclusive,
             had_output=request.sends[-1].had_output,
+            parts=request.part_keys,
         )
         self.metrics.count('suspected_total')
-        self.publisher.publish(update, upstream.address)
-        if update.ends:
-            self.quarantine.record(request.fingerprint)
+        self._publish_crash(update, request.fingerprint, upstream)
 
     def record_possible_crash(
         self, request: OnlineRequest, upstream: UpstreamState
@@ -147,6 +166,7 @@
             request.sends[-1].company == IsolationLevel.exclusive,
             request.sends[-1].had_output,
             time.monotonic(),
+            request.part_keys,
         )
         # An upstream that restarts at once may have registered again before
         # the check of the lost connection was over.
@@ -177,16 +197,53 @@
     def record_completion(
         self, request: OnlineRequest, upstream: UpstreamState
     ) -> None:
-        """Clear a request that ran to completion.
+        """Clear a request that ran to completion, and the parts of its prompt.
 
         :param request: the request.
         :param upstream: upstream that ran it.
         """
-        if self.suspicions.is_empty:
+        send = request.sends[-1]
+        update = self.suspicions.record_completion(
+            '' if self.suspicions.is_empty else request.fingerprint,
+            request.part_keys,
+            send.version,
+            send.sent_at,
+        )
+        self.publisher.publish(update, upstream.address)
+        self.release_trial(request, upstream)
+
+    def record_progress(
+        self, request: OnlineRequest, upstream: UpstreamState
+    ) -> None:
+        """Clear the parts of a prompt whose stream has gone on for a while.
+
+        :param request: the request, after an event.
+        :param upstream: upstream that runs it.
+        """
+        send = request.sends[-1]
+        now = time.monotonic()
+        send.first_event_at = send.first_event_at or now
+        if send.is_proven or now - send.first_event_at < PROOF_SECONDS:
             return
-        update = self.suspicions.clear(request.fingerprint)
+        send.is_proven = True
+        update = self.suspicions.record_completion(
+            '', request.part_keys, send.version, send.sent_at
+        )
         self.publisher.publish(update, upstream.address)
 
+    def release_trial(
+        self, request: OnlineRequest, upstream: UpstreamState
+    ) -> None:
+        """Let other suspected requests run at an upstream after a trial.
+
+        :param request: the request whose run there has ended.
+        :param upstream: the upstream.
+        """
+        send = request.sends[-1]
+        if send.trial:
+            self.publisher.release(send.trial, upstream.address)
+            send.trial = ''
+
     def record_refusal(self, request: OnlineRequest) -> None:
         """Record that a request is refused because it crashes upstreams.
 
@@ -198,11 +255,22 @@
             request=request.head.identity,
             fingerprint=request.fingerprint,
             caller=request.http_request.caller,
+            parts=[
+                part
+                for culprit in self.suspicions.parts.culprits.find(
+                    request.part_keys
+                )
+                for part in sorted(culprit.parts)
+            ],
+        )
+        update = self.suspicions.record_repeat(
+            request.fingerprint, request.part_keys
         )
-        update = self.suspicions.record_repeat(request.fingerprint)
         self.publisher.publish(update)
         if update.kept:
             self.quarantine.record(request.fingerprint)
+        for name in update.parts.kept:
+            self.quarantine.record_culprit(name)
 
     def _confirm_crash(
         self, crash: PossibleCrash, upstream: UpstreamState
@@ -213,9 +281,20 @@
             upstream.version,
             was_alone=crash.was_alone,
             had_output=crash.had_output,
+            parts=crash.parts,
         )
+        self._publish_crash(update, crash.fingerprint, upstream)
+
+    def _publish_crash(
+        self,
+        update: SuspicionUpdate,
+        fingerprint: str,
+        upstream: UpstreamState,
+    ) -> None:
         self.publisher.publish(update, upstream.address)
-        self.quarantine.record(crash.fingerprint)
+        if update.ends:
+            self.quarantine.record(fingerprint)
+        self.quarantine.record_parts(update.parts)
 
     def _get_run_mode_by_crashes(self, request: OnlineRequest) -> RunMode:
         if self.suspicions.is_empty:
@@ -225,7 +304,11 @@
             for state in self.replicas.list_upstreams()
             if state.service == request.service
         }
-        return self.suspicions.get_run_mode(request.fingerprint, versions)
+        return max(
+            self.suspicions.get_run_mode(request.fingerprint, versions),
+            self.suspicions.parts.get_run_mode(request.part_keys, versions),
+            key=rank_mode,
+        )
 
     def _drop_expired(self) -> None:
         oldest = time.monotonic() - CONFIRMATION_SECONDS
--- a/src/wigeonpier/hosted/suspicionhandler.py
+++ b/src/wigeonpier/hosted/suspicionhandler.py
@@ -45,7 +45,7 @@
         update = decode_body(request.read_body(), SuspicionUpdate)
         # Known facts release trials as well: the run that finished or crashed
         # may have been at this upstream.
-        for fingerprint in update.cleared:
+        for fingerprint in (*update.cleared, *update.released):
             self._trials.remove(fingerprint)
         for crash in update.ends:
             self._trials.remove(crash.fingerprint)
--- a/src/wigeonpier/hosted/suspicionpublisher.py
+++ b/src/wigeonpier/hosted/suspicionpublisher.py
@@ -16,7 +16,10 @@
 
 from wigeonpier.hosted.suspicionhandler import NEWS_PATH
 from wigeonpier.membership.suspicions import PROPAGATION_SECONDS
-from wigeonpier.membership.updates import SuspicionUpdate
+from wigeonpier.membership.updates import (
+    SuspicionUpdate,
+    combine_updates,
+)
 from wigeonpier.settings.process import split_address
 from wigeonpier.web.exchange import make_request
 
@@ -77,14 +80,31 @@
         self._pending.append(update)
         self._involved_addresses.add(address)
 
+    def release(self, trial: str, address: str) -> None:
+        """Tell a worker that a trial at its upstream has ended.
+
+        :param trial: what excludes other runs of the same cause.
+        :param address: address of the upstream.
+        """
+        self._send(SuspicionUpdate(released=(trial,)), {address})
+
     def receive(self, update: SuspicionUpdate) -> None:
         """Merge an update of another process and forward what is new.
 
         :param update: the update.
         """
-        for crash in update.ends:
-            if crash.age < PROPAGATION_SECONDS:
-                self._replicas.record_crash(crash.upstream)
+        recent = {
+            crash.upstream
+            for crash in update.ends
+            if crash.age < PROPAGATION_SECONDS
+        }
+        recent |= {
+            run.upstream
+            for run in update.parts.lost
+            if run.age < PROPAGATION_SECONDS
+        }
+        for upstream in recent:
+            self._replicas.record_crash(upstream)
         new = self._suspicions.merge(update)
         if new != SuspicionUpdate():
             self._send(new, self._draw_addresses(FORWARD_RECIPIENTS))
@@ -102,12 +122,7 @@
         addresses = self._involved_addresses - {''}
         self._pending = []
         self._involved_addresses = set()
-        update = SuspicionUpdate(
-            tuple(crash for one in pending for crash in one.ends),
-            tuple(name for one in pending for name in one.cleared),
-            tuple(name for one in pending for name in one.kept),
-            tuple(name for one in pending for name in one.condemned),
-        )
+        update = combine_updates(pending)
         self._send(
             update, addresses | self._draw_addresses(OWN_UPDATE_RECIPIENTS)
         )
--- a/src/wigeonpier/hosted/trials.py
+++ b/src/wigeonpier/hosted/trials.py
@@ -52,6 +52,7 @@
         :param run_mode: how it may run.
         :returns: the upstream, ``None`` if the request has to wait.
         """
+        request.trial = self.suspects.choose_trial(request, run_mode)
         if run_mode is RunMode.alone:
             return self._find_exclusive(request)
         return self._find_shared(
@@ -66,6 +67,7 @@
         :returns: an upstream at which no other suspected request runs alone,
             ``None`` if there is none.
         """
+        request.trial = request.fingerprint
         return self._find_shared(request, IsolationLevel.shared)
 
     def _find_shared(
@@ -78,8 +80,8 @@
     def _find_exclusive(self, request: OnlineRequest) -> UpstreamState | None:
         """Reserve a slot where the request runs alone.
 
-        All entries try the same upstream first for the same request, so that
-        the worker there sees all its repeats and admits one at a time.
+        All entries try the same upstream first for the same cause, so that the
+        worker there sees all requests with it and admits one at a time.
         """
         tried = self.suspects.list_tried_versions(request)
         usable = {
@@ -87,7 +89,7 @@
             for state in self.chooser.list_candidates(request)
             if state.version not in tried
         }
-        ranked = rank_by_key(list(usable), request.fingerprint)[
+        ranked = rank_by_key(list(usable), request.trial)[
             :MAX_RESERVATION_ATTEMPTS
         ]
         upstreams = (usable[name] for name in ranked)
@@ -96,12 +98,19 @@
     def _draw_upstreams(
         self, request: OnlineRequest
     ) -> Iterator[UpstreamState]:
-        excluded: set[str] = set()
-        while len(excluded) < MAX_RESERVATION_ATTEMPTS:
+        tried_versions = self.suspects.list_tried_versions(request)
+        excluded = {
+            state.name
+            for state in self.chooser.list_candidates(request)
+            if state.version in tried_versions
+        }
+        attempts = 0
+        while attempts < MAX_RESERVATION_ATTEMPTS:
             upstream = self.chooser.choose(request, excluded)
             if upstream is None:
                 return
             excluded.add(upstream.name)
+            attempts += 1
             yield upstream
 
     def _try_each(
@@ -110,7 +119,7 @@
         upstreams: Iterable[UpstreamState],
         isolation: IsolationLevel,
     ) -> UpstreamState | None:
-        trial = TrialRequest(request.fingerprint, isolation.value)
+        trial = TrialRequest(request.trial, isolation.value)
         unanswered = None
         for upstream in upstreams:
             outcome = self.reserver.reserve(
--- a/src/wigeonpier/membership/suspicions.py
+++ b/src/wigeonpier/membership/suspicions.py
@@ -13,7 +13,17 @@
 
 from gevent.event import Event as Signal
 
-from wigeonpier.membership.updates import CrashReport, SuspicionUpdate
+from wigeonpier.membership.partsuspicions import (
+    REQUEST_DIGITS,
+    PartSuspicions,
+)
+from wigeonpier.membership.updates import (
+    NO_PARTS,
+    CrashReport,
+    LostRunReport,
+    PartUpdate,
+    SuspicionUpdate,
+)
 from wigeonpier.policy.suspicion import (
     RENEW_SECONDS,
     UNSTABLE_SECONDS,
@@ -27,7 +37,7 @@
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Set
+    from collections.abc import Callable, Iterable, Iterator, Sequence, Set
 
 # At 150 bytes each.  About eight requests are lost with each crash, and nearly
 # all of them are cleared within a second.
@@ -43,11 +53,12 @@
 
 
 class Suspicions:
-    """Suspected requests by fingerprint."""
+    """Suspected requests by fingerprint, and suspected parts of prompts."""
 
     def __init__(self) -> None:
         """Start without suspects."""
         self.suspects: dict[str, Suspect] = {}
+        self.parts = PartSuspicions()
         # Wakes the followers of the log.
         self.changed = Signal()
         self._cleared: dict[str, float] = {}
@@ -60,7 +71,7 @@
     @property
     def is_empty(self) -> bool:
         """Check whether there are no suspects, so that look-ups are skipped."""
-        return not self.suspects
+        return not self.suspects and self.parts.is_empty
 
     def get_run_mode(self, fingerprint: str, versions: Set[str]) -> RunMode:
         """Decide how a request may be run.
@@ -84,15 +95,20 @@
         suspect = self.suspects.get(fingerprint)
         return suspect is not None and suspect.is_culprit
 
-    def list_tried_versions(self, fingerprint: str) -> set[str]:
+    def list_tried_versions(
+        self, fingerprint: str, parts: Sequence[str] = ()
+    ) -> set[str]:
         """List the versions on which a culprit must not be tried again.
 
         :param fingerprint: the request.
+        :param parts: keys of the shared parts of its prompt.
         :returns: versions of upstreams' software, empty for any other request.
         """
-        if not self.is_refused(fingerprint):
-            return set()
-        return {crash.version for crash in self.suspects[fingerprint].crashes}
+        tried = self.parts.culprits.list_tried_versions(parts)
+        if self.is_refused(fingerprint):
+            crashes = self.suspects[fingerprint].crashes
+            tried |= {crash.version for crash in crashes}
+        return tried
 
     def record_crash(
         self,
@@ -102,6 +118,7 @@
         *,
         was_alone: bool,
         had_output: bool = False,
+        parts: tuple[str, ...] = (),
     ) -> SuspicionUpdate:
         """Record the crash of an upstream that was running a request.
 
@@ -110,12 +127,48 @@
         :param version: version of its software.
         :param was_alone: whether no other suspected request ran there.
         :param had_output: whether its run there had produced events.
+        :param parts: keys of the shared parts of its prompt.
         :returns: the update to publish.
         """
         crash = CrashReport(
             fingerprint, upstream, version, 0, was_alone, had_output
         )
-        return self.merge(SuspicionUpdate(ends=(crash,)))
+        lost = LostRunReport(
+            fingerprint[:REQUEST_DIGITS],
+            parts,
+            upstream,
+            version,
+            0,
+            was_alone,
+            had_output,
+        )
+        return self.merge(
+            SuspicionUpdate(
+                ends=(crash,),
+                parts=PartUpdate((lost,)) if parts else NO_PARTS,
+            )
+        )
+
+    def record_completion(
+        self,
+        fingerprint: str,
+        parts: tuple[str, ...],
+        version: str,
+        started_at: float,
+    ) -> SuspicionUpdate:
+        """Record a completed run of a request.
+
+        :param fingerprint: the request; empty if it is not cleared, since
+            nothing is suspected or its run goes on.
+        :param parts: keys of the shared parts of its prompt.
+        :param version: software version of the upstream.
+        :param started_at: when it began, seconds of the monotonic clock.
+        :returns: the update to publish.
+        """
+        proofs = self.parts.record_completion(parts, version, started_at)
+        if self.is_empty:
+            return SuspicionUpdate()
+        return self.merge(SuspicionUpdate(cleared=(fingerprint,), parts=proofs))
 
     def clear(self, fingerprint: str) -> SuspicionUpdate:
         """Remove a request from the suspects.
@@ -125,18 +178,24 @@
         """
         return self.merge(SuspicionUpdate(cleared=(fingerprint,)))
 
-    def record_repeat(self, fingerprint: str) -> SuspicionUpdate:
+    def record_repeat(
+        self, fingerprint: str, parts: Sequence[str] = ()
+    ) -> SuspicionUpdate:
         """Record that a refused request was sent again.
 
         :param fingerprint: the request.
+        :param parts: keys of the shared parts of its prompt.
         :returns: the update to publish, empty if one was published recently.
         """
         suspect = self.suspects.get(fingerprint)
-        if suspect is None:
-            return SuspicionUpdate()
-        if time.monotonic() - suspect.last_seen_at < RENEW_SECONDS:
-            return SuspicionUpdate()
-        return self.merge(SuspicionUpdate(kept=(fingerprint,)))
+        oldest = time.monotonic() - RENEW_SECONDS
+        is_old = suspect is not None and suspect.last_seen_at <= oldest
+        return self.merge(
+            SuspicionUpdate(
+                kept=(fingerprint,) if is_old else (),
+                parts=self.parts.record_repeat(parts),
+            )
+        )
 
     def merge(self, update: SuspicionUpdate) -> SuspicionUpdate:
         """Merge an update from another process.
@@ -146,6 +205,7 @@
         """
         now = time.monotonic()
         self._new_culprits.clear()
+        parts = self._merge_parts(update.parts)
         crashes = tuple(
             crash for crash in update.ends if self._add_crash(crash, now)
         )
@@ -160,6 +220,7 @@
                 name for name in update.kept if self._apply_repeat(name, now)
             ),
             tuple(self._new_culprits),
+            parts,
         )
         if fresh != SuspicionUpdate():
             self._log.append(fresh)
@@ -195,6 +256,7 @@
             ),
             tuple(self._cleared),
             condemned=tuple(filter(self.is_refused, self.suspects)),
+            parts=self.parts.describe(),
         )
 
     def summarize(self) -> SuspicionUpdate:
@@ -218,6 +280,7 @@
             ),
             tuple(self._cleared)[-MAX_SUMMARIZED:],
             condemned=tuple(filter(self.is_refused, ranked[:MAX_SUMMARIZED])),
+            parts=self.parts.summarize(),
         )
 
     def list_crashes(self, fingerprint: str) -> Iterator[CrashReport]:
@@ -238,14 +301,31 @@
                 crash.had_output,
             )
 
+    def _merge_parts(self, update: PartUpdate) -> PartUpdate:
+        """Merge changes of parts, and drop the crashes that culprits explain."""
+        if update == NO_PARTS:
+            return NO_PARTS
+        others = {
+            crash.upstream: crash.at
+            for suspect in self.suspects.values()
+            for crash in suspect.crashes
+            if not suspect.is_culprit
+        }
+        fresh = self.parts.merge(update, others)
+        if fresh.culprits or fresh.lost:
+            _drop_explained(self.suspects, self.parts.culprits.explains)
+        return fresh
+
     def _add_crash(self, report: CrashReport, now: float) -> bool:
         at = now - report.age
         cleared_at = self._cleared.get(report.fingerprint)
         if cleared_at is not None and at <= cleared_at + PROPAGATION_SECONDS:
             return False
-        if self._is_explained(report):
+        if self.parts.culprits.explains(report.upstream) or _is_explained(
+            self.suspects, report
+        ):
             return False
-        suspect = self._get_suspect(report.fingerprint)
+        suspect = _get_suspect(self.suspects, report.fingerprint)
         crash = Crash(
             report.upstream,
             report.version,
@@ -273,25 +353,6 @@
                 self._confirm_culprit(report.fingerprint)
         return True
 
-    def _get_suspect(self, fingerprint: str) -> Suspect:
-        suspect = self.suspects.get(fingerprint)
-        if suspect is None:
-            while len(self.suspects) >= MAX_SUSPECTS:
-                self.suspects.pop(_choose_evicted(self.suspects))
-            suspect = self.suspects.setdefault(fingerprint, Suspect())
-        return suspect
-
-    def _is_explained(self, report: CrashReport) -> bool:
-        """Check whether a known culprit already explains a crash."""
-        return any(
-            suspect.is_culprit
-            and any(
-                crash.upstream == report.upstream for crash in suspect.crashes
-            )
-            for fingerprint, suspect in self.suspects.items()
-            if fingerprint != report.fingerprint
-        )
-
     def _confirm_culprit(self, culprit: str) -> None:
         """Mark a culprit, and drop its crashes from all other suspects."""
         self.suspects[culprit].is_culprit = True
@@ -304,16 +365,8 @@
             alone=[crash.upstream for crash in crashes if crash.was_alone],
         )
         explained = {crash.upstream for crash in crashes}
-        for fingerprint, suspect in list(self.suspects.items()):
-            if suspect.is_culprit:
-                continue
-            suspect.crashes = [
-                crash
-                for crash in suspect.crashes
-                if crash.upstream not in explained
-            ]
-            if not suspect.crashes:
-                self.suspects.pop(fingerprint)
+        _drop_explained(self.suspects, explained.__contains__)
+        self.parts.drop_innocent(explained, culprit[:REQUEST_DIGITS])
 
     def _accept_culprit(self, fingerprint: str) -> None:
         """Accept a culprit that another process has confirmed.
@@ -344,6 +397,41 @@
         return True
 
 
+def _is_explained(suspects: dict[str, Suspect], report: CrashReport) -> bool:
+    """Check whether a known culprit already explains a crash."""
+    return any(
+        suspect.is_culprit
+        and any(crash.upstream == report.upstream for crash in suspect.crashes)
+        for fingerprint, suspect in suspects.items()
+        if fingerprint != report.fingerprint
+    )
+
+
+def _drop_explained(
+    suspects: dict[str, Suspect], is_explained: Callable[[str], bool]
+) -> None:
+    """Drop crashes that a culprit explains from all other suspects."""
+    for fingerprint, suspect in list(suspects.items()):
+        if suspect.is_culprit:
+            continue
+        suspect.crashes = [
+            crash
+            for crash in suspect.crashes
+            if not is_explained(crash.upstream)
+        ]
+        if not suspect.crashes:
+            suspects.pop(fingerprint)
+
+
+def _get_suspect(suspects: dict[str, Suspect], fingerprint: str) -> Suspect:
+    suspect = suspects.get(fingerprint)
+    if suspect is None:
+        while len(suspects) >= MAX_SUSPECTS:
+            suspects.pop(_choose_evicted(suspects))
+        suspect = suspects.setdefault(fingerprint, Suspect())
+    return suspect
+
+
 def _count_unexplained(
     suspects: Iterable[Suspect],
     suspect: Suspect,
--- a/src/wigeonpier/policy/suspicion.py
+++ b/src/wigeonpier/policy/suspicion.py
@@ -144,8 +144,21 @@
     """
     early = [crash for crash in suspect.crashes if not crash.had_output]
     late = len(suspect.crashes) - len(early)
-    count = len(early) + WEIGHT_AFTER_OUTPUT * late
-    lone = sum(crash.was_alone for crash in early)
+    return is_enough_evidence(
+        len(early) + WEIGHT_AFTER_OUTPUT * late,
+        sum(crash.was_alone for crash in early),
+        other_crashes,
+    )
+
+
+def is_enough_evidence(count: float, lone: int, other_crashes: int) -> bool:
+    """Check whether crashes are enough to identify their cause.
+
+    :param count: crashes, with less weight for those after some output.
+    :param lone: crashes before any output without another suspected request.
+    :param other_crashes: recent crashes that nothing explains.
+    :returns: true if they are.
+    """
     if other_crashes:
         has_lone_evidence = lone >= UNSTABLE_LONE_CRASHES_TO_QUARANTINE
         max_without_lone = UNSTABLE_CRASHES_WITHOUT_LONE
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -149,6 +149,21 @@
         WARNING_LEVEL,
         'A request that crashes upstreams was refused.',
     )
+    part_suspected = (
+        318,
+        WARNING_LEVEL,
+        'A request whose prompt has shared parts was lost in a crash.',
+    )
+    part_condemned = (
+        319,
+        ERROR_LEVEL,
+        'Parts of prompts crash upstreams; requests with them are not run.',
+    )
+    part_cleared = (
+        323,
+        INFO_LEVEL,
+        'Parts of prompts are no longer suspected of causing crashes.',
+    )
     upstream_ejected = (
         320,
         WARNING_LEVEL,
