Keep crashes of a refused request apart from the parts of others

Cause: a run that was lost with a request which had just been refused for that crash was reported later, and counted against the parts of its own prompt. Change: such reports are left out, as the count per request already does.

--- a/src/wigeonpier/membership/suspicions.py
+++ b/src/wigeonpier/membership/suspicions.py
@@ -11,6 +11,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+import msgspec
 from gevent.event import Event as Signal
 
 from wigeonpier.membership.partsuspicions import (
@@ -311,7 +312,14 @@
             for crash in suspect.crashes
             if not suspect.is_culprit
         }
-        fresh = self.parts.merge(update, others)
+        unexplained = tuple(
+            run
+            for run in update.lost
+            if not _is_explained(self.suspects, run.upstream, run.request)
+        )
+        fresh = self.parts.merge(
+            msgspec.structs.replace(update, lost=unexplained), others
+        )
         if fresh.culprits or fresh.lost:
             _drop_explained(self.suspects, self.parts.culprits.explains)
         return fresh
@@ -322,7 +330,7 @@
         if cleared_at is not None and at <= cleared_at + PROPAGATION_SECONDS:
             return False
         if self.parts.culprits.explains(report.upstream) or _is_explained(
-            self.suspects, report
+            self.suspects, report.upstream, report.fingerprint
         ):
             return False
         suspect = _get_suspect(self.suspects, report.fingerprint)
@@ -397,13 +405,21 @@
         return True
 
 
-def _is_explained(suspects: dict[str, Suspect], report: CrashReport) -> bool:
-    """Check whether a known culprit already explains a crash."""
+def _is_explained(
+    suspects: dict[str, Suspect], upstream: str, request: str
+) -> bool:
+    """Check whether another request is known to have caused a crash.
+
+    :param suspects: suspected requests.
+    :param upstream: start of the upstream.
+    :param request: fingerprint of the request that was lost, or its start.
+    :returns: true if one is.
+    """
     return any(
         suspect.is_culprit
-        and any(crash.upstream == report.upstream for crash in suspect.crashes)
+        and any(crash.upstream == upstream for crash in suspect.crashes)
         for fingerprint, suspect in suspects.items()
-        if fingerprint != report.fingerprint
+        if not fingerprint.startswith(request)
     )
 
 
