--- a/tests/membership/test_partsuspicions.py
+++ b/tests/membership/test_partsuspicions.py
@@ -137,12 +137,12 @@
             f'i-{number}',
             'v1',
             was_alone=number == 2,
-            parts=('a', 'b'),
+            parts=('a', 'e'),
         )
         lose(suspicions, number, 'a', 'd')
     assert suspicions.is_refused('f' * 32)
     assert get_mode(suspicions, 'd') is RunMode.free
-    assert get_mode(suspicions, 'b') is RunMode.alone
+    assert get_mode(suspicions, 'e') is RunMode.alone
 
 
 def test_lifted_part_ignores_late_reports(proven) -> None:
