Let the fault soak send requests with parts that crash replicas

Entries and workers are killed, cut off and restarted meanwhile, the store is away and answers break off. Sound requests have the same first part and share the others; the stated bound is three runs later than 3 s after the fifth crash.

--- a/src/wigeonpier/bench/experiments.py
+++ b/src/wigeonpier/bench/experiments.py
@@ -99,7 +99,10 @@
         make_folder('hosted'),
         parsed.processes,
         SoakParts(
-            bool(parsed.crashes), bool(parsed.keys), bool(parsed.versions)
+            bool(parsed.crashes),
+            bool(parsed.keys),
+            bool(parsed.versions),
+            bool(parsed.parts),
         ),
     )
 
@@ -150,6 +153,7 @@
             Option('crashes', 0, '1 where replicas end as well'),
             Option('keys', 0, '1 where customers have keys and limits'),
             Option('versions', 0, '1 where two software versions serve'),
+            Option('parts', 0, '1 where parts of prompts crash replicas'),
         ),
         _run_fault_soak,
     ),
--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -25,6 +25,7 @@
 )
 from wigeonpier.bench.soakfaults import SoakFaults
 from wigeonpier.bench.soakkeys import SoakKeys
+from wigeonpier.bench.soakprompts import SoakPrompts
 from wigeonpier.bench.soaksite import DISKS, EVENTS, SoakSite, SoakSize
 from wigeonpier.bench.soakstreams import SoakStreams
 
@@ -41,6 +42,7 @@
 # Offsets to the seed; the other parts of a run use offsets 0 to 2.
 KEYS_SEED = 3
 STREAMS_SEED = 4
+PROMPTS_SEED = 5
 # Share of entries among the processes that are not storage.
 ENTRY_SHARE = 0.4
 
@@ -83,11 +85,13 @@
     :param has_keys: whether customers with keys and limits exist.
     :param has_versions: whether replicas of two software versions serve, and
         callers leave and resume streams.
+    :param has_parts: whether a part of prompts crashes every replica.
     """
 
     has_crashes: bool = False
     has_keys: bool = False
     has_versions: bool = False
+    has_parts: bool = False
 
 
 NO_PARTS = SoakParts()
@@ -114,17 +118,13 @@
         :returns: the report.
         """
         self.site.start()
-        callers = SoakCallers(self.site.entries, random.Random(self.seed + 1))
-        crashes = SoakCrashes(self.site, callers, random.Random(self.seed + 2))
-        keys = SoakKeys(
-            self.site, callers, random.Random(self.seed + KEYS_SEED)
-        )
+        callers = SoakCallers(self.site.entries, self._make_rng(1))
+        crashes = SoakCrashes(self.site, callers, self._make_rng(2))
+        keys = SoakKeys(self.site, callers, self._make_rng(KEYS_SEED))
         streams = SoakStreams(
-            self.site.entries,
-            random.Random(self.seed + STREAMS_SEED),
-            EVENTS,
-            callers,
+            self.site.entries, self._make_rng(STREAMS_SEED), EVENTS, callers
         )
+        prompts = SoakPrompts(self.site, callers, self._make_rng(PROMPTS_SEED))
         with ExitStack() as stack:
             stack.callback(self.site.stop)
             if self.parts.has_keys:
@@ -137,28 +137,47 @@
                     (crashes, self.parts.has_crashes),
                     (keys, self.parts.has_keys),
                     (streams, self.parts.has_versions),
+                    (prompts, self.parts.has_parts),
                 )
                 if is_played
             ]
-            faults = self._inject_faults(random.Random(self.seed))
+            faults = self._inject_faults(self._make_rng(0))
             gevent.joinall(loops, raise_error=True)
             callers.finish(FINISH_SECONDS)
-            runs = self.site.list_crashing_runs()
             broken = callers.find_violations(self.site.replicas)
             broken += streams.find_violations()
             if self.parts.has_keys:
                 broken += keys.find_violations(self.site.list_received())
+        return self._make_report(
+            faults | crashes.counts | keys.counts,
+            callers,
+            dict(streams.counts),
+            broken,
+        )
+
+    def _make_report(
+        self,
+        faults: dict[str, int],
+        callers: SoakCallers,
+        streams: dict[str, int],
+        broken: list[str],
+    ) -> FaultSoakReport:
+        runs = self.site.list_crashing_runs()
         return FaultSoakReport(
             self.seed,
             len(self.site.processes),
-            faults | crashes.counts | keys.counts,
+            faults,
             callers.count_outcomes(),
             callers.count_jobs(),
-            dict(streams.counts),
+            streams,
             count_crashes(runs),
             broken + check_crashing_runs(runs),
         )
 
+    def _make_rng(self, offset: int) -> random.Random:
+        """Make the source of randomness of one part."""
+        return random.Random(self.seed + offset)
+
     def _inject_faults(self, rng: random.Random) -> dict[str, int]:
         kinds = SoakFaults(self.site, rng).list_faults()
         injections: list[gevent.Greenlet[..., None]] = []
--- a/src/wigeonpier/bench/soakcallers.py
+++ b/src/wigeonpier/bench/soakcallers.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from wigeonpier.bench.processes import HostedProcess
     from wigeonpier.bench.replica import StandInReplica
@@ -40,6 +41,9 @@
 NOT_RUN = frozenset((408, 421, 429, 503))
 MAX_SUBMISSIONS = 2
 SHARED_BODY_INTERVAL = 5
+# Parts of prompts that sound requests share with crashing ones.
+FIRST_PART = 'first'
+OTHER_PARTS = ('second', 'third', 'fourth')
 # Requests under this path run at most once.
 RUN_ONCE_PREFIX = '/once/'
 # Between the text of an event and the version that wrote it.
@@ -160,17 +164,20 @@
         accepted = len([job for job in self.jobs if job.is_accepted])
         return {'accepted': accepted, 'not': len(self.jobs) - accepted}
 
-    def send_crashing(self, path: str, body: bytes) -> int:
+    def send_crashing(
+        self, path: str, body: bytes, parts: Sequence[str] = ()
+    ) -> int:
         """Send a request that crashes replicas to a random entry.
 
         :param path: path of the request.
-        :param body: body that triggers the crash.
+        :param body: its body, which may trigger the crash.
+        :param parts: ids of the shared parts of its prompt, likewise.
         :returns: the status, 0 for no answer.
         """
         self._crashing_count += 1
         entry = self._rng.choice(self._entries)
         name = f'deadly{self._crashing_count}'
-        reply = self._call(entry, 'POST', path, name, body)
+        reply = self._call(entry, 'POST', path, name, body, prompt=parts)
         return reply.status if reply else 0
 
     def send_with_key(self, key: str, path: str, name: str) -> None:
@@ -199,7 +206,8 @@
         # Most requests have a body of their own; the others share one body.
         is_shared = not len(self._outcomes) % SHARED_BODY_INTERVAL
         body = b'' if is_shared else name.encode()
-        reply = self._call(entry, 'POST', path, name, body)
+        prompt = make_prompt(len(self._outcomes))
+        reply = self._call(entry, 'POST', path, name, body, prompt=prompt)
         status = reply.status if reply else 0
         self._outcomes[name] = SoakAnswer(
             path,
@@ -265,18 +273,32 @@
         target: str,
         name: str,
         body: bytes = b'',
-        key: str = '',
+        **options: Any,
     ) -> Reply | None:
         headers: list[tuple[str, str]] = [('Host', HOST)]
-        if key or self.key:
-            headers.append((wire.KEY_HEADER, key or self.key))
+        key = options.get('key') or self.key
+        if key:
+            headers.append((wire.KEY_HEADER, key))
         if name:
             headers += [(wire.REQUEST_ID, name), (wire.DEADLINE_MS, '5000')]
+        prompt = options.get('prompt')
+        if prompt:
+            listed = ','.join(f'{part}:1' for part in (*prompt, name))
+            headers.append((wire.PROMPT_PARTS, listed))
         raw = make_request(method, target, headers, body)
         called: Any = self._pool.call(entry.callers, raw, CALL_TIMEOUT_SECONDS)
         return None if isinstance(called, Err) else called.ok_value
 
 
+def make_prompt(number: int) -> list[str]:
+    """Make the shared parts of a prompt.
+
+    :param number: number of the request.
+    :returns: ids of the parts, the same first one for all requests.
+    """
+    return [FIRST_PART, OTHER_PARTS[number % len(OTHER_PARTS)]]
+
+
 def find_version(body: bytes) -> str:
     """Find the software version that wrote the first event of a text.
 
--- a/src/wigeonpier/bench/soakcrashes.py
+++ b/src/wigeonpier/bench/soakcrashes.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from wigeonpier.bench.replica import DEADLY_MARK
+from wigeonpier.bench.replica import DEADLY_MARK, DEADLY_PART_PREFIX
 
 if TYPE_CHECKING:
     import random
@@ -32,9 +32,11 @@
 PAUSE_SECONDS = (0.3, 1.5)
 # A caller does not retry at once after these.
 FINAL_STATUSES = frozenset((200, 400))
-# Stated bound: time after the third crash until all processes know of it, and
-# number of runs of the request after that.
+# Stated bound: time after the third crash under a request, or the fifth under a
+# part of prompts, until all processes know of it, and number of runs after
+# that.
 CONFIRMING_CRASHES = 3
+CONFIRMING_PART_CRASHES = 5
 PROPAGATION_SECONDS = 3.0
 MAX_LATE_RUNS = 3
 
@@ -130,9 +132,11 @@
         crash_times = sorted(
             run.crashed_at for run in request_runs if run.crashed_at
         )
-        if len(crash_times) < CONFIRMING_CRASHES:
+        is_part = fingerprint.startswith(DEADLY_PART_PREFIX)
+        confirming = CONFIRMING_PART_CRASHES if is_part else CONFIRMING_CRASHES
+        if len(crash_times) < confirming:
             continue
-        known_at = crash_times[CONFIRMING_CRASHES - 1] + PROPAGATION_SECONDS
+        known_at = crash_times[confirming - 1] + PROPAGATION_SECONDS
         late = [run for run in request_runs if run.started_at > known_at]
         if len(late) > MAX_LATE_RUNS:
             violations.append(
--- a/tests/bench/test_faultsoak.py
+++ b/tests/bench/test_faultsoak.py
@@ -73,6 +73,19 @@
     assert report.questions['200']
 
 
+def test_few_runs_with_a_crashing_part_under_random_faults(tmp_path) -> None:
+    """No two requests with the part are alike; others share the rest."""
+    report = run_fault_soak(
+        SHORT_SEED,
+        REGRESSION_SECONDS,
+        tmp_path,
+        parts=SoakParts(has_parts=True),
+    )
+    assert not report.broken
+    assert report.ends
+    assert report.questions['200']
+
+
 def test_invariants_hold_with_customers(tmp_path) -> None:
     """Keys are rotated, and one customer exceeds its rate limit by far."""
     report = run_fault_soak(
@@ -131,6 +144,16 @@
     assert count_crashes(crashes + late) == [3]
 
 
+def test_late_run_with_a_crashing_part_is_detected() -> None:
+    """The fifth crash has to be known everywhere 3 s later."""
+    crashes = [
+        CrashingRun('part p', number, number + 0.1) for number in range(5)
+    ]
+    late = [CrashingRun('part p', 7.2 + number) for number in range(4)]
+    assert not check_crashing_runs(crashes + late[:3])
+    assert check_crashing_runs(crashes + late)
+
+
 @pytest.mark.parametrize(
     ('path', 'status', 'body', 'runs'),
     [
