Bound the parts of a request and the runs that are stored of a culprit

A caller could have dropped the proofs of all other parts with a long header, an entry of many lost runs could have been too large for a disk, and a caller that left during a trial held it for 3 s.

--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -13,7 +13,7 @@
 from wigeonpier.hosted.failures import MAX_SAFE_IDLE_SECONDS, shows_fault
 from wigeonpier.platform import ingress
 from wigeonpier.policy.fingerprint import digest_request
-from wigeonpier.policy.promptparts import make_part_key
+from wigeonpier.policy.promptparts import make_part_keys
 from wigeonpier.policy.streamorigin import UNKNOWN_VERSION, is_same_version
 from wigeonpier.web.exchange import make_request
 
@@ -129,9 +129,8 @@
     def part_keys(self) -> tuple[str, ...]:
         """Return the keys of the shared parts of its prompt, in order."""
         if self._part_keys is None:
-            self._part_keys = tuple(
-                make_part_key(self.job.service, part)
-                for part in ingress.list_shared_parts(self.item)
+            self._part_keys = make_part_keys(
+                self.job.service, ingress.list_shared_parts(self.item)
             )
         return self._part_keys
 
--- a/src/wigeonpier/hosted/quarantine/replica.py
+++ b/src/wigeonpier/hosted/quarantine/replica.py
@@ -40,7 +40,7 @@
 FOLDER = 'refusals'
 # No other file names are accepted.
 FINGERPRINT_PATTERN = '([0-9a-f]{32})'
-MAX_ENTRY_BYTES = 16_000
+MAX_ENTRY_BYTES = 64_000
 MAX_ENTRIES = 4096
 # Counted from when the entry was received or the process started.
 SUSPICION_TTL_SECONDS = 300.0
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -9,7 +9,7 @@
 from wigeonpier.hosted.failures import SendFailure
 from wigeonpier.policy.claimwait import SlotSearch
 from wigeonpier.policy.fingerprint import digest_request
-from wigeonpier.policy.promptparts import make_part_key
+from wigeonpier.policy.promptparts import make_part_keys
 from wigeonpier.policy.silence import choose_read_timeout
 from wigeonpier.policy.waiting import QueueTime
 from wigeonpier.served import RouteKind
@@ -136,13 +136,17 @@
     _fingerprint: str = ''
     _part_keys: tuple[str, ...] | None = None
 
+    @property
+    def last_send(self) -> SendRecord:
+        """Return its last send; there is one."""
+        return self.sends[-1]
+
     @property
     def part_keys(self) -> tuple[str, ...]:
         """Return the keys of the shared parts of its prompt, in order."""
         if self._part_keys is None:
-            self._part_keys = tuple(
-                make_part_key(self.service, part)
-                for part in self.head.shared_parts
+            self._part_keys = make_part_keys(
+                self.service, self.head.shared_parts
             )
         return self._part_keys
 
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -209,13 +209,19 @@
             if not request.first_event_at:
                 self._origins.record(request)
             has_events = True
-            request.sends[-1].had_output = True
-            self._sender.binder.suspects.record_progress(request, upstream)
+            self._record_output(request, upstream)
             request.first_event_at = request.first_event_at or time.monotonic()
             if tracked is not None:
                 tracked.waits_since = 0
             yield event.raw
 
+    def _record_output(
+        self, request: OnlineRequest, upstream: UpstreamState
+    ) -> None:
+        request.last_send.had_output = True
+        if not request.last_send.is_proven:
+            self._sender.binder.suspects.record_progress(request, upstream)
+
     def _end_stream(
         self,
         request: OnlineRequest,
@@ -294,6 +300,7 @@
         if request.watcher is not None:
             request.watcher.kill(block=False)
         request.release()
+        self._sender.binder.suspects.end_trial(request)
         outcome = 'caller gone' if request.is_abandoned else outcome
         route = request.route.name
         seconds = time.monotonic() - request.received_at
--- a/src/wigeonpier/hosted/suspects.py
+++ b/src/wigeonpier/hosted/suspects.py
@@ -144,8 +144,8 @@
             request.fingerprint,
             upstream.start,
             upstream.version,
-            was_alone=request.sends[-1].company == IsolationLevel.exclusive,
-            had_output=request.sends[-1].had_output,
+            was_alone=request.last_send.company == IsolationLevel.exclusive,
+            had_output=request.last_send.had_output,
             parts=request.part_keys,
         )
         self.metrics.count('suspected_total')
@@ -163,8 +163,8 @@
         crash = PossibleCrash(
             request.fingerprint,
             upstream.start,
-            request.sends[-1].company == IsolationLevel.exclusive,
-            request.sends[-1].had_output,
+            request.last_send.company == IsolationLevel.exclusive,
+            request.last_send.had_output,
             time.monotonic(),
             request.part_keys,
         )
@@ -202,7 +202,7 @@
         :param request: the request.
         :param upstream: upstream that ran it.
         """
-        send = request.sends[-1]
+        send = request.last_send
         update = self.suspicions.record_completion(
             '' if self.suspicions.is_empty else request.fingerprint,
             request.part_keys,
@@ -220,10 +220,10 @@
         :param request: the request, after an event.
         :param upstream: upstream that runs it.
         """
-        send = request.sends[-1]
+        send = request.last_send
         now = time.monotonic()
         send.first_event_at = send.first_event_at or now
-        if send.is_proven or now - send.first_event_at < PROOF_SECONDS:
+        if now - send.first_event_at < PROOF_SECONDS:
             return
         send.is_proven = True
         update = self.suspicions.record_completion(
@@ -239,11 +239,24 @@
         :param request: the request whose run there has ended.
         :param upstream: the upstream.
         """
-        send = request.sends[-1]
+        send = request.last_send
         if send.trial:
             self.publisher.release(send.trial, upstream.address)
             send.trial = ''
 
+    def end_trial(self, request: OnlineRequest) -> None:
+        """Release the trial of a request that has ended, whatever the reason.
+
+        One whose upstream may have crashed goes on until that is known.
+
+        :param request: the request.
+        """
+        if not request.sends or request.count_losses():
+            return
+        upstream = self.replicas.upstreams.get(request.last_send.upstream)
+        if upstream is not None:
+            self.release_trial(request, upstream)
+
     def record_refusal(self, request: OnlineRequest) -> None:
         """Record that a request is refused because it crashes upstreams.
 
--- a/src/wigeonpier/membership/partsuspicions.py
+++ b/src/wigeonpier/membership/partsuspicions.py
@@ -50,6 +50,8 @@
 
 # Lost runs and proofs in a heartbeat: 10 KB at most, usually nothing.
 MAX_SUMMARIZED = 32
+# Lost runs that are stored: more than are needed to confirm a culprit.
+MAX_STORED = 8
 REQUEST_DIGITS = 16
 
 
@@ -187,13 +189,13 @@
         """Describe one culprit, for storage.
 
         :param name: its name.
-        :returns: it and its lost runs, empty if it is not known.
+        :returns: it and its latest lost runs, empty if it is not known.
         """
         culprit = self.culprits.by_name.get(name)
         if culprit is None:
             return PartUpdate()
         return PartUpdate(
-            report_runs(culprit.runs.values()),
+            report_runs(list(culprit.runs.values())[-MAX_STORED:]),
             culprits=(report_culprit(culprit),),
         )
 
@@ -201,11 +203,11 @@
         """Describe what counts against one part, for storage.
 
         :param part: key of the part.
-        :returns: its lost runs.
+        :returns: its latest lost runs.
         """
         found = self.evidence.get(part)
-        runs = found.unproven.values() if found else ()
-        return PartUpdate(report_runs(runs))
+        runs = list(found.unproven.values()) if found else []
+        return PartUpdate(report_runs(runs[-MAX_STORED:]))
 
     def _is_suspected(self, part: str) -> bool:
         return part in self.evidence or self.culprits.has(part)
--- a/src/wigeonpier/policy/promptparts.py
+++ b/src/wigeonpier/policy/promptparts.py
@@ -50,6 +50,8 @@
 # A report that was lost must not make two parts of the same prompts look
 # different.
 MAX_UNREPORTED_CRASHES = 1
+# Prompts have a few; a caller could drop the proofs of all others with more.
+MAX_PARTS = 32
 # Ids are up to 16 digits long; callers may send others.
 MAX_PART_LENGTH = 64
 
@@ -132,16 +134,16 @@
             runs[run.upstream] = run
 
 
-def make_part_key(service: str, part: str) -> str:
-    """Make the key of a part.
+def make_part_keys(service: str, parts: Sequence[str]) -> tuple[str, ...]:
+    """Make the keys of the parts of a prompt.
 
     :param service: service that runs the request; another one runs other
         software.
-    :param part: id of the part.
-    :returns: the key.
+    :param parts: ids of the parts.
+    :returns: the keys, in order.
     """
-    shortened = part[:MAX_PART_LENGTH]
-    return f'{service}/{shortened}'
+    shortened = [part[:MAX_PART_LENGTH] for part in parts[:MAX_PARTS]]
+    return tuple(f'{service}/{part}' for part in shortened)
 
 
 def digest_part(*parts: str) -> str:
--- a/tests/policy/test_promptparts.py
+++ b/tests/policy/test_promptparts.py
@@ -7,6 +7,7 @@
 from wigeonpier.policy.promptparts import (
     CRASHES_DESPITE_PROOF,
     MAX_PART_LENGTH,
+    MAX_PARTS,
     LostRun,
     PartCulprit,
     choose_part_mode,
@@ -14,7 +15,7 @@
     collect_evidence,
     find_inseparable,
     is_part_confirmed,
-    make_part_key,
+    make_part_keys,
 )
 from wigeonpier.policy.suspicion import RunMode
 
@@ -157,5 +158,6 @@
 
 
 def test_keys_are_bounded() -> None:
-    key = make_part_key('service', 'f' * 1000)
-    assert len(key) == len('service/') + MAX_PART_LENGTH
+    keys = make_part_keys('service', ['f' * 1000] * 100)
+    assert len(keys) == MAX_PARTS
+    assert len(keys[0]) == len('service/') + MAX_PART_LENGTH
