Blame a part only if it explains more of its crashes than any other

Causes: a part at crashes of two bad parts had more evidence than either; lone runs with a second, still unknown bad part counted as proof; streams proved their parts only 0.3 s after their first event; a process that started got lost runs without all proofs of their parts. Change: a part that shares crashes with another one is confirmed only if it explains more of them; parts that nothing separates are preferred together; 0.15 s prove a part; proofs out of date count only where all lost runs have the part; the state for a process that starts has the proofs of all parts in it.

--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -83,6 +83,8 @@
         empty if it is not suspected itself.
     :param started_at: when its current run began, seconds of the monotonic
         clock.
+    :param first_event_at: when the first event of that run arrived, likewise;
+        0 before, and once the parts of its prompt are recorded as sound.
     """
 
     job: OpenJob
@@ -109,6 +111,7 @@
     version: str = UNKNOWN_VERSION
     trial: str = ''
     started_at: float = 0
+    first_event_at: float = 0
     _fingerprint: str = ''
     _part_keys: tuple[str, ...] | None = None
 
@@ -171,6 +174,14 @@
         self.version = version
         return is_restarted
 
+    def record_event(self, now: float) -> None:
+        """Record that an event of the current run has arrived.
+
+        :param now: seconds of the monotonic clock.
+        """
+        if not self.has_new_events:
+            self.first_event_at = now
+
     def stop(self) -> None:
         """Stop the current run; the text so far is kept."""
         self.is_paused = True
@@ -262,12 +273,14 @@
 
 def _read_events(work: ItemWork, response: Exchange) -> RunOutcome:
     reader = EventReader(response)
+    work.first_event_at = 0
     while True:
         event = reader.read(READ_TIMEOUT_SECONDS)
         if event is None:
             work.is_faulted = reader.is_cut_off
             return RunOutcome.broken if reader.is_cut_off else RunOutcome.whole
         if event.identity:
+            work.record_event(time.monotonic())
             work.texts.append(event.text)
             work.last_event = event.identity
 
--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.policy.incarnation import name_start
-from wigeonpier.policy.promptparts import rank_mode
+from wigeonpier.policy.promptparts import PROOF_SECONDS, rank_mode
 from wigeonpier.policy.suspicion import RunMode
 from wigeonpier.policy.trial import IsolationLevel, Verdict
 
@@ -98,10 +98,15 @@
     def update(self, running: Iterable[ItemWork]) -> None:
         """Renew trials of items that run alone; end others after the window.
 
+        The parts of the prompt of one that has run for a while are sound.
+
         :param running: all running items.
         """
         now = time.monotonic()
         for work in running:
+            if 0 < work.first_event_at < now - PROOF_SECONDS:
+                work.first_event_at = 0
+                self._record_sound(work)
             if work.isolation == IsolationLevel.exclusive:
                 self.trials.add(work.trial, IsolationLevel.exclusive, now)
             elif work.trial and self.trials.started_before(
@@ -149,12 +154,8 @@
 
         :param work: the item.
         """
-        self.suspicions.record_completion(
-            '' if self.suspicions.is_empty else work.fingerprint,
-            work.part_keys,
-            work.version,
-            work.started_at,
-        )
+        cleared = '' if self.suspicions.is_empty else work.fingerprint
+        self._record_sound(work, cleared)
 
     def _get_run_mode(self, work: ItemWork) -> RunMode:
         if self.suspicions.is_empty or self.upstream.replica is None:
@@ -166,6 +167,12 @@
             key=rank_mode,
         )
 
+    def _record_sound(self, work: ItemWork, cleared: str = '') -> None:
+        """Record that a run has survived, and clear the item if it is over."""
+        self.suspicions.record_completion(
+            cleared, work.part_keys, work.version, work.started_at
+        )
+
     def _choose_trial(self, work: ItemWork, run_mode: RunMode) -> str:
         """Choose what excludes other runs of the same cause."""
         if run_mode is not RunMode.alone:
--- a/src/wigeonpier/membership/partproofs.py
+++ b/src/wigeonpier/membership/partproofs.py
@@ -21,14 +21,18 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from wigeonpier.policy.promptparts import LostRun
+
     # Part and software version.
     ProofKey = tuple[str, str]
 
 # Some 250 bytes each: the parts of one entry in an hour at 100 new ones a
 # minute.
 MAX_PROOFS = 8192
-# Proofs that are sent to processes that start.
-MAX_REPORTED = 256
+# Proofs that are recognised when they are received again.
+MAX_REPORTED = 4096
+# Proofs that are sent to a process that starts.
+MAX_DESCRIBED = 256
 # A later run of the same part is reported again after this time.
 REPORT_INTERVAL_SECONDS = 0.5
 AGE_DIGITS = 3
@@ -140,16 +144,20 @@
             self._record_report(key, at)
             yield PartProof(*key, round(now - at, AGE_DIGITS))
 
-    def list_reported(self, now: float, limit: int) -> Iterator[PartProof]:
-        """List the latest proofs that were reported.
+    def list_known(
+        self, runs: Iterable[LostRun], now: float, limit: int
+    ) -> Iterator[PartProof]:
+        """List the proofs of parts for a process that may have none.
 
+        :param runs: lost runs that the process is told of.
         :param now: seconds of the monotonic clock.
         :param limit: maximum number.
-        :yields: the proofs.
+        :yields: proofs of their parts.
         """
-        for key in list(self._reported)[-limit:]:
-            at = self._noted.get(key, self._reported[key])
-            yield PartProof(*key, round(now - at, AGE_DIGITS))
+        keys = {(part, run.version) for run in runs for part in run.parts}
+        known = sorted(key for key in keys if key in self._noted)
+        for key in known[:limit]:
+            yield PartProof(*key, round(now - self._noted[key], AGE_DIGITS))
 
     def _record_report(self, key: ProofKey, at: float) -> None:
         self._reported[key] = at
--- a/src/wigeonpier/membership/partsuspicions.py
+++ b/src/wigeonpier/membership/partsuspicions.py
@@ -17,7 +17,7 @@
 )
 from wigeonpier.membership.partculprits import PartCulprits, report_culprit
 from wigeonpier.membership.partproofs import (
-    MAX_REPORTED,
+    MAX_DESCRIBED,
     PartProofs,
 )
 from wigeonpier.membership.updates import (
@@ -32,8 +32,8 @@
     choose_trial_part,
     collect_evidence,
     digest_part,
+    find_best_explanation,
     find_inseparable,
-    is_part_confirmed,
 )
 from wigeonpier.policy.suspicion import (
     RENEW_SECONDS,
@@ -174,14 +174,14 @@
     def describe(self) -> PartUpdate:
         """Describe the whole state.
 
-        :returns: everything that is suspected, and the latest reported proofs.
+        :returns: everything that is suspected, and the proofs that concern it.
         """
-        return self._describe(self._lost.runs, MAX_REPORTED)
+        return self._describe(self._lost.runs, MAX_DESCRIBED)
 
     def summarize(self) -> PartUpdate:
         """Describe the part of the state that heartbeats repeat.
 
-        :returns: culprits, the latest lost runs and proofs.
+        :returns: culprits, the latest lost runs, and proofs.
         """
         return self._describe(self._lost.runs[-MAX_SUMMARIZED:], MAX_SUMMARIZED)
 
@@ -215,10 +215,11 @@
     def _describe(self, runs: list[LostRun], max_proofs: int) -> PartUpdate:
         culprits = self.culprits.by_name.values()
         explained = [run for one in culprits for run in one.runs.values()]
+        described = (*explained, *runs)
         now = time.monotonic()
         return PartUpdate(
-            report_runs((*explained, *runs)),
-            tuple(self._proofs.list_reported(now, max_proofs)),
+            report_runs(described),
+            tuple(self._proofs.list_known(described, now, max_proofs)),
             tuple(report_culprit(one) for one in culprits),
         )
 
@@ -292,7 +293,7 @@
         found: list[CulpritReport] = []
         while True:
             part = self._find_confirmed(now, other_crashes)
-            if part is None:
+            if not part:
                 return found
             parts = find_inseparable(part, self.evidence)
             evidence = self.evidence[part]
@@ -309,8 +310,7 @@
 
     def _find_confirmed(
         self, now: float, other_crashes: Mapping[str, float]
-    ) -> str | None:
-        """Find the part that explains most crashes, unproven ones first."""
+    ) -> str:
         crashes = dict(other_crashes)
         crashes |= {run.upstream: run.at for run in self._lost.runs}
         recent = {
@@ -319,16 +319,6 @@
             if now - at < UNSTABLE_SECONDS
             and not self.culprits.explains(upstream)
         }
-        confirmed = [
-            part
-            for part, evidence in self.evidence.items()
-            if is_part_confirmed(evidence, len(recent - evidence.runs.keys()))
-        ]
-        return max(
-            confirmed,
-            key=lambda part: (
-                bool(self.evidence[part].unproven),
-                len(self.evidence[part].runs),
-            ),
-            default=None,
+        return find_best_explanation(
+            self.evidence, lambda found: len(recent - found.runs.keys())
         )
--- a/src/wigeonpier/policy/promptparts.py
+++ b/src/wigeonpier/policy/promptparts.py
@@ -42,10 +42,10 @@
 # One request that is repeated may crash upstreams for its own content.
 MIN_REQUESTS = 2
 # A run that goes on for so long after its first event has proven its parts
-# sound; upstreams crash within 0.1 s of it.
-PROOF_SECONDS = 0.3
+# sound; upstreams crash before it or within 0.1 s of it.
+PROOF_SECONDS = 0.15
 # A part with completed runs is blamed only where they may be out of date: so
-# many upstreams crashed under it since, and nothing else explains it.
+# many upstreams crashed since, and only requests with it may be the cause.
 CRASHES_DESPITE_PROOF = 7
 # A report that was lost must not make two parts of the same prompts look
 # different.
@@ -121,6 +121,15 @@
         """Return all runs that count."""
         return self.unproven | self.outdated
 
+    @property
+    def early(self) -> set[str]:
+        """Return the upstreams that crashed before a run had any output."""
+        return {
+            upstream
+            for upstream, run in self.unproven.items()
+            if not run.had_output
+        }
+
     def add(self, run: LostRun, *, is_proven: bool) -> None:
         """Add a lost run.
 
@@ -182,9 +191,11 @@
         for lost in runs
         if lost.upstream not in explained and not lost.had_output
     ]
+    shared = _find_shared_parts(others)
     for run, part in _list_pairs(others):
         proven_at = find_proof(part, run.version)
-        if proven_at is not None and proven_at < run.at:
+        is_outdated = proven_at is not None and proven_at < run.at
+        if is_outdated and part in shared[run.upstream]:
             found = evidence.setdefault(part, PartEvidence())
             found.add(run, is_proven=True)
     return evidence
@@ -239,6 +250,52 @@
     return frozenset(rivals)
 
 
+def find_best_explanation(
+    evidence: Mapping[str, PartEvidence],
+    count_others: Callable[[PartEvidence], int],
+) -> str:
+    """Find a part that is the cause of crashes.
+
+    Where several parts crash upstreams at once, sound ones are at the crashes of
+    each of them.  A part that shares crashes with another one is therefore
+    blamed only if it explains more of them, and rather together with those that
+    nothing separates from it than alone.
+
+    :param evidence: evidence by key of the part.
+    :param count_others: counts the recent crashes that nothing explains and
+        that do not count against a part.
+    :returns: key of the part, empty if none is confirmed.
+    """
+    groups = [
+        (part, find_inseparable(part, evidence))
+        for part, found in evidence.items()
+        if is_part_confirmed(found, count_others(found))
+    ]
+    ranked = [
+        (bool(evidence[part].unproven), len(group), len(evidence[part].runs))
+        for part, group in groups
+    ]
+    best = [
+        (rank, part)
+        for rank, (part, group) in zip(ranked, groups, strict=True)
+        if not _is_contested(part, group, evidence)
+    ]
+    return max(best)[1] if best else ''
+
+
+def _is_contested(
+    part: str, group: Set[str], evidence: Mapping[str, PartEvidence]
+) -> bool:
+    """Check whether another part explains as many of the same crashes."""
+    early = evidence[part].early
+    return any(
+        other not in group
+        and early & found.early
+        and len(found.early) >= len(early)
+        for other, found in evidence.items()
+    )
+
+
 def choose_part_mode(
     parts: Sequence[str],
     evidence: Mapping[str, PartEvidence],
@@ -312,6 +369,16 @@
     return list(RunMode).index(run_mode)
 
 
+def _find_shared_parts(runs: Iterable[LostRun]) -> dict[str, set[str]]:
+    """Find the parts that all runs lost in one crash have in common."""
+    shared: dict[str, set[str]] = {}
+    for run in runs:
+        shared.setdefault(run.upstream, set(run.parts)).intersection_update(
+            run.parts
+        )
+    return shared
+
+
 def _list_pairs(runs: Iterable[LostRun]) -> Iterator[tuple[LostRun, str]]:
     return ((run, part) for run in runs for part in run.parts)
 
--- a/tests/membership/test_partsuspicions.py
+++ b/tests/membership/test_partsuspicions.py
@@ -71,8 +71,8 @@
         assert other.merge(update) != SuspicionUpdate()
         assert other.merge(update) == SuspicionUpdate()
         assert proven.merge(update) == SuspicionUpdate()
-    state = proven.describe()
-    assert other.merge(state) == SuspicionUpdate()
+    other.merge(proven.describe())
+    assert other.merge(proven.describe()) == SuspicionUpdate()
 
 
 def test_process_that_saw_a_completed_run_reports_it_once(proven) -> None:
@@ -88,6 +88,16 @@
     assert not again.parts.proofs
 
 
+def test_process_that_starts_gets_the_proofs_that_others_have(proven) -> None:
+    """It refused the first part of all prompts, whose proofs were not sent."""
+    confirm(proven)
+    lose(proven, 9, 'a', 'c')
+    late = Suspicions()
+    late.merge(proven.describe())
+    assert get_mode(late, 'a', 'd') is RunMode.free
+    assert get_mode(late, 'a', 'c') is RunMode.apart
+
+
 def test_nothing_is_reported_while_no_upstream_crashes(proven) -> None:
     assert complete(proven, 'a', 'c') == SuspicionUpdate()
     assert proven.is_empty
--- a/tests/policy/test_promptparts.py
+++ b/tests/policy/test_promptparts.py
@@ -13,6 +13,7 @@
     choose_part_mode,
     choose_trial_part,
     collect_evidence,
+    find_best_explanation,
     find_inseparable,
     is_part_confirmed,
     make_part_keys,
@@ -99,6 +100,37 @@
     assert 'a' not in collect(*runs, proofs={'a': -1})
 
 
+def test_part_at_crashes_of_two_others_is_not_blamed() -> None:
+    """It was refused after lone runs with each of two crashing parts."""
+    runs = [
+        build_run(1, 'bad0', 'b'),
+        build_run(2, 'bad0', 'c'),
+        build_run(3, 'bad0', 'c', alone=True),
+        build_run(4, 'bad0', 'd'),
+        build_run(5, 'bad1', 'd'),
+        build_run(6, 'bad1', 'b'),
+        build_run(7, 'bad1', 'c', alone=True),
+    ]
+    evidence = collect(*runs)
+    assert is_part_confirmed(evidence['c'], 1)
+    assert not find_best_explanation(evidence, lambda _found: 1)
+    evidence = collect(*runs, build_run(8, 'bad0', 'e', alone=True))
+    assert find_best_explanation(evidence, lambda _found: 1) == 'bad0'
+
+
+def test_first_part_is_blamed_only_with_the_parts_behind_it() -> None:
+    """No request with it has completed, and two bad parts stand behind it."""
+    evidence = collect(
+        build_run(1, 'a', 'bad0'),
+        build_run(2, 'a', 'bad1'),
+        build_run(3, 'a', 'bad0'),
+        build_run(4, 'a', 'bad1'),
+        build_run(5, 'a', 'bad0', alone=True),
+    )
+    part = find_best_explanation(evidence, lambda _found: 0)
+    assert find_inseparable(part, evidence) == {'a', 'bad0'}
+
+
 def test_proof_is_outdated_where_nothing_else_explains_crashes() -> None:
     runs = [
         build_run(number, 'a', 'bad') for number in range(CRASHES_DESPITE_PROOF)
