--- a/src/wigeonpier/policy/promptparts.py
+++ b/src/wigeonpier/policy/promptparts.py
@@ -24,6 +24,7 @@
 from wigeonpier.policy.fingerprint import DIGEST_BYTES
 from wigeonpier.policy.suspicion import (
     CRASHES_BEFORE_ISOLATION,
+    CRASHES_TO_QUARANTINE,
     WEIGHT_AFTER_OUTPUT,
     RunMode,
     is_enough_evidence,
@@ -266,9 +267,14 @@
         that do not count against a part.
     :returns: key of the part, empty if none is confirmed.
     """
+    frequent = {
+        part: found
+        for part, found in evidence.items()
+        if len(found.runs) >= CRASHES_TO_QUARANTINE
+    }
     groups = [
         (part, find_inseparable(part, evidence))
-        for part, found in evidence.items()
+        for part, found in frequent.items()
         if is_part_confirmed(found, count_others(found))
     ]
     ranked = [
