--- a/src/wigeonpier/policy/promptparts.py
+++ b/src/wigeonpier/policy/promptparts.py
@@ -42,6 +42,8 @@
 
 # One request that is repeated may crash upstreams for its own content.
 MIN_REQUESTS = 2
+# Crashes that two parts have to share before they count as inseparable.
+MIN_SHARED_CRASHES = 2
 # A run that goes on for so long after its first event has proven its parts
 # sound; upstreams crash before it or within 0.1 s of it.
 PROOF_SECONDS = 0.15
@@ -242,7 +244,7 @@
         shared = [run for run in runs.values() if other in run.parts]
         is_rival = (
             bool(its_evidence.unproven)
-            and len(shared) >= MIN_REQUESTS
+            and len(shared) >= MIN_SHARED_CRASHES
             and len(runs) - len(shared) <= MAX_UNREPORTED_CRASHES
             and all(other in run.parts for run in lone)
         )
--- a/tests/hosted/test_crashing_parts.py
+++ b/tests/hosted/test_crashing_parts.py
@@ -188,10 +188,9 @@
     """Entries that start meanwhile learn it from the workers."""
     start(site, BAD)
     site.store.faults.is_down = True
-    # Shorter than the replicas' entries take to be missed.
-    caller = PromptCallers(site)
-    caller.send_for(4, BAD_PAUSE, lambda: (FIRST, BAD))
-    caller.finish()
+    callers = PromptCallers(site)
+    callers.send_for(4, BAD_PAUSE, lambda: (FIRST, BAD))
+    callers.finish()
     check_runs(site)
     assert all(has_culprit(entry) for entry in site.entries)
     for disk in site.disks:
@@ -207,11 +206,7 @@
     site: HostedSite,
 ) -> None:
     """After the loss of all processes only the store has it."""
-    start(site, BAD)
-    caller = PromptCallers(site)
-    caller.send_for(3, BAD_PAUSE, lambda: (FIRST, BAD))
-    caller.finish()
-    wait_for(lambda: site.store.list_keys(STORED_PREFIX), 'the store has it')
+    refuse_part(site)
     for app in (*site.workers, *site.entries):
         suspicions = getattr(app, '_suspicions', None) or app._trials.suspicions
         suspicions.suspects.clear()
@@ -224,11 +219,7 @@
 def test_an_operator_sees_the_part_and_lifts_it_everywhere(
     site: HostedSite, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    start(site, BAD)
-    caller = PromptCallers(site)
-    caller.send_for(3, BAD_PAUSE, lambda: (FIRST, BAD))
-    caller.finish()
-    wait_for(lambda: site.store.list_keys(STORED_PREFIX), 'the store has it')
+    refuse_part(site)
     address = site.entries[1]._context.settings.metrics
     assert main(['suspects', address]) == 0
     # Lines of the log stand between the rows.
@@ -267,6 +258,15 @@
     assert not any(has_culprit(entry) for entry in site.entries)
 
 
+def refuse_part(site: HostedSite) -> None:
+    """Start a site and send requests until the store has the part."""
+    start(site, BAD)
+    callers = PromptCallers(site)
+    callers.send_for(3, BAD_PAUSE, lambda: (FIRST, BAD))
+    callers.finish()
+    wait_for(lambda: site.store.list_keys(STORED_PREFIX), 'the store has it')
+
+
 def has_culprit(entry: EntryApp) -> bool:
     """Tell whether an entry refuses requests for a part."""
     return bool(entry._suspicions.parts.culprits.by_name)
