Count crashes after output against a part where another explains them too

Change: where two parts explain the same crashes, each crash after output takes two from the count of a part.

--- a/src/wigeonpier/policy/promptparts.py
+++ b/src/wigeonpier/policy/promptparts.py
@@ -44,6 +44,9 @@
 MIN_REQUESTS = 2
 # Crashes that two parts have to share before they count as inseparable.
 MIN_SHARED_CRASHES = 2
+# A cause rarely lets a run produce events before the crash, and other parts of
+# the lost requests often do.
+OUTPUT_PENALTY = 2
 # A run that goes on for so long after its first event has proven its parts
 # sound; upstreams crash before it or within 0.1 s of it.
 PROOF_SECONDS = 0.15
@@ -133,6 +136,12 @@
             if not run.had_output
         }
 
+    @property
+    def score(self) -> int:
+        """Return how well the part explains crashes, against other parts."""
+        late = len(self.unproven) - len(self.early)
+        return len(self.early) - OUTPUT_PENALTY * late
+
     def add(self, run: LostRun, *, is_proven: bool) -> None:
         """Add a lost run.
 
@@ -294,12 +303,12 @@
 def _is_contested(
     part: str, group: Set[str], evidence: Mapping[str, PartEvidence]
 ) -> bool:
-    """Check whether another part explains as many of the same crashes."""
-    early = evidence[part].early
+    """Check whether another part explains the same crashes as well."""
+    suspect = evidence[part]
     return any(
         other not in group
-        and early & found.early
-        and len(found.early) >= len(early)
+        and suspect.early & found.early
+        and found.score >= suspect.score
         for other, found in evidence.items()
     )
 
--- a/tests/bench/test_faultsoak.py
+++ b/tests/bench/test_faultsoak.py
@@ -45,6 +45,13 @@
     # that occurred 0.12 s and 0.22 s into their runs.
     6049,
 )
+# Seeds of runs in which sound requests were refused for a part of their prompts.
+WRONG_PART_SEEDS = (
+    # A part at lone crashes of two bad parts had more evidence than either.
+    913,
+    # A lone run met a part that was not yet known to be bad.
+    957,
+)
 SHORT_SEED = 4
 SHORT_SECONDS = 5.0
 # Duration of the runs that found the faults.
@@ -86,6 +93,20 @@
     assert report.questions['200']
 
 
+@pytest.mark.parametrize('seed', WRONG_PART_SEEDS)
+def test_no_sound_part_is_blamed_while_replicas_crash(
+    seed: int,
+    tmp_path,
+) -> None:
+    report = run_fault_soak(
+        seed,
+        REGRESSION_SECONDS,
+        tmp_path,
+        parts=SoakParts(has_crashes=True, has_parts=True),
+    )
+    assert not report.broken
+
+
 def test_invariants_hold_with_customers(tmp_path) -> None:
     """Keys are rotated, and one customer exceeds its rate limit by far."""
     report = run_fault_soak(
--- a/tests/policy/test_promptparts.py
+++ b/tests/policy/test_promptparts.py
@@ -118,6 +118,20 @@
     assert find_best_explanation(evidence, lambda _found: 1) == 'bad0'
 
 
+def test_part_of_runs_with_output_is_not_blamed_before_another_one() -> None:
+    """It was refused before the cause of its last crash was reported."""
+    evidence = collect(
+        build_run(1, 'b', 'bad'),
+        build_run(2, 'b', 'bad'),
+        build_run(3, 'b', 'bad', alone=True),
+        build_run(4, 'b', alone=True, output=True),
+        build_run(5, 'b', alone=True),
+    )
+    assert is_part_confirmed(evidence['b'], 1)
+    assert not find_best_explanation(evidence, lambda _found: 1)
+    assert find_best_explanation(evidence, lambda _found: 0) == 'bad'
+
+
 def test_first_part_is_blamed_only_with_the_parts_behind_it() -> None:
     """No request with it has completed, and two bad parts stand behind it."""
     evidence = collect(
