Take no part for sound after an answer with an error

Cause: an upstream that answers with an error may not have read the prompt, and its answer counted as a completed run of all parts; a part that crashes upstreams would then have been blamed only after seven crashes. Change: only successes and streams that go on prove parts; an error still clears the request itself and releases its trial.

--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -157,6 +157,16 @@
         cleared = '' if self.suspicions.is_empty else work.fingerprint
         self._record_sound(work, cleared)
 
+    def record_failed_answer(self, work: ItemWork) -> None:
+        """Clear the suspicion of an item that was answered with an error.
+
+        The upstream may not have read its prompt, whose parts stay suspected.
+
+        :param work: the item.
+        """
+        if not self.suspicions.is_empty:
+            self.suspicions.clear(work.fingerprint)
+
     def _get_run_mode(self, work: ItemWork) -> RunMode:
         if self.suspicions.is_empty or self.upstream.replica is None:
             return RunMode.free
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -169,9 +169,12 @@
             request.release(is_broken=True)
             self._sender.record_failure(request, upstream, failure)
             raise Refusal(ErrorKind.upstream_lost, str(error)) from error
+        suspects = self._sender.binder.suspects
         if ingress.is_success(exchange):
             self._sender.outcomes.record_success(request)
-        self._sender.binder.suspects.record_completion(request, upstream)
+            suspects.record_completion(request, upstream)
+        else:
+            suspects.record_failed_answer(request, upstream)
         return body
 
     def _stream(self, request: OnlineRequest) -> Iterator[bytes]:
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -222,7 +222,7 @@
             self._trials.record_completion(work)
             self._finish(work, ItemState.completed)
         elif outcome is RunOutcome.impossible:
-            self._trials.record_completion(work)
+            self._trials.record_failed_answer(work)
             self._finish(work, ItemState.abandoned)
         elif outcome is not RunOutcome.paused:
             self._record_failed_run(work, outcome)
@@ -283,7 +283,7 @@
         if work.is_faulted and not has_crashed:
             self._trials.health.record_item(work, went_well=False)
         if outcome is RunOutcome.failed:
-            self._trials.record_completion(work)
+            self._trials.record_failed_answer(work)
             work.failures += 1
             pause = FAILED_RETRY_SECONDS
         self._log_item(
--- a/src/wigeonpier/hosted/suspects.py
+++ b/src/wigeonpier/hosted/suspects.py
@@ -212,6 +212,21 @@
         self.publisher.publish(update, upstream.address)
         self.release_trial(request, upstream)
 
+    def record_failed_answer(
+        self, request: OnlineRequest, upstream: UpstreamState
+    ) -> None:
+        """Clear a request that its upstream answered with an error.
+
+        The upstream may not have read its prompt, whose parts stay suspected.
+
+        :param request: the request.
+        :param upstream: upstream that answered.
+        """
+        if not self.suspicions.is_empty:
+            update = self.suspicions.clear(request.fingerprint)
+            self.publisher.publish(update, upstream.address)
+        self.release_trial(request, upstream)
+
     def record_progress(
         self, request: OnlineRequest, upstream: UpstreamState
     ) -> None:
--- a/tests/hosted/test_crashing_parts.py
+++ b/tests/hosted/test_crashing_parts.py
@@ -258,6 +258,25 @@
     assert not any(has_culprit(entry) for entry in site.entries)
 
 
+def test_failed_answers_prove_no_part(site: HostedSite) -> None:
+    """An upstream that fails at once has not read the prompt."""
+    site.start(replicas=1)
+    site.replicas[0].faults.fail = 1
+    prompt = {'X-Prompt-Prefix': f'{FIRST}:1,own:1'}
+    assert site.call('POST', '/once/1', 'q', b'{}', **prompt).status == 500
+    proofs = site.entries[0]._suspicions.parts._proofs
+    key = f'{site.replicas[0].service}/{FIRST}'
+    assert proofs.find(key, 'v1') is None
+    site.replicas[0].faults.impossible = {'j0', 'j1'}
+    site.submit_job('j', 2, item_headers=prompt)
+    site.wait_for_results('j', 2)
+    assert (
+        site.workers[0]._trials.suspicions.parts._proofs.find(key, 'v1') is None
+    )
+    assert site.call('POST', '/once/2', 'r', b'{}', **prompt).status == 200
+    assert proofs.find(key, 'v1')
+
+
 def refuse_part(site: HostedSite) -> None:
     """Start a site and send requests until the store has the part."""
     start(site, BAD)
