Review case 3: a job is refused while a write of it may still take effect

REFUSED: an entry that does not know whether its write of a job took effect answers 429 once others have filled the route; the write is executed late and all items run.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+CASE="$(cd "$(dirname "$0")" && pwd)"
+export CASE
+. "$CASE/../run-case.sh"
