Review scripts: end what they started on SIGINT and SIGHUP, stop with SIGTERM

The shared stand-ins of the three scripts only; no case is changed. Machine.terminate stops a process as the platform does, for case 1. Interrupted with SIGTERM, SIGINT and SIGHUP, once each, the script of case 2 ended all processes and exited with 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -40,6 +40,8 @@
 ZONE = 'makati'
 BOARD = 'wigeonpier/hosted/board/'
 START_SECONDS = 40.0
+# ``graceS`` of the settings.
+GRACE_SECONDS = 8.0
 RUN_LIMIT_SECONDS = 110
 
 SETTINGS = """node = "{name}"
@@ -180,6 +182,15 @@
     def is_running(self) -> bool:
         return self._child is not None and self._child.poll() is None
 
+    def terminate(self) -> None:
+        """Stop the process as the platform does: SIGTERM, then SIGKILL."""
+        if self._child is not None and self.is_running:
+            self._child.terminate()
+            deadline = time.monotonic() + GRACE_SECONDS
+            while self.is_running and time.monotonic() < deadline:
+                gevent.sleep(0.02)
+        self.kill()
+
     def kill(self) -> None:
         """End the process at once, as a loss of power does."""
         if self._child is not None and self.is_running:
@@ -364,9 +375,8 @@
     record.note(f'TROUBLE={int(is_troubled())}')
     result = NOT_RUN
     # All processes are ended also when the script itself is asked to end.
-    gevent.signal_handler(
-        signal.SIGTERM, gevent.getcurrent().throw, SystemExit
-    )
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        gevent.signal_handler(number, gevent.getcurrent().throw, SystemExit)
     try:
         with gevent.Timeout(RUN_LIMIT_SECONDS):
             result = play(record)
