--- a/review/2/case.py
+++ b/review/2/case.py
@@ -122,6 +122,7 @@
                 'X-Prompt-Prefix': f'5c1e07a2:100,{identity}:250',
                 'X-Deadline-Ms': '5000',
             }
+            record.note(f'{identity} is sent')
             status, _body = ask(
                 entry.ip,
                 site.ports['frontend'],
