--- a/review/3/case.py
+++ b/review/3/case.py
@@ -53,11 +53,11 @@
 
     late_job = ''
 
-    def lose(self, record, job, on_lost) -> None:
-        """Lose the answer to the next write of a job."""
+    def watch_for(self, record, job, on_write) -> None:
+        """Call back at the first write of a job; with trouble, lose it."""
         self.record = record
         self.late_job = job
-        self.on_lost = on_lost
+        self.on_write = on_write
 
     def _commit(self, request):
         raw = request.read_body()
@@ -65,11 +65,12 @@
         key = f'{BOARD}jobs/{self.late_job}'
         if self.late_job and key in {write.key for write in body.writes}:
             self.late_job = ''
-            self.record.note('the answer to the write of the job is lost')
-            gevent.spawn_later(LATE_SECONDS, self._execute, body)
-            self.on_lost()
-            # The channel returns nothing further.
-            Signal().wait()
+            self.on_write()
+            if is_troubled():
+                self.record.note('the answer to the write of the job is lost')
+                gevent.spawn_later(LATE_SECONDS, self._execute, body)
+                # The channel returns nothing further.
+                Signal().wait()
         request.stream = _Raw(raw)
         return super()._commit(request)
 
@@ -153,14 +154,11 @@
             submit, site, record, entries[1], other, make_job(OTHER_SHARE)
         )
 
-    if is_troubled():
-        site.store.lose(record, late, submit_other)
+    site.store.watch_for(record, late, submit_other)
     answers = [submit(site, record, entries[0], late, body)]
     if answers[0] != 202:
         gevent.sleep(RETRY_SECONDS)
         answers.append(submit(site, record, entries[1], late, body))
-    if not is_troubled():
-        submit_other()
     gevent.sleep(LATE_SECONDS + RUN_SECONDS)
     names = {item['id'] for item in json.loads(body)['items']}
     began = {identity for one in site.replicas for identity, _at in one.runs}
@@ -194,6 +192,7 @@
         'Content-Type': 'application/json',
     }
     port = site.ports['frontend']
+    record.note(f'job {job} is sent to {entry.name}')
     status, answer = ask(entry.ip, port, 'POST', f'/jobs/{job}', headers, body)
     record.note(f'job {job}, sent to {entry.name}, is answered {status}')
     if status != 202:
