Log answers that bear the id of another request

An answer whose id is not that of the request was visible as a failed send only, and not at all where it claimed that the request had not run. The log could not tell a request that an upstream turned away from one that received the extra answer to another.

--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -11,6 +11,7 @@
 
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.hosted.failures import MAX_SAFE_IDLE_SECONDS, shows_fault
+from wigeonpier.hosted.foreignanswer import log_foreign_answer
 from wigeonpier.platform import ingress
 from wigeonpier.policy.fingerprint import digest_request
 from wigeonpier.policy.promptparts import make_part_keys
@@ -253,6 +254,7 @@
     )
     raw = make_request(ITEM_METHOD, work.item.path, headers, work.item.body)
     response.send(raw, HEAD_TIMEOUT_SECONDS)
+    log_foreign_answer(response, work.item.name, replica.name)
     if ingress.has_not_run(response):
         instance = ingress.get_instance(response)
         response.read(READ_TIMEOUT_SECONDS)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -18,6 +18,7 @@
     SendFailure,
     classify_disconnect,
 )
+from wigeonpier.hosted.foreignanswer import log_foreign_answer
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy import waiting
@@ -244,6 +245,7 @@
     ) -> SendFailure | None:
         """Check the head of a response, and report a fault that it shows."""
         _record_load(upstream, exchange)
+        log_foreign_answer(exchange, request.head.identity, upstream.name)
         failure = _check_head(request, upstream, exchange)
         self.outcomes.record_answer(request, exchange, failure)
         return failure
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -179,6 +179,15 @@
     )
 
 
+def get_identity(answer: Exchange) -> str:
+    """Read which request an answer belongs to.
+
+    :param answer: the answer received.
+    :returns: id of the request, empty where it is absent.
+    """
+    return answer.get_header(wire.REQUEST_ID)
+
+
 def is_success(answer: Exchange) -> bool:
     """Tell whether an answer has a status of success.
 
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -66,6 +66,11 @@
         WARNING_LEVEL,
         'A stream was not resumed: its version is unknown or no longer served.',
     )
+    foreign_answer = (
+        210,
+        WARNING_LEVEL,
+        'An upstream sent an answer that bears the id of another request.',
+    )
     customer_limited = (
         205,
         INFO_LEVEL,
