Match answers of upstreams to requests by id before anything else

Cause: an upstream may send an answer once more when the next one on the connection is due. The entry asked whether an answer states that the request has not run before it asked whether the answer belongs to the request, so it believed a refusal of another request and sent its own once more. Items had the same order.

Change: - Nothing that an answer says counts unless it bears the request's id. A statement of not having run needs no signature, as before. - A complete answer to another request is skipped, four at most, and the own one behind it is awaited within the time that the request has left. Before, the connection was closed, and a run on its way was lost. Answers that nothing can follow are rejected at once. The connection is not reused. - The id does not tell two sends of one request apart, so a connection that has carried a request lately is not used for it again. A failure of an item was counted twice, and one that may fail three times was abandoned after two. - Reports of load are read in the same way: refusals of items counted as failed reports.

--- a/src/wigeonpier/bench/experiments.py
+++ b/src/wigeonpier/bench/experiments.py
@@ -103,6 +103,7 @@
             bool(parsed.keys),
             bool(parsed.versions),
             bool(parsed.parts),
+            bool(parsed.late),
         ),
     )
 
@@ -154,6 +155,7 @@
             Option('keys', 0, '1 where customers have keys and limits'),
             Option('versions', 0, '1 where two software versions serve'),
             Option('parts', 0, '1 where parts of prompts crash replicas'),
+            Option('late', 0, '1 where answers and writes come late'),
         ),
         _run_fault_soak,
     ),
--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -86,12 +86,14 @@
     :param has_versions: whether replicas of two software versions serve, and
         callers leave and resume streams.
     :param has_parts: whether a part of prompts crashes every replica.
+    :param has_late_effects: whether replicas repeat answers late.
     """
 
     has_crashes: bool = False
     has_keys: bool = False
     has_versions: bool = False
     has_parts: bool = False
+    has_late_effects: bool = False
 
 
 NO_PARTS = SoakParts()
@@ -214,7 +216,10 @@
     """
     folder.mkdir(parents=True, exist_ok=True)
     site = SoakSite(
-        folder, _choose_size(processes), has_versions=parts.has_versions
+        folder,
+        _choose_size(processes),
+        has_versions=parts.has_versions,
+        has_late_effects=parts.has_late_effects,
     )
     return FaultSoak(seed, seconds, site, parts).run()
 
--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -19,6 +19,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
+from wigeonpier.bench.lateanswers import LateAnswers
 from wigeonpier.models import Replica, UpstreamReport
 from wigeonpier.platform import wire
 from wigeonpier.platform.register import (
@@ -76,6 +77,7 @@
     :param deadly_parts: ids of the prompt parts that crash it.
     :param is_unframed: streams have neither a length nor chunks and end with
         their connection.
+    :param late: answers that are sent once more.
     """
 
     break_after: int = 0
@@ -86,6 +88,7 @@
     impossible: set[str] = field(default_factory=set)
     deadly_parts: set[str] = field(default_factory=set)
     is_unframed: bool = False
+    late: LateAnswers = field(default_factory=LateAnswers)
 
 
 @dataclass(slots=True)
@@ -323,15 +326,27 @@
         self._life.connections.add(request.connection)
         while self.faults.is_dark:
             gevent.sleep(UNRESPONSIVE_STEP_SECONDS)
+        self.faults.late.send(request.connection)
         if request.path == wire.REPORT_PATH:
-            report = UpstreamReport(
-                self.running,
-                self.waiting,
-                self.is_leaving,
-                self.incarnation,
-                self._count_tokens(),
-            )
-            return Response(HTTPStatus.OK, encode_report(report))
+            return self._report()
+        response = self._answer_request(request)
+        body = response.body
+        if not isinstance(body, bytes):
+            body = _encode_stream(self, response.headers[wire.REQUEST_ID])
+        self.faults.late.keep(request.connection, response, body)
+        return response
+
+    def _report(self) -> Response:
+        report = UpstreamReport(
+            self.running,
+            self.waiting,
+            self.is_leaving,
+            self.incarnation,
+            self._count_tokens(),
+        )
+        return Response(HTTPStatus.OK, encode_report(report))
+
+    def _answer_request(self, request: Request) -> Response:
         request.body_limit = MAX_BODY_BYTES
         body = request.read_body()
         identity = request.headers[wire.REQUEST_ID.lower()]
@@ -426,8 +441,9 @@
                     raise ConnectionAbortedError(
                         'stream broken by an injected fault'
                     )
-                text = self.make_text(identity, number, version)
-                yield f'id: {number}\ndata: {text}\n\n'.encode()
+                yield _encode_event(
+                    number, self.make_text(identity, number, version)
+                )
 
     def _run_crashing(self, cause: str) -> Iterator[bytes]:
         """Run a request that crashes the replica."""
@@ -444,6 +460,17 @@
             raise ConnectionAbortedError('the replica has crashed')
 
 
+def _encode_event(number: int, text: str) -> bytes:
+    return f'id: {number}\ndata: {text}\n\n'.encode()
+
+
+def _encode_stream(replica: StandInReplica, identity: str) -> bytes:
+    return b''.join(
+        _encode_event(number, replica.make_text(identity, number))
+        for number in range(1, replica.events + 1)
+    )
+
+
 def _enter_slot(life: _ReplicaProcess, stack: ExitStack) -> None:
     """Wait for a slot and release it when the stack is closed."""
     life.waiting += 1
--- a/src/wigeonpier/bench/soaksite.py
+++ b/src/wigeonpier/bench/soaksite.py
@@ -71,6 +71,7 @@
     :param start_count: number of replica starts.
     :param customers: customers by key, ``None`` where keys are not required.
     :param has_versions: whether replicas of two software versions serve.
+    :param has_late_effects: whether replicas repeat answers late.
     """
 
     folder: Path
@@ -84,6 +85,7 @@
     start_count: int = 0
     customers: dict[str, ServedCustomer] | None = None
     has_versions: bool = False
+    has_late_effects: bool = False
     _store_address: str = ''
 
     @property
@@ -127,6 +129,7 @@
         for replica in self.replicas:
             replica.faults.break_after = 0
             replica.faults.turn_away = 0
+            replica.faults.late.remaining = 0
 
     def start_missing(self) -> None:
         """Start each process that is not running."""
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -11,7 +11,7 @@
 
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.hosted.failures import MAX_SAFE_IDLE_SECONDS, shows_fault
-from wigeonpier.hosted.foreignanswer import log_foreign_answer
+from wigeonpier.hosted.foreignanswer import expect_answer
 from wigeonpier.platform import ingress
 from wigeonpier.policy.fingerprint import digest_request
 from wigeonpier.policy.promptparts import make_part_keys
@@ -218,7 +218,9 @@
     work.started_at = started_at
     work.events_before_run = len(work.texts)
     work.is_faulted = False
-    opened = pool.begin(replica.address, HEAD_TIMEOUT_SECONDS)
+    opened = pool.begin(
+        replica.address, HEAD_TIMEOUT_SECONDS, identity=work.item.name
+    )
     if isinstance(opened, Err):
         return RunOutcome.unreachable
     response = opened.ok_value
@@ -253,17 +255,17 @@
         ingress.Send(replica.name, 0, work.last_event, work.job.customer),
     )
     raw = make_request(ITEM_METHOD, work.item.path, headers, work.item.body)
+    expect_answer(response, work.item.name, replica.name)
     response.send(raw, HEAD_TIMEOUT_SECONDS)
-    log_foreign_answer(response, work.item.name, replica.name)
+    if not ingress.bears_identity(response, work.item.name):
+        return _reject_answer(work, response)
     if ingress.has_not_run(response):
         instance = ingress.get_instance(response)
         response.read(READ_TIMEOUT_SECONDS)
         is_other_instance = bool(instance) and instance != replica.name
         return RunOutcome.replaced if is_other_instance else RunOutcome.refused
-    if not ingress.is_own_answer(response, work.item.name):
-        response.abort()
-        work.is_faulted = True
-        return RunOutcome.broken
+    if not ingress.is_signed(response):
+        return _reject_answer(work, response)
     if not ingress.is_success(response):
         response.read(READ_TIMEOUT_SECONDS)
         if response.status == UNPROCESSABLE_STATUS:
@@ -273,6 +275,13 @@
     return _read_events(work, response)
 
 
+def _reject_answer(work: ItemWork, response: Exchange) -> RunOutcome:
+    """Drop an answer that the upstream did not give to this run."""
+    response.abort()
+    work.is_faulted = True
+    return RunOutcome.broken
+
+
 def _read_events(work: ItemWork, response: Exchange) -> RunOutcome:
     reader = EventReader(response)
     work.first_event_at = 0
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -18,7 +18,7 @@
     SendFailure,
     classify_disconnect,
 )
-from wigeonpier.hosted.foreignanswer import log_foreign_answer
+from wigeonpier.hosted.foreignanswer import expect_answer
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy import waiting
@@ -185,10 +185,12 @@
             MAX_SAFE_IDLE_SECONDS
             if request.is_last_attempt
             else MAX_IDLE_SECONDS,
+            request.head.identity,
         )
         if isinstance(opened, Err):
             return Err(SendFailure.no_connection)
         exchange = opened.ok_value
+        expect_answer(exchange, request.head.identity, upstream.name)
         request.attach(upstream, exchange)
         try:
             self._await_head(request, upstream, exchange)
@@ -245,7 +247,6 @@
     ) -> SendFailure | None:
         """Check the head of a response, and report a fault that it shows."""
         _record_load(upstream, exchange)
-        log_foreign_answer(exchange, request.head.identity, upstream.name)
         failure = _check_head(request, upstream, exchange)
         self.outcomes.record_answer(request, exchange, failure)
         return failure
@@ -324,6 +325,8 @@
 
     :returns: the failure, ``None`` where the response goes to the caller.
     """
+    if not ingress.bears_identity(exchange, request.head.identity):
+        return SendFailure.foreign_answer
     if ingress.has_not_run(exchange):
         request.runs -= 1
         instance = ingress.get_instance(exchange)
@@ -331,7 +334,7 @@
             return SendFailure.turned_away
         request.sends[-1].instance = instance
         return SendFailure.replaced
-    if not ingress.is_own_answer(exchange, request.head.identity):
+    if not ingress.is_signed(exchange):
         return SendFailure.foreign_answer
     if not ingress.is_success(exchange) and request.may_run_again:
         return SendFailure.failed
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -5,12 +5,14 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
 import msgspec
 from result import Err
 
+from wigeonpier.hosted.foreignanswer import expect_report
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy.backoff import Backoff
 from wigeonpier.policy.incarnation import is_earlier, name_start
@@ -191,7 +193,12 @@
         self.polled_at = requested_at
         headers = [('Host', self.address)]
         raw = make_request('GET', ingress.REPORT_PATH, headers)
-        called = self._pool.call(self.address, raw, REPORT_TIMEOUT_SECONDS)
+        called = self._pool.call(
+            self.address,
+            raw,
+            REPORT_TIMEOUT_SECONDS,
+            partial(expect_report, upstream=self.address),
+        )
         round_trip = time.monotonic() - requested_at
         if isinstance(called, Err) or not called.ok_value.is_good:
             self._failures += 1
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from wigeonpier.models import JobItem
-    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.exchange import Exchange, ResponseHead
     from wigeonpier.web.messages import Request
 
 READY_PATH = wire.READY_PATH
@@ -156,10 +156,10 @@
     return listed + _list_send_headers(send)
 
 
-def has_not_run(answer: Exchange) -> bool:
+def has_not_run(answer: ResponseHead) -> bool:
     """Tell whether the upstream reports that it did not run the request.
 
-    :param answer: its answer.
+    :param answer: its answer to this request, see :func:`bears_identity`.
     :returns: true only where it reports so.
     """
     if answer.status == MISDIRECTED:
@@ -167,19 +167,26 @@
     return bool(answer.get_header(wire.NOT_RUN))
 
 
-def is_own_answer(answer: Exchange, identity: str) -> bool:
-    """Tell whether the upstream itself answered this request.
+def bears_identity(answer: ResponseHead, identity: str) -> bool:
+    """Tell whether an answer belongs to a request.
 
     :param answer: the answer received.
     :param identity: id that was sent.
-    :returns: false for the answer to another request, or an unsigned one.
+    :returns: false for the answer to another request.
     """
-    return answer.get_header(wire.REQUEST_ID) == identity and bool(
-        answer.get_header(wire.SIGNATURE),
-    )
+    return answer.get_header(wire.REQUEST_ID) == identity
+
+
+def is_signed(answer: ResponseHead) -> bool:
+    """Tell whether the upstream signed an answer, as it does after a run.
+
+    :param answer: the answer received.
+    :returns: false where the signature is absent.
+    """
+    return bool(answer.get_header(wire.SIGNATURE))
 
 
-def get_identity(answer: Exchange) -> str:
+def get_identity(answer: ResponseHead) -> str:
     """Read which request an answer belongs to.
 
     :param answer: the answer received.
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -10,14 +10,16 @@
 
 import socket
 import struct
-from typing import TYPE_CHECKING, Any
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any, Protocol
 
 import gevent
 from gevent import socket as green
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from wigeonpier.web.pool import ConnectionPool
 
@@ -26,6 +28,11 @@
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MIN_TIMEOUT_SECONDS = 0.001
 FIRST_FINAL_STATUS = 200
+# An upstream that sends more foreign responses in a row is not waited for.
+MAX_SKIPPED_RESPONSES = 4
+# A late response to an earlier request precedes that to the next one, so only
+# the last requests on a connection matter.
+MAX_CARRIED_REQUESTS = 8
 HOP_HEADERS = frozenset(
     (
         'connection',
@@ -44,13 +51,68 @@
     """The response is truncated or is not valid HTTP."""
 
 
+class ResponseHead(Protocol):
+    """Status and headers of a response."""
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+
+    def get_header(self, name: str) -> str:
+        """Read one header, empty if it is absent or repeated."""
+
+
+def _accept_any(_head: ResponseHead) -> bool:
+    """Accept a response; the default check."""
+    return True
+
+
 class _Parser(HTTPResponse):  # type: ignore[misc]
-    """Parses one response and rejects any bytes that follow it."""
+    """Parses one response and rejects any bytes that follow it.
+
+    A complete response to another request may precede it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_own: Callable[[ResponseHead], bool] = _accept_any
+        self.skipped = 0
+        self.is_foreign = False
+        self.may_skip = False
+
+    @property
+    def status(self) -> int:
+        return int(self.get_code())
+
+    @property
+    def is_over(self) -> bool:
+        """Check whether no further response is expected."""
+        return bool(self.message_complete) and not self.may_skip
+
+    def get_header(self, name: str) -> str:
+        value = self.get(name)
+        return value if isinstance(value, str) else ''
+
+    def _on_headers_complete(self) -> int | bool | None:
+        has_no_body = super()._on_headers_complete()
+        if self.status >= FIRST_FINAL_STATUS:
+            self.is_foreign = not self.is_own(self)
+            # Nothing follows a response that ends with its connection.
+            self.may_skip = (
+                self.is_foreign
+                and self.skipped < MAX_SKIPPED_RESPONSES
+                and self.should_keep_alive()
+            )
+        return bool(has_no_body)
 
     def _on_message_begin(self) -> None:
         is_complete = self.message_complete and self.headers_complete
-        if is_complete and self.get_code() >= FIRST_FINAL_STATUS:
-            raise HTTPParseError('bytes after a complete response')
+        if is_complete and self.status >= FIRST_FINAL_STATUS:
+            if not self.may_skip:
+                raise HTTPParseError('bytes after a complete response')
+            self.skipped += 1
+            self.may_skip = False
+            self._body_buffer.clear()
         super()._on_message_begin()
 
 
@@ -63,6 +125,7 @@
         address: str,
         sock: Any,
         idle_seconds: float = 0,
+        carried: deque[str] | None = None,
     ) -> None:
         """Take over a connection until :meth:`close`.
 
@@ -70,7 +133,11 @@
         :param address: ``host:port`` of the peer.
         :param sock: the connection.
         :param idle_seconds: how long it was idle, 0 for a new connection.
+        :param carried: ids of the last requests that were sent on it.
         """
+        self._carried = (
+            deque(maxlen=MAX_CARRIED_REQUESTS) if carried is None else carried
+        )
         self._pool = pool
         self._idle_seconds = idle_seconds
         self._address = address
@@ -83,7 +150,12 @@
     @property
     def status(self) -> int:
         """Return the HTTP status of the response."""
-        return int(self._parser.get_code())
+        return self._parser.status
+
+    @property
+    def skipped(self) -> int:
+        """Return how many responses to other requests were skipped."""
+        return self._parser.skipped
 
     @property
     def idle_seconds(self) -> float:
@@ -106,8 +178,7 @@
         :param name: header name.
         :returns: its value, empty if it is absent or repeated.
         """
-        value = self._parser.get(name)
-        return value if isinstance(value, str) else ''
+        return self._parser.get_header(name)
 
     def list_headers(self) -> list[tuple[str, str]]:
         """List the end-to-end headers of the response.
@@ -120,6 +191,23 @@
             if str(name).lower() not in HOP_HEADERS
         ]
 
+    def expect(
+        self, identity: str, is_own: Callable[[ResponseHead], bool]
+    ) -> None:
+        """Expect the response to a request, and skip those to other ones.
+
+        An upstream may send the response to an earlier request once more. The
+        connection is not reused after such a response, nor for another send of
+        the same request, whose responses have the same id.
+
+        :param identity: id of the request, empty if it has none.
+        :param is_own: tells by its head whether a response is the expected
+            one.
+        """
+        self._parser.is_own = is_own
+        if identity:
+            self._carried.append(identity)
+
     def send(self, raw: bytes, timeout: float) -> None:
         """Send a request and read the head of the response.
 
@@ -149,11 +237,14 @@
     def await_head(self, timeout: float) -> None:
         """Read the head of the response; may be repeated after a timeout.
 
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: inactivity timeout, seconds; responses that are skipped
+            do not extend it.
         :raises OSError: if the connection is lost or times out.
         """
+        deadline = time.monotonic() + timeout
         try:
             while not self._has_head():
+                self._check_skipping(deadline)
                 self._receive(timeout)
         except TimeoutError:
             raise
@@ -220,9 +311,14 @@
         if self._is_closed:
             return
         self._is_closed = True
-        is_clean = not (self._is_unusable or self._is_closed_by_peer)
+        is_clean = not (
+            self._is_unusable
+            or self._is_closed_by_peer
+            or self._parser.is_foreign
+            or self.skipped
+        )
         if is_clean and not self._parser.should_close():
-            self._pool.keep(self._address, self._sock)
+            self._pool.keep(self._address, self._sock, self._carried)
         else:
             self._sock.close()
 
@@ -232,24 +328,31 @@
         if self._idle_seconds and has_no_head and not self._is_unusable:
             self._pool.record_drop(self._address, self._idle_seconds)
 
+    def _check_skipping(self, deadline: float) -> None:
+        is_skipping = self.skipped or self._parser.may_skip
+        if is_skipping and time.monotonic() > deadline:
+            raise TimeoutError('only responses to other requests arrived')
+
     def _has_head(self) -> bool:
         return bool(
-            self._parser.headers_complete and self.status >= FIRST_FINAL_STATUS,
+            self._parser.headers_complete
+            and self.status >= FIRST_FINAL_STATUS
+            and not self._parser.may_skip
         )
 
     def _receive(self, timeout: float) -> None:
         self._sock.settimeout(max(timeout, MIN_TIMEOUT_SECONDS))
         data = self._sock.recv(READ_BYTES)
-        was_complete = self.is_whole
+        was_complete = self._parser.is_over
         try:
             self._parser.feed(data)
         except HTTPParseError as error:
             self._is_unusable = True
-            if not self.is_whole:
+            if not self._parser.is_over:
                 raise BrokenAnswerError(str(error)) from error
         if not data and not was_complete:
             self._is_closed_by_peer = True
-            if not self.is_whole:
+            if not self._parser.is_over:
                 raise BrokenAnswerError('the connection ended early')
 
 
--- a/src/wigeonpier/web/pool.py
+++ b/src/wigeonpier/web/pool.py
@@ -18,6 +18,7 @@
 from wigeonpier.web.exchange import Exchange
 
 if TYPE_CHECKING:
+    from collections import deque
     from collections.abc import Callable
 
 # Healthy connections within a region are established in a few ms.
@@ -63,6 +64,20 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class _IdleConnection:
+    """A connection that may be reused.
+
+    :param sock: the connection.
+    :param since: when it became idle, monotonic clock, seconds.
+    :param carried: ids of the last requests that were sent on it.
+    """
+
+    sock: Any
+    since: float
+    carried: deque[str] | None
+
+
 def _ignore_exchange(_exchange: Exchange) -> None:
     """Do nothing; default callback of :meth:`ConnectionPool.call`."""
 
@@ -75,9 +90,7 @@
 
     def __init__(self) -> None:
         """Create an empty pool."""
-        self._idle: defaultdict[str, list[tuple[Any, float]]] = defaultdict(
-            list,
-        )
+        self._idle: defaultdict[str, list[_IdleConnection]] = defaultdict(list)
         self._idle_limits: dict[str, _IdleLimit] = {}
         self.opened = 0
 
@@ -111,6 +124,7 @@
         address: str,
         timeout: float,
         max_idle_seconds: float = MAX_IDLE_SECONDS,
+        identity: str = '',
     ) -> Result[Exchange, CallFailure]:
         """Reuse or open a connection without sending anything.
 
@@ -119,12 +133,18 @@
         :param max_idle_seconds: idle connections older than this are not
             reused; for requests that cannot be resent if the connection
             breaks.
+        :param identity: id of the request, empty if it has none; a connection
+            that carried it lately is not reused, since a late response to the
+            earlier send could not be told apart.
         :returns: the exchange, or ``not_sent`` if no connection could be
             established.
         """
-        idle = self._take_idle(address, max_idle_seconds)
+        idle = self._take_idle(address, max_idle_seconds, identity)
         if idle is not None:
-            return Ok(Exchange(self, address, *idle))
+            idle_seconds = time.monotonic() - idle.since
+            return Ok(
+                Exchange(self, address, idle.sock, idle_seconds, idle.carried)
+            )
         try:
             sock = _connect(
                 address,
@@ -182,25 +202,28 @@
         self.keep(address, sock)
         return Listening.accepted
 
-    def keep(self, address: str, sock: Any) -> None:
+    def keep(
+        self, address: str, sock: Any, carried: deque[str] | None = None
+    ) -> None:
         """Return a connection to the pool for reuse.
 
         :param address: ``host:port``.
         :param sock: the connection.
+        :param carried: ids of the last requests that were sent on it.
         """
         idle = self._idle[address]
         if len(idle) >= MAX_IDLE_CONNECTIONS:
             sock.close()
         else:
-            idle.append((sock, time.monotonic()))
+            idle.append(_IdleConnection(sock, time.monotonic(), carried))
 
     def forget(self, address: str) -> None:
         """Close the idle connections to an address.
 
         :param address: ``host:port``.
         """
-        for sock, _since in self._idle.pop(address, []):
-            sock.close()
+        for idle in self._idle.pop(address, []):
+            idle.sock.close()
 
     def record_drop(self, address: str, idle_seconds: float) -> None:
         """Limit the idle time for a peer that dropped an idle connection.
@@ -232,15 +255,19 @@
         self,
         address: str,
         max_idle_seconds: float,
-    ) -> tuple[Any, float] | None:
+        identity: str,
+    ) -> _IdleConnection | None:
         limit = min(max_idle_seconds, self._get_max_idle(address))
-        idle = self._idle[address]
-        while idle:
-            sock, since = idle.pop()
-            idle_seconds = time.monotonic() - since
-            if idle_seconds < limit and not _has_pending_data(sock):
-                return sock, idle_seconds
-            sock.close()
+        kept = self._idle[address]
+        for position in reversed(range(len(kept))):
+            idle = kept[position]
+            if identity and idle.carried and identity in idle.carried:
+                continue
+            kept.pop(position)
+            idle_seconds = time.monotonic() - idle.since
+            if idle_seconds < limit and not _has_pending_data(idle.sock):
+                return idle
+            idle.sock.close()
         return None
 
 
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -4,6 +4,7 @@
 
 import resource
 from contextlib import ExitStack
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -13,7 +14,13 @@
 
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.web.client import CallFailure
-from wigeonpier.web.exchange import make_request, watch_close
+from wigeonpier.web.exchange import (
+    MAX_SKIPPED_RESPONSES,
+    BrokenAnswerError,
+    Exchange,
+    make_request,
+    watch_close,
+)
 from wigeonpier.web.pool import ConnectionPool
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
@@ -197,3 +204,96 @@
     """Read until the peer closes the connection."""
     while sock.recv(65536):
         gevent.sleep(0)
+
+
+def make_response(identity: str, *headers: str) -> bytes:
+    """Make a response that bears the id of a request."""
+    lines = ['HTTP/1.1 200 OK', f'Id: {identity}', 'Content-Length: 1']
+    return '\r\n'.join([*lines, *headers, '', 'x']).encode()
+
+
+def begin(pool: ConnectionPool, peer: Peer, identity: str) -> Exchange:
+    """Begin an exchange that expects the response to one request."""
+    opened = pool.begin(peer.address, 1, identity=identity).unwrap()
+    opened.expect(identity, lambda head: head.get_header('id') == identity)
+    return opened
+
+
+@pytest.mark.parametrize('count', [1, 2, MAX_SKIPPED_RESPONSES])
+def test_responses_to_other_requests_are_skipped(count: int) -> None:
+    """A late copy of an earlier response was taken for the own one."""
+    peer = Peer(make_response('a') * count + make_response('b'))
+    pool = ConnectionPool()
+    opened = begin(pool, peer, 'b')
+    opened.send(REQUEST, 1)
+    assert opened.get_header('id') == 'b'
+    assert opened.read(1) == b'x'
+    opened.close()
+    begin(pool, peer, 'c').abort()
+    assert pool.opened == 2
+
+
+def test_a_response_that_comes_after_another_one_is_awaited() -> None:
+    """Both need not arrive at once."""
+    server = StreamServer(('127.0.0.1', 0), send_slowly)
+    server.start()
+    opened = begin(
+        ConnectionPool(),
+        SimpleNamespace(address=f'127.0.0.1:{server.server_port}'),
+        'b',
+    )
+    opened.send(REQUEST, 1)
+    assert opened.skipped == 1
+    assert opened.read(1) == b'x'
+
+
+def send_slowly(sock, _address) -> None:
+    """Send a response to another request, and the own one, byte by byte."""
+    sock.recv(65536)
+    for byte in make_response('a') + make_response('b'):
+        sock.sendall(bytes([byte]))
+        gevent.sleep(0.001)
+    sock.recv(65536)
+
+
+@pytest.mark.parametrize(
+    'foreign',
+    [
+        make_response('a', 'Connection: close'),
+        b'HTTP/1.1 200 OK\r\nId: a\r\n\r\nx',
+        make_response('a') * (MAX_SKIPPED_RESPONSES + 1),
+    ],
+)
+def test_a_response_that_no_other_follows_is_returned(foreign: bytes) -> None:
+    """It would be waited for until the deadline."""
+    opened = begin(ConnectionPool(), Peer(foreign), 'b')
+    opened.send(REQUEST, 1)
+    assert opened.get_header('id') == 'a'
+
+
+@pytest.mark.parametrize('rest', [b'', b'garbage'])
+def test_a_connection_that_ends_after_another_response_is_broken(
+    rest: bytes,
+) -> None:
+    peer = Peer(make_response('a') + rest, closes=True)
+    opened = begin(ConnectionPool(), peer, 'b')
+    with pytest.raises(BrokenAnswerError):
+        opened.send(REQUEST, 1)
+
+
+def test_only_responses_to_other_requests_time_out() -> None:
+    opened = begin(ConnectionPool(), Peer(make_response('a')), 'b')
+    with pytest.raises(TimeoutError):
+        opened.send(REQUEST, 0.1)
+
+
+def test_a_request_is_not_repeated_on_the_same_connection() -> None:
+    """Its id does not tell a late response to the first send apart."""
+    peer = Peer(make_response('a'), make_response('b'), make_response('a'))
+    pool = ConnectionPool()
+    for identity, connections in (('a', 1), ('a', 2), ('b', 2), ('a', 3)):
+        opened = begin(pool, peer, identity)
+        opened.send(REQUEST, 1)
+        opened.read(1)
+        opened.close()
+        assert peer.connections == connections
