Fence off late writes of a job before it is refused

Cause: a write whose answer is lost may be executed seconds later. The entry remembered that, and answered 502 once its time was up, but a full route, or results of another job that can't be read, raised their refusal past it. The other entry knew nothing of the write and refused as well. A copy on too few disks was the same: the disk wrote the job to the store once it was back.

Change: before an entry refuses a job that may be kept, it writes a fence under the job's id, if the job does not exist. Each write of a job names the revision of the fence that it has read, so that a late one does nothing, while a later attempt reads the new revision and may be accepted. The fence lists the refused attempts; a disk drops its copy once all attempts that stored it are listed, and keeps it otherwise, so that a job that another entry accepted on the same disks is not lost. If the job turns out to exist, the answer is 202; if no fence can be written in time, 502, as before. A conflict no longer means that the job exists: that is read.

Cost: two calls to the store where an outcome is unknown, else none; the board that is read anyway has the fences. Answering 502 would cost none, and would leave the refusal of the next entry untrue.

--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -86,7 +86,8 @@
     :param has_versions: whether replicas of two software versions serve, and
         callers leave and resume streams.
     :param has_parts: whether a part of prompts crashes every replica.
-    :param has_late_effects: whether replicas repeat answers late.
+    :param has_late_effects: whether replicas repeat answers late, and the store
+        executes writes late.
     """
 
     has_crashes: bool = False
--- a/src/wigeonpier/bench/soaksite.py
+++ b/src/wigeonpier/bench/soaksite.py
@@ -71,7 +71,8 @@
     :param start_count: number of replica starts.
     :param customers: customers by key, ``None`` where keys are not required.
     :param has_versions: whether replicas of two software versions serve.
-    :param has_late_effects: whether replicas repeat answers late.
+    :param has_late_effects: whether replicas repeat answers late, and the store
+        executes writes late.
     """
 
     folder: Path
@@ -121,6 +122,7 @@
         """Remove all faults and resume paused processes."""
         self.store.faults.is_down = False
         self.store.faults.lost_writes = 0
+        self.store.faults.late_writes = 0
         for proxy in self.proxies:
             proxy.fault = ProxyFault.none
         for process in self.processes:
--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -9,10 +9,10 @@
 from typing import TYPE_CHECKING
 
 import gevent
-from result import Err
+from result import Err, Ok
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
-from wigeonpier.hosted.holder import DiskWrite
+from wigeonpier.hosted.jobfences import NO_FENCE
 from wigeonpier.models import OpenJob
 from wigeonpier.platform.port import Failure
 from wigeonpier.policy.matching import choose_service
@@ -20,10 +20,13 @@
 from wigeonpier.policy.quota import may_accept_unchecked
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.messages import make_identity
 
 if TYPE_CHECKING:
     import random
 
+    from result import Result
+
     from wigeonpier.hosted.backlogs import WorkerBacklogs
     from wigeonpier.hosted.board import Board
     from wigeonpier.hosted.holder import DiskJobWriter
@@ -31,6 +34,7 @@
     from wigeonpier.hosted.reach import IsolationDetector
     from wigeonpier.hosted.views import JobViews
     from wigeonpier.models import (
+        JobFence,
         JobItem,
     )
     from wigeonpier.served import (
@@ -92,6 +96,25 @@
         return (self.route.name, self.customer)
 
 
+@dataclass(slots=True)
+class AcceptAttempt:
+    """One attempt to accept a job.
+
+    :param job: the job.
+    :param name: id of the attempt, which disks store with the job.
+    :param started_at: when it began, seconds of the monotonic clock.
+    :param fence: fence that its last write has named.
+    :param may_be_kept: whether a write without an answer, or a copy on a disk,
+        may still put the job on the board.
+    """
+
+    job: SubmittedJob
+    name: str
+    started_at: float
+    fence: JobFence = NO_FENCE
+    may_be_kept: bool = False
+
+
 class JobAcceptor:
     """Accepts each job once, even if it is submitted repeatedly."""
 
@@ -122,25 +145,80 @@
         :raises Refusal: if the job is not known to be kept; the kind says
             whether it may be.
         """
-        started_at = time.monotonic()
-        may_be_kept = False
+        attempt = AcceptAttempt(job, make_identity(), time.monotonic())
+        try:
+            return self._accept(attempt)
+        except Refusal as refusal:
+            if attempt.may_be_kept:
+                return self._settle(attempt, refusal)
+            _log_refusal(attempt, refusal)
+            raise
+
+    def _accept(self, attempt: AcceptAttempt) -> AcceptOutcome:
         store_timeout = STORE_TIMEOUT_SECONDS
         while True:
             attempted_at = time.monotonic()
-            outcome = self._try_store(job, store_timeout)
+            outcome = self._try_store(attempt, store_timeout)
             if not isinstance(outcome, Failure):
                 return outcome
-            disk_write = self._try_disks(job)
-            if disk_write.copies >= self._disk_job_writer.copies_needed:
+            attempt.may_be_kept |= outcome is Failure.unknown
+            if self._try_disks(attempt):
                 return AcceptOutcome.disks
-            may_be_kept |= disk_write.may_be_kept or outcome is Failure.unknown
-            timeout = self._choose_timeout(may_be_kept=may_be_kept)
-            if time.monotonic() - started_at > timeout:
-                raise _make_uncertain_refusal(job, may_be_kept=may_be_kept)
+            timeout = self._choose_timeout(may_be_kept=attempt.may_be_kept)
+            if time.monotonic() - attempt.started_at > timeout:
+                raise _make_unkept_refusal()
             store_timeout = SLOW_STORE_TIMEOUT_SECONDS
             attempt_seconds = time.monotonic() - attempted_at
             gevent.sleep(max(0, RETRY_PAUSE_SECONDS - attempt_seconds))
 
+    def _settle(
+        self, attempt: AcceptAttempt, refusal: Refusal
+    ) -> AcceptOutcome:
+        """Make a refusal true although the job may still be kept.
+
+        :returns: ``stood`` if the job turns out to be kept.
+        :raises Refusal: the given one once no write of the attempt can take
+            effect any more, else one that promises nothing.
+        """
+        deadline = attempt.started_at + UNCERTAIN_TIMEOUT_SECONDS
+        timeout = STORE_TIMEOUT_SECONDS
+        while True:
+            accepted = self._fence(attempt, timeout)
+            if accepted == Ok(True):
+                return AcceptOutcome.stood
+            is_over = time.monotonic() > deadline
+            if isinstance(accepted, Ok) or is_over:
+                break
+            timeout = SLOW_STORE_TIMEOUT_SECONDS
+            gevent.sleep(RETRY_PAUSE_SECONDS)
+        final = refusal if isinstance(accepted, Ok) else _make_unsure_refusal()
+        _log_refusal(attempt, final)
+        raise final from refusal
+
+    def _fence(
+        self, attempt: AcceptAttempt, timeout: float
+    ) -> Result[bool, Failure]:
+        """Fence off the writes of an attempt, unless the job was accepted.
+
+        :returns: whether it was accepted; a failure if neither is known.
+        """
+        fences = self._ledger.fences
+        name = attempt.job.name
+        written = fences.write(name, attempt.fence, attempt.name, timeout)
+        if isinstance(written, Ok):
+            return Ok(False)
+        if written.err_value is not Failure.conflict:
+            return written
+        accepted = fences.is_accepted(name)
+        if accepted != Ok(False):
+            return accepted
+        # The fence is another one than the writes have named: that of another
+        # attempt, or of this one if the answer to its write was lost.
+        read = fences.read(name)
+        attempt.fence = read.unwrap_or(attempt.fence)
+        is_fenced = attempt.name in attempt.fence.attempts
+        return Ok(False) if is_fenced else Err(Failure.conflict)
+
     def _choose_timeout(self, *, may_be_kept: bool) -> float:
         if may_be_kept:
             return UNCERTAIN_TIMEOUT_SECONDS
@@ -151,8 +229,9 @@
         )
 
     def _try_store(
-        self, job: SubmittedJob, timeout: float
+        self, attempt: AcceptAttempt, timeout: float
     ) -> AcceptOutcome | Failure:
+        job = attempt.job
         read = self._ledger.read_board(timeout)
         if isinstance(read, Err):
             return read.err_value
@@ -161,14 +240,17 @@
         self._disk_tokens.clear()
         if job.name in board.jobs:
             return AcceptOutcome.stood
+        attempt.fence = board.get_fence(job.name)
         if not self._has_room(board, job):
             return self._find_existing(job)
         open_job = self._make_open_job(job)
         owners = self._backlogs.choose_owners(board, open_job)
         open_job = replace(open_job, owners=owners)
-        created = self._ledger.create(open_job, job.items, timeout)
+        created = self._ledger.create(
+            open_job, job.items, timeout, attempt.fence
+        )
         if created == Err(Failure.conflict):
-            return AcceptOutcome.stood
+            return self._explain_conflict(job)
         return (
             created.err_value
             if isinstance(created, Err)
@@ -177,15 +259,23 @@
 
     def _find_existing(self, job: SubmittedJob) -> AcceptOutcome | Failure:
         """Distinguish a resubmitted job from one over the token limit."""
-        found = self._ledger.read_head(job.name)
-        if isinstance(found, Err):
-            return found.err_value
-        if found.ok_value is None:
-            raise _make_full_refusal(job)
+        accepted = self._ledger.fences.is_accepted(job.name)
+        if isinstance(accepted, Err):
+            return accepted.err_value
+        if not accepted.ok_value:
+            raise _make_full_refusal()
         return AcceptOutcome.stood
 
-    def _try_disks(self, job: SubmittedJob) -> DiskWrite:
+    def _explain_conflict(self, job: SubmittedJob) -> AcceptOutcome | Failure:
+        """Distinguish a resubmitted job from one whose fence has changed."""
+        accepted = self._ledger.fences.is_accepted(job.name)
+        if isinstance(accepted, Err):
+            return accepted.err_value
+        return AcceptOutcome.stood if accepted.ok_value else Failure.conflict
+
+    def _try_disks(self, attempt: AcceptAttempt) -> bool:
         """Store a job on the disks since the store does not accept it now."""
+        job = attempt.job
         waiting = _sum_tokens(self._disk_job_writer.board, job)
         if not may_accept_unchecked(
             waiting,
@@ -193,13 +283,15 @@
             job.tokens,
             job.route.most_tokens,
         ):
-            return DiskWrite()
+            return False
         disk_write = self._disk_job_writer.store_on_disks(
-            self._make_open_job(job), job.items
+            self._make_open_job(job), job.items, attempt.name
         )
-        if disk_write.copies >= self._disk_job_writer.copies_needed:
+        attempt.may_be_kept |= disk_write.may_be_kept
+        is_kept = disk_write.copies >= self._disk_job_writer.copies_needed
+        if is_kept:
             self._disk_tokens[job.account] += job.tokens
-        return disk_write
+        return is_kept
 
     def _make_open_job(self, job: SubmittedJob) -> OpenJob:
         return OpenJob(
@@ -247,14 +339,15 @@
     )
 
 
-def _make_uncertain_refusal(job: SubmittedJob, *, may_be_kept: bool) -> Refusal:
-    log_event(Event.job_refused, job=job.name, may_stand=may_be_kept)
-    if may_be_kept:
-        return Refusal(
-            ErrorKind.upstream_lost,
-            'it is not known whether the job is kept',
-            ran=Ran.unknown,
-        )
+def _make_unsure_refusal() -> Refusal:
+    return Refusal(
+        ErrorKind.upstream_lost,
+        'it is not known whether the job is kept',
+        ran=Ran.unknown,
+    )
+
+
+def _make_unkept_refusal() -> Refusal:
     return Refusal(
         ErrorKind.platform_down,
         'the job cannot be kept now',
@@ -262,15 +355,23 @@
     )
 
 
-def _make_full_refusal(job: SubmittedJob) -> Refusal:
+def _make_full_refusal() -> Refusal:
+    return Refusal(
+        ErrorKind.limit_reached,
+        'too many tokens wait on the route',
+        retry_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def _log_refusal(attempt: AcceptAttempt, refusal: Refusal) -> None:
+    job = attempt.job
     log_event(
         Event.job_refused,
         job=job.name,
+        attempt=attempt.name,
+        kind=refusal.kind.value,
+        may_stand=refusal.ran is Ran.unknown,
+        is_fenced=attempt.may_be_kept and refusal.ran is not Ran.unknown,
         tokens=job.tokens,
         most_tokens=job.route.most_tokens,
     )
-    return Refusal(
-        ErrorKind.limit_reached,
-        'too many tokens wait on the route',
-        retry_seconds=RETRY_AFTER_SECONDS,
-    )
--- a/src/wigeonpier/hosted/board.py
+++ b/src/wigeonpier/hosted/board.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
+from wigeonpier.hosted.jobfences import NO_FENCE, decode_fence
 from wigeonpier.hosted.news import QuarantineEntry
-from wigeonpier.models import DiskMember, Member, OpenJob
+from wigeonpier.models import DiskMember, JobFence, Member, OpenJob
 from wigeonpier.platform import storekeys
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     :param members: workers that run items, by name of their VM.
     :param disks: processes that store jobs on a disk, by name of their VM.
     :param refused: refused requests, by fingerprint.
+    :param fences: fences of jobs that were refused, by id of the job.
     """
 
     jobs: dict[str, OpenJob] = field(default_factory=dict)
@@ -31,26 +33,24 @@
     members: dict[str, Member] = field(default_factory=dict)
     disks: dict[str, DiskMember] = field(default_factory=dict)
     refused: dict[str, QuarantineEntry] = field(default_factory=dict)
+    fences: dict[str, JobFence] = field(default_factory=dict)
 
     def put(self, entry: Entry) -> None:
         """Add a key of the board.
 
         :param entry: the key.
         """
-        if entry.key.startswith(storekeys.OPEN_JOBS):
-            job = msgspec.json.decode(entry.value, type=OpenJob)
-            self.jobs[job.name] = job
-            self.revisions[job.name] = entry.revision
-        elif entry.key.startswith(storekeys.MEMBERS):
-            member = msgspec.json.decode(entry.value, type=Member)
-            self.members[member.name] = member
-        elif entry.key.startswith(storekeys.DISKS):
-            disk = msgspec.json.decode(entry.value, type=DiskMember)
-            self.disks[disk.name] = disk
-        elif entry.key.startswith(storekeys.REFUSED):
-            fingerprint = entry.key.removeprefix(storekeys.REFUSED)
-            refused = msgspec.json.decode(entry.value, type=QuarantineEntry)
-            self.refused[fingerprint] = refused
+        for prefix, put in _PUT_BY_PREFIX:
+            if entry.key.startswith(prefix):
+                put(self, entry.key.removeprefix(prefix), entry)
+
+    def get_fence(self, job: str) -> JobFence:
+        """Get the fence that a write of a job has to name.
+
+        :param job: id of the job.
+        :returns: the fence, of revision 0 if there is none.
+        """
+        return self.fences.get(job, NO_FENCE)
 
     def list_members(self, service: str) -> list[Member]:
         """List the workers that run items of a service.
@@ -63,3 +63,35 @@
             for member in self.members.values()
             if member.service == service
         ]
+
+
+def _put_job(board: Board, name: str, entry: Entry) -> None:
+    board.jobs[name] = msgspec.json.decode(entry.value, type=OpenJob)
+    board.revisions[name] = entry.revision
+
+
+def _put_member(board: Board, name: str, entry: Entry) -> None:
+    board.members[name] = msgspec.json.decode(entry.value, type=Member)
+
+
+def _put_disk(board: Board, name: str, entry: Entry) -> None:
+    board.disks[name] = msgspec.json.decode(entry.value, type=DiskMember)
+
+
+def _put_refused(board: Board, fingerprint: str, entry: Entry) -> None:
+    board.refused[fingerprint] = msgspec.json.decode(
+        entry.value, type=QuarantineEntry
+    )
+
+
+def _put_fence(board: Board, job: str, entry: Entry) -> None:
+    board.fences[job] = decode_fence(entry)
+
+
+_PUT_BY_PREFIX = (
+    (storekeys.OPEN_JOBS, _put_job),
+    (storekeys.MEMBERS, _put_member),
+    (storekeys.DISKS, _put_disk),
+    (storekeys.REFUSED, _put_refused),
+    (storekeys.FENCES, _put_fence),
+)
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -114,17 +114,20 @@
             and time.monotonic() - moment < ASSUME_ON_DISK_SECONDS
         )
 
-    def store_on_disks(self, job: OpenJob, items: list[JobItem]) -> DiskWrite:
+    def store_on_disks(
+        self, job: OpenJob, items: list[JobItem], attempt: str
+    ) -> DiskWrite:
         """Store a job on all known disks.
 
         :param job: the job.
         :param items: its items.
+        :param attempt: id of the attempt to accept it.
         :returns: how many disks confirmed it in time.
         """
         disks = list(self.board.disks.values())
         if len(disks) < self.copies_needed:
             return DiskWrite()
-        body = msgspec.json.encode(DiskJob(job, tuple(items)))
+        body = msgspec.json.encode(DiskJob(job, tuple(items), (attempt,)))
         sends = [
             gevent.spawn(self._send, disk, job.name, body) for disk in disks
         ]
--- a/src/wigeonpier/hosted/intake.py
+++ b/src/wigeonpier/hosted/intake.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections import defaultdict
 from dataclasses import replace
 from http import HTTPStatus
 from pathlib import Path
@@ -33,6 +34,7 @@
     import random
 
     from wigeonpier.hosted.ledger import JobLedger
+    from wigeonpier.models import JobFence
 
 INTAKE_PATH = '/intake/'
 FOLDER_NAME = 'intake'
@@ -40,6 +42,8 @@
 # Several disks hold the same job; the jitter spreads their writes.
 MAX_JITTER_SECONDS = 0.25
 RETRY_PAUSE_SECONDS = 0.3
+# Stands for an attempt of an earlier build; it is never refused.
+UNNAMED_ATTEMPT = ''
 
 
 class Intake:
@@ -58,6 +62,9 @@
         self._ledger = ledger
         self._rng = rng
         self._job_names = {path.name for path in self._root.iterdir()}
+        # Attempts that stored each job since the start; a write to the disk
+        # may be in progress.
+        self._attempts: defaultdict[str, set[str]] = defaultdict(set)
         self._has_work = Signal()
         self._has_work.set()
 
@@ -81,7 +88,7 @@
         if self.is_closed:
             raise Refusal(ErrorKind.leaving, 'this disk is being emptied')
         request.body_limit = MAX_JOB_BYTES
-        raw = request.read_body()
+        raw = self._add_attempts(name, request.read_body())
         try:
             call_in_thread(replace_file, self._root / name, raw)
         except OSError as error:
@@ -91,6 +98,31 @@
         log_event(Event.job_held, job=name, size=len(raw))
         return Response(HTTPStatus.OK, b'{}')
 
+    def _add_attempts(self, name: str, raw: bytes) -> bytes:
+        """Add the attempts of an earlier copy to a later one.
+
+        A copy is dropped only once all attempts that stored it are refused.
+        """
+        disk_job = msgspec.json.decode(raw, type=DiskJob)
+        attempts = self._attempts[name]
+        attempts |= _list_attempts(disk_job)
+        if name in self._job_names:
+            attempts |= self._read_attempts(name)
+        return msgspec.json.encode(
+            replace(disk_job, attempts=tuple(sorted(attempts)))
+        )
+
+    def _read_attempts(self, name: str) -> set[str]:
+        try:
+            return _list_attempts(self._read_copy(name))
+        except (OSError, msgspec.DecodeError):
+            # It is handed over just now, or its write was interrupted.
+            return set()
+
+    def _read_copy(self, name: str) -> DiskJob:
+        raw = (self._root / name).read_bytes()
+        return msgspec.json.decode(raw, type=DiskJob)
+
     def _raise_write_error(self, name: str, error: OSError) -> NoReturn:
         """Report that a full or faulty disk does not have a job.
 
@@ -101,6 +133,7 @@
         log_event(Event.job_unheld, job=name, why=str(error))
         if name in self._job_names or (self._root / name).exists():
             raise error
+        self._attempts.pop(name, None)
         raise Refusal(ErrorKind.storage_down, str(error)) from error
 
     def _step(self) -> None:
@@ -116,7 +149,7 @@
     def _write_to_store(self, name: str) -> bool:
         path = self._root / name
         try:
-            disk_job = msgspec.json.decode(path.read_bytes(), type=DiskJob)
+            disk_job = self._read_copy(name)
         except (OSError, msgspec.DecodeError) as error:
             # A write interrupted by a power loss was never confirmed.
             log_event(Event.job_unreadable, job=name, why=str(error))
@@ -126,6 +159,11 @@
         if isinstance(read, Err):
             return False
         board = read.ok_value
+        fence = board.get_fence(name)
+        if self._is_refused(name, disk_job, fence):
+            log_event(Event.job_dropped, job=name, attempts=fence.attempts)
+            self._remove_copy(path)
+            return True
         owners = assign_items(
             name,
             len(disk_job.items),
@@ -136,8 +174,13 @@
         created = self._ledger.create(
             replace(disk_job.job, owners=owners),
             list(disk_job.items),
+            fence=fence,
+        )
+        # After a conflict, either the store has the job or its fence has changed.
+        is_stored = isinstance(created, Ok) or (
+            created == Err(Failure.conflict)
+            and self._ledger.fences.is_accepted(name) == Ok(True)
         )
-        is_stored = isinstance(created, Ok) or created == Err(Failure.conflict)
         if is_stored:
             log_event(
                 Event.job_handed_over,
@@ -147,6 +190,18 @@
             self._remove_copy(path)
         return is_stored
 
+    def _is_refused(
+        self, name: str, disk_job: DiskJob, fence: JobFence
+    ) -> bool:
+        attempts = _list_attempts(disk_job) | self._attempts[name]
+        return attempts <= set(fence.attempts)
+
     def _remove_copy(self, path: Path) -> None:
         path.unlink(missing_ok=True)
         self._job_names.discard(path.name)
+        self._attempts.pop(path.name, None)
+
+
+def _list_attempts(disk_job: DiskJob) -> set[str]:
+    """List the attempts that stored a job; an earlier build names none."""
+    return set(disk_job.attempts) or {UNNAMED_ATTEMPT}
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -15,6 +15,7 @@
 from result import Err, Ok, Result
 
 from wigeonpier.hosted.board import Board
+from wigeonpier.hosted.jobfences import NO_FENCE, JobFences, guard_create
 from wigeonpier.models import (
     Assignment,
     ItemProgress,
@@ -29,6 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wigeonpier.models import JobFence
     from wigeonpier.platform.port import Snapshot
     from wigeonpier.platform.store import KeyValueStore
 
@@ -87,6 +89,7 @@
     def __init__(self, store: KeyValueStore) -> None:
         """Read and write jobs in the given store."""
         self.store = store
+        self.fences = JobFences(store)
 
     def read_board(
         self,
@@ -118,20 +121,22 @@
         job: OpenJob,
         items: list[JobItem],
         timeout: float = CALL_TIMEOUT_SECONDS,
+        fence: JobFence = NO_FENCE,
     ) -> Result[int, Failure]:
         """Write a new job and assign its items, in one transaction.
 
         :param job: the job as shown on the board.
         :param items: all items.
         :param timeout: longest wait for the store, seconds.
-        :returns: the revision; ``conflict`` if the job exists already.
+        :param fence: the fence of the job as last read.
+        :returns: the revision; ``conflict`` if the job exists already, or if
+            its fence was changed meanwhile.
         """
         parts = list(_split_items(items))
         job = replace(job, parts=len(parts))
         head = JobHead(job, [item.name for item in items])
-        head_key = _make_head_key(job.name)
         writes = {
-            head_key: msgspec.json.encode(head),
+            storekeys.name_head(job.name): msgspec.json.encode(head),
             storekeys.name_key(
                 storekeys.OPEN_JOBS, job.name
             ): msgspec.json.encode(job),
@@ -146,7 +151,8 @@
             key = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
             assignment = _make_assignment(job, owner, items)
             writes[key] = msgspec.json.encode(assignment)
-        return self.store.commit(Commit({head_key: 0}, writes), timeout)
+        guards = guard_create(job.name, fence)
+        return self.store.commit(Commit(guards, writes), timeout)
 
     def reassign(
         self,
@@ -245,7 +251,7 @@
         closed = self.close(job)
         if isinstance(closed, Err):
             return closed
-        keys = [_make_head_key(job)]
+        keys = [storekeys.name_head(job)]
         for space in (storekeys.ITEMS, storekeys.RESULTS, storekeys.PROGRESS):
             listed = self.store.list_prefix(storekeys.name_prefix(space, job))
             if isinstance(listed, Err):
@@ -254,14 +260,6 @@
         keys.append(storekeys.name_key(storekeys.AGES, job))
         return self._delete(keys)
 
-    def read_head(self, job: str) -> Result[JobHead | None, Failure]:
-        """Read the head of a job.
-
-        :param job: id of the job.
-        :returns: the head, ``None`` if there is no such job.
-        """
-        return self.store.get(_make_head_key(job)).map(_decode_head)
-
     def read_items(self, job: OpenJob) -> Result[list[JobItem], Failure]:
         """Read all items of a job.
 
@@ -465,10 +463,6 @@
     return msgspec.json.decode(value, type=Assignment)
 
 
-def _make_head_key(job: str) -> str:
-    return storekeys.name_key(storekeys.RESULTS, job, storekeys.HEAD)
-
-
 def _make_assignment(
     job: OpenJob, owner: str, items: list[JobItem]
 ) -> Assignment:
@@ -481,12 +475,6 @@
     return Assignment(job, indexes, owned)
 
 
-def _decode_head(entry: Entry | None) -> JobHead | None:
-    if entry is None:
-        return None
-    return msgspec.json.decode(entry.value, type=JobHead)
-
-
 def _decode_open_job(entry: Entry | None) -> tuple[OpenJob, int] | None:
     if entry is None:
         return None
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -285,10 +285,28 @@
 
     :param job: the job; its items have no owner yet.
     :param items: all items.
+    :param attempts: ids of the attempts to accept it that stored it here;
+        empty where an earlier build did.
     """
 
     job: OpenJob
     items: tuple[JobItem, ...]
+    attempts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class JobFence:
+    """Record in the store that attempts to accept a job were refused.
+
+    A write of the job names the revision that it has read, so that a write of a
+    refused attempt no longer takes effect.
+
+    :param revision: revision of the record, 0 if there is none.
+    :param attempts: ids of the refused attempts.
+    """
+
+    revision: int = 0
+    attempts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -202,14 +202,17 @@
             lambda reply: reply.decode(Committed).revision,
         )
 
-    def grant_lease(self, seconds: float) -> Result[int, Failure]:
+    def grant_lease(
+        self, seconds: float, timeout: float = CALL_TIMEOUT_SECONDS
+    ) -> Result[int, Failure]:
         """Get a lease that expires unless it is renewed.
 
         :param seconds: time to live of the lease.
+        :param timeout: longest time without any data, seconds.
         :returns: its id.
         """
         body = LeaseBody(int(seconds * MILLISECONDS))
-        replied = self._send('POST', wire.LEASE_PATH, {}, body)
+        replied = self._send('POST', wire.LEASE_PATH, {}, body, timeout=timeout)
         return _classify_reply(replied).map(
             lambda reply: reply.decode(GrantedLease).lease
         )
--- a/src/wigeonpier/platform/storekeys.py
+++ b/src/wigeonpier/platform/storekeys.py
@@ -13,6 +13,9 @@
 # By fingerprint: requests that crash the upstreams that run them.  Part of
 # the board, which each process reads at its start.
 REFUSED = f'{BOARD}refused/'
+# By job: refused attempts to accept it.  Part of the board, which is read before
+# a job is written.
+FENCES = f'{BOARD}fences/'
 # By VM and job.  Each process watches its own assignments only, so that a job
 # wakes only the processes that run it.
 ASSIGNMENTS = f'{HOSTED}work/'
@@ -70,6 +73,15 @@
     return int(key.rpartition('/')[2])
 
 
+def name_head(job: str) -> str:
+    """Name the key of a job's head, which exists once the job is accepted.
+
+    :param job: id of the job.
+    :returns: the key.
+    """
+    return name_key(RESULTS, job, HEAD)
+
+
 def is_head(key: str) -> bool:
     """Tell whether a key is the head of a job and not a result.
 
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -336,6 +336,11 @@
         ERROR_LEVEL,
         'A disk failed to write a job; it is not confirmed there.',
     )
+    job_dropped = (
+        641,
+        WARNING_LEVEL,
+        'A copy of a job on this disk is dropped: the job was refused.',
+    )
     job_handed_over = (626, INFO_LEVEL, 'A job on this disk is in the store.')
     job_unreadable = (
         627,
