Announce members under the revision of their key

All workers were off the board for good.

Cause: a member is a key under a lease. The answer to its write was lost, and the member wrote it once more under another lease. Then the first write was executed late, without a condition, and put the key under the first lease, which nobody renews. It ended, the key with it, and the member went on renewing the second one.

Change: the write names the revision of the key that was just read, so that a late one does nothing after the next. Before the next one it puts the key under its own lease, and the next one replaces it. Processes with disks are announced by the same class. Cost: one read for each start of a member.

Test: test_a_late_announcement_takes_no_member_off_the_board failed for both cases (no key, a key of an earlier start) before this change, and passes.

--- a/src/wigeonpier/hosted/membership.py
+++ b/src/wigeonpier/hosted/membership.py
@@ -94,8 +94,16 @@
         granted = self._store.grant_lease(LEASE_SECONDS)
         if isinstance(granted, Err):
             return False
-        writes = {self._key: self._content}
-        change = Commit(writes=writes, lease=granted.ok_value)
+        # A write without an answer may be executed after the next one.  It must
+        # not put the key under its own lease, which nobody renews.
+        found = self._store.read_revision(self._key)
+        if isinstance(found, Err):
+            return False
+        change = Commit(
+            {self._key: found.ok_value},
+            {self._key: self._content},
+            lease=granted.ok_value,
+        )
         if isinstance(self._store.commit(change), Err):
             return False
         self._lease = granted.ok_value
--- a/tests/hosted/test_membership.py
+++ b/tests/hosted/test_membership.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import gevent
+import pytest
 from result import Err, Ok
 
-from wigeonpier.hosted.membership import Membership
+from wigeonpier.bench.store import StandInStore
+from wigeonpier.hosted.membership import LEASE_SECONDS, Membership
 from wigeonpier.models import DiskMember
 from wigeonpier.platform.port import Failure
+from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.pool import ConnectionPool
 
+KEY = 'board/members/d'
+# After the call is given up and the key is written once more.
+LATE_SECONDS = 2.0
 SECONDS = 4.0
 # A process that retried every 0.2 s made 20 writes in this time; the budget of
 # the store is some hundred writes a second for all processes.
@@ -27,6 +35,9 @@
         self.calls += 1
         return Ok(1) if self.is_up else Err(Failure.unavailable)
 
+    def read_revision(self, _key: str) -> Ok:
+        return Ok(0)
+
     def commit(self, _change: object) -> Ok:
         return Ok(1)
 
@@ -59,3 +70,26 @@
         membership._step()
     assert store.calls == 5
     assert waits[0] < 0.3
+
+
+@pytest.mark.parametrize('has_key', [False, True])
+def test_a_late_announcement_takes_no_member_off_the_board(
+    has_key: bool,
+) -> None:
+    """It put the key under an older lease, and the key ended with that one."""
+    store = StandInStore()
+    address = store.start()
+    if has_key:
+        # That of an earlier start, whose lease has not ended yet.
+        store.put(KEY, b'earlier')
+    client = KeyValueStore(ConnectionPool(), address, Metrics(), 20)
+    membership = Membership(client, KEY, DiskMember('d', '127.0.0.1:1'))
+    store.faults.late_writes = 1
+    store.faults.late_seconds = LATE_SECONDS
+    membership.is_wanted = True
+    loop = gevent.spawn(lambda: [membership._step() for _ in range(100)])
+    gevent.sleep(LATE_SECONDS + 2 * LEASE_SECONDS)
+    keys = store.list_keys(KEY)
+    loop.kill()
+    store.stop()
+    assert keys == [KEY]
