Do not promise that a configuration was not accepted after a conflict

What operators could see: an answer that nothing was accepted, for a version that was in force for a moment.

Cause: a write whose answer is lost may take effect and be replaced by another operator's version. The conflict that follows is explained by reading, and a failed read was answered like one before any write.

Change: such an answer says that the outcome is unknown.

Test: test_a_conflict_that_cannot_be_read... got platform_down before, and outcome_unknown after.

--- a/src/wigeonpier/entry/configuration.py
+++ b/src/wigeonpier/entry/configuration.py
@@ -130,6 +130,15 @@
         """Find the outcome of a write that failed or conflicted."""
         if failure is not Failure.conflict:
             raise refuse_write(failure)
+        try:
+            return self._resolve_conflict(application)
+        except Refusal as refusal:
+            if refusal.kind is not ErrorKind.platform_down:
+                raise
+            # It may have been accepted, and replaced by the next version.
+            raise refuse_write(Failure.unknown) from refusal
+
+    def _resolve_conflict(self, application: Application) -> Accepted:
         current = self._read(keys.CONFIGURATION)
         if current is None:
             raise Refusal(ErrorKind.conflict, 'the configuration changes')
