Split failed attempts and pending requests from the forwarder

The request that is forwarded, and the classification of attempts that failed, are modules of their own; nothing else changes.

--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -12,9 +12,16 @@
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
-from wigeonpier.errors import ErrorKind, Ran, Refusal
+from wigeonpier.entry.failedattempts import (
+    RefusedAttempt,
+    classify_failure,
+    classify_refusal,
+    correct_ran,
+    make_version_failure,
+    render_error,
+)
+from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.invariants import Invariant, check_invariant
-from wigeonpier.policy.fingerprint import digest_request
 from wigeonpier.policy.retry import (
     ExecutionState,
     FailedAttempt,
@@ -30,7 +37,7 @@
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web import headers
 from wigeonpier.web.client import CallFailure, round_timeout
-from wigeonpier.web.messages import EVENT_STREAM_TYPE, ErrorPage, Response
+from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 from wigeonpier.web.sse import (
     Completion,
     continue_body,
@@ -44,12 +51,12 @@
     import random
     from collections.abc import Iterator
 
+    from wigeonpier.entry.pending import PendingRequest
     from wigeonpier.entry.suspects import SuspectFilter
     from wigeonpier.membership.directory import Directory
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import HttpClient, StreamReply
-    from wigeonpier.web.messages import Request
 
 MILLISECONDS = 1000
 OVERLOAD_STATUS = 429
@@ -57,70 +64,6 @@
 FORWARDED_HEADERS = ('content-type', 'accept')
 
 
-@dataclass(slots=True)
-class PendingRequest:
-    """An online request that is being forwarded.
-
-    :param request: the request as the caller sent it.
-    :param path: path at the local process.
-    :param body: the complete body.
-    :param criteria: requirements for the upstream.
-    :param is_idempotent: whether it may run more than once.
-    :param deadline: monotonic seconds.
-    :param arrived: monotonic seconds.
-    :param attempts: number of attempts so far.
-    :param may_have_run: whether one of the attempts may have run.
-    :param tokens: tokens of the answer, for the customer's limit.
-    :param fingerprint: fingerprint of its content, empty until computed.
-    """
-
-    request: Request
-    path: str
-    body: bytes
-    criteria: RoutingCriteria
-    is_idempotent: bool
-    deadline: float
-    arrived: float = field(default_factory=time.monotonic)
-    attempts: int = 0
-    may_have_run: bool = False
-    tokens: int = 0
-    fingerprint: str = ''
-
-    def compute_fingerprint(self) -> str:
-        """Compute the fingerprint of the content, once.
-
-        Repeats of the request have the same fingerprint.
-
-        :returns: fingerprint of the original request, also for the
-            continuation of a stream.
-        """
-        if not self.fingerprint:
-            self.fingerprint = digest_request(
-                self.request.customer,
-                self.request.method,
-                self.path,
-                self.body,
-            )
-        return self.fingerprint
-
-    @property
-    def seconds_left(self) -> float:
-        """Return the time until the deadline."""
-        return self.deadline - time.monotonic()
-
-
-@dataclass(slots=True)
-class RefusedAttempt:
-    """A failed attempt and the answer that it would give the caller.
-
-    :param execution_state: whether the request may have run.
-    :param refusal: answer to the caller if this is the last attempt.
-    """
-
-    execution_state: ExecutionState
-    refusal: Refusal
-
-
 @dataclass(slots=True)
 class _StreamConnection:
     """The upstream slot and connection that a stream occupies.
@@ -190,7 +133,7 @@
         try:
             return self._attempt_until_answered(pending)
         except Refusal as refusal:
-            raise _correct_ran(pending, refusal) from refusal
+            raise correct_ran(pending, refusal) from refusal
 
     def _attempt_until_answered(self, pending: PendingRequest) -> Response:
         while True:
@@ -273,7 +216,7 @@
         now = self.directory.clock()
         if isinstance(opened, Err):
             record_outcome(state, went_well=False, now=now)
-            return Err(_classify_failure(opened.err_value))
+            return Err(classify_failure(opened.err_value))
         reply = opened.ok_value
         identity = pending.request.identity
         echoed = reply.get_header(headers.REQUEST_ID)
@@ -284,9 +227,9 @@
         )
         if echoed != identity:
             reply.close()
-            return Err(_classify_failure(CallFailure.lost))
+            return Err(classify_failure(CallFailure.lost))
         if reply.status >= SERVER_ERROR or reply.status == OVERLOAD_STATUS:
-            failure = _classify_refusal(reply)
+            failure = classify_refusal(reply)
             record_outcome(
                 state, failure.execution_state is ExecutionState.not_run, now
             )
@@ -304,7 +247,7 @@
             body = reply.read()
         except (OSError, HTTPParseError):
             record_outcome(state, went_well=False, now=self.directory.clock())
-            return Err(_classify_failure(CallFailure.lost))
+            return Err(classify_failure(CallFailure.lost))
         pending.tokens = _count_tokens(pending, body)
         content_type = reply.get_header('content-type')
         return Ok(Response(reply.status, body, content_type))
@@ -337,7 +280,7 @@
                     *self._resume(pending, connection.state, sent)
                 )
         except Refusal as refusal:
-            yield _render_error(_correct_ran(pending, refusal))
+            yield render_error(correct_ran(pending, refusal))
 
     def _relay_part(
         self,
@@ -395,7 +338,7 @@
         # did not run.
         pending.may_have_run = True
         continuation = replace(pending, body=body)
-        failure = _classify_failure(CallFailure.lost)
+        failure = classify_failure(CallFailure.lost)
         while True:
             self._plan_retry(continuation, state, failure)
             continuation.criteria = self._exclude_other_versions(
@@ -412,14 +355,14 @@
             continuation.attempts += 1
             state.in_flight += 1
             opened = self._open(continuation, state)
-            failure = _classify_failure(CallFailure.lost)
+            failure = classify_failure(CallFailure.lost)
             if isinstance(opened, Ok):
                 reply = opened.ok_value
                 lines = _continue_lines(reply, delivered.version)
                 if lines is not None:
                     return state, reply, lines
                 reply.close()
-                failure = _classify_other_version()
+                failure = make_version_failure()
             state.in_flight -= 1
 
     def _exclude_other_versions(
@@ -476,17 +419,6 @@
         )
 
 
-def _classify_other_version() -> RefusedAttempt:
-    return RefusedAttempt(
-        ExecutionState.may_have_run,
-        Refusal(
-            ErrorKind.version_gone,
-            'no upstream of the version that began the stream is left',
-            ran=Ran.unknown,
-        ),
-    )
-
-
 def _continue_lines(reply: StreamReply, version: str) -> Iterator[bytes] | None:
     """Read on until the first chunk shows which engine continues.
 
@@ -504,23 +436,6 @@
     return chain(first, lines)
 
 
-def _correct_ran(pending: PendingRequest, refusal: Refusal) -> Refusal:
-    """Make a refusal report whether any attempt, not only the last, ran."""
-    if pending.may_have_run and refusal.ran is Ran.no:
-        refusal = Refusal(
-            refusal.kind,
-            refusal.message,
-            ran=Ran.unknown,
-            retry_after=refusal.retry_after,
-        )
-    check_invariant(
-        refusal.ran is not Ran.no or not pending.may_have_run,
-        Invariant.refused_means_not_run,
-        pending.request.identity,
-    )
-    return refusal
-
-
 def _count_tokens(pending: PendingRequest, body: bytes) -> int:
     if not pending.criteria.model:
         return 0
@@ -546,51 +461,3 @@
     if pending.request.span:
         forwarded['traceparent'] = pending.request.span.traceparent
     return forwarded
-
-
-def _classify_failure(failure: CallFailure) -> RefusedAttempt:
-    if failure is CallFailure.not_sent:
-        return RefusedAttempt(
-            ExecutionState.not_run,
-            Refusal(ErrorKind.no_upstream, 'the upstream cannot be reached'),
-        )
-    return RefusedAttempt(
-        ExecutionState.may_have_run,
-        Refusal(ErrorKind.upstream_lost, 'the upstream was lost'),
-    )
-
-
-def _classify_refusal(reply: StreamReply) -> RefusedAttempt:
-    try:
-        page = msgspec.json.decode(reply.read(), type=ErrorPage)
-        refusal = Refusal(
-            ErrorKind(page.error.type),
-            page.error.message,
-            ran=Ran(page.error.ran),
-        )
-    except (OSError, HTTPParseError, msgspec.DecodeError, ValueError):
-        refusal = Refusal(
-            ErrorKind.upstream_failed,
-            f'the upstream answered {reply.status}',
-        )
-    finally:
-        reply.close()
-    execution_state = (
-        ExecutionState.not_run
-        if refusal.ran is Ran.no
-        else ExecutionState.may_have_run
-    )
-    return RefusedAttempt(execution_state, refusal)
-
-
-def _render_error(refusal: Refusal) -> bytes:
-    page = msgspec.json.encode(
-        {
-            'error': {
-                'type': refusal.kind.value,
-                'message': refusal.message,
-                'ran': refusal.ran.value,
-            },
-        }
-    )
-    return b'data: %b\n\n' % page
--- a/src/wigeonpier/entry/online.py
+++ b/src/wigeonpier/entry/online.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from wigeonpier.batch.models import ListPage
-from wigeonpier.entry.forward import Forwarder, PendingRequest
+from wigeonpier.entry.pending import PendingRequest
 from wigeonpier.entry.resends import (
     OnlineResends,
     digest_parts,
@@ -25,6 +25,7 @@
 from wigeonpier.web.messages import answer_json, decode_body
 
 if TYPE_CHECKING:
+    from wigeonpier.entry.forward import Forwarder
     from wigeonpier.entry.limits import Account, CustomerLimits
     from wigeonpier.settings.deployment import Deployment, Service
     from wigeonpier.settings.holder import ConfigurationHolder
--- a/src/wigeonpier/entry/suspects.py
+++ b/src/wigeonpier/entry/suspects.py
@@ -10,7 +10,7 @@
 from wigeonpier.policy.suspicion import RunMode
 
 if TYPE_CHECKING:
-    from wigeonpier.entry.forward import PendingRequest
+    from wigeonpier.entry.pending import PendingRequest
     from wigeonpier.membership.suspicions import Suspicions
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.web.client import HttpClient
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -14,7 +14,8 @@
 
 from tests.builders import build_upstream
 from tests.streamedreply import StreamedReply
-from wigeonpier.entry.forward import Forwarder, PendingRequest
+from wigeonpier.entry.forward import Forwarder
+from wigeonpier.entry.pending import PendingRequest
 from wigeonpier.entry.suspects import SuspectFilter
 from wigeonpier.errors import Ran, Refusal
 from wigeonpier.membership.directory import Directory, Member
