--- a/tests/bench/test_faultsoak.py
+++ b/tests/bench/test_faultsoak.py
@@ -53,6 +53,8 @@
     957,
 )
 SHORT_SEED = 4
+# Draws repeated answers and late writes.
+LATE_SEED = 1013
 SHORT_SECONDS = 5.0
 # Duration of the runs that found the faults.
 REGRESSION_SECONDS = 8.0
@@ -107,6 +109,19 @@
     assert not report.broken
 
 
+def test_invariants_hold_with_late_answers_and_writes(tmp_path) -> None:
+    report = run_fault_soak(
+        LATE_SEED,
+        REGRESSION_SECONDS,
+        tmp_path,
+        parts=SoakParts(has_late_effects=True),
+    )
+    assert not report.broken
+    assert report.faults['answers repeated']
+    assert report.faults['store writes late']
+    assert report.jobs['accepted']
+
+
 def test_invariants_hold_with_customers(tmp_path) -> None:
     """Keys are rotated, and one customer exceeds its rate limit by far."""
     report = run_fault_soak(
