Let late effects in the soak come all the time, beside a token limit

Now replicas repeat answers and refuse requests, and a write is late, each 0.2 to 0.6 s, and two jobs may wait.

--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import gevent
@@ -25,6 +25,7 @@
 )
 from wigeonpier.bench.soakfaults import SoakFaults
 from wigeonpier.bench.soakkeys import SoakKeys
+from wigeonpier.bench.soaklate import SoakLateEffects
 from wigeonpier.bench.soakprompts import SoakPrompts
 from wigeonpier.bench.soaksite import DISKS, EVENTS, SoakSite, SoakSize
 from wigeonpier.bench.soakstreams import SoakStreams
@@ -43,6 +44,9 @@
 KEYS_SEED = 3
 STREAMS_SEED = 4
 PROMPTS_SEED = 5
+LATE_SEED = 6
+# Of two jobs, so that some are refused while late writes of them are pending.
+MOST_TOKENS = 100
 # Share of entries among the processes that are not storage.
 ENTRY_SHARE = 0.4
 
@@ -86,8 +90,8 @@
     :param has_versions: whether replicas of two software versions serve, and
         callers leave and resume streams.
     :param has_parts: whether a part of prompts crashes every replica.
-    :param has_late_effects: whether replicas repeat answers late, and the store
-        executes writes late.
+    :param has_late_effects: whether replicas repeat answers late, the store
+        executes writes late, and few tokens of jobs may wait.
     """
 
     has_crashes: bool = False
@@ -108,12 +112,18 @@
     :param seconds: duration of the fault phase.
     :param site: site under test.
     :param parts: what is played.
+    :param late: injects late effects, if these are played.
     """
 
     seed: int
     seconds: float
     site: SoakSite
     parts: SoakParts
+    late: SoakLateEffects = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Prepare the late effects."""
+        self.late = SoakLateEffects(self.site, self._make_rng(LATE_SEED))
 
     def run(self) -> FaultSoakReport:
         """Run the soak and check the invariants.
@@ -141,6 +151,7 @@
                     (keys, self.parts.has_keys),
                     (streams, self.parts.has_versions),
                     (prompts, self.parts.has_parts),
+                    (self.late, self.parts.has_late_effects),
                 )
                 if is_played
             ]
@@ -152,7 +163,7 @@
             if self.parts.has_keys:
                 broken += keys.find_violations(self.site.list_received())
         return self._make_report(
-            faults | crashes.counts | keys.counts,
+            faults | crashes.counts | keys.counts | self.late.counts,
             callers,
             dict(streams.counts),
             broken,
@@ -220,7 +231,7 @@
         folder,
         _choose_size(processes),
         has_versions=parts.has_versions,
-        has_late_effects=parts.has_late_effects,
+        most_tokens=MOST_TOKENS if parts.has_late_effects else 0,
     )
     return FaultSoak(seed, seconds, site, parts).run()
 
--- a/src/wigeonpier/bench/soakfaults.py
+++ b/src/wigeonpier/bench/soakfaults.py
@@ -11,7 +11,6 @@
 import gevent
 
 from wigeonpier.bench.proxy import ProxyFault
-from wigeonpier.bench.soaklate import list_late_faults
 from wigeonpier.bench.soaksite import VERSIONS
 
 if TYPE_CHECKING:
@@ -55,7 +54,6 @@
             *self._list_store_faults(),
             *self._list_replica_faults(),
             *self._list_version_faults(),
-            *list_late_faults(self.site, self.rng),
         ]
 
     def _list_process_faults(self) -> Iterator[Fault]:
--- a/src/wigeonpier/bench/soaklate.py
+++ b/src/wigeonpier/bench/soaklate.py
@@ -2,48 +2,58 @@
 
 from __future__ import annotations
 
-from functools import partial
+import time
+from collections import Counter
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import gevent
+
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
 
     from wigeonpier.bench.soaksite import SoakSite
 
-REPEATED_ANSWERS = 10
-REFUSED_REQUESTS = 5
-LATE_WRITES = 2
+GAP_SECONDS = (0.2, 0.6)
+REPEATED_ANSWERS = 6
+REFUSED_REQUESTS = 3
 LATE_SECONDS = (1.0, 6.0)
 
 
-def list_late_faults(
-    site: SoakSite, rng: random.Random
-) -> list[tuple[str, Callable[[], None]]]:
-    """List the faults whose effects come late.
+@dataclass
+class SoakLateEffects:
+    """Lets replicas repeat answers, and the store execute writes late.
 
     :param site: site under test.
-    :param rng: chooses replicas and delays.
-    :returns: name and function that injects the fault once; none if the site
-        has no such faults.
+    :param rng: chooses replicas, delays and times.
+    :param counts: number of injected faults by name.
     """
-    if not site.has_late_effects:
-        return []
-    return [
-        ('answers repeated', partial(_repeat_answers, site, rng)),
-        ('store writes late', partial(_delay_writes, site, rng)),
-    ]
-
-
-def _repeat_answers(site: SoakSite, rng: random.Random) -> None:
-    """Repeat some answers late, refusals among them."""
-    faults = rng.choice(site.replicas).faults
-    faults.late.remaining += REPEATED_ANSWERS
-    faults.turn_away += REFUSED_REQUESTS
-
-
-def _delay_writes(site: SoakSite, rng: random.Random) -> None:
-    """Execute writes of the store seconds later, without an answer."""
-    faults = site.store.faults
-    faults.late_seconds = rng.uniform(*LATE_SECONDS)
-    faults.late_writes += LATE_WRITES
+
+    site: SoakSite
+    rng: random.Random
+    counts: Counter[str] = field(default_factory=Counter)
+
+    def run(self, seconds: float) -> None:
+        """Inject faults.
+
+        :param seconds: duration.
+        """
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            gevent.sleep(self.rng.uniform(*GAP_SECONDS))
+            self._repeat_answers()
+            self._delay_write()
+
+    def _repeat_answers(self) -> None:
+        """Repeat some answers of a replica, refusals among them."""
+        self.counts['answers repeated'] += 1
+        faults = self.rng.choice(self.site.replicas).faults
+        faults.late.remaining += REPEATED_ANSWERS
+        faults.turn_away += REFUSED_REQUESTS
+
+    def _delay_write(self) -> None:
+        """Execute a write of the store seconds later, without an answer."""
+        self.counts['store writes late'] += 1
+        faults = self.site.store.faults
+        faults.late_seconds = self.rng.uniform(*LATE_SECONDS)
+        faults.late_writes += 1
--- a/src/wigeonpier/bench/soaksite.py
+++ b/src/wigeonpier/bench/soaksite.py
@@ -71,8 +71,7 @@
     :param start_count: number of replica starts.
     :param customers: customers by key, ``None`` where keys are not required.
     :param has_versions: whether replicas of two software versions serve.
-    :param has_late_effects: whether replicas repeat answers late, and the store
-        executes writes late.
+    :param most_tokens: tokens of jobs that may wait, 0 for no limit.
     """
 
     folder: Path
@@ -86,7 +85,7 @@
     start_count: int = 0
     customers: dict[str, ServedCustomer] | None = None
     has_versions: bool = False
-    has_late_effects: bool = False
+    most_tokens: int = 0
     _store_address: str = ''
 
     @property
@@ -158,7 +157,12 @@
         routes = (
             _make_route(RouteKind.stream, '/ask/', tries=2),
             _make_route(RouteKind.stream, '/once/', tries=1),
-            _make_route(RouteKind.batch, '/jobs/', tries=3),
+            _make_route(
+                RouteKind.batch,
+                '/jobs/',
+                tries=3,
+                most_tokens=self.most_tokens,
+            ),
         )
         configuration = ServedConfiguration(
             self.version,
@@ -226,7 +230,9 @@
         self.processes.append(process)
 
 
-def _make_route(kind: RouteKind, prefix: str, *, tries: int) -> ServedRoute:
+def _make_route(
+    kind: RouteKind, prefix: str, *, tries: int, most_tokens: int = 0
+) -> ServedRoute:
     return ServedRoute(
         name=prefix.strip('/'),
         host=HOST,
@@ -240,5 +246,5 @@
         priority=0,
         run_objective=RUN_SECONDS,
         retention=RETENTION_SECONDS,
-        most_tokens=0,
+        most_tokens=most_tokens,
     )
--- a/tests/bench/test_faultsoak.py
+++ b/tests/bench/test_faultsoak.py
@@ -53,8 +53,8 @@
     957,
 )
 SHORT_SEED = 4
-# Draws repeated answers and late writes.
-LATE_SEED = 1013
+# Requests ran twice, and were refused and had run.
+LATE_SEED = 2003
 SHORT_SECONDS = 5.0
 # Duration of the runs that found the faults.
 REGRESSION_SECONDS = 8.0
