--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -193,7 +193,7 @@
             gevent.sleep(RETRY_PAUSE_SECONDS)
         final = refusal if isinstance(accepted, Ok) else _make_unsure_refusal()
         _log_refusal(attempt, final)
-        raise final from refusal
+        raise final
 
     def _fence(
         self, attempt: AcceptAttempt, timeout: float
