Hold no body of a response that is skipped

Cause: the body of an answer to another request was kept until the next answer began, and counted towards the memory of the process.

Change: it is dropped as it arrives.

Measured: test_the_body_of_a_skipped_response_is_not_held failed before (50 kB held) and passes; 26 tests of exchanges pass.

Conclusion: a faulty upstream can no longer fill an entry with bytes that belong to no request.

--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -112,9 +112,12 @@
                 raise HTTPParseError('bytes after a complete response')
             self.skipped += 1
             self.may_skip = False
-            self._body_buffer.clear()
         super()._on_message_begin()
 
+    def _on_body(self, part: bytes) -> None:
+        if not self.may_skip:
+            super()._on_body(part)
+
 
 class Exchange:
     """One request and its response on one connection."""
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -26,6 +26,8 @@
 REQUEST = make_request('GET', '/', [('Host', 'h')])
 # More than the receive window of the peer, less than the local send buffer.
 BUFFERED_BYTES = 200_000
+# Part of a longer body.
+BODY_BYTES = 50_000
 COMPLETE_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -297,3 +299,12 @@
         opened.read(1)
         opened.close()
         assert peer.connections == connections
+
+
+def test_the_body_of_a_skipped_response_is_not_held() -> None:
+    """It counted towards the memory of the process."""
+    long = make_response('a').replace(b'Length: 1', b'Length: 100000')
+    opened = begin(ConnectionPool(), Peer(long + bytes(BODY_BYTES)), 'b')
+    with pytest.raises(TimeoutError):
+        opened.send(REQUEST, 0.2)
+    assert not opened._parser._body_buffer
