Fence a job before each refusal, also one that another entry may have lost

Callers saw: a job answered 502, then 429 at the next entry, and its items ran a second later. PROTOCOL.md promises for a 429 that no part of the job runs.

Only the entry that had lost the write wrote a fence. If it could not, or was killed, the next entry knew of no write, found the route full and the job absent, and refused.

Change: each refusal after the store has shown the board is fenced. At a full route the fence takes the place of the read that looked for the job; a conflict leads to that read. A plain refusal has a lease of 30 s, shared for 10 s; one that disks may have copies of keeps its own of ten minutes. Without a fence the answer is 502. Refusals where the store never answered stay 503 (test_full_disk, test_contact).

Why it works: a write names the revision of the fence that it has read, so every write that was sent before the refusal, by any entry of this build, meets a conflict.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -106,6 +106,8 @@
     :param fence: fence that its last write has named.
     :param may_be_kept: whether a write without an answer, or a copy on a disk,
         may still put the job on the board.
+    :param has_board: whether the store has answered; then the attempt can be
+        fenced, also against writes that another entry has lost.
     """
 
     job: SubmittedJob
@@ -113,6 +115,7 @@
     started_at: float
     fence: JobFence = NO_FENCE
     may_be_kept: bool = False
+    has_board: bool = False
 
 
 class JobAcceptor:
@@ -149,7 +152,7 @@
         try:
             return self._accept(attempt)
         except Refusal as refusal:
-            if attempt.may_be_kept:
+            if attempt.may_be_kept or attempt.has_board:
                 return self._settle(attempt, refusal)
             _log_refusal(attempt, refusal)
             raise
@@ -176,11 +179,16 @@
     ) -> AcceptOutcome:
         """Make a refusal true although the job may still be kept.
 
+        Another entry may have lost a write of the job, so the fence is written
+        also if this one has sent none.
+
         :returns: ``stood`` if the job turns out to be kept.
         :raises Refusal: the given one once no write of the attempt can take
             effect any more, else one that promises nothing.
         """
-        deadline = attempt.started_at + UNCERTAIN_TIMEOUT_SECONDS
+        deadline = attempt.started_at + self._choose_timeout(
+            may_be_kept=attempt.may_be_kept
+        )
         timeout = STORE_TIMEOUT_SECONDS
         while True:
             accepted = self._fence(attempt, timeout)
@@ -191,8 +199,9 @@
                 break
             timeout = SLOW_STORE_TIMEOUT_SECONDS
             gevent.sleep(RETRY_PAUSE_SECONDS)
-        final = refusal if isinstance(accepted, Ok) else _make_unsure_refusal()
-        _log_refusal(attempt, final)
+        is_fenced = isinstance(accepted, Ok)
+        final = refusal if is_fenced else _make_unsure_refusal()
+        _log_refusal(attempt, final, is_fenced=is_fenced)
         raise final
 
     def _fence(
@@ -204,7 +213,8 @@
         """
         fences = self._ledger.fences
         name = attempt.job.name
-        written = fences.write(name, attempt.fence, attempt.name, timeout)
+        stored_as = attempt.name if attempt.may_be_kept else ''
+        written = fences.write(name, attempt.fence, stored_as, timeout)
         if isinstance(written, Ok):
             return Ok(False)
         if written.err_value is not Failure.conflict:
@@ -240,12 +250,11 @@
         self._disk_tokens.clear()
         if job.name in board.jobs:
             return AcceptOutcome.stood
+        attempt.has_board = True
         attempt.fence = board.get_fence(job.name)
         if not self._has_room(board, job):
-            found = self._find_existing(job)
-            if found is Failure.conflict:
-                raise _make_full_refusal()
-            return found
+            # The fence shows whether the job was accepted before.
+            raise _make_full_refusal()
         open_job = self._make_open_job(job)
         owners = self._backlogs.choose_owners(board, open_job)
         open_job = replace(open_job, owners=owners)
@@ -263,8 +272,7 @@
     def _find_existing(self, job: SubmittedJob) -> AcceptOutcome | Failure:
         """Check whether a job that cannot be written was accepted before.
 
-        :returns: ``conflict`` if it was not: the route is full, or the fence of
-            the job has changed.
+        :returns: ``conflict`` if it was not: the fence of the job has changed.
         """
         accepted = self._ledger.fences.is_accepted(job.name)
         if isinstance(accepted, Err):
@@ -361,7 +369,9 @@
     )
 
 
-def _log_refusal(attempt: AcceptAttempt, refusal: Refusal) -> None:
+def _log_refusal(
+    attempt: AcceptAttempt, refusal: Refusal, *, is_fenced: bool = False
+) -> None:
     job = attempt.job
     log_event(
         Event.job_refused,
@@ -369,7 +379,7 @@
         attempt=attempt.name,
         kind=refusal.kind.value,
         may_stand=refusal.ran is Ran.unknown,
-        is_fenced=attempt.may_be_kept and refusal.ran is not Ran.unknown,
+        is_fenced=is_fenced,
         tokens=job.tokens,
         most_tokens=job.route.most_tokens,
     )
--- a/src/wigeonpier/hosted/jobfences.py
+++ b/src/wigeonpier/hosted/jobfences.py
@@ -2,15 +2,17 @@
 
 A write to the store whose answer is lost may be executed seconds later, and a
 disk that did not answer may hold a copy.  Once the fence is written, neither
-can put the job on the board any more, and the refusal is true.
+can put the job on the board any more, and the refusal is true.  The entry that
+refuses a job need not be the one that lost the write.
 """
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
-from result import Err, Result
+from result import Err, Ok, Result
 
 from wigeonpier.models import JobFence
 from wigeonpier.platform import storekeys
@@ -22,6 +24,11 @@
 
 # Longer than a write to the store is delayed, or a process with a disk is down.
 FENCE_SECONDS = 600.0
+# Longer than a write to the store is delayed.  The board is read for each job,
+# so fences that concern no disk leave it early.
+SHORT_FENCE_SECONDS = 30.0
+# A lease takes fences for this long, so that most refusals cost one call.
+LEASE_REUSE_SECONDS = 10.0
 # Attempts of one job with an unknown outcome within that time.
 MAX_ATTEMPTS = 64
 NO_FENCE = JobFence()
@@ -33,6 +40,10 @@
     def __init__(self, store: KeyValueStore) -> None:
         """Read and write fences in the given store."""
         self._store = store
+        # Lease of short fences, and until when it takes more of them, seconds
+        # of the monotonic clock.
+        self._lease = 0
+        self._reuse_until: float = 0
 
     def read(self, job: str) -> Result[JobFence, Failure]:
         """Read the fence of a job.
@@ -45,21 +56,24 @@
     def write(
         self, job: str, known: JobFence, attempt: str, timeout: float
     ) -> Result[int, Failure]:
-        """Refuse an attempt for good, unless the job was accepted.
+        """Refuse a job for good, unless it was accepted.
 
         :param job: id of the job.
         :param known: the fence that its writes have named.
-        :param attempt: id of the attempt.
+        :param attempt: id of the attempt that disks may have stored, empty if
+            none has been sent to them.
         :param timeout: longest wait for an answer of the store, seconds.
         :returns: the revision; ``conflict`` if the job was accepted or another
             attempt has changed the fence.
         """
-        granted = self._store.grant_lease(FENCE_SECONDS, timeout)
+        attempts = known.attempts
+        if attempt:
+            attempts = (*attempts, attempt)[-MAX_ATTEMPTS:]
+        granted = self._find_lease(timeout, is_short=not attempts)
         if isinstance(granted, Err):
             return granted
         key = _make_key(job)
-        attempts = (*known.attempts, attempt)[-MAX_ATTEMPTS:]
-        return self._store.commit(
+        written = self._store.commit(
             Commit(
                 {storekeys.name_head(job): 0, key: known.revision},
                 {key: msgspec.json.encode(attempts)},
@@ -67,6 +81,9 @@
             ),
             timeout,
         )
+        if written == Err(Failure.lapsed):
+            self._reuse_until = 0
+        return written
 
     def is_accepted(self, job: str) -> Result[bool, Failure]:
         """Check whether a job was accepted.
@@ -76,6 +93,20 @@
         """
         return self._store.read_revision(storekeys.name_head(job)).map(bool)
 
+    def _find_lease(
+        self, timeout: float, *, is_short: bool
+    ) -> Result[int, Failure]:
+        if not is_short:
+            return self._store.grant_lease(FENCE_SECONDS, timeout)
+        now = time.monotonic()
+        if now < self._reuse_until:
+            return Ok(self._lease)
+        granted = self._store.grant_lease(SHORT_FENCE_SECONDS, timeout)
+        if isinstance(granted, Ok):
+            self._lease = granted.ok_value
+            self._reuse_until = now + LEASE_REUSE_SECONDS
+        return granted
+
 
 def guard_create(job: str, fence: JobFence) -> dict[str, int]:
     """List the conditions of a write that creates a job.
--- /dev/null
+++ b/tests/hosted/test_refusals_elsewhere.py
@@ -0,0 +1,112 @@
+"""Refusals by an entry that does not know of another entry's lost write."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent
+from result import Err
+
+from tests.hosted.builders import wait_for
+from tests.hosted.test_refused_jobs import (
+    LATE_SECONDS,
+    REFUSED,
+    RUN_SECONDS,
+    count_runs,
+    delay_write,
+    start,
+    submit,
+)
+from wigeonpier.hosted import acceptance
+from wigeonpier.platform import storekeys, wire
+from wigeonpier.platform.port import Failure
+
+if TYPE_CHECKING:
+    import pytest
+
+    from tests.hosted.builders import HostedSite
+
+UNSURE = 502
+NOT_FOUND = 404
+# The second answer arrives before the write takes effect.
+GIVEN_UP_SECONDS = 0.3
+REFUSALS = 3
+
+
+def lose_entry(site: HostedSite, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the first entry give up a job whose write is late, without a fence."""
+    monkeypatch.setattr(
+        acceptance, 'UNCERTAIN_TIMEOUT_SECONDS', GIVEN_UP_SECONDS
+    )
+    acceptor = site.entries[0]._jobs._acceptor
+    monkeypatch.setattr(
+        acceptor._ledger.fences,
+        'write',
+        lambda *_given: Err(Failure.unavailable),
+    )
+    delay_write(site, f'{storekeys.OPEN_JOBS}late')
+
+
+def await_lost_write(site: HostedSite, late: gevent.Greenlet) -> None:
+    """Wait until the first entry has lost the write and has given up."""
+    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
+    assert submit(site, 'other', entry=1) == 202
+    assert late.get() == UNSURE
+
+
+def test_a_refusal_is_true_although_another_entry_lost_a_write(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The second entry answered 429, and the job ran after that."""
+    start(site)
+    lose_entry(site, monkeypatch)
+    late = gevent.spawn(submit, site, 'late')
+    await_lost_write(site, late)
+    assert submit(site, 'late', entry=1) == REFUSED
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    assert not count_runs(site, 'late')
+    assert site.call('GET', '/-/lots/late?after=0').status == NOT_FOUND
+
+
+def test_an_entry_that_is_not_sure_promises_nothing(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It answered 429 although the store executed no write for it."""
+    start(site)
+    lose_entry(site, monkeypatch)
+    monkeypatch.setattr(acceptance, 'ACCEPT_TIMEOUT_SECONDS', GIVEN_UP_SECONDS)
+    late = gevent.spawn(submit, site, 'late')
+    await_lost_write(site, late)
+    monkeypatch.setattr(
+        site.entries[1]._jobs._acceptor._ledger.fences,
+        'write',
+        lambda *_given: Err(Failure.unavailable),
+    )
+    assert submit(site, 'late', entry=1) == UNSURE
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    assert count_runs(site, 'late') == 1
+
+
+def test_a_refusal_costs_as_many_calls_as_before(site: HostedSite) -> None:
+    """A refusal reads the board and makes one more call."""
+    start(site)
+    assert submit(site, 'other', entry=1) == 202
+    # This one reads the items of other jobs as well.
+    assert submit(site, 'more', entry=1) == REFUSED
+    site.store.calls.clear()
+    for number in range(REFUSALS):
+        assert submit(site, f'more{number}', entry=1) == REFUSED
+    calls = site.store.calls
+    assert calls[wire.COMMIT_PATH] + calls[wire.KEY_PATH] <= REFUSALS
+    assert not calls[wire.LEASE_PATH]
+
+
+def test_a_job_that_has_ended_is_not_refused_at_a_full_route(
+    site: HostedSite,
+) -> None:
+    """A repeat of an accepted job is answered 202, however full the route is."""
+    start(site)
+    assert submit(site, 'other', entry=1) == 202
+    assert site.call('DELETE', '/-/lots/other').status == 200
+    assert submit(site, 'next') == 202
+    assert submit(site, 'other', entry=1) == 202
