Fence a job that its caller ends and that is not there

Callers saw: the end of a job was answered 404, and its item ran a second later.

Change: before the 404 the entry writes a short fence. A job that exists meanwhile is ended; 503 where no fence can be written, as for reads that are not sure.

--- a/src/wigeonpier/hosted/jobfences.py
+++ b/src/wigeonpier/hosted/jobfences.py
@@ -17,6 +17,7 @@
 from wigeonpier.models import JobFence
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Commit, Failure
+from wigeonpier.platform.store import CALL_TIMEOUT_SECONDS
 
 if TYPE_CHECKING:
     from wigeonpier.platform.port import Entry
@@ -85,6 +86,25 @@
             self._reuse_until = 0
         return written
 
+    def write_newest(
+        self, job: str, timeout: float = CALL_TIMEOUT_SECONDS
+    ) -> Result[int, Failure]:
+        """Refuse a job for good, whatever its fence is.
+
+        Copies on disks are not concerned.
+
+        :param job: id of the job.
+        :param timeout: longest wait for one answer of the store, seconds.
+        :returns: the revision; ``conflict`` if the job was accepted or its fence
+            has changed meanwhile.
+        """
+        written = self.write(job, NO_FENCE, '', timeout)
+        if written != Err(Failure.conflict):
+            return written
+        return self.read(job).and_then(
+            lambda known: self.write(job, known, '', timeout)
+        )
+
     def is_accepted(self, job: str) -> Result[bool, Failure]:
         """Check whether a job was accepted.
 
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -24,7 +24,7 @@
     from wigeonpier.hosted.arrival import RoutedRequest
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.hosted.reader import JobReader
-    from wigeonpier.hosted.views import JobViews
+    from wigeonpier.hosted.views import JobView, JobViews
     from wigeonpier.models import ResultPage
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.messages import Request
@@ -120,8 +120,8 @@
         :returns: 200 once no process may start an item of the job any more.
         """
         job = scope_job(request.customer, name)
-        view = self._views.find(job)
         deadline = time.monotonic() + CLOSE_TIMEOUT_SECONDS
+        view = self._find_to_end(job, deadline)
         while not view.is_closed:
             if isinstance(self._ledger.close(job), Ok):
                 view.is_closed = True
@@ -132,6 +132,30 @@
                 gevent.sleep(RETRY_PAUSE_SECONDS)
         return Response(HTTPStatus.OK, EMPTY_BODY)
 
+    def _find_to_end(self, job: str, deadline: float) -> JobView:
+        """Find a job that its caller ends.
+
+        :raises Refusal: if there is none, also none that the store creates
+            later by a write whose answer an entry has lost.
+        """
+        while time.monotonic() < deadline:
+            view = self._find_or_fence(job)
+            if view is not None:
+                return view
+            gevent.sleep(RETRY_PAUSE_SECONDS)
+        raise make_unreadable_refusal()
+
+    def _find_or_fence(self, job: str) -> JobView | None:
+        """Find a job; return ``None`` if it is missing and not fenced."""
+        try:
+            return self._views.find(job)
+        except Refusal as refusal:
+            if refusal.kind is not ErrorKind.not_found:
+                raise
+            if isinstance(self._ledger.fences.write_newest(job), Ok):
+                raise
+        return None
+
     def _read_page(self, name: str, after: int, wait: float) -> ResultPage:
         if not self._views.has_results(name, after):
             read = self._reader.read(name, after, wait)
--- a/tests/hosted/test_refusals_elsewhere.py
+++ b/tests/hosted/test_refusals_elsewhere.py
@@ -110,3 +110,17 @@
     assert site.call('DELETE', '/-/lots/other').status == 200
     assert submit(site, 'next') == 202
     assert submit(site, 'other', entry=1) == 202
+
+
+def test_an_ended_job_does_not_run_after_a_late_write(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end was answered 404, and it ran once the write took effect."""
+    start(site)
+    lose_entry(site, monkeypatch)
+    late = gevent.spawn(submit, site, 'late')
+    await_lost_write(site, late)
+    ended = site.call('DELETE', '/-/lots/late', entry=1)
+    assert ended.status == NOT_FOUND
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    assert not count_runs(site, 'late')
