--- a/tests/hosted/test_refusals_elsewhere.py
+++ b/tests/hosted/test_refusals_elsewhere.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import gevent
@@ -20,11 +21,17 @@
 from wigeonpier.hosted import acceptance
 from wigeonpier.platform import storekeys, wire
 from wigeonpier.platform.port import Failure
+from wigeonpier.web.client import CallFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import pytest
+    from result import Result
 
     from tests.hosted.builders import HostedSite
+    from wigeonpier.platform.calls import Call, StoreCalls
+    from wigeonpier.web.client import Reply
 
 UNSURE = 502
 NOT_FOUND = 404
@@ -124,3 +131,35 @@
     assert ended.status == NOT_FOUND
     gevent.sleep(LATE_SECONDS + RUN_SECONDS)
     assert not count_runs(site, 'late')
+
+
+def test_an_entry_that_lost_the_store_fences_through_a_worker(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Nothing that it sends to the store itself is answered after the write."""
+    start(site)
+    calls = site.entries[0]._context.store.calls
+    delay_write(site, f'{storekeys.OPEN_JOBS}late')
+    late = gevent.spawn(submit, site, 'late')
+    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
+    monkeypatch.setattr(calls, 'send_directly', make_lost_path(calls))
+    assert submit(site, 'other', entry=1) == 202
+    assert late.get() == REFUSED
+    assert submit(site, 'late', entry=1) == REFUSED
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    assert not count_runs(site, 'late')
+
+
+def make_lost_path(
+    calls: StoreCalls,
+) -> Callable[[Call, float], Result[Reply, CallFailure]]:
+    """Make a path to the store on which no call is answered."""
+
+    def lose(_call: Call, timeout: float) -> Result[Reply, CallFailure]:
+        started_at = time.monotonic()
+        gevent.sleep(timeout)
+        assert calls.on_outcome is not None
+        calls.on_outcome(started_at, is_answered=False)
+        return Err(CallFailure.lost)
+
+    return lose
