Place batch items again after upstreams crashed under them

Callers saw an item that was never placed again: several upstreams crashed while they ran it, and in the calm after it no upstream got it.

Cause: three crashes, one of them alone, count as proof that a request crashes upstreams, whatever it is. An item was refused for the rest of an hour by its fingerprint, by that of an equal request, or by a part of its prompt, and no run could clear it, since it was never run. The class: a verdict without an appeal.

Change: an item is held back, never refused. After the crashes that would have refused it, it runs alone after a pause of 5 s that doubles with each failed try up to 60 s; with a refused part, of 10 s that grows fourfold up to 600 s. Pauses follow from the times of the crashes, which processes, store and disks know already, so that a restart does not forget them. A try waits at most 10 s for 2 s without a crash and an upstream that is at most half full. A short lease in the store admits one run for the same cause at a time in the fleet. Crashes under items no longer count as proof against equal online requests.

--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -1,8 +1,10 @@
-"""Prevents batch items that crash the upstream from being rerun endlessly.
+"""Decides how batch items run under which upstreams crashed.
 
 A run that is lost in an upstream crash is no failure of the item, and is
-resumed after its last event.  An item that causes the crash would crash each
-restart of the upstream, together with the online requests that run there.
+resumed after its last event.  The item is owed to its caller, so it is never
+refused, but tried alone, after pauses that grow.  Without them a fault that an
+item triggers would crash each restart of the upstream, together with the online
+requests that run there.
 """
 
 from __future__ import annotations
@@ -12,9 +14,20 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+import gevent
+
+from wigeonpier.hosted.trialleases import LeaseState
+from wigeonpier.membership.partsuspicions import REQUEST_DIGITS
+from wigeonpier.membership.updates import (
+    NO_PARTS,
+    CrashReport,
+    LostRunReport,
+    PartUpdate,
+    SuspicionUpdate,
+)
 from wigeonpier.policy.incarnation import name_start
 from wigeonpier.policy.promptparts import PROOF_SECONDS, rank_mode
-from wigeonpier.policy.suspicion import RunMode
+from wigeonpier.policy.suspicion import RunMode, needs_pauses
 from wigeonpier.policy.trial import IsolationLevel, Verdict
 
 if TYPE_CHECKING:
@@ -22,7 +35,9 @@
 
     from wigeonpier.hosted.healthkeeper import HealthKeeper
     from wigeonpier.hosted.items import ItemWork
+    from wigeonpier.hosted.itemspacing import ItemSpacing
     from wigeonpier.hosted.quarantine.store import QuarantineStore
+    from wigeonpier.hosted.trialleases import TrialLeases
     from wigeonpier.hosted.upstream import LocalUpstream
     from wigeonpier.membership.ends import CrashDetector
     from wigeonpier.membership.suspicions import Suspicions
@@ -53,6 +68,8 @@
     :param quarantine: saves refused requests in the store.
     :param health: keeps the health of the upstream, by which items wait while
         it is ejected, and are the first to try it.
+    :param spacing: times at which items are tried again.
+    :param leases: admit one run at a time in the fleet.
     """
 
     upstream: LocalUpstream
@@ -61,16 +78,17 @@
     crash_detector: CrashDetector
     quarantine: QuarantineStore
     health: HealthKeeper
+    spacing: ItemSpacing
+    leases: TrialLeases
 
     def is_runnable(self, work: ItemWork) -> bool:
-        """Check whether an item may run at all.
+        """Check whether an item may run now.
 
         :param work: the item.
-        :returns: false if it is refused or the upstream is ejected; it then
-            takes no slot from others.
+        :returns: false until its pause is over, or while the upstream is
+            ejected; it then takes no slot from others.
         """
-        is_refused = self._get_run_mode(work) is RunMode.refused
-        return not is_refused and self.health.may_start_item()
+        return self.spacing.may_start(work) and self.health.may_start_item()
 
     def is_suspected(self, work: ItemWork) -> bool:
         """Check whether upstreams have crashed while they ran an item.
@@ -84,7 +102,7 @@
         """Admit an item if it may be started now.
 
         :param work: the item; its ``isolation`` is set.
-        :returns: false if it has to wait or is refused.
+        :returns: false if it has to wait.
         """
         work.isolation = ''
         # Several items may be chosen at once, of which one is tried.
@@ -107,6 +125,7 @@
             if 0 < work.first_event_at < now - PROOF_SECONDS:
                 work.first_event_at = 0
                 self._record_sound(work)
+                self.leases.release(work.trial)
             if work.isolation == IsolationLevel.exclusive:
                 self.trials.add(work.trial, IsolationLevel.exclusive, now)
             elif work.trial and self.trials.started_before(
@@ -114,14 +133,16 @@
             ):
                 self.trials.remove(work.trial)
 
-    def finish(self, work: ItemWork) -> None:
+    def finish(self, work: ItemWork, *, is_broken: bool) -> None:
         """End the trial of an item that has stopped running.
 
         :param work: the item.
+        :param is_broken: whether its run broke off, perhaps in a crash.
         """
         self.health.end_item(work)
         if work.isolation:
             self.trials.remove(work.trial)
+            self.leases.release(work.trial, has_crashed=is_broken)
 
     def record_interrupted_run(self, work: ItemWork) -> bool:
         """Record a run that broke off.
@@ -137,16 +158,7 @@
             return False
         # An upstream that shuts down aborts what it did not finish in time.
         if not replica.is_leaving:
-            update = self.suspicions.record_crash(
-                work.fingerprint,
-                start,
-                replica.version,
-                was_alone=work.isolation == IsolationLevel.exclusive,
-                had_output=work.has_new_events,
-                parts=work.part_keys,
-            )
-            self.quarantine.record(work.fingerprint)
-            self.quarantine.record_parts(update.parts)
+            self._record_crash(work, start, replica.version)
         return True
 
     def record_completion(self, work: ItemWork) -> None:
@@ -154,8 +166,11 @@
 
         :param work: the item.
         """
+        known = self.suspicions.suspects.get(work.fingerprint)
         cleared = '' if self.suspicions.is_empty else work.fingerprint
         self._record_sound(work, cleared)
+        if needs_pauses(known):
+            gevent.spawn(self.quarantine.forget, work.fingerprint)
 
     def record_failed_answer(self, work: ItemWork) -> None:
         """Clear the suspicion of an item that was answered with an error.
@@ -168,14 +183,46 @@
             self.suspicions.clear(work.fingerprint)
 
     def _get_run_mode(self, work: ItemWork) -> RunMode:
+        """Find out how an item runs; one that would be refused runs alone."""
         if self.suspicions.is_empty or self.upstream.replica is None:
             return RunMode.free
         versions = {self.upstream.replica.version}
-        return max(
+        run_mode = max(
             self.suspicions.get_run_mode(work.fingerprint, versions),
             self.suspicions.parts.get_run_mode(work.part_keys, versions),
             key=rank_mode,
         )
+        return RunMode.alone if run_mode is RunMode.refused else run_mode
+
+    def _record_crash(self, work: ItemWork, start: str, version: str) -> None:
+        was_alone = work.isolation == IsolationLevel.exclusive
+        crash = CrashReport(
+            work.fingerprint,
+            start,
+            version,
+            0,
+            was_alone,
+            work.has_new_events,
+            is_item=True,
+        )
+        lost = LostRunReport(
+            work.fingerprint[:REQUEST_DIGITS],
+            work.part_keys,
+            start,
+            version,
+            0,
+            was_alone,
+            work.has_new_events,
+        )
+        parts = PartUpdate((lost,)) if work.part_keys else NO_PARTS
+        update = self.suspicions.merge(
+            SuspicionUpdate(ends=(crash,), parts=parts)
+        )
+        self.quarantine.record(work.fingerprint)
+        self.quarantine.record_parts(update.parts)
+        # The pause before the next try has to outlast this process.
+        for culprit in self.suspicions.parts.culprits.find(work.part_keys):
+            self.quarantine.record_culprit(culprit.name)
 
     def _record_sound(self, work: ItemWork, cleared: str = '') -> None:
         """Record that a run has survived, and clear the item if it is over."""
@@ -194,15 +241,28 @@
         run_mode = self._get_run_mode(work)
         if run_mode is RunMode.free:
             return True
-        isolation = ISOLATION_BY_RUN_MODE.get(run_mode)
-        if isolation is None:
-            return False
+        isolation = ISOLATION_BY_RUN_MODE[run_mode]
         now = time.monotonic()
         trial = self._choose_trial(work, run_mode)
         verdict = self.trials.check(trial, isolation, now)
         if verdict is not Verdict.granted:
             return False
+        is_alone = isolation is IsolationLevel.exclusive
+        if is_alone and not self._has_lease(work, trial):
+            return False
         work.isolation = isolation.value
         work.trial = trial
         self.trials.add(trial, isolation, now)
+        self.leases.use(trial)
         return True
+
+    def _has_lease(self, work: ItemWork, trial: str) -> bool:
+        """Check that no other worker tries an item for the same cause.
+
+        While the store does not answer, only items that need no pause are
+        tried; the result of another one could not be written either.
+        """
+        state = self.leases.request(trial)
+        if state is LeaseState.unavailable:
+            return self.spacing.find_hold(work) is None
+        return state is LeaseState.held
--- a/src/wigeonpier/hosted/quarantine/store.py
+++ b/src/wigeonpier/hosted/quarantine/store.py
@@ -26,7 +26,11 @@
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Commit
 from wigeonpier.policy.promptparts import digest_part
-from wigeonpier.policy.suspicion import CRASHES_BEFORE_ISOLATION, MEMORY_SECONDS
+from wigeonpier.policy.suspicion import (
+    CRASHES_BEFORE_ISOLATION,
+    MEMORY_SECONDS,
+    needs_pauses,
+)
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
@@ -76,7 +80,7 @@
         self.replicate: Callable[[str, bytes], object] = _ignore_entry
 
     def record(self, fingerprint: str) -> None:
-        """Store a request once it is refused.
+        """Store a request once it is refused, or an item that needs pauses.
 
         A request that has met its second crash is copied to the disks, which
         costs no call to the store.  Otherwise each loss of all processes would
@@ -84,7 +88,7 @@
 
         :param fingerprint: digest of the request.
         """
-        if not self._suspicions.is_refused(fingerprint):
+        if not self._is_stored(fingerprint):
             crashes = tuple(self._suspicions.list_crashes(fingerprint))
             if len(crashes) >= CRASHES_BEFORE_ISOLATION:
                 self.replicate(fingerprint, self._encode(fingerprint))
@@ -208,7 +212,7 @@
 
     def _write(self, fingerprint: str) -> None:
         is_culprit = fingerprint in self._suspicions.parts.culprits.by_name
-        if not is_culprit and not self._suspicions.is_refused(fingerprint):
+        if not is_culprit and not self._is_stored(fingerprint):
             # It was cleared before it could be written.
             self._unwritten.discard(fingerprint)
             return
@@ -222,6 +226,13 @@
             self._unwritten.discard(fingerprint)
             self._replicated.discard(fingerprint)
 
+    def _is_stored(self, fingerprint: str) -> bool:
+        suspect = self._suspicions.suspects.get(fingerprint)
+        if suspect is None or suspect.is_culprit:
+            return suspect is not None
+        is_item = any(crash.is_item for crash in suspect.crashes)
+        return is_item and needs_pauses(suspect)
+
     def _replicate(self, fingerprint: str) -> None:
         """Copy an entry to the disks unless it was copied before."""
         if fingerprint not in self._replicated:
--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -210,7 +210,7 @@
         replica = self._upstream.replica
         outcome = self._run_once(work, replica)
         work.is_running = False
-        self._trials.finish(work)
+        self._trials.finish(work, is_broken=outcome is RunOutcome.broken)
         self._update_breaker(outcome, replica)
         if work.is_dropped:
             return
--- /dev/null
+++ b/src/wigeonpier/hosted/trialleases.py
@@ -0,0 +1,160 @@
+"""Admits one run of a suspected item at a time in the fleet.
+
+Workers do not know each other.  Without a common lock each of them would try an
+item with the same crashing part at the same moment, and all their upstreams
+would crash together.  The lock is a key in the store under a short lease.
+"""
+
+from __future__ import annotations
+
+import time
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event as Signal
+from result import Err, Ok, Result
+
+from wigeonpier.platform import storekeys
+from wigeonpier.platform.port import Commit, Failure
+from wigeonpier.policy.promptparts import digest_part
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wigeonpier.platform.store import KeyValueStore
+
+# Upstreams crash soon after the start of a run, and reports of a crash reach
+# the other workers before the lease expires.
+LEASE_SECONDS = 3.0
+# An item that was not started by then is tried later.
+START_SECONDS = 1.0
+RENEWAL_INTERVAL_SECONDS = 1.0
+# A run that goes on for longer crashes nothing.
+MAX_HELD_SECONDS = 10.0
+RETRY_SECONDS = 0.5
+
+
+class LeaseState(StrEnum):
+    """Whether a suspected item may be tried here."""
+
+    held = 'held'
+    pending = 'pending'
+    unavailable = 'unavailable'
+
+
+class TrialLeases:
+    """Leases of this worker, by what runs exclude each other by."""
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        vm: str,
+        refresh: Callable[[], object],
+    ) -> None:
+        """Hold no lease.
+
+        :param store: the key-value service.
+        :param vm: name of this worker's VM.
+        :param refresh: reads what other workers have stored of their tries;
+            called before a lease is used.
+        """
+        self._store = store
+        self._vm = vm
+        self._refresh = refresh
+        self._states: dict[str, LeaseState] = {}
+        self._ended: dict[str, Signal] = {}
+        self._used: set[str] = set()
+        self._lost: set[str] = set()
+
+    def request(self, trial: str) -> LeaseState:
+        """Request a lease in the background unless it is held.
+
+        :param trial: what excludes other runs of the same cause.
+        :returns: whether it is held; the caller asks again soon.
+        """
+        state = self._states.get(trial)
+        if state is not None:
+            return state
+        self._states[trial] = LeaseState.pending
+        gevent.spawn(self._serve, trial)
+        return LeaseState.pending
+
+    def use(self, trial: str) -> None:
+        """Record that a run has started, for which a held lease is kept.
+
+        :param trial: what excludes other runs of the same cause.
+        """
+        if self._states.get(trial) is LeaseState.held:
+            self._used.add(trial)
+
+    def release(self, trial: str, *, has_crashed: bool = False) -> None:
+        """Release a lease.
+
+        After a crash it expires by itself, so that the report of the crash is
+        known to the worker that gets it next.
+
+        :param trial: what excludes other runs of the same cause.
+        :param has_crashed: whether the upstream has crashed under the run.
+        """
+        ended = self._ended.get(trial)
+        if ended is None:
+            return
+        if has_crashed:
+            self._lost.add(trial)
+        self._states[trial] = LeaseState.pending
+        self._used.discard(trial)
+        ended.set()
+
+    def _serve(self, trial: str) -> None:
+        taken = self._take(trial)
+        if isinstance(taken, Err):
+            # Another worker has it, or the store does not answer.
+            is_taken = taken.err_value is Failure.conflict
+            if not is_taken:
+                self._states[trial] = LeaseState.unavailable
+            gevent.sleep(RETRY_SECONDS)
+        else:
+            self._keep(trial, taken.ok_value)
+        self._states.pop(trial, None)
+
+    def _take(self, trial: str) -> Result[int, Failure]:
+        key = storekeys.name_key(storekeys.TRIALS, digest_part(trial))
+        found = self._store.read_revision(key)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value:
+            return Err(Failure.conflict)
+        granted = self._store.grant_lease(LEASE_SECONDS)
+        if isinstance(granted, Err):
+            return granted
+        change = Commit(
+            {key: 0}, {key: self._vm.encode()}, (), granted.ok_value
+        )
+        written = self._store.commit(change)
+        if isinstance(written, Err):
+            return written
+        self._refresh()
+        return Ok(granted.ok_value)
+
+    def _keep(self, trial: str, lease: int) -> None:
+        """Renew a lease until its run has ended, or is not started in time."""
+        log_event(Event.item_tried, trial=trial)
+        ended = Signal()
+        self._ended[trial] = ended
+        self._states[trial] = LeaseState.held
+        held_at = time.monotonic()
+        ended.wait(START_SECONDS)
+        while trial in self._used:
+            if time.monotonic() - held_at > MAX_HELD_SECONDS:
+                break
+            self._store.renew_lease(lease)
+            ended.wait(RENEWAL_INTERVAL_SECONDS)
+        self._ended.pop(trial)
+        self._used.discard(trial)
+        if trial in self._lost:
+            self._lost.discard(trial)
+        else:
+            self._store.revoke_lease(lease)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -10,6 +10,7 @@
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.handoverparts import HandoverParts
 from wigeonpier.hosted.healthkeeper import HealthKeeper
+from wigeonpier.hosted.itemspacing import ItemSpacing
 from wigeonpier.hosted.itemtrials import ItemTrials
 from wigeonpier.hosted.ledger import JobLedger
 from wigeonpier.hosted.loadfeed import FeedDetails, LoadFeed
@@ -24,6 +25,7 @@
 from wigeonpier.hosted.results import ResultWriter
 from wigeonpier.hosted.runner import ItemRunner
 from wigeonpier.hosted.suspicionhandler import SuspicionHandler
+from wigeonpier.hosted.trialleases import TrialLeases
 from wigeonpier.hosted.upstream import LocalUpstream
 from wigeonpier.hosted.upstreamslots import UpstreamSlots
 from wigeonpier.hosted.usagecounter import UsageCounter
@@ -79,6 +81,8 @@
             CrashDetector(context.pool),
             quarantine,
             health,
+            ItemSpacing(self._upstream, suspicions, context.metrics),
+            TrialLeases(context.store, settings.name, quarantine.read),
         )
         self._runner = ItemRunner(
             self._upstream,
--- a/src/wigeonpier/membership/partculprits.py
+++ b/src/wigeonpier/membership/partculprits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from itertools import product
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from wigeonpier.membership.updates import CulpritReport
@@ -83,8 +84,8 @@
             culprit.last_seen_at = max(culprit.last_seen_at, run.at)
             culprit.versions.add(run.version)
             culprit.cured.discard(run.version)
-            if len(culprit.runs) < MAX_RUNS:
-                culprit.runs.setdefault(run.upstream, run)
+            if culprit.runs.setdefault(run.upstream, run) is run:
+                _drop_oldest(culprit.runs)
         return bool(found)
 
     def confirm(
@@ -275,5 +276,11 @@
     )
 
 
+def _drop_oldest(runs: dict[str, LostRun]) -> None:
+    """Drop the oldest runs; the latest decide when an item is tried."""
+    for run in sorted(runs.values(), key=attrgetter('at'))[:-MAX_RUNS]:
+        runs.pop(run.upstream)
+
+
 def _ignore_name(_name: str) -> None:
     """Ignore a change, in processes that store nothing."""
--- a/src/wigeonpier/membership/suspicions.py
+++ b/src/wigeonpier/membership/suspicions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
 from typing import TYPE_CHECKING
@@ -60,6 +61,8 @@
         """Start without suspects."""
         self.suspects: dict[str, Suspect] = {}
         self.parts = PartSuspicions()
+        # The last crash of any upstream, seconds of the monotonic clock.
+        self.crashed_at = -math.inf
         # Wakes the followers of the log.
         self.changed = Signal()
         self._cleared: dict[str, float] = {}
@@ -206,6 +209,11 @@
         """
         now = time.monotonic()
         self._new_culprits.clear()
+        ages = [crash.age for crash in update.ends]
+        ages += [run.age for run in update.parts.lost]
+        self.crashed_at = max(
+            self.crashed_at, now - min(ages, default=math.inf)
+        )
         parts = self._merge_parts(update.parts)
         crashes = tuple(
             crash for crash in update.ends if self._add_crash(crash, now)
@@ -300,6 +308,7 @@
                 round(now - crash.at, 3),
                 crash.was_alone,
                 crash.had_output,
+                crash.is_item,
             )
 
     def _merge_parts(self, update: PartUpdate) -> PartUpdate:
@@ -340,6 +349,7 @@
             at,
             report.was_alone,
             report.had_output,
+            report.is_item,
         )
         if not suspect.add(crash):
             return False
--- a/src/wigeonpier/membership/updates.py
+++ b/src/wigeonpier/membership/updates.py
@@ -20,6 +20,8 @@
     :param age: how long ago it crashed, seconds.
     :param was_alone: whether no other suspected request ran there.
     :param had_output: whether its run there had produced events.
+    :param is_item: whether it was a run of a batch item; a process of an
+        earlier build does not read it.
     """
 
     fingerprint: str
@@ -28,6 +30,7 @@
     age: float
     was_alone: bool
     had_output: bool = False
+    is_item: bool = False
 
 
 class LostRunReport(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/wigeonpier/platform/storekeys.py
+++ b/src/wigeonpier/platform/storekeys.py
@@ -16,6 +16,9 @@
 # By job: refused attempts to accept it.  Part of the board, which is read before
 # a job is written.
 FENCES = f'{BOARD}fences/'
+# By digest of what runs exclude each other by.  Under the lease of the worker
+# that tries an item, so that one runs at a time in the fleet.
+TRIALS = f'{HOSTED}trials/'
 # By VM and job.  Each process watches its own assignments only, so that a job
 # wakes only the processes that run it.
 ASSIGNMENTS = f'{HOSTED}work/'
--- /dev/null
+++ b/src/wigeonpier/policy/itemretry.py
@@ -0,0 +1,101 @@
+"""Decides when a batch item is tried again after upstreams crashed under it.
+
+Upstreams crash for many reasons, and an item is never proven to be the cause:
+it is owed to its caller, and is only tried more and more rarely.  A part of a
+prompt that crashes upstreams does so with each request, so an item with such a
+part is tried after longer pauses.
+
+Pauses follow from the times of the crashes alone, which all processes know and
+which outlast restarts.  A crash after a pause ends a try that has failed, and
+each failed try makes the next pause longer; crashes in a burst count as one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# An upstream that crashes in a burst crashes again within this time.
+CALM_SECONDS = 2.0
+# Some upstream of a large service may always be crashing or busy.
+MAX_CALM_WAIT_SECONDS = 10.0
+# An item that is tried is lost with the requests beside it.
+MAX_BUSY_SHARE = 0.5
+FIRST_PAUSE_SECONDS = 5.0
+PAUSE_GROWTH = 2.0
+LONGEST_PAUSE_SECONDS = 60.0
+FIRST_PART_PAUSE_SECONDS = 10.0
+PART_PAUSE_GROWTH = 4.0
+LONGEST_PART_PAUSE_SECONDS = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class RetryPace:
+    """How often something that upstreams crashed under is tried.
+
+    :param first_seconds: pause after the crashes that led to it.
+    :param growth: factor of the pause after each failed try.
+    :param longest_seconds: longest pause.
+    """
+
+    first_seconds: float
+    growth: float
+    longest_seconds: float
+
+
+OWN_CONTENT_PACE = RetryPace(
+    FIRST_PAUSE_SECONDS, PAUSE_GROWTH, LONGEST_PAUSE_SECONDS
+)
+SHARED_PART_PACE = RetryPace(
+    FIRST_PART_PAUSE_SECONDS, PART_PAUSE_GROWTH, LONGEST_PART_PAUSE_SECONDS
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What else happens in the service, as one worker knows it.
+
+    :param crashed_at: last crash of any upstream, seconds of the monotonic
+        clock.
+    :param busy_share: share of the slots of the upstream that are taken.
+    """
+
+    crashed_at: float
+    busy_share: float
+
+
+def compute_next_try(crashes: Iterable[float], pace: RetryPace) -> float:
+    """Compute when something may be tried again.
+
+    :param crashes: times of the crashes, at least one, seconds of a clock.
+    :param pace: how often it may be tried.
+    :returns: the earliest time, seconds of the same clock.
+    """
+    ordered = sorted(crashes)
+    failed_tries = sum(
+        later - earlier >= pace.first_seconds
+        for earlier, later in pairwise(ordered)
+    )
+    pause = pace.first_seconds * pace.growth**failed_tries
+    return ordered[-1] + min(pace.longest_seconds, pause)
+
+
+def compute_start(
+    next_try: float, surroundings: Surroundings, now: float
+) -> float:
+    """Compute when a try may start, given what else happens.
+
+    :param next_try: earliest time of the try, seconds of the monotonic clock.
+    :param surroundings: crashes, and load of the upstream.
+    :param now: seconds of the monotonic clock.
+    :returns: the earliest start as far as it is known, at most some seconds
+        after the earliest time of the try.
+    """
+    start = max(next_try, surroundings.crashed_at + CALM_SECONDS)
+    if surroundings.busy_share > MAX_BUSY_SHARE:
+        start = max(start, now + CALM_SECONDS)
+    return min(start, next_try + MAX_CALM_WAIT_SECONDS)
--- a/src/wigeonpier/policy/suspicion.py
+++ b/src/wigeonpier/policy/suspicion.py
@@ -27,7 +27,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Set
+    from collections.abc import Sequence, Set
 
 # In a service that loses several upstreams a second, a second crash is more
 # likely to be chance than not, so it only isolates the request.  Three crashes
@@ -69,6 +69,8 @@
     :param at: when, seconds of this process's monotonic clock.
     :param was_alone: whether no other suspected request ran there.
     :param had_output: whether the run of the request had produced events.
+    :param is_item: whether it was a run of a batch item, which isolates equal
+        requests and proves nothing against them.
     """
 
     upstream: str
@@ -76,6 +78,7 @@
     at: float
     was_alone: bool
     had_output: bool = False
+    is_item: bool = False
 
 
 @dataclass(slots=True)
@@ -99,7 +102,7 @@
         """
         self.last_seen_at = max(self.last_seen_at, crash.at)
         known = [one for one in self.crashes if one.upstream == crash.upstream]
-        if known and (known[0].was_alone or not crash.was_alone):
+        if known and _rank_evidence(crash) <= _rank_evidence(known[0]):
             return False
         self.crashes = [one for one in self.crashes if one not in known]
         self.crashes.append(crash)
@@ -140,15 +143,23 @@
         any request that is known to be the cause.
     :returns: true after three crashes, one of them alone and before any
         output, or after four; in an unstable service after three, two of them
-        so, or after six.  Crashes after the first output count half.
+        so, or after six.  Crashes after the first output count half, and
+        those under batch items do not count.
     """
-    early = [crash for crash in suspect.crashes if not crash.had_output]
-    late = len(suspect.crashes) - len(early)
-    return is_enough_evidence(
-        len(early) + WEIGHT_AFTER_OUTPUT * late,
-        sum(crash.was_alone for crash in early),
-        other_crashes,
-    )
+    crashes = [crash for crash in suspect.crashes if not crash.is_item]
+    return _weigh(crashes, other_crashes)
+
+
+def needs_pauses(suspect: Suspect | None) -> bool:
+    """Check whether a batch item is tried only after pauses.
+
+    :param suspect: crashes that count against it, ``None`` for none.
+    :returns: true if an equal request is refused, or would be if the crashes
+        under items were evidence.
+    """
+    if suspect is None or not suspect.crashes:
+        return False
+    return suspect.is_culprit or _weigh(suspect.crashes, 0)
 
 
 def is_enough_evidence(count: float, lone: int, other_crashes: int) -> bool:
@@ -168,3 +179,17 @@
     return count >= max_without_lone or (
         count >= CRASHES_TO_QUARANTINE and has_lone_evidence
     )
+
+
+def _weigh(crashes: Sequence[Crash], other_crashes: int) -> bool:
+    early = [crash for crash in crashes if not crash.had_output]
+    late = len(crashes) - len(early)
+    return is_enough_evidence(
+        len(early) + WEIGHT_AFTER_OUTPUT * late,
+        sum(crash.was_alone for crash in early),
+        other_crashes,
+    )
+
+
+def _rank_evidence(crash: Crash) -> tuple[bool, bool]:
+    return (not crash.is_item, crash.was_alone)
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -275,6 +275,18 @@
         'A batch item was paused for online requests.',
     )
     item_broken = (615, WARNING_LEVEL, 'A run of a batch item ended early.')
+    item_held = (
+        642,
+        WARNING_LEVEL,
+        'A batch item under which upstreams crashed waits until it is tried'
+        ' again.',
+    )
+    item_tried = (
+        643,
+        INFO_LEVEL,
+        'A batch item under which upstreams crashed may be tried, one run at a'
+        ' time in the service.',
+    )
     item_restarted = (
         639,
         INFO_LEVEL,
