Test pauses of items, the lease of their trials and restarts

Eight workers that try the same cause run one after the other; after a crash the next one waits until the lease expires; workers that lose their memory keep to the pause.

An item that waits for the lease no longer takes a slot from other items.

--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -85,10 +85,15 @@
         """Check whether an item may run now.
 
         :param work: the item.
-        :returns: false until its pause is over, or while the upstream is
-            ejected; it then takes no slot from others.
+        :returns: false until its pause is over, while another worker has the
+            lease that it needs, or while the upstream is ejected; it then
+            takes no slot from others.
         """
-        return self.spacing.may_start(work) and self.health.may_start_item()
+        return (
+            self.spacing.may_start(work)
+            and self.health.may_start_item()
+            and not self._is_without_lease(work)
+        )
 
     def is_suspected(self, work: ItemWork) -> bool:
         """Check whether upstreams have crashed while they ran an item.
@@ -248,7 +253,7 @@
         if verdict is not Verdict.granted:
             return False
         is_alone = isolation is IsolationLevel.exclusive
-        if is_alone and not self._has_lease(work, trial):
+        if is_alone and not self._is_enough(work, self.leases.request(trial)):
             return False
         work.isolation = isolation.value
         work.trial = trial
@@ -256,13 +261,20 @@
         self.leases.use(trial)
         return True
 
-    def _has_lease(self, work: ItemWork, trial: str) -> bool:
+    def _is_without_lease(self, work: ItemWork) -> bool:
+        """Check whether an item waits for a lease that was requested."""
+        run_mode = self._get_run_mode(work)
+        if run_mode is not RunMode.alone:
+            return False
+        state = self.leases.get_state(self._choose_trial(work, run_mode))
+        return state is not None and not self._is_enough(work, state)
+
+    def _is_enough(self, work: ItemWork, state: LeaseState) -> bool:
         """Check that no other worker tries an item for the same cause.
 
         While the store does not answer, only items that need no pause are
         tried; the result of another one could not be written either.
         """
-        state = self.leases.request(trial)
         if state is LeaseState.unavailable:
             return self.spacing.find_hold(work) is None
         return state is LeaseState.held
--- a/src/wigeonpier/hosted/trialleases.py
+++ b/src/wigeonpier/hosted/trialleases.py
@@ -69,6 +69,14 @@
         self._used: set[str] = set()
         self._lost: set[str] = set()
 
+    def get_state(self, trial: str) -> LeaseState | None:
+        """Look up a lease without requesting it.
+
+        :param trial: what excludes other runs of the same cause.
+        :returns: whether it is held, ``None`` if it is not requested.
+        """
+        return self._states.get(trial)
+
     def request(self, trial: str) -> LeaseState:
         """Request a lease in the background unless it is held.
 
--- a/tests/hosted/test_owed_items.py
+++ b/tests/hosted/test_owed_items.py
@@ -76,6 +76,26 @@
     wait_for_item(site, OWED_SECONDS)
 
 
+def test_workers_that_lose_their_memory_keep_to_the_pause(
+    site: HostedSite,
+) -> None:
+    """A restart of all workers must not crash all upstreams once more."""
+    start(site)
+    site.submit_job('j', 1, bodies={0: DEADLY_MARK})
+    wait_for(lambda: count_crashes(site) == BURST, 'upstreams have crashed')
+    gevent.sleep(0.5)
+    for worker in site.workers:
+        worker._trials.suspicions.suspects.clear()
+        worker._trials.suspicions.parts.__init__()
+    # As for each worker that an entry connects to.
+    for replica in site.replicas:
+        site.entries[0]._publisher.publish_all(replica.address)
+    gevent.sleep(3)
+    assert count_crashes(site) == BURST
+    end_burst(site)
+    wait_for_item(site, OWED_SECONDS)
+
+
 @pytest.mark.parametrize('is_stored', [True, False])
 def test_a_refusal_of_an_equal_request_does_not_hold_an_item(
     site: HostedSite, is_stored: bool
--- /dev/null
+++ b/tests/hosted/test_trialleases.py
@@ -0,0 +1,112 @@
+"""One worker at a time tries an item for the same cause."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import gevent
+import pytest
+
+from tests.hosted.builders import wait_for
+from wigeonpier.bench.store import StandInStore
+from wigeonpier.hosted.trialleases import (
+    LEASE_SECONDS,
+    LeaseState,
+    TrialLeases,
+)
+from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.telemetry.metrics import Metrics
+from wigeonpier.web.pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+WORKERS = 8
+CAUSE = 'assistant/bad'
+
+
+@pytest.fixture
+def store() -> Iterator[StandInStore]:
+    """Start a store."""
+    made = StandInStore()
+    yield made
+    made.stop()
+
+
+def make_workers(store: StandInStore, count: int) -> list[TrialLeases]:
+    """Make the leases of some workers."""
+    client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
+    return [
+        TrialLeases(client, f'vm-{number}', lambda: None)
+        for number in range(count)
+    ]
+
+
+def wait_until_held(leases: TrialLeases) -> float:
+    """Wait for a lease; return how long that took."""
+    began = time.monotonic()
+    wait_for(
+        lambda: leases.request(CAUSE) is LeaseState.held, 'the lease is held'
+    )
+    return time.monotonic() - began
+
+
+def test_workers_that_try_at_once_run_one_after_the_other(
+    store: StandInStore,
+) -> None:
+    """Each worker tried an item with the part, and all upstreams crashed."""
+    workers = make_workers(store, WORKERS)
+    done: set[int] = set()
+    most = 0
+    deadline = time.monotonic() + 30
+    while len(done) < WORKERS and time.monotonic() < deadline:
+        held = [
+            number
+            for number, worker in enumerate(workers)
+            if number not in done and worker.request(CAUSE) is LeaseState.held
+        ]
+        most = max(most, len(held))
+        for number in held:
+            workers[number].use(CAUSE)
+            gevent.sleep(0.1)
+            others = [
+                other
+                for other, worker in enumerate(workers)
+                if other not in done
+                and other != number
+                and worker.request(CAUSE) is LeaseState.held
+            ]
+            assert not others
+            workers[number].release(CAUSE)
+            done.add(number)
+        gevent.sleep(0.02)
+    assert most == 1
+    assert len(done) == WORKERS
+
+
+def test_a_crash_keeps_others_from_trying_until_it_is_known(
+    store: StandInStore,
+) -> None:
+    first, second = make_workers(store, 2)
+    wait_until_held(first)
+    first.use(CAUSE)
+    first.release(CAUSE, has_crashed=True)
+    assert wait_until_held(second) > LEASE_SECONDS / 2
+
+
+def test_a_lease_without_a_run_is_given_back(store: StandInStore) -> None:
+    first, second = make_workers(store, 2)
+    wait_until_held(first)
+    assert wait_until_held(second) < LEASE_SECONDS
+
+
+def test_no_lease_is_held_while_the_store_does_not_answer(
+    store: StandInStore,
+) -> None:
+    (worker,) = make_workers(store, 1)
+    store.faults.is_down = True
+    wait_for(
+        lambda: worker.request(CAUSE) is LeaseState.unavailable,
+        'the store is found to be away',
+    )
--- /dev/null
+++ b/tests/policy/test_itemretry.py
@@ -0,0 +1,118 @@
+"""Items under which upstreams crashed are owed, and crash few upstreams."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+
+from tests.policy.crashreplay import CrashReplay
+from wigeonpier.policy.itemretry import (
+    CALM_SECONDS,
+    MAX_CALM_WAIT_SECONDS,
+    OWN_CONTENT_PACE,
+    SHARED_PART_PACE,
+    Surroundings,
+    compute_next_try,
+    compute_start,
+)
+from wigeonpier.policy.suspicion import (
+    Crash,
+    RunMode,
+    Suspect,
+    choose_run_mode,
+    is_confirmed,
+    needs_pauses,
+)
+
+SEEDS = 300
+DAY_SECONDS = 60.0
+# The rules allow three requests with a part after the fifth crash.
+MAX_LATE_TRIES = 3
+RUN_SECONDS = 5.0
+
+
+@pytest.mark.parametrize('pace', [OWN_CONTENT_PACE, SHARED_PART_PACE])
+def test_pauses_grow_with_failed_tries_and_are_bounded(pace) -> None:
+    crashes = [0.0, 0.3, 1.0]
+    pauses = []
+    for _ in range(12):
+        next_try = compute_next_try(crashes, pace)
+        pauses.append(next_try - crashes[-1])
+        crashes.append(next_try)
+    assert pauses[0] == pace.first_seconds
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == pytest.approx(pace.longest_seconds)
+
+
+def test_a_burst_of_crashes_makes_no_pause_longer() -> None:
+    """An item that ran at many crashes was unlucky, and is owed as soon."""
+    burst = [number / 5 for number in range(20)]
+    pause = compute_next_try(burst, OWN_CONTENT_PACE) - burst[-1]
+    assert pause == pytest.approx(OWN_CONTENT_PACE.first_seconds)
+
+
+def test_a_try_waits_for_calm_but_not_for_ever() -> None:
+    restless = Surroundings(crashed_at=99.9, busy_share=1.0)
+    assert compute_start(100, restless, 100) == 100 + CALM_SECONDS
+    assert compute_start(100, Surroundings(50, 0.2), 100) == 100
+    last = 100 + MAX_CALM_WAIT_SECONDS
+    assert compute_start(100, Surroundings(last, 1.0), last) == last
+
+
+@pytest.mark.parametrize('pace', [OWN_CONTENT_PACE, SHARED_PART_PACE])
+def test_unlucky_items_complete_soon_after_the_burst(pace) -> None:
+    """Upstreams crash at random for 15 s; then the item is owed."""
+    for seed in range(SEEDS):
+        replay = CrashReplay(pace, is_cause=False, seed=seed).run(1000)
+        assert replay.completed_at
+        pauses = [
+            compute_next_try(replay.crashes[:count], pace)
+            - replay.crashes[count - 1]
+            for count in range(3, len(replay.crashes) + 1)
+        ]
+        limit = max(15.0, replay.crashes[-1] + max(pauses))
+        assert replay.completed_at <= (
+            limit + MAX_CALM_WAIT_SECONDS + RUN_SECONDS + 0.2
+        ), seed
+
+
+def test_a_part_that_crashes_upstreams_is_tried_rarely() -> None:
+    """Items alone must not use up what the rules allow."""
+    for seed in range(SEEDS):
+        replay = CrashReplay(
+            SHARED_PART_PACE, is_cause=True, seed=seed, burst_seconds=0
+        ).run(DAY_SECONDS)
+        assert 0 < len(replay.tries) <= MAX_LATE_TRIES, seed
+        assert not replay.completed_at
+
+
+def test_an_item_that_crashes_upstreams_is_tried_more_and_more_rarely() -> None:
+    for seed in range(SEEDS):
+        replay = CrashReplay(
+            OWN_CONTENT_PACE, is_cause=True, seed=seed, burst_seconds=0
+        ).run(600)
+        gaps = [later - one for one, later in pairwise(replay.tries)]
+        assert min(gaps) >= 2 * OWN_CONTENT_PACE.first_seconds, seed
+        assert min(gaps[4:]) >= OWN_CONTENT_PACE.longest_seconds, seed
+        assert len(replay.tries) <= 14, seed
+
+
+def test_crashes_under_items_prove_nothing_against_equal_requests() -> None:
+    """An online request with the bytes of an unlucky item was refused."""
+    suspect = Suspect()
+    for number in range(8):
+        suspect.add(
+            Crash(f'i-{number}', 'v1', float(number), True, is_item=True)
+        )
+    assert not is_confirmed(suspect, 0)
+    assert needs_pauses(suspect)
+    assert choose_run_mode(suspect, frozenset(('v1',))) is RunMode.alone
+
+
+def test_a_crash_under_a_request_replaces_that_under_an_equal_item() -> None:
+    suspect = Suspect()
+    suspect.add(Crash('i-0', 'v1', 0, was_alone=True, is_item=True))
+    assert suspect.add(Crash('i-0', 'v1', 0, was_alone=False))
+    assert not suspect.add(Crash('i-0', 'v1', 0, True, is_item=True))
+    assert not suspect.crashes[0].is_item
