Limit the time and the bytes of every answer of the own interface

What callers saw: an answer that never ends, fast or a few bytes at a time, held the request, its slot and the memory of the process until the peer stopped.

Cause: the client of the HTTP library has a timeout for the time without any byte, and no limit of bytes.

Change: web/connections.py gives each part of an answer (request and head, a line, a body) a time and a size. Only time spent waiting for the peer counts, so a stream whose caller reads slowly is not cut; bytes extend the time by 1 s per MB, so a large body is not cut either. Blank lines and comments are no progress. The connection is closed at once. The entry waits for an answer until the request's deadline and one second more, where it rounded the time up to one of six values (5 s for 1.1, 30 s for 5.1).

A response ends at its last byte: the library joined what followed in the same segment, so that 200 followed by 429 was read as 429, and put the connection back before it had parsed that. Paths and headers that would add lines to a request are refused as before, now by our own check.

tests/streamedreply.py takes the new arguments of iterate_lines; nothing else is changed in it.

--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -36,7 +36,7 @@
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web import headers
-from wigeonpier.web.client import CallFailure, round_timeout
+from wigeonpier.web.client import CallFailure
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 from wigeonpier.web.sse import (
     Completion,
@@ -62,6 +62,8 @@
 OVERLOAD_STATUS = 429
 SERVER_ERROR = 500
 FORWARDED_HEADERS = ('content-type', 'accept')
+# The local process observes the same deadline, and its answer takes a moment.
+ANSWER_GRACE_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -211,7 +213,7 @@
             pending.path,
             pending.body,
             headers=_make_headers(pending),
-            timeout=round_timeout(pending.seconds_left),
+            timeout=_get_answer_seconds(pending),
         )
         now = self.directory.clock()
         if isinstance(opened, Err):
@@ -244,7 +246,7 @@
         reply: StreamReply,
     ) -> Result[Response, RefusedAttempt]:
         try:
-            body = reply.read()
+            body = reply.read(_get_answer_seconds(pending))
         except (OSError, HTTPParseError):
             record_outcome(state, went_well=False, now=self.directory.clock())
             return Err(classify_failure(CallFailure.lost))
@@ -258,7 +260,8 @@
         state: UpstreamState,
         reply: StreamReply,
     ) -> Response:
-        connection = _StreamConnection(state, reply, reply.iterate_lines())
+        lines = reply.iterate_lines(first_seconds=_get_answer_seconds(pending))
+        connection = _StreamConnection(state, reply, lines)
         return Response(
             reply.status,
             self._relay(pending, connection),
@@ -358,7 +361,7 @@
             failure = classify_failure(CallFailure.lost)
             if isinstance(opened, Ok):
                 reply = opened.ok_value
-                lines = _continue_lines(reply, delivered.version)
+                lines = _continue_lines(pending, reply, delivered.version)
                 if lines is not None:
                     return state, reply, lines
                 reply.close()
@@ -419,12 +422,14 @@
         )
 
 
-def _continue_lines(reply: StreamReply, version: str) -> Iterator[bytes] | None:
+def _continue_lines(
+    pending: PendingRequest, reply: StreamReply, version: str
+) -> Iterator[bytes] | None:
     """Read on until the first chunk shows which engine continues.
 
     :returns: all lines, ``None`` if it is another one than began the stream.
     """
-    lines = reply.iterate_lines()
+    lines = reply.iterate_lines(first_seconds=_get_answer_seconds(pending))
     first: list[bytes] = []
     with suppress(OSError, HTTPParseError):
         for line in lines:
@@ -446,6 +451,10 @@
     return answer.usage.completion_tokens
 
 
+def _get_answer_seconds(pending: PendingRequest) -> float:
+    return max(0, pending.seconds_left) + ANSWER_GRACE_SECONDS
+
+
 def _make_headers(pending: PendingRequest) -> dict[str, str]:
     forwarded = {
         name: pending.request.headers[name]
--- a/src/wigeonpier/local/online.py
+++ b/src/wigeonpier/local/online.py
@@ -12,7 +12,7 @@
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.web import headers
-from wigeonpier.web.client import CallFailure, round_timeout
+from wigeonpier.web.client import CallFailure
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 from wigeonpier.web.sse import is_text_line
 
@@ -27,6 +27,7 @@
 
 DEFAULT_DEADLINE_MS = 120_000
 MILLISECONDS = 1000
+MIN_ANSWER_SECONDS = 0.01
 SERVER_ERROR = 500
 FORWARDED_HEADERS = ('content-type', 'accept', 'traceparent')
 
@@ -78,7 +79,15 @@
         resources.callback(run.close)
         reply = _open_upstream(path, run, target, deadline)
         resources.callback(reply.close)
-        return _make_response(path, reply, run, resources)
+        if _is_stream(reply):
+            return Response(
+                reply.status,
+                _relay(path, reply, run, deadline),
+                reply.get_header('content-type'),
+                # The slot is held until the stream is sent or aborted.
+                on_close=[resources.pop_all().close],
+            )
+        return _make_response(reply, run, deadline)
 
 
 def _open_upstream(
@@ -102,7 +111,7 @@
         target,
         run.body,
         headers=forwarded,
-        timeout=round_timeout(deadline - time.monotonic()),
+        timeout=_get_seconds_left(deadline),
     )
     if isinstance(opened, Err):
         if opened.err_value is CallFailure.not_sent:
@@ -112,23 +121,17 @@
     return opened.ok_value
 
 
+def _is_stream(reply: StreamReply) -> bool:
+    return reply.get_header('content-type').startswith(EVENT_STREAM_TYPE)
+
+
 def _make_response(
-    path: OnlinePath,
     reply: StreamReply,
     run: SuspectRun,
-    resources: ExitStack,
+    deadline: float,
 ) -> Response:
-    content_type = reply.get_header('content-type')
-    if content_type.startswith(EVENT_STREAM_TYPE):
-        return Response(
-            reply.status,
-            _relay(path, reply, run),
-            content_type,
-            # The slot is held until the stream is sent or aborted.
-            on_close=[resources.pop_all().close],
-        )
     try:
-        body = reply.read()
+        body = reply.read(_get_seconds_left(deadline))
     except (OSError, HTTPParseError) as error:
         run.record_loss()
         raise Refusal(ErrorKind.upstream_lost, 'the answer broke off') from (
@@ -141,16 +144,21 @@
             f'the upstream answered {reply.status}',
             ran=Ran.unknown,
         )
-    return Response(reply.status, body, content_type)
+    return Response(reply.status, body, reply.get_header('content-type'))
+
+
+def _get_seconds_left(deadline: float) -> float:
+    return max(MIN_ANSWER_SECONDS, deadline - time.monotonic())
 
 
 def _relay(
     path: OnlinePath,
     reply: StreamReply,
     run: SuspectRun,
+    deadline: float,
 ) -> Iterator[bytes]:
     with path.gate.watch_tokens() as watch:
-        lines = reply.iterate_lines()
+        lines = reply.iterate_lines(first_seconds=_get_seconds_left(deadline))
         while True:
             try:
                 line = next(lines, b'')
--- a/src/wigeonpier/platform/gateway.py
+++ b/src/wigeonpier/platform/gateway.py
@@ -28,6 +28,7 @@
 
 CALL_TIMEOUT_SECONDS = 2.0
 WATCH_SECONDS = 60.0
+MAX_WATCH_LINE_BYTES = 16_777_216
 SERVER_ERROR = 500
 _DELETE = 'DELETE'
 
@@ -187,7 +188,9 @@
         if isinstance(opened, Err):
             return
         try:
-            for line in opened.ok_value.iterate_lines():
+            for line in opened.ok_value.iterate_lines(
+                WATCH_SECONDS, MAX_WATCH_LINE_BYTES
+            ):
                 yield from _read_changes(line)
         except (OSError, HTTPParseError, msgspec.DecodeError):
             return
--- a/src/wigeonpier/web/client.py
+++ b/src/wigeonpier/web/client.py
@@ -2,23 +2,34 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
+from wigeonpier.web.connections import (
+    MAX_HEAD_BYTES,
+    BoundedPool,
+    BoundedResponse,
+)
+from wigeonpier.web.exchange import make_request
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-CONNECT_SECONDS = 1.0
-MAX_CONNECTIONS = 2048
-TIMEOUT_STEPS_SECONDS = (1.0, 5.0, 30.0, 60.0, 120.0)
-MAX_TIMEOUT_SECONDS = 600.0
+LINE_SECONDS = 60.0
+BODY_SECONDS = 30.0
+MAX_LINE_BYTES = 1_048_576
+MAX_BODY_BYTES = 67_108_864
+COMMENT_PREFIX = b':'
 FIRST_ERROR_STATUS = 300
+# No blanks and control characters in a path, no line breaks in a header.
+_TARGET_PATTERN = re.compile(r'[^\x00-\x20\x7f]+')
+_VALUE_PATTERN = re.compile(r'[\t\x20-\x7e\x80-\xff]*')
 
 Model = TypeVar('Model')
 
@@ -58,18 +69,23 @@
 class StreamReply:
     """A response whose body is read as it arrives."""
 
-    def __init__(self, response: Any) -> None:
-        """Wrap a response of the HTTP library."""
+    def __init__(self, response: BoundedResponse, sent_bytes: int) -> None:
+        """Wrap a response of which the head was read.
+
+        :param response: the response.
+        :param sent_bytes: size of the request.
+        """
         self._response = response
+        self._sent_bytes = sent_bytes
         self.status = int(response.get_code())
 
     @property
-    def head_size(self) -> int:
-        """Estimate the size of the request and response heads, bytes."""
+    def moved_bytes(self) -> int:
+        """Estimate the size of the request and of the head of the response."""
         header_sizes = [
             len(name) + len(text) + 4 for name, text in self._response.items()
         ]
-        return len(self._response._sent_request) + sum(header_sizes)  # noqa: SLF001, WPS437
+        return self._sent_bytes + sum(header_sizes)
 
     def get_header(self, name: str) -> str:
         """Read one header.
@@ -79,21 +95,48 @@
         """
         return str(self._response.get(name) or '')
 
-    def iterate_lines(self) -> Iterator[bytes]:
+    def iterate_lines(
+        self,
+        seconds: float = LINE_SECONDS,
+        max_bytes: int = MAX_LINE_BYTES,
+        *,
+        first_seconds: float | None = None,
+    ) -> Iterator[bytes]:
         """Read the body line by line as it arrives.
 
+        Blank lines and comments are no progress: a peer that sends nothing
+        else is given up as if it sent nothing.
+
+        :param seconds: time to wait for each line.
+        :param max_bytes: size of a line.
+        :param first_seconds: time to wait for the first line, as for the others
+            by default.
         :yields: lines with their terminator.
-        :raises OSError: if the connection is lost before the end.
+        :raises OSError: if the connection is lost before the end, or a line
+            is too long or takes too long.
         """
+        self._response.set_limits(
+            seconds if first_seconds is None else first_seconds, max_bytes
+        )
         while line := self._response.readline(b'\n'):
             yield bytes(line)
+            if line.strip() and not line.startswith(COMMENT_PREFIX):
+                self._response.set_limits(seconds, max_bytes)
 
-    def read(self) -> bytes:
+    def read(
+        self,
+        seconds: float = BODY_SECONDS,
+        max_bytes: int = MAX_BODY_BYTES,
+    ) -> bytes:
         """Read the rest of the body.
 
+        :param seconds: time to wait for it, for a small body.
+        :param max_bytes: size of the body with its framing.
         :returns: the bytes.
-        :raises OSError: if the connection is lost before the end.
+        :raises OSError: if the connection is lost before the end, or the body
+            is too long or takes too long.
         """
+        self._response.set_limits(seconds, max_bytes)
         body = bytes(self._response.read())
         if not self._response.message_complete:
             raise ConnectionResetError('response body is truncated')
@@ -101,23 +144,32 @@
 
     def close(self) -> None:
         """Release the connection; it is reused only after a complete response."""
-        response = self._response
-        if response.message_complete:
-            response.release()
-        elif response._sock is not None:  # noqa: SLF001, WPS437
-            response._pool.release_socket(response._sock)  # noqa: WPS437
-            response._sock = None  # noqa: WPS437
-            response._pool = None  # noqa: WPS437
+        if self._response.message_complete:
+            self._response.release()
+        else:
+            self._response.drop()
 
 
 class HttpClient:
-    """Client with persistent connections, grouped by address and timeout."""
+    """Client with persistent connections, grouped by address."""
 
-    def __init__(self, headers: dict[str, str] | None = None) -> None:
-        """Create a client that sends the headers with each call."""
+    def __init__(
+        self,
+        headers: dict[str, str] | None = None,
+        *,
+        reuses_connections: bool = True,
+    ) -> None:
+        """Create a client that sends the headers with each call.
+
+        :param headers: the headers.
+        :param reuses_connections: whether a connection carries several
+            requests; false for peers that may send the response to an earlier
+            request once more.
+        """
         self.bytes_moved = 0
         self._headers = headers or {}
-        self._clients: dict[tuple[str, float], HTTPClient] = {}
+        self._reuses_connections = reuses_connections
+        self._pools: dict[str, BoundedPool] = {}
 
     def open(
         self,
@@ -136,23 +188,26 @@
         :param path: path with query.
         :param body: request body.
         :param headers: additional headers.
-        :param timeout: network timeout, seconds.
+        :param timeout: time for the request and the head, seconds.
         :returns: the response; ``not_sent`` only if the connection was
             refused.
+        :raises ValueError: if the path or a header would end its line early.
         """
-        client = self._get_client(address, timeout)
+        merged = {'host': address} | self._headers | (headers or {})
+        _check_request(path, merged)
+        raw = make_request(method, path, list(merged.items()), body)
+        pool = self._get_pool(address)
         try:
-            response = client.request(
-                method,
-                path,
-                body,
-                self._headers | (headers or {}),
-            )
+            sock = pool.get_socket()
         except ConnectionRefusedError:
             return Err(CallFailure.not_sent)
+        except OSError:
+            return Err(CallFailure.lost)
+        try:
+            response = _send(pool, sock, method, raw, timeout)
         except (OSError, HTTPParseError):
             return Err(CallFailure.lost)
-        return Ok(StreamReply(response))
+        return Ok(StreamReply(response, len(raw)))
 
     def call(
         self,
@@ -171,7 +226,8 @@
         :param path: path with query.
         :param body: request body.
         :param headers: additional headers.
-        :param timeout: network timeout, seconds.
+        :param timeout: time for the request and the head of the response, and
+            again for its body, seconds.
         :returns: the response.
         """
         opened = self.open(
@@ -186,7 +242,7 @@
             return opened
         stream = opened.ok_value
         try:
-            return Ok(self._read_reply(stream, body))
+            return Ok(self._read_reply(stream, timeout))
         except (OSError, HTTPParseError):
             return Err(CallFailure.lost)
         finally:
@@ -197,44 +253,43 @@
 
         :param address: ``host:port``.
         """
-        keys = [key for key in self._clients if key[0] == address]
-        for key in keys:
-            self._clients.pop(key).close()
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
 
-    def _read_reply(self, stream: StreamReply, sent: bytes) -> Reply:
-        reply = Reply(stream.status, stream.read())
-        self.bytes_moved += stream.head_size + len(sent) + len(reply.body)
+    def _read_reply(self, stream: StreamReply, seconds: float) -> Reply:
+        reply = Reply(stream.status, stream.read(seconds))
+        self.bytes_moved += stream.moved_bytes + len(reply.body)
         return reply
 
-    def _get_client(self, address: str, timeout: float) -> HTTPClient:
-        key = (address, timeout)
-        client = self._clients.get(key)
-        if client is None:
-            host, _, port = address.rpartition(':')
-            client = HTTPClient(
-                host,
-                int(port),
-                connection_timeout=CONNECT_SECONDS,
-                network_timeout=timeout,
-                concurrency=MAX_CONNECTIONS,
-            )
-            # The library resends some methods after a lost connection. This
-            # turns it off; only the retry policy may decide to resend.
-            client._connection_pool.size = -1  # noqa: SLF001, WPS437
-            self._clients[key] = client
-        return client
-
-
-def round_timeout(seconds: float) -> float:
-    """Round a timeout up to one of a few values.
-
-    Connections are grouped by timeout; few distinct values let calls share
-    them.
-
-    :param seconds: time until a deadline.
-    :returns: network timeout, seconds.
-    """
-    return next(
-        (step for step in TIMEOUT_STEPS_SECONDS if seconds <= step),
-        MAX_TIMEOUT_SECONDS,
-    )
+    def _get_pool(self, address: str) -> BoundedPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = BoundedPool(address, is_reusing=self._reuses_connections)
+            self._pools[address] = pool
+        return pool
+
+
+def _check_request(path: str, headers: dict[str, str]) -> None:
+    if not _TARGET_PATTERN.fullmatch(path):
+        raise ValueError(f'invalid path {path!r}')
+    for name, value in headers.items():
+        if not _VALUE_PATTERN.fullmatch(value):
+            raise ValueError(f'invalid value of {name}: {value!r}')
+
+
+def _send(
+    pool: BoundedPool,
+    sock: Any,
+    method: str,
+    raw: bytes,
+    timeout: float,
+) -> BoundedResponse:
+    sock.set_limits(timeout, MAX_HEAD_BYTES)
+    try:
+        sock.sendall(raw)
+    except BaseException:
+        pool.release_socket(sock)
+        raise
+    # It releases the connection if there is no response.
+    return BoundedResponse(sock, pool, method)
--- /dev/null
+++ b/src/wigeonpier/web/connections.py
@@ -0,0 +1,190 @@
+"""Connections on which a peer has limited time and bytes for an answer.
+
+A peer may send bytes without end, or a few bytes at a time: a limit of the
+time without any byte is never reached then.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from gevent import socket as green
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPResponse,
+    HTTPSocketPoolResponse,
+)
+
+CONNECT_SECONDS = 1.0
+MAX_CONNECTIONS = 2048
+MIN_TIMEOUT_SECONDS = 0.001
+MAX_HEAD_BYTES = 65_536
+# A body that arrives at this rate is not cut.
+MIN_BYTES_PER_SECOND = 1_000_000
+FIRST_FINAL_STATUS = 200
+
+
+class AnswerLimitError(OSError):
+    """The peer sent more bytes than an answer may have."""
+
+
+class BoundedSocket(green.socket):
+    """Connection that limits how long and how much the peer may send.
+
+    Only time spent waiting for the peer counts, so that a reader may pause.
+    """
+
+    def __init__(self, *details: Any) -> None:
+        """Create a connection without limits."""
+        super().__init__(*details)
+        self._seconds_left = float('inf')
+        self._bytes_left = float('inf')
+
+    def set_limits(self, seconds: float, size: int) -> None:
+        """Limit what the peer may take and send from now on.
+
+        :param seconds: time to wait for it in total, without the time that
+            the bytes need at the minimum rate.
+        :param size: bytes.
+        """
+        self._seconds_left = seconds
+        self._bytes_left = size
+
+    def recv(self, *details: Any) -> bytes:
+        """Receive bytes within the limits.
+
+        :param details: see :meth:`socket.socket.recv`.
+        :returns: the bytes.
+        :raises AnswerLimitError: if the peer has sent too much.
+        """
+        if self._bytes_left <= 0:
+            raise AnswerLimitError('the peer sends too many bytes')
+        self._apply_timeout()
+        started = time.monotonic()
+        received: bytes = super().recv(*details)
+        size = len(received)
+        self._bytes_left -= size
+        self._seconds_left -= time.monotonic() - started
+        self._seconds_left += size / MIN_BYTES_PER_SECOND
+        return received
+
+    def sendall(self, *details: Any) -> None:
+        """Send bytes within the limit of time.
+
+        :param details: see :meth:`socket.socket.sendall`.
+        """
+        self._apply_timeout()
+        started = time.monotonic()
+        super().sendall(*details)
+        self._seconds_left -= time.monotonic() - started
+
+    def _apply_timeout(self) -> None:
+        if self._seconds_left <= 0:
+            raise TimeoutError('the peer takes too long')
+        if self._seconds_left != float('inf'):
+            self.settimeout(max(self._seconds_left, MIN_TIMEOUT_SECONDS))
+
+
+class BoundedPool(ConnectionPool):  # type: ignore[misc]
+    """Connections to one address."""
+
+    def __init__(self, address: str, *, is_reusing: bool) -> None:
+        """Create an empty pool.
+
+        :param address: ``host:port``.
+        :param is_reusing: whether a connection may carry several requests.
+        """
+        host, _, port = address.rpartition(':')
+        super().__init__(
+            host,
+            int(port),
+            host,
+            int(port),
+            size=MAX_CONNECTIONS,
+            connection_timeout=CONNECT_SECONDS,
+        )
+        self._is_reusing = is_reusing
+
+    def return_socket(self, sock: green.socket) -> None:
+        """Keep a connection for the next request, or close it.
+
+        :param sock: the connection.
+        """
+        if self._is_reusing:
+            super().return_socket(sock)
+        else:
+            self.release_socket(sock)
+
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> BoundedSocket:
+        return BoundedSocket(family, socktype, protocol)
+
+
+class BoundedResponse(HTTPSocketPoolResponse):  # type: ignore[misc]
+    """A response; bytes that follow it are no part of it.
+
+    The connection goes back to its pool only after all bytes that arrived with
+    the end of the response were seen.
+    """
+
+    def __init__(
+        self, sock: BoundedSocket, pool: ConnectionPool, method: str
+    ) -> None:
+        """Read the head of the response.
+
+        :param sock: the connection, on which the request was sent.
+        :param pool: receives the connection back.
+        :param method: method of the request.
+        """
+        self.is_unusable = False
+        super().__init__(sock, pool, method=method)
+
+    def set_limits(self, seconds: float, size: int) -> None:
+        """Limit the rest of the response, or the next part of it.
+
+        :param seconds: time to wait for it in total.
+        :param size: bytes, including the framing.
+        """
+        if isinstance(self._sock, BoundedSocket):
+            self._sock.set_limits(seconds, size)
+
+    def should_close(self) -> bool:
+        """Check whether the connection must not be used again."""
+        return self.is_unusable or super().should_close()
+
+    def feed(self, data: str | bytes) -> None:
+        """Parse bytes of the response.
+
+        :param data: the bytes.
+        :raises HTTPParseError: if they are no response.
+        """
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            if not self._is_over:
+                raise
+            self.is_unusable = True
+
+    def drop(self) -> None:
+        """Close the connection, whatever was received."""
+        self.is_unusable = True
+        self.release()
+
+    @property
+    def _is_over(self) -> bool:
+        return bool(
+            self.message_complete and self.get_code() >= FIRST_FINAL_STATUS
+        )
+
+    def _on_message_begin(self) -> None:
+        if self._is_over:
+            raise HTTPParseError('bytes after a complete response')
+        super()._on_message_begin()
+
+    def _on_message_complete(self) -> None:
+        # That of the library returns the connection before it has parsed the
+        # bytes that follow.
+        HTTPResponse._on_message_complete(self)  # noqa: SLF001, WPS437
--- a/tests/streamedreply.py
+++ b/tests/streamedreply.py
@@ -17,7 +17,7 @@
     def get_header(self, name: str) -> str:
         return {'content-type': 'text/event-stream'}.get(name, 'r-1')
 
-    def iterate_lines(self):
+    def iterate_lines(self, **_limits):
         for _token in range(2):
             chunk = {
                 'id': 'c',
--- a/tests/web/test_client.py
+++ b/tests/web/test_client.py
@@ -9,7 +9,7 @@
 from gevent.server import StreamServer
 from result import Err
 
-from wigeonpier.web.client import CallFailure, HttpClient
+from wigeonpier.web.client import CallFailure, HttpClient, Reply
 from wigeonpier.web.messages import Response
 from wigeonpier.web.server import Server
 
@@ -127,3 +127,45 @@
     for _ in range(20):
         assert client.call(server.address, 'POST', '/x', b'body').is_ok()
     assert len(ports) == 1
+
+
+@pytest.mark.parametrize(
+    'excess',
+    [
+        b'HTTP/1.1 429 Busy\r\nContent-Length: 4\r\n\r\nbusy',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngo',
+        b'HTTP/1.1 102 Wait\r\n\r\n',
+        b'no answer at all',
+    ],
+)
+def test_bytes_behind_a_response_are_no_part_of_it(excess: bytes) -> None:
+    own = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown'
+    connections = 0
+
+    def answer(connection, _address) -> None:
+        nonlocal connections
+        connections += 1
+        while connection.recv(1024):
+            connection.sendall(own + excess)
+
+    server = StreamServer(('127.0.0.1', 0), answer)
+    server.start()
+    client = HttpClient()
+    for count in (1, 2, 3):
+        reply = client.call(f'127.0.0.1:{server.server_port}', 'POST', '/x')
+        assert reply.unwrap() == Reply(200, b'own')
+        assert connections == count
+    server.stop()
+
+
+@pytest.mark.parametrize('path', ['/a b', '/a\r\nX-Peer-Key: k', ''])
+def test_a_path_cannot_add_lines_to_a_request(path: str) -> None:
+    with pytest.raises(ValueError, match='invalid path'):
+        HttpClient().open('127.0.0.1:1', 'GET', path)
+
+
+def test_a_header_cannot_add_lines_to_a_request() -> None:
+    with pytest.raises(ValueError, match='invalid value'):
+        HttpClient().open(
+            '127.0.0.1:1', 'GET', '/x', headers={'accept': 'a\r\nb: c'}
+        )
