Limit each read of a response in time and bytes

What callers saw: a peer that sends a head, an event, a chunk extension, trailers, informational answers, a body or answers to other requests without end kept its caller waiting as long as bytes came, and all of them were held.

Cause: the only limit was a timeout of inactivity. Class: a wait that the peer can extend, and a buffer that the peer can fill.

A response that exceeds one ends its connection with a reset, is logged as answer_endless and counted as endless_answers_total. Parser and reader of a response are modules of their own.

--- a/src/wigeonpier/hosted/common.py
+++ b/src/wigeonpier/hosted/common.py
@@ -24,6 +24,7 @@
     from wigeonpier.models import HostSettings
     from wigeonpier.platform.port import Change
     from wigeonpier.web.messages import Request
+    from wigeonpier.web.readlimits import ReadLimit
 
 # Settings that a reload applies at once; the others belong to open listeners
 # and folders.
@@ -51,6 +52,7 @@
 
     def __post_init__(self) -> None:
         """Connect to the store of the settings."""
+        self.pool.on_endless = self._count_endless
         self.store = KeyValueStore(
             self.pool,
             self.settings.store,
@@ -110,6 +112,9 @@
         server.start()
         return server
 
+    def _count_endless(self, limit: ReadLimit) -> None:
+        self.metrics.count('endless_answers_total', limit=limit.value)
+
     def _show_metrics(self, _request: Request) -> Response:
         content = self.metrics.render().encode()
         return Response(HTTPStatus.OK, content, METRICS_TYPE)
--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from wigeonpier.web.readlimits import MAX_EVENT_BYTES, ReadLimit
+
 if TYPE_CHECKING:
     from wigeonpier.web.exchange import Exchange
 
@@ -48,6 +51,9 @@
         """Read from the current position of the answer's body."""
         self._answer = answer
         self._has_events = False
+        # Of events without id and data, since the last other one.
+        self._empty_bytes = 0
+        self._empty_since: float = 0
 
     @property
     def is_cut_off(self) -> bool:
@@ -61,28 +67,56 @@
     def read(self, timeout: float) -> StreamEvent | None:
         """Read the next event.
 
-        :param timeout: longest wait for a line, seconds.
+        :param timeout: time limit, seconds; events without id and data do not
+            extend it.
         :returns: the event, ``None`` at the end of a complete stream.
         :raises OSError: if the stream is truncated, also within an event.
         """
-        lines: list[bytes] = []
+        began_at = time.monotonic()
+        deadline = (self._empty_since or began_at) + timeout
+        left = MAX_EVENT_BYTES - self._empty_bytes
+        raw = bytearray()
+        identity = b''
         while True:
-            line = self._answer.read_line(timeout)
+            line = self._read_line(deadline, left - len(raw), bool(raw))
             if not line:
-                if lines:
+                if raw:
                     raise ConnectionResetError(
                         'the stream ended within an event'
                     )
                 return None
-            lines.append(line)
+            raw += line
+            if line.startswith(IDENTITY):
+                identity = line[len(IDENTITY) :].strip()
             if line in BLANK:
-                self._has_events = True
-                return _make_event(lines)
+                event = StreamEvent(bytes(raw), identity.decode('latin-1'))
+                self._record(event, began_at)
+                return event
 
+    def _read_line(self, deadline: float, left: int, has_begun: bool) -> bytes:  # noqa: FBT001
+        """Read the next line of an event.
 
-def _make_event(lines: list[bytes]) -> StreamEvent:
-    identity = b''
-    for line in lines:
-        if line.startswith(IDENTITY):
-            identity = line[len(IDENTITY) :].strip()
-    return StreamEvent(b''.join(lines), identity.decode('latin-1'))
+        :param deadline: until when to wait, monotonic clock, seconds.
+        :param left: longest line, bytes.
+        :param has_begun: whether a line of the event was read.
+        """
+        seconds = deadline - time.monotonic()
+        is_waiting = has_begun or self._empty_bytes > 0
+        if left < 0 or (is_waiting and seconds < 0):
+            limit = ReadLimit.event if left < 0 else ReadLimit.time
+            raise self._answer.cut(limit)
+        try:
+            return self._answer.read_line(seconds, left)
+        except TimeoutError:
+            if is_waiting:
+                raise self._answer.cut(ReadLimit.time) from None
+            raise
+
+    def _record(self, event: StreamEvent, began_at: float) -> None:
+        if event.identity or DATA in event.raw:
+            self._has_events = True
+            self._empty_bytes = 0
+            self._empty_since = 0
+        else:
+            self._empty_bytes += len(event.raw)
+            self._empty_since = self._empty_since or began_at
--- a/src/wigeonpier/hosted/foreignanswer.py
+++ b/src/wigeonpier/hosted/foreignanswer.py
@@ -14,7 +14,8 @@
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from wigeonpier.web.exchange import Exchange, ResponseHead
+    from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.responseparser import ResponseHead
 
 # Reports of an upstream's load bear no id.
 NO_IDENTITY = ''
--- a/src/wigeonpier/platform/ingress.py
+++ b/src/wigeonpier/platform/ingress.py
@@ -10,8 +10,9 @@
 
 if TYPE_CHECKING:
     from wigeonpier.models import JobItem
-    from wigeonpier.web.exchange import Exchange, ResponseHead
+    from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.messages import Request
+    from wigeonpier.web.responseparser import ResponseHead
 
 READY_PATH = wire.READY_PATH
 REPORT_PATH = wire.REPORT_PATH
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -71,6 +71,11 @@
         WARNING_LEVEL,
         'An upstream sent an answer that bears the id of another request.',
     )
+    answer_endless = (
+        211,
+        WARNING_LEVEL,
+        'A response was cut off: it exceeds a limit of bytes or time.',
+    )
     customer_limited = (
         205,
         INFO_LEVEL,
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -12,24 +12,28 @@
 import struct
 import time
 from collections import deque
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from gevent import socket as green
-from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from wigeonpier.web.readlimits import (
+    MAX_CALL_BODY_BYTES,
+    MAX_EVENT_BYTES,
+    EndlessAnswerError,
+    ReadLimit,
+)
+from wigeonpier.web.responsereader import ResponseReader
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from wigeonpier.web.pool import ConnectionPool
+    from wigeonpier.web.responseparser import ResponseHead
 
-READ_BYTES = 16_384
 # SO_LINGER enabled with a timeout of 0 s: closing sends a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MIN_TIMEOUT_SECONDS = 0.001
-FIRST_FINAL_STATUS = 200
-# An upstream that sends more foreign responses in a row is not waited for.
-MAX_SKIPPED_RESPONSES = 4
 # A late response to an earlier request precedes that to the next one, so only
 # the last requests on a connection matter.
 MAX_CARRIED_REQUESTS = 8
@@ -47,78 +51,6 @@
 )
 
 
-class BrokenAnswerError(OSError):
-    """The response is truncated or is not valid HTTP."""
-
-
-class ResponseHead(Protocol):
-    """Status and headers of a response."""
-
-    @property
-    def status(self) -> int:
-        """Return the HTTP status."""
-
-    def get_header(self, name: str) -> str:
-        """Read one header, empty if it is absent or repeated."""
-
-
-def _accept_any(_head: ResponseHead) -> bool:
-    """Accept a response; the default check."""
-    return True
-
-
-class _Parser(HTTPResponse):  # type: ignore[misc]
-    """Parses one response and rejects any bytes that follow it.
-
-    A complete response to another request may precede it.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.is_own: Callable[[ResponseHead], bool] = _accept_any
-        self.skipped = 0
-        self.is_foreign = False
-        self.may_skip = False
-
-    @property
-    def status(self) -> int:
-        return int(self.get_code())
-
-    @property
-    def is_over(self) -> bool:
-        """Check whether no further response is expected."""
-        return bool(self.message_complete) and not self.may_skip
-
-    def get_header(self, name: str) -> str:
-        value = self.get(name)
-        return value if isinstance(value, str) else ''
-
-    def _on_headers_complete(self) -> int | bool | None:
-        has_no_body = super()._on_headers_complete()
-        if self.status >= FIRST_FINAL_STATUS:
-            self.is_foreign = not self.is_own(self)
-            # Nothing follows a response that ends with its connection.
-            self.may_skip = (
-                self.is_foreign
-                and self.skipped < MAX_SKIPPED_RESPONSES
-                and self.should_keep_alive()
-            )
-        return bool(has_no_body)
-
-    def _on_message_begin(self) -> None:
-        is_complete = self.message_complete and self.headers_complete
-        if is_complete and self.status >= FIRST_FINAL_STATUS:
-            if not self.may_skip:
-                raise HTTPParseError('bytes after a complete response')
-            self.skipped += 1
-            self.may_skip = False
-        super()._on_message_begin()
-
-    def _on_body(self, part: bytes) -> None:
-        if not self.may_skip:
-            super()._on_body(part)
-
-
 class Exchange:
     """One request and its response on one connection."""
 
@@ -145,10 +77,10 @@
         self._idle_seconds = idle_seconds
         self._address = address
         self._sock = sock
-        self._parser = _Parser()
+        self._reader = ResponseReader(sock)
+        self._parser = self._reader.parser
         self._is_unusable = False
         self._is_closed = False
-        self._is_closed_by_peer = False
 
     @property
     def status(self) -> int:
@@ -168,12 +100,12 @@
     @property
     def is_whole(self) -> bool:
         """Check whether the response is complete according to its framing."""
-        return bool(self._parser.message_complete)
+        return self._reader.is_whole
 
     @property
     def is_unframed(self) -> bool:
         """Check whether the response was delimited by the connection close."""
-        return self._is_closed_by_peer
+        return self._reader.is_closed_by_peer
 
     def get_header(self, name: str) -> str:
         """Read one response header.
@@ -215,7 +147,7 @@
         """Send a request and read the head of the response.
 
         :param raw: the encoded request.
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: time limit of each, seconds.
         :raises OSError: if the connection is lost or times out.
         """
         self.write(raw, timeout)
@@ -225,7 +157,7 @@
         """Send a request.
 
         :param raw: the encoded request.
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: time limit, seconds.
         :raises OSError: if the connection is lost or the write times out.
         """
         self._sock.settimeout(timeout)
@@ -240,55 +172,73 @@
     def await_head(self, timeout: float) -> None:
         """Read the head of the response; may be repeated after a timeout.
 
-        :param timeout: inactivity timeout, seconds; responses that are skipped
-            do not extend it.
+        :param timeout: time limit, seconds; once the head has begun, it also
+            has to be complete within the limit for heads.
         :raises OSError: if the connection is lost or times out.
         """
-        deadline = time.monotonic() + timeout
         try:
-            while not self._has_head():
-                self._check_skipping(deadline)
-                self._receive(timeout)
+            self._reader.read_head(_set_deadline(timeout))
         except TimeoutError:
             raise
+        except EndlessAnswerError as error:
+            raise self.cut(error.limit) from error
         except OSError:
             self._record_drop()
             raise
 
-    def read_line(self, timeout: float) -> bytes:
+    def read_line(self, timeout: float, limit: int = MAX_EVENT_BYTES) -> bytes:
         """Read one line of the response body.
 
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: time limit, seconds; once the line has begun, it also
+            has to be complete within the limit for lines.
+        :param limit: longest line, bytes.
         :returns: the line with its terminator; an unterminated last line as it
             is; empty after the end of the body.
         :raises OSError: if the body is truncated or times out.
         """
-        buffer = self._parser._body_buffer  # noqa: SLF001, WPS437
-        while True:
-            end = buffer.find(b'\n')
-            if end >= 0:
-                line = bytes(buffer[: end + 1])
-                del buffer[: end + 1]  # noqa: WPS420
-                return line
-            if self.is_whole:
-                remainder = bytes(buffer)
-                buffer.clear()
-                return remainder
-            self._receive(timeout)
-
-    def read(self, timeout: float) -> bytes:
+        try:
+            return self._reader.read_line(_set_deadline(timeout), limit)
+        except EndlessAnswerError as error:
+            raise self.cut(error.limit) from error
+
+    def read(self, timeout: float, limit: int = MAX_CALL_BODY_BYTES) -> bytes:
         """Read the rest of the response body.
 
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: time limit, seconds; up to twice as long for a long
+            body that arrives fast enough.
+        :param limit: longest body, bytes.
         :returns: the bytes.
         :raises OSError: if the body is truncated or times out.
         """
-        while not self.is_whole:
-            self._receive(timeout)
-        buffer = self._parser._body_buffer  # noqa: SLF001, WPS437
-        body = bytes(buffer)
-        buffer.clear()
-        return body
+        try:
+            return self._reader.read_body(
+                _set_deadline(timeout), timeout, limit
+            )
+        except EndlessAnswerError as error:
+            raise self.cut(error.limit) from error
+
+    def read_part(self, deadline: float) -> bytes:
+        """Read the next part of the response body.
+
+        :param deadline: until when to wait, monotonic clock, seconds.
+        :returns: the bytes that have arrived; empty after the end of the body.
+        :raises OSError: if the body is truncated or times out.
+        """
+        try:
+            return self._reader.read_part(deadline)
+        except EndlessAnswerError as error:
+            raise self.cut(error.limit) from error
+
+    def cut(self, limit: ReadLimit) -> EndlessAnswerError:
+        """Reset the connection because the response exceeds a limit.
+
+        :param limit: the limit.
+        :returns: the error to raise.
+        """
+        self._reader.take_body()
+        self.abort()
+        self._pool.record_endless(self._address, limit)
+        return EndlessAnswerError(limit)
 
     def abort(self) -> None:
         """Reset the connection, even while another greenlet reads from it.
@@ -316,7 +266,7 @@
         self._is_closed = True
         is_clean = not (
             self._is_unusable
-            or self._is_closed_by_peer
+            or self._reader.is_broken
             or self._parser.is_foreign
             or self.skipped
         )
@@ -328,35 +278,13 @@
     def _record_drop(self) -> None:
         """Report a reused connection that failed before any response."""
         has_no_head = not self._parser.headers_complete
-        if self._idle_seconds and has_no_head and not self._is_unusable:
+        is_unusable = self._is_unusable or self._reader.is_broken
+        if self._idle_seconds and has_no_head and not is_unusable:
             self._pool.record_drop(self._address, self._idle_seconds)
 
-    def _check_skipping(self, deadline: float) -> None:
-        is_skipping = self.skipped or self._parser.may_skip
-        if is_skipping and time.monotonic() > deadline:
-            raise TimeoutError('only responses to other requests arrived')
 
-    def _has_head(self) -> bool:
-        return bool(
-            self._parser.headers_complete
-            and self.status >= FIRST_FINAL_STATUS
-            and not self._parser.may_skip
-        )
-
-    def _receive(self, timeout: float) -> None:
-        self._sock.settimeout(max(timeout, MIN_TIMEOUT_SECONDS))
-        data = self._sock.recv(READ_BYTES)
-        was_complete = self._parser.is_over
-        try:
-            self._parser.feed(data)
-        except HTTPParseError as error:
-            self._is_unusable = True
-            if not self._parser.is_over:
-                raise BrokenAnswerError(str(error)) from error
-        if not data and not was_complete:
-            self._is_closed_by_peer = True
-            if not self._parser.is_over:
-                raise BrokenAnswerError('the connection ended early')
+def _set_deadline(timeout: float) -> float:
+    return time.monotonic() + max(timeout, MIN_TIMEOUT_SECONDS)
 
 
 def make_request(
--- a/src/wigeonpier/web/pool.py
+++ b/src/wigeonpier/web/pool.py
@@ -16,6 +16,7 @@
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.client import CallFailure, Reply
 from wigeonpier.web.exchange import Exchange
+from wigeonpier.web.readlimits import MAX_CALL_BODY_BYTES, ReadLimit
 
 if TYPE_CHECKING:
     from collections import deque
@@ -78,6 +79,10 @@
     carried: deque[str] | None
 
 
+def _ignore_limit(_limit: ReadLimit) -> None:
+    """Do nothing; default callback of a pool."""
+
+
 def _ignore_exchange(_exchange: Exchange) -> None:
     """Do nothing; default callback of :meth:`ConnectionPool.call`."""
 
@@ -93,6 +98,8 @@
         self._idle: defaultdict[str, list[_IdleConnection]] = defaultdict(list)
         self._idle_limits: dict[str, _IdleLimit] = {}
         self.opened = 0
+        # Called with the limit that a response exceeds.
+        self.on_endless: Callable[[ReadLimit], object] = _ignore_limit
 
     def exchange(
         self,
@@ -104,7 +111,7 @@
 
         :param address: ``host:port``.
         :param raw: the encoded request.
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: time limit of the head and of the body, seconds.
         :returns: the exchange; ``not_sent`` only if nothing was sent.
         """
         opened = self.begin(address, timeout)
@@ -161,14 +168,17 @@
         raw: bytes,
         timeout: float,
         on_open: Callable[[Exchange], object] = _ignore_exchange,
+        limit: int = MAX_CALL_BODY_BYTES,
     ) -> Result[Reply, CallFailure]:
         """Send a request once and read the complete response.
 
         :param address: ``host:port``.
         :param raw: the encoded request.
-        :param timeout: inactivity timeout, seconds.
+        :param timeout: time limit of the head and of the body, seconds; a
+            long body that arrives fast enough may take twice as long.
         :param on_open: called with the exchange before the request is sent,
             so that the caller can abort it from another greenlet.
+        :param limit: longest body, bytes.
         :returns: the response.
         """
         opened = self.begin(address, timeout)
@@ -178,7 +188,7 @@
         on_open(current)
         try:
             current.send(raw, timeout)
-            return Ok(Reply(current.status, current.read(timeout)))
+            return Ok(Reply(current.status, current.read(timeout, limit)))
         except OSError:
             current.abort()
             return Err(CallFailure.lost)
@@ -242,6 +252,15 @@
             rested=round(idle_seconds, 3),
         )
 
+    def record_endless(self, address: str, limit: ReadLimit) -> None:
+        """Log and count a response that exceeds a limit.
+
+        :param address: ``host:port`` of the peer.
+        :param limit: the limit.
+        """
+        log_event(Event.answer_endless, address=address, limit=limit.value)
+        self.on_endless(limit)
+
     def _get_max_idle(self, address: str) -> float:
         idle_limit = self._idle_limits.get(address)
         if idle_limit is None:
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -15,13 +15,13 @@
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import (
-    MAX_SKIPPED_RESPONSES,
-    BrokenAnswerError,
     Exchange,
     make_request,
     watch_close,
 )
 from wigeonpier.web.pool import ConnectionPool
+from wigeonpier.web.readlimits import BrokenAnswerError
+from wigeonpier.web.responseparser import MAX_SKIPPED_RESPONSES
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
 # More than the receive window of the peer, less than the local send buffer.
--- /dev/null
+++ b/tests/web/test_readlimits.py
@@ -0,0 +1,99 @@
+"""Peers that send bytes without end, as a flood or a few at a time."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+
+import gevent
+import pytest
+from result import Err
+
+from tests.web.endlesspeer import EndlessPeer
+from wigeonpier.bench.endless import Endless
+from wigeonpier.hosted.events import EventReader
+from wigeonpier.web.client import CallFailure
+from wigeonpier.web.exchange import Exchange, make_request
+from wigeonpier.web.pool import ConnectionPool
+
+REQUEST = make_request('GET', '/', [('Host', 'h')])
+TIMEOUT_SECONDS = 1.5
+# Time for the last read and for the close.
+SLACK_SECONDS = 0.5
+MAX_HELD_BYTES = 8_000_000
+# The calls read bodies of 32 MB at most.
+MAX_CALL_HELD_BYTES = 100_000_000
+STREAMS = (
+    Endless.event,
+    Endless.event_lines,
+    Endless.blank_events,
+    Endless.extension,
+    Endless.trailers,
+)
+
+
+def measure(action, seconds: float) -> tuple[float, int]:
+    """Run an action for a limited time.
+
+    :returns: how long it took, and the most bytes that it held.
+    """
+    tracemalloc.start()
+    began = time.monotonic()
+    with gevent.Timeout(seconds, False):
+        action()
+    elapsed = time.monotonic() - began
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return elapsed, peak
+
+
+def check_reset(peer: EndlessPeer) -> None:
+    """Check that the connection of the peer was ended at once."""
+    gevent.sleep(0.5)
+    assert peer.ended_at
+
+
+@pytest.mark.parametrize('is_trickle', [False, True])
+@pytest.mark.parametrize('kind', list(Endless))
+def test_a_call_ends_in_time(kind: Endless, *, is_trickle: bool) -> None:
+    """It went on as long as bytes came, and held them all."""
+    peer = EndlessPeer(kind, is_trickle)
+    pool = ConnectionPool()
+    outcomes = []
+    elapsed, held = measure(
+        lambda: outcomes.append(
+            pool.call(peer.address, REQUEST, TIMEOUT_SECONDS)
+        ),
+        2 * TIMEOUT_SECONDS + 2,
+    )
+    assert outcomes in (
+        [Err(CallFailure.lost)],
+        # The first answer is complete, the others are extra bytes.
+        [pool.call(EndlessPeer(Endless.foreign).address, REQUEST, 1)],
+    )
+    # A long body that arrives fast may take twice as long.
+    assert elapsed < 2 * TIMEOUT_SECONDS + SLACK_SECONDS
+    assert held < MAX_CALL_HELD_BYTES
+    check_reset(peer)
+
+
+@pytest.mark.parametrize('is_trickle', [False, True])
+@pytest.mark.parametrize('kind', STREAMS)
+def test_an_event_ends_in_time(kind: Endless, *, is_trickle: bool) -> None:
+    """It was read as long as bytes came, and held whole."""
+    peer = EndlessPeer(kind, is_trickle)
+    opened = ConnectionPool().begin(peer.address, 1).unwrap()
+    opened.send(REQUEST, TIMEOUT_SECONDS)
+    elapsed, held = measure(lambda: read_events(opened), TIMEOUT_SECONDS + 2)
+    assert elapsed < TIMEOUT_SECONDS + SLACK_SECONDS
+    assert held < MAX_HELD_BYTES
+    opened.close()
+    check_reset(peer)
+
+
+def read_events(opened: Exchange) -> None:
+    """Read events until the stream is broken."""
+    reader = EventReader(opened)
+    with pytest.raises(OSError):
+        while True:
+            reader.read(TIMEOUT_SECONDS)
