--- a/src/wigeonpier/hosted/arrival.py
+++ b/src/wigeonpier/hosted/arrival.py
@@ -8,6 +8,7 @@
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.failures import RETRY_ELSEWHERE_SECONDS
 from wigeonpier.platform import ingress
+from wigeonpier.policy.fairqueue import weigh_customer
 from wigeonpier.policy.identity import Verdict, identify
 from wigeonpier.policy.matching import match_route
 from wigeonpier.telemetry.events import Event
@@ -46,6 +47,13 @@
             return self.route.priority
         return self.customer.priority
 
+    @property
+    def weight(self) -> float:
+        """Compute the customer's weight, 0 without a customer."""
+        if self.customer is None:
+            return 0
+        return weigh_customer(self.customer.rate, self.priority)
+
 
 def route_request(
     request: Request,
--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -7,12 +7,20 @@
 from types import MappingProxyType
 
 from wigeonpier.errors import ErrorKind
+from wigeonpier.web.readlimits import EndlessAnswerError
 
 
 class CallerGoneError(OSError):
     """The caller has closed its connection."""
 
 
+class BrokenStreamError(BrokenPipeError):
+    """A stream cannot be continued.
+
+    It closes the connection, so that the caller sees a truncated response.
+    """
+
+
 class SendFailure(StrEnum):
     """Why a send produced no response that may be forwarded.
 
@@ -28,6 +36,7 @@
     foreign_answer = 'not its answer'
     failed = 'the upstream failed'
     lost = 'lost'
+    endless = 'bytes without end'
     silent = 'silent'
     queued = 'queued while another upstream had room'
     late = 'late in a queue, and gave way'
@@ -97,8 +106,11 @@
     """Classify an error that was raised while reading from an upstream.
 
     :param error: the error.
-    :returns: ``silent`` for a time-out, ``lost`` for any other error.
+    :returns: ``silent`` for a time-out, ``endless`` for an answer that exceeds
+        a limit, ``lost`` for any other error.
     """
+    if isinstance(error, EndlessAnswerError):
+        return SendFailure.endless
     if isinstance(error, TimeoutError):
         return SendFailure.silent
     return SendFailure.lost
--- a/src/wigeonpier/hosted/items.py
+++ b/src/wigeonpier/hosted/items.py
@@ -17,6 +17,11 @@
 from wigeonpier.policy.promptparts import make_part_keys
 from wigeonpier.policy.streamorigin import UNKNOWN_VERSION, is_same_version
 from wigeonpier.web.exchange import make_request
+from wigeonpier.web.readlimits import (
+    MAX_SMALL_BODY_BYTES,
+    EndlessAnswerError,
+    ReadLimit,
+)
 
 if TYPE_CHECKING:
     from wigeonpier.models import JobItem, OpenJob, Replica
@@ -29,6 +34,10 @@
 # upstream is aborted, and the next run resumes after the last event.
 HEAD_TIMEOUT_SECONDS = 3.0
 READ_TIMEOUT_SECONDS = 2.0
+# Events of one run of an item, which are held until it completes.
+MAX_OUTPUT_BYTES = 8_388_608
+# Memory of the text of an event beside its bytes.
+EVENT_OVERHEAD_BYTES = 64
 UNPROCESSABLE_STATUS = 422
 ITEM_METHOD = 'POST'
 
@@ -217,6 +226,7 @@
     started_at = time.monotonic()
     work.started_at = started_at
     work.events_before_run = len(work.texts)
+    last_event = work.last_event
     work.is_faulted = False
     opened = pool.begin(
         replica.address, HEAD_TIMEOUT_SECONDS, identity=work.item.name
@@ -234,6 +244,10 @@
     try:
         outcome = _send_and_read(work, replica, response)
     except (OSError, UnicodeDecodeError) as error:
+        if _exceeds_output(error):
+            # Its next run would otherwise exceed the limit as well.
+            del work.texts[work.events_before_run :]  # noqa: WPS420
+            work.last_event = last_event
         outcome = RunOutcome.paused if work.is_paused else RunOutcome.broken
         work.is_faulted = not work.is_paused and _judge_break(
             work, response, error
@@ -261,13 +275,13 @@
         return _reject_answer(work, response)
     if ingress.has_not_run(response):
         instance = ingress.get_instance(response)
-        response.read(READ_TIMEOUT_SECONDS)
+        response.read(READ_TIMEOUT_SECONDS, MAX_SMALL_BODY_BYTES)
         is_other_instance = bool(instance) and instance != replica.name
         return RunOutcome.replaced if is_other_instance else RunOutcome.refused
     if not ingress.is_signed(response):
         return _reject_answer(work, response)
     if not ingress.is_success(response):
-        response.read(READ_TIMEOUT_SECONDS)
+        response.read(READ_TIMEOUT_SECONDS, MAX_SMALL_BODY_BYTES)
         if response.status == UNPROCESSABLE_STATUS:
             return RunOutcome.impossible
         work.is_faulted = shows_fault(response.status)
@@ -285,23 +299,35 @@
 def _read_events(work: ItemWork, response: Exchange) -> RunOutcome:
     reader = EventReader(response)
     work.first_event_at = 0
+    left = MAX_OUTPUT_BYTES
     while True:
         event = reader.read(READ_TIMEOUT_SECONDS)
         if event is None:
             work.is_faulted = reader.is_cut_off
             return RunOutcome.broken if reader.is_cut_off else RunOutcome.whole
+        left -= len(event.raw) + EVENT_OVERHEAD_BYTES
+        if left < 0:
+            raise response.cut(ReadLimit.body)
         if event.identity:
             work.record_event(time.monotonic())
             work.texts.append(event.text)
             work.last_event = event.identity
 
 
+def _exceeds_output(error: Exception) -> bool:
+    return (
+        isinstance(error, EndlessAnswerError) and error.limit is ReadLimit.body
+    )
+
+
 def _judge_break(work: ItemWork, response: Exchange, error: Exception) -> bool:
     """Judge whether a run that broke off shows a fault of the upstream.
 
     An item without events may have waited for a slot, or have been sent on a
     connection that the upstream was closing.
     """
+    if isinstance(error, EndlessAnswerError):
+        return True
     if work.has_new_events or not isinstance(error, OSError):
         return True
     is_silent = isinstance(error, TimeoutError)
--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -396,6 +396,8 @@
 
     :returns: its outcome, ``None`` where it shows no fault of the upstream.
     """
+    if failure is SendFailure.endless:
+        return SendOutcome.failed
     had_output = request.sends[-1].had_output
     if failure is SendFailure.lost:
         is_fault = had_output or tracked.idle_seconds < MAX_SAFE_IDLE_SECONDS
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -10,23 +10,23 @@
 from result import Err, Ok
 
 from wigeonpier.errors import ErrorKind, Ran, Refusal
+from wigeonpier.hosted.bodies import BodyForwarder, is_stream, make_response
 from wigeonpier.hosted.events import EventReader
 from wigeonpier.hosted.failures import (
     RETRY_ELSEWHERE_SECONDS,
     STREAM_REFUSALS,
+    BrokenStreamError,
     SendFailure,
     classify_disconnect,
 )
 from wigeonpier.hosted.question import OnlineRequest
 from wigeonpier.platform import ingress
 from wigeonpier.policy.claimwait import compute_retry
-from wigeonpier.policy.fairqueue import weigh_customer
 from wigeonpier.policy.matching import choose_service
 from wigeonpier.policy.route import record_outcome
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.exchange import watch_close
-from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 
 if TYPE_CHECKING:
     import random
@@ -42,24 +42,17 @@
     from wigeonpier.policy.route import UpstreamState
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.exchange import Exchange
+    from wigeonpier.web.messages import Response
 
 # Time after which one of the running requests has freed its slot.
 RETRY_AFTER_SECONDS = 0.3
 # For callers that state no deadline.
 DEFAULT_TIMEOUT_SECONDS = 60.0
-MIN_READ_TIMEOUT_SECONDS = 0.01
 # One in so many ordinary requests is logged; failures, late responses and
 # retries always are.
 LOG_ONE_IN = 16
 
 
-class BrokenStreamError(BrokenPipeError):
-    """A stream cannot be continued.
-
-    It closes the connection, so that the caller sees a truncated response.
-    """
-
-
 class OnlineHandler:
     """Answers the online requests of callers."""
 
@@ -85,6 +78,7 @@
         self._limiter = limiter
         self._configuration = configuration
         self._sender = sender
+        self._bodies = BodyForwarder(sender)
         self._metrics = metrics
         self._rng = rng
 
@@ -128,7 +122,7 @@
             deadline=now + min(timeout, route.timeout),
             resume_after=routed.head.resume_after,
             priority=routed.priority,
-            weight=_weigh(routed),
+            weight=routed.weight,
         )
 
     def _answer(self, request: OnlineRequest) -> Response:
@@ -136,46 +130,34 @@
             failure = self._origins.bind(request)
             if failure is not None:
                 raise self._refuse(request, failure)
-        sent = self._sender.send(request)
-        if isinstance(sent, Err):
-            raise self._refuse(request, sent.err_value)
-        exchange = sent.ok_value
-        headers = dict(exchange.list_headers())
-        content_type = headers.pop(
-            'Content-Type',
-            headers.pop('content-type', ''),
-        )
-        body: bytes | Iterator[bytes]
-        if ingress.is_success(exchange) and content_type.startswith(
-            EVENT_STREAM_TYPE,
-        ):
-            body = self._stream(request)
-        else:
-            if request.tracked is not None:
-                request.tracked.stop_timer()
-            body = self._read_body(request, exchange)
-        response = Response(exchange.status, body, content_type, headers)
+        body = self._read(request)
+        _upstream, exchange = _get_current(request)
+        response = make_response(exchange, body)
         response.on_close.append(lambda: self._finish(request, 'answered'))
         return response
 
-    def _read_body(self, request: OnlineRequest, exchange: Exchange) -> bytes:
-        upstream, _exchange = _get_current(request)
-        try:
-            body = exchange.read(
-                max(request.seconds_left, MIN_READ_TIMEOUT_SECONDS),
-            )
-        except OSError as error:
-            failure = classify_disconnect(error)
-            request.release(is_broken=True)
-            self._sender.record_failure(request, upstream, failure)
-            raise Refusal(ErrorKind.upstream_lost, str(error)) from error
-        suspects = self._sender.binder.suspects
-        if ingress.is_success(exchange):
-            self._sender.outcomes.record_success(request)
-            suspects.record_completion(request, upstream)
-        else:
-            suspects.record_failed_answer(request, upstream)
-        return body
+    def _read(self, request: OnlineRequest) -> bytes | Iterator[bytes]:
+        """Send a request, again after a broken body if it may be repeated.
+
+        :returns: body of the response.
+        """
+        while True:
+            exchange = self._send(request)
+            if is_stream(exchange):
+                return self._stream(request)
+            if request.tracked is not None:
+                request.tracked.stop_timer()
+            read = self._bodies.read(request, exchange)
+            if isinstance(read, Ok):
+                return read.ok_value
+            if not request.may_run_again:
+                raise Refusal(ErrorKind.upstream_lost, read.err_value.value)
+
+    def _send(self, request: OnlineRequest) -> Exchange:
+        sent = self._sender.send(request)
+        if isinstance(sent, Err):
+            raise self._refuse(request, sent.err_value)
+        return sent.ok_value
 
     def _stream(self, request: OnlineRequest) -> Iterator[bytes]:
         """Forward events, resuming at another upstream after a failure."""
@@ -330,13 +312,6 @@
             )
 
 
-def _weigh(routed: RoutedRequest) -> float:
-    """Compute the weight of a request, 0 if it has no customer."""
-    if routed.customer is None:
-        return 0
-    return weigh_customer(routed.customer.rate, routed.priority)
-
-
 def _is_logged(request: OnlineRequest, outcome: str) -> bool:
     """Tell whether to log a finished request; ordinary ones are sampled."""
     if outcome != 'answered' or len(request.sends) > 1:
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -20,6 +20,7 @@
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.exchange import make_request
+from wigeonpier.web.readlimits import MAX_SMALL_BODY_BYTES
 
 if TYPE_CHECKING:
     from wigeonpier.models import Replica, UpstreamReport
@@ -198,6 +199,7 @@
             raw,
             REPORT_TIMEOUT_SECONDS,
             partial(expect_report, upstream=self.address),
+            MAX_SMALL_BODY_BYTES,
         )
         round_trip = time.monotonic() - requested_at
         if isinstance(called, Err) or not called.ok_value.is_good:
--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -260,7 +260,7 @@
     response = SimpleNamespace(
         **{
             'send': lambda *_given: None,
-            'read': lambda _timeout: b'',
+            'read': lambda *_given: b'',
             'abort': lambda: None,
             'close': lambda: None,
             'expect': lambda *_given: None,
