--- a/tests/web/test_answer_limits.py
+++ b/tests/web/test_answer_limits.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Err
 
-from tests.web.endlesspeer import BODIES, HEADS, LINES, EndlessPeer
+from tests.web.endlessanswers import BODIES, HEADS, LINES, EndlessPeer
 from wigeonpier.web.client import CallFailure, HttpClient
 from wigeonpier.web.messages import Response
 from wigeonpier.web.server import Server
