Log status and error of each send of a request

A log could not tell a lost connection from an answer that was no valid HTTP, nor what status the answer of a failed send had. Whether a request was sent again on a statement of the upstream was not to be seen once the request had ended. Each send now has the status of its answer, whether it claims not to have run, and the error of its connection.

--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -40,6 +40,9 @@
     :param company: which other suspected requests were allowed at the
         upstream, empty if the request was not suspected itself.
     :param outcome: how it ended.
+    :param status: status of its answer, 0 for none.
+    :param claims_not_run: whether the answer states that it has not run.
+    :param problem: error of its connection, empty for none.
     :param instance: id of the instance that responded instead of the upstream.
     :param had_output: whether any event of its response arrived.
     :param version: software version of the upstream.
@@ -57,6 +60,9 @@
     at: float
     company: str = ''
     outcome: str = 'answered'
+    status: int = 0
+    claims_not_run: bool = False
+    problem: str = ''
     instance: str = ''
     had_output: bool = False
     version: str = ''
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -166,6 +166,7 @@
             )
         except OSError as error:
             failure = classify_disconnect(error)
+            request.last_send.problem = repr(error)
             request.release(is_broken=True)
             self._sender.record_failure(request, upstream, failure)
             raise Refusal(ErrorKind.upstream_lost, str(error)) from error
@@ -205,6 +206,7 @@
                     request.choose_read_timeout(has_events=has_events),
                 )
             except OSError as error:
+                request.last_send.problem = repr(error)
                 return classify_disconnect(error)
             if event is None:
                 return self._end_stream(request, upstream, reader)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -134,6 +134,8 @@
             runs=request.runs,
             seconds_left=round(request.seconds_left, 3),
             why=failure.value,
+            status=request.last_send.status,
+            problem=request.last_send.problem,
             has_ended=has_crashed,
         )
 
@@ -198,6 +200,7 @@
             request.release(is_broken=True)
             return Err(departure.reason)
         except OSError as error:
+            request.last_send.problem = repr(error)
             request.release(is_broken=True)
             return Err(classify_disconnect(error))
         self.binder.isolation_detector.record_contact()
@@ -247,6 +250,8 @@
     ) -> SendFailure | None:
         """Check the head of a response, and report a fault that it shows."""
         _record_load(upstream, exchange)
+        request.last_send.status = exchange.status
+        request.last_send.claims_not_run = ingress.has_not_run(exchange)
         failure = _check_head(request, upstream, exchange)
         self.outcomes.record_answer(request, exchange, failure)
         return failure
