Take no status or header from part of another answer

A request that may run once ran twice, or was answered 503 and had run, where an upstream sends the beginning of an extra answer before the own one. A part that ends inside the status line or a header joins the next status line: 'HTTP/1.1 503 HTTP/1.1 200 OK' is a valid head with the id and the signature of the own answer and the status of the other one, and 'X-Not-Executed: HTTP/1.1 200 OK' is a statement of not having run above the own id.

Cause: the end of a head was taken as proof that all of it belongs to one answer.

A head that contains a status line is no valid response. The connection is closed and the request counts as one that may have run. The check is in the parser that requests, items and load reports share.

--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -18,6 +18,8 @@
 from gevent import socket as green
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from wigeonpier.web.joinedheads import is_joined
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -79,6 +81,7 @@
         self.skipped = 0
         self.is_foreign = False
         self.may_skip = False
+        self._phrase = ''
 
     @property
     def status(self) -> int:
@@ -95,6 +98,8 @@
 
     def _on_headers_complete(self) -> int | bool | None:
         has_no_body = super()._on_headers_complete()
+        if is_joined(self._phrase, self.items()):
+            raise HTTPParseError('a response begins inside another one')
         if self.status >= FIRST_FINAL_STATUS:
             self.is_foreign = not self.is_own(self)
             # Nothing follows a response that ends with its connection.
@@ -105,7 +110,12 @@
             )
         return bool(has_no_body)
 
+    def _on_status(self, part: str) -> None:
+        # Comes in parts if it arrives in parts.
+        self._phrase += part
+
     def _on_message_begin(self) -> None:
+        self._phrase = ''
         is_complete = self.message_complete and self.headers_complete
         if is_complete and self.status >= FIRST_FINAL_STATUS:
             if not self.may_skip:
