Send no request whose caller has gone

A stream could run at a replica while its caller resumed it at another entry: an entry that waits for the answer to a reservation, or for a connection, has no exchange yet that the close of its caller could abort. It sent the request all the same, and nothing ended the run before its events were written to a closed connection, or its deadline.

Cause: the caller's close acted on what existed at that moment, and was not asked for again before the send. Slot calls did ask (begin_slot_call); sends, the back-off and slots that were granted meanwhile did not.

The sender asks once before a connection is taken and once more after it. A request that may run once is covered as well.

--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -93,8 +93,7 @@
         :raises CallerGoneError: when the caller has disconnected, which makes
             the send fail as well.
         """
-        if request.is_abandoned:
-            raise CallerGoneError('the caller has disconnected')
+        _check_caller(request)
         if failure is SendFailure.replaced:
             instance = request.sends[-1].instance
             self.binder.replicas.record_replaced(upstream, instance)
@@ -180,6 +179,7 @@
         request: OnlineRequest,
         upstream: UpstreamState,
     ) -> Result[Exchange, SendFailure]:
+        _check_caller(request)
         request.record_send(upstream)
         opened = self.pool.begin(
             upstream.address,
@@ -192,6 +192,10 @@
         if isinstance(opened, Err):
             return Err(SendFailure.no_connection)
         exchange = opened.ok_value
+        if request.is_abandoned:
+            # The close of the caller found no exchange to abort.
+            exchange.close()
+            raise CallerGoneError('the caller has disconnected')
         expect_answer(exchange, request.head.identity, upstream.name)
         request.attach(upstream, exchange)
         try:
@@ -317,8 +321,16 @@
             ):
                 request.next_upstream = other
                 return
-        if request.is_abandoned:
-            raise CallerGoneError('the caller has disconnected')
+        _check_caller(request)
+
+
+def _check_caller(request: OnlineRequest) -> None:
+    """Check that the caller still waits for the request.
+
+    :raises CallerGoneError: when the caller has disconnected.
+    """
+    if request.is_abandoned:
+        raise CallerGoneError('the caller has disconnected')
 
 
 def _check_head(
