Merge heads that belong to two answers

Heads made of two answers, and refusals of upstreams without a statement of not having run; the commits say what failed before. The check of heads moves to the parser's module.

--- a/src/wigeonpier/hosted/bodies.py
+++ b/src/wigeonpier/hosted/bodies.py
@@ -158,6 +158,7 @@
     ) -> SendFailure:
         failure = classify_disconnect(error)
         upstream = request.upstream
+        request.last_send.problem = repr(error)
         request.release(is_broken=True)
         if upstream is not None:
             self.sender.record_failure(request, upstream, failure)
--- a/src/wigeonpier/hosted/failures.py
+++ b/src/wigeonpier/hosted/failures.py
@@ -35,6 +35,7 @@
     replaced = 'another instance has the address'
     foreign_answer = 'not its answer'
     failed = 'the upstream failed'
+    unfounded = 'refused without a statement of not having run'
     lost = 'lost'
     endless = 'bytes without end'
     silent = 'silent'
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -187,6 +187,7 @@
                     request.choose_read_timeout(has_events=has_events),
                 )
             except OSError as error:
+                request.last_send.problem = repr(error)
                 return classify_disconnect(error)
             if event is None:
                 return self._end_stream(request, upstream, reader)
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -93,8 +93,7 @@
         :raises CallerGoneError: when the caller has disconnected, which makes
             the send fail as well.
         """
-        if request.is_abandoned:
-            raise CallerGoneError('the caller has disconnected')
+        _check_caller(request)
         if failure is SendFailure.replaced:
             instance = request.sends[-1].instance
             self.binder.replicas.record_replaced(upstream, instance)
@@ -134,6 +133,8 @@
             runs=request.runs,
             seconds_left=round(request.seconds_left, 3),
             why=failure.value,
+            status=request.last_send.status,
+            problem=request.last_send.problem,
             has_ended=has_crashed,
         )
 
@@ -178,6 +179,7 @@
         request: OnlineRequest,
         upstream: UpstreamState,
     ) -> Result[Exchange, SendFailure]:
+        _check_caller(request)
         request.record_send(upstream)
         opened = self.pool.begin(
             upstream.address,
@@ -190,6 +192,10 @@
         if isinstance(opened, Err):
             return Err(SendFailure.no_connection)
         exchange = opened.ok_value
+        if request.is_abandoned:
+            # The close of the caller found no exchange to abort.
+            exchange.close()
+            raise CallerGoneError('the caller has disconnected')
         expect_answer(exchange, request.head.identity, upstream.name)
         request.attach(upstream, exchange)
         try:
@@ -198,6 +204,7 @@
             request.release(is_broken=True)
             return Err(departure.reason)
         except OSError as error:
+            request.last_send.problem = repr(error)
             request.release(is_broken=True)
             return Err(classify_disconnect(error))
         self.binder.isolation_detector.record_contact()
@@ -247,6 +254,8 @@
     ) -> SendFailure | None:
         """Check the head of a response, and report a fault that it shows."""
         _record_load(upstream, exchange)
+        request.last_send.status = exchange.status
+        request.last_send.claims_not_run = ingress.has_not_run(exchange)
         failure = _check_head(request, upstream, exchange)
         self.outcomes.record_answer(request, exchange, failure)
         return failure
@@ -312,8 +321,16 @@
             ):
                 request.next_upstream = other
                 return
-        if request.is_abandoned:
-            raise CallerGoneError('the caller has disconnected')
+        _check_caller(request)
+
+
+def _check_caller(request: OnlineRequest) -> None:
+    """Check that the caller still waits for the request.
+
+    :raises CallerGoneError: when the caller has disconnected.
+    """
+    if request.is_abandoned:
+        raise CallerGoneError('the caller has disconnected')
 
 
 def _check_head(
@@ -334,10 +351,20 @@
             return SendFailure.turned_away
         request.sends[-1].instance = instance
         return SendFailure.replaced
+    return _check_run(request, exchange)
+
+
+def _check_run(
+    request: OnlineRequest, exchange: Exchange
+) -> SendFailure | None:
+    """Check the head of the response of an upstream that may have run it."""
     if not ingress.is_signed(exchange):
         return SendFailure.foreign_answer
     if not ingress.is_success(exchange) and request.may_run_again:
         return SendFailure.failed
+    # The caller would take it for a promise that the request has not run.
+    if ingress.is_promise(exchange):
+        return SendFailure.unfounded
     return None
 
 
--- a/src/wigeonpier/web/responseparser.py
+++ b/src/wigeonpier/web/responseparser.py
@@ -7,6 +7,8 @@
 
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from wigeonpier.web.joinedheads import is_joined
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -48,6 +50,7 @@
         self.skipped_bytes = 0
         # Start of an incomplete head, monotonic clock, seconds; else 0.
         self.head_began_at: float = 0
+        self._phrase = ''
 
     @property
     def status(self) -> int:
@@ -76,6 +79,8 @@
     def _on_headers_complete(self) -> int | bool | None:
         has_no_body = super()._on_headers_complete()
         self.head_began_at = 0
+        if is_joined(self._phrase, self.items()):
+            raise HTTPParseError('a response begins inside another one')
         if self.status >= FIRST_FINAL_STATUS:
             self.is_foreign = not self.is_own(self)
             # Nothing follows a response that ends with its connection.
@@ -86,7 +91,12 @@
             )
         return bool(has_no_body)
 
+    def _on_status(self, part: str) -> None:
+        # Comes in parts if it arrives in parts.
+        self._phrase += part
+
     def _on_message_begin(self) -> None:
+        self._phrase = ''
         is_complete = self.message_complete and self.headers_complete
         if is_complete and self.status >= FIRST_FINAL_STATUS:
             if not self.may_skip:
