--- a/tests/web/test_joinedheads.py
+++ b/tests/web/test_joinedheads.py
@@ -8,8 +8,8 @@
 
 from wigeonpier.web.exchange import make_request
 from wigeonpier.web.joinedheads import is_joined
-from wigeonpier.web.readlimits import BrokenAnswerError
 from wigeonpier.web.pool import ConnectionPool
+from wigeonpier.web.readlimits import BrokenAnswerError
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
 OWN = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
