Send no request whose caller has gone

A stream could run at a replica while its caller resumed it at another entry: an entry that waits for the answer to a reservation, or for a connection, has no exchange yet that the close of its caller could abort. It sent the request all the same, and nothing ended the run before its events were written to a closed connection, or its deadline.

Cause: the caller's close acted on what existed at that moment, and was not asked for again before the send. Slot calls did ask (begin_slot_call); sends, the back-off and slots that were granted meanwhile did not.

The sender asks once before a connection is taken and once more after it. A request that may run once is covered as well.

--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -146,6 +146,7 @@
         """Choose the next upstream, which may take until the request is late.
 
         :returns: the upstream, or why the request is not sent again.
+        :raises CallerGoneError: when the caller has disconnected.
         """
         failure = self.binder.find_send_failure(request)
         if failure is not None:
@@ -156,6 +157,7 @@
             # The answer to a reservation shows that it has restarted.
             request.tried.add(upstream.name)
             upstream = self.binder.chooser.choose(request)
+        _check_caller(request)
         failure = self.binder.find_send_failure(request)
         if failure is not None:
             return Err(failure)
@@ -192,6 +194,10 @@
         if isinstance(opened, Err):
             return Err(SendFailure.no_connection)
         exchange = opened.ok_value
+        if request.is_abandoned:
+            # The close of the caller found no exchange to abort.
+            exchange.close()
+            raise CallerGoneError('the caller has disconnected')
         expect_answer(exchange, request.head.identity, upstream.name)
         request.attach(upstream, exchange)
         try:
@@ -317,8 +323,16 @@
             ):
                 request.next_upstream = other
                 return
-        if request.is_abandoned:
-            raise CallerGoneError('the caller has disconnected')
+        _check_caller(request)
+
+
+def _check_caller(request: OnlineRequest) -> None:
+    """Check that the caller still waits for the request.
+
+    :raises CallerGoneError: when the caller has disconnected.
+    """
+    if request.is_abandoned:
+        raise CallerGoneError('the caller has disconnected')
 
 
 def _check_head(
--- a/tests/hosted/test_sender.py
+++ b/tests/hosted/test_sender.py
@@ -4,15 +4,18 @@
 
 import time
 from types import SimpleNamespace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import gevent
 import pytest
+from gevent.server import StreamServer
 from result import Err
 
 from tests.builders import build_upstream
 from tests.hosted.builders import SERVICE, make_online_request, make_sender
 from wigeonpier.hosted import sender as sending
 from wigeonpier.hosted.failures import (
+    CallerGoneError,
     QueueLeftError,
     SendFailure,
 )
@@ -26,6 +29,9 @@
         RequestSender,
     )
 
+READ_BYTES = 65_536
+PAUSE_SECONDS = 0.05
+
 
 def build_sender(*loads: int) -> RequestSender:
     """Make a sender for upstreams of 8 slots with these fresh loads."""
@@ -123,3 +129,41 @@
     checked = sending._check_head(request, upstream, answer)
     assert checked is (failure or SendFailure.foreign_answer)
     assert request.runs == runs
+
+
+def test_a_request_whose_caller_left_is_not_sent() -> None:
+    """It ran on while its caller resumed the stream at another entry."""
+    sender = build_sender(0)
+    request = make_online_request()
+
+    def reserve(*_given: object, **_named: object) -> ReservationOutcome:
+        request.abandon()
+        return ReservationOutcome.granted
+
+    sender.binder.reserver = SimpleNamespace(reserve=reserve)
+    with pytest.raises(CallerGoneError):
+        sender.send(request)
+    assert not request.sends
+
+
+def test_a_request_whose_caller_leaves_during_a_connect_is_not_sent() -> None:
+    """The close of its caller found no exchange that it could end."""
+    received: list[bytes] = []
+
+    def serve(sock: Any, _address: object) -> None:
+        received.append(sock.recv(READ_BYTES))
+
+    server = StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    sender = build_sender(0)
+    [upstream] = sender.binder.replicas.list_upstreams()
+    upstream.address = f'127.0.0.1:{server.server_port}'
+    request = make_online_request()
+    leaving = gevent.spawn(request.abandon)
+    with pytest.raises(CallerGoneError):
+        sender.send(request)
+    leaving.get()
+    gevent.sleep(PAUSE_SECONDS)
+    server.stop()
+    assert request.runs == 0
+    assert received == [b'']
