--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -145,6 +145,7 @@
         """Choose the next upstream, which may take until the request is late.
 
         :returns: the upstream, or why the request is not sent again.
+        :raises CallerGoneError: when the caller has disconnected.
         """
         failure = self.binder.find_send_failure(request)
         if failure is not None:
@@ -155,6 +156,7 @@
             # The answer to a reservation shows that it has restarted.
             request.tried.add(upstream.name)
             upstream = self.binder.chooser.choose(request)
+        _check_caller(request)
         failure = self.binder.find_send_failure(request)
         if failure is not None:
             return Err(failure)
