--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -93,7 +93,8 @@
         :raises CallerGoneError: when the caller has disconnected, which makes
             the send fail as well.
         """
-        _check_caller(request)
+        if request.is_abandoned:
+            raise CallerGoneError('the caller has disconnected')
         if failure is SendFailure.replaced:
             instance = request.sends[-1].instance
             self.binder.replicas.record_replaced(upstream, instance)
@@ -181,7 +182,6 @@
         request: OnlineRequest,
         upstream: UpstreamState,
     ) -> Result[Exchange, SendFailure]:
-        _check_caller(request)
         request.record_send(upstream)
         opened = self.pool.begin(
             upstream.address,
