--- a/tests/hosted/test_runlengths.py
+++ b/tests/hosted/test_runlengths.py
@@ -21,7 +21,7 @@
     monkeypatch.setattr(runner, 'run_item', lambda *_given: RunOutcome.whole)
     upstream = SimpleNamespace(replica=object(), report=None, version='v1')
     trials = SimpleNamespace(
-        finish=lambda _work: None,
+        finish=lambda _work, **_given: None,
         record_completion=lambda _work: None,
         health=SimpleNamespace(record_item=lambda _work, **_given: None),
     )
