Use each connection to an engine of the own interface once

Own interface: an item had the text of another one, or a part of it, where an engine sends an answer once more; an extra 429 says 'not run' of an item that the engine runs, which is then run again. Online requests are sent by the same client, so a caller could receive the answer to another one's request.

Cause: the HTTP library takes the next answer on a kept connection for the answer to the last request, and engines need not echo an id, so ids can't be compared here as on the platform.

An engine is on the same VM, so each call opens a connection. Calls between our processes keep theirs: on those only our server answers, once per request.

--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -8,7 +8,7 @@
 
 from wigeonpier.batch.chunk import ChunkContext
 from wigeonpier.local.chunks import OwnedChunks
-from wigeonpier.local.engine import Engine
+from wigeonpier.local.engine import Engine, make_engine_client
 from wigeonpier.local.gate import Gate
 from wigeonpier.local.online import OnlinePath, answer_online
 from wigeonpier.local.suspects import LocalSuspects
@@ -147,7 +147,7 @@
     :returns: the process, not started.
     """
     components = build_components(settings, make_client)
-    upstream = HttpClient()
+    upstream = make_engine_client()
     gate = Gate()
     watch = UpstreamWatch(
         upstream,
--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -16,14 +16,14 @@
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web import headers
-from wigeonpier.web.client import CallFailure
+from wigeonpier.web.client import CallFailure, HttpClient
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, JSON_TYPE
 from wigeonpier.web.sse import CHAT, TEXT, Assembler, Completion, continue_body
 
 if TYPE_CHECKING:
     from wigeonpier.local.gate import Gate
     from wigeonpier.telemetry.metrics import Metrics
-    from wigeonpier.web.client import HttpClient, StreamReply
+    from wigeonpier.web.client import StreamReply
 
 READ_TIMEOUT_SECONDS = 60.0
 CANCEL_TIMEOUT_SECONDS = 2.0
@@ -223,6 +223,17 @@
         return RunEnd.answered
 
 
+def make_engine_client() -> HttpClient:
+    """Make the client for calls to an engine.
+
+    Answers of engines need not bear an id, so an extra answer on a connection
+    that is used again would be taken for the answer to the next request.
+
+    :returns: the client, which uses each connection once.
+    """
+    return HttpClient(keeps_connections=False)
+
+
 def _drop_text(run: Run) -> RunEnd:
     """Restart a run after the fingerprint of the engine has changed."""
     log_event(Event.run_restarted, run=run.identity)
--- a/src/wigeonpier/web/client.py
+++ b/src/wigeonpier/web/client.py
@@ -113,9 +113,20 @@
 class HttpClient:
     """Client with persistent connections, grouped by address and timeout."""
 
-    def __init__(self, headers: dict[str, str] | None = None) -> None:
-        """Create a client that sends the headers with each call."""
+    def __init__(
+        self,
+        headers: dict[str, str] | None = None,
+        *,
+        keeps_connections: bool = True,
+    ) -> None:
+        """Create a client.
+
+        :param headers: headers of each call.
+        :param keeps_connections: whether calls use the connections of earlier
+            ones; false for peers whose responses do not identify the request.
+        """
         self.bytes_moved = 0
+        self._keeps_connections = keeps_connections
         self._headers = headers or {}
         self._clients: dict[tuple[str, float], HTTPClient] = {}
 
@@ -220,7 +231,10 @@
             )
             # The library resends some methods after a lost connection. This
             # turns it off; only the retry policy may decide to resend.
-            client._connection_pool.size = -1  # noqa: SLF001, WPS437
+            pool = client._connection_pool  # noqa: SLF001, WPS437
+            pool.size = -1
+            if not self._keeps_connections:
+                pool.return_socket = pool.release_socket
             self._clients[key] = client
         return client
 
