Let the soak cut repeated answers and refuse requests that ran

The soak repeated answers only whole and once, and its replicas refused only what they had not run: it could not find the two faults mended before.

--- a/src/wigeonpier/bench/lateanswers.py
+++ b/src/wigeonpier/bench/lateanswers.py
@@ -16,22 +16,35 @@
     from wigeonpier.web.messages import Response
 
 
+@dataclass(frozen=True, slots=True)
+class CopyShape:
+    """How an answer is sent once more.
+
+    :param cut_after: the copy ends behind these bytes of its head, empty for a
+        complete copy.
+    :param times: how often it is sent.
+    :param piece_seconds: pause between its two halves, 0 to send it in one
+        piece.
+    """
+
+    cut_after: bytes = b''
+    times: int = 1
+    piece_seconds: float = 0
+
+
+COMPLETE_COPY = CopyShape()
+
+
 @dataclass(slots=True)
 class LateAnswers:
     """Copies of answers that are still to be sent.
 
     :param remaining: number of next answers that are sent once more.
-    :param times: how often each of them is sent once more.
-    :param cut_after: a copy ends behind these bytes of its head, empty for a
-        complete copy.
-    :param piece_seconds: pause between the two halves of a copy, 0 to send it
-        in one piece.
+    :param shape: how they are sent once more.
     """
 
     remaining: int = 0
-    times: int = 1
-    cut_after: bytes = b''
-    piece_seconds: float = 0
+    shape: CopyShape = COMPLETE_COPY
     _copies: dict[Any, bytes] = field(default_factory=dict)
 
     def keep(self, connection: Any, response: Response, body: bytes) -> None:
@@ -41,13 +54,14 @@
         :param response: the answer.
         :param body: its complete body.
         """
-        if self.remaining:
-            self.remaining -= 1
-            copy = _encode(response, body)
-            if self.cut_after:
-                before, mark, _rest = copy.partition(self.cut_after)
-                copy = before + mark
-            self._copies[connection] = copy * self.times
+        if not self.remaining:
+            return
+        self.remaining -= 1
+        copy = _encode(response, body)
+        if self.shape.cut_after:
+            before, mark, _rest = copy.partition(self.shape.cut_after)
+            copy = before + mark
+        self._copies[connection] = copy * self.shape.times
 
     def send(self, connection: Any) -> None:
         """Send the copies that are due on a connection, if any.
@@ -57,9 +71,9 @@
         copies = self._copies.pop(connection, b'')
         if not copies:
             return
-        middle = len(copies) // 2 if self.piece_seconds else 0
+        middle = len(copies) // 2 if self.shape.piece_seconds else 0
         connection.sendall(copies[:middle])
-        gevent.sleep(self.piece_seconds)
+        gevent.sleep(self.shape.piece_seconds)
         connection.sendall(copies[middle:])
 
 
--- a/src/wigeonpier/bench/soaklate.py
+++ b/src/wigeonpier/bench/soaklate.py
@@ -1,4 +1,8 @@
-"""Late effects in the fault soak: repeated answers and delayed writes."""
+"""Late effects in the fault soak: repeated answers and delayed writes.
+
+Some of the repeated answers are cut, come several times or in pieces, and some
+requests are refused although they were run.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +13,9 @@
 
 import gevent
 
+from wigeonpier.bench.lateanswers import COMPLETE_COPY, CopyShape
+from wigeonpier.platform import wire
+
 if TYPE_CHECKING:
     import random
 
@@ -18,6 +25,15 @@
 REPEATED_ANSWERS = 6
 REFUSED_REQUESTS = 3
 LATE_SECONDS = (1.0, 6.0)
+PIECE_SECONDS = 0.01
+# How answers are repeated, in turn.
+SHAPES = (
+    COMPLETE_COPY,
+    CopyShape(cut_after=b'HTTP/1.1 503 '),
+    CopyShape(cut_after=f'{wire.NOT_RUN}: '.encode()),
+    CopyShape(piece_seconds=PIECE_SECONDS),
+    CopyShape(times=6),
+)
 
 
 @dataclass
@@ -48,8 +64,13 @@
         """Repeat some answers of a replica, refusals among them."""
         self.counts['answers repeated'] += 1
         faults = self.rng.choice(self.site.replicas).faults
+        turn = self.counts['answers repeated'] % len(SHAPES)
+        faults.late.shape = SHAPES[turn]
         faults.late.remaining += REPEATED_ANSWERS
         faults.turn_away += REFUSED_REQUESTS
+        if not turn:
+            self.counts['refused after a run'] += 1
+            faults.run_and_refuse += 1
 
     def _delay_write(self) -> None:
         """Execute a write of the store seconds later, without an answer."""
--- a/tests/hosted/test_foreign_answers.py
+++ b/tests/hosted/test_foreign_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.hosted.callers import read_texts
+from wigeonpier.bench.lateanswers import CopyShape
 
 if TYPE_CHECKING:
     from tests.hosted.builders import HostedSite
@@ -99,7 +100,7 @@
     """It gave its status or its statement to the own answer behind it."""
     start(site)
     for replica in site.replicas:
-        replica.faults.late.cut_after = mark
+        replica.faults.late.shape = CopyShape(cut_after=mark)
     statuses = send_once(site)
     assert max(count_runs(site).values()) == 1
     assert not list_false_promises(site, statuses)
@@ -112,7 +113,7 @@
     """Only some are skipped; the own answer behind them is lost."""
     start(site)
     for replica in site.replicas:
-        replica.faults.late.times = MANY_TIMES
+        replica.faults.late.shape = CopyShape(times=MANY_TIMES)
     statuses = send_once(site)
     assert max(count_runs(site).values()) == 1
     assert not list_false_promises(site, statuses)
@@ -122,7 +123,8 @@
 def test_a_refusal_in_pieces_sends_none_again(site: HostedSite) -> None:
     start(site)
     for replica in site.replicas:
-        replica.faults.late.piece_seconds = PIECE_SECONDS
+        shape = CopyShape(piece_seconds=PIECE_SECONDS)
+        replica.faults.late.shape = shape
     statuses = send_once(site)
     assert max(count_runs(site).values()) == 1
     assert not list_false_promises(site, statuses)
