Ask the disks before a job is refused or reported as missing

Callers saw: a job that had been accepted on disks (202) was answered 429 at another entry with a full route, and 404 to reads, bodies and its end, until a disk had handed it over; then it ran.

Cause: only the entry that stored a job on disks knew of it, for 20 s, in memory.

Change: a disk answers which attempts stored the copy that it has, or is writing. An entry asks the disks of its board before it refuses a job and before it reports one as missing. With a copy of an attempt that is not refused: 502, reads 503. It asks before it writes the fence, so that a disk that hands the job over meanwhile makes the fence conflict.

No call to the store is added. test_acceptance: its stand-in for disks has the new call, which finds nothing; no check changed.

Not covered: a disk that does not answer counts as one without a copy.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -190,6 +190,9 @@
             may_be_kept=attempt.may_be_kept
         )
         timeout = STORE_TIMEOUT_SECONDS
+        # Before the fence: a disk that has handed the job over by now makes it
+        # conflict.
+        held = self._disk_job_writer.list_attempts(attempt.job.name)
         while True:
             accepted = self._fence(attempt, timeout)
             if accepted == Ok(True):
@@ -199,7 +202,8 @@
                 break
             timeout = SLOW_STORE_TIMEOUT_SECONDS
             gevent.sleep(RETRY_PAUSE_SECONDS)
-        is_fenced = isinstance(accepted, Ok)
+        refused = {attempt.name, *attempt.fence.attempts}
+        is_fenced = isinstance(accepted, Ok) and held <= refused
         final = refusal if is_fenced else _make_unsure_refusal()
         _log_refusal(attempt, final, is_fenced=is_fenced)
         raise final
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -13,7 +13,7 @@
 from result import Err, Ok
 
 from wigeonpier.hosted.board import Board
-from wigeonpier.hosted.intake import INTAKE_PATH
+from wigeonpier.hosted.intake import INTAKE_PATH, DiskCopy
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import DiskJob
 from wigeonpier.web.client import CallFailure
@@ -106,13 +106,31 @@
         """Check whether disks may hold a job that the store lacks.
 
         :param name: id of the job.
-        :returns: true for a limited time after the job was stored on disks.
+        :returns: true for a limited time after this process stored the job on
+            disks, and while a disk says that it has a copy.
         """
         moment = self.stored_at.get(name)
-        return (
+        is_recent = (
             moment is not None
             and time.monotonic() - moment < ASSUME_ON_DISK_SECONDS
         )
+        return is_recent or bool(self.list_attempts(name))
+
+    def list_attempts(self, name: str) -> set[str]:
+        """List the attempts whose copies of a job the disks have.
+
+        A disk that does not answer counts as one that has no copy.
+
+        :param name: id of the job.
+        :returns: ids of the attempts, none once the store has the job.
+        """
+        asked = [
+            gevent.spawn(self._ask, disk, name)
+            for disk in self.board.disks.values()
+        ]
+        gevent.joinall(asked, timeout=DISK_TIMEOUT_SECONDS)
+        gevent.killall(asked, block=False)
+        return set().union(*(ask.value or () for ask in asked))
 
     def store_on_disks(
         self, job: OpenJob, items: list[JobItem], attempt: str
@@ -151,6 +169,14 @@
         }
         self.stored_at[name] = now
 
+    def _ask(self, disk: DiskMember, name: str) -> tuple[str, ...]:
+        """Ask a disk for its copy; a disk of an earlier build knows none."""
+        raw = make_request('GET', INTAKE_PATH + name, [('Host', disk.address)])
+        replied = self.pool.call(disk.address, raw, DISK_TIMEOUT_SECONDS)
+        if isinstance(replied, Err) or not replied.ok_value.is_good:
+            return ()
+        return replied.ok_value.decode(DiskCopy).attempts
+
     def _send(self, disk: DiskMember, name: str, body: bytes) -> CopyState:
         headers = [('Host', disk.address)]
         raw = make_request('PUT', INTAKE_PATH + name, headers, body)
--- a/src/wigeonpier/hosted/intake.py
+++ b/src/wigeonpier/hosted/intake.py
@@ -27,7 +27,7 @@
 from wigeonpier.policy.placement import assign_items
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
-from wigeonpier.web.messages import Request, Response
+from wigeonpier.web.messages import Request, Response, answer_json
 from wigeonpier.web.server import Route, make_route
 
 if TYPE_CHECKING:
@@ -46,6 +46,15 @@
 UNNAMED_ATTEMPT = ''
 
 
+class DiskCopy(msgspec.Struct, frozen=True):
+    """A copy of a job that is not in the store yet.
+
+    :param attempts: ids of the attempts that stored it.
+    """
+
+    attempts: tuple[str, ...]
+
+
 class Intake:
     """Keeps jobs on this disk until the store has them."""
 
@@ -82,7 +91,11 @@
 
         :returns: the routes.
         """
-        return [make_route('PUT', f'{INTAKE_PATH}([^/]+)', self._store_job)]
+        path = f'{INTAKE_PATH}([^/]+)'
+        return [
+            make_route('PUT', path, self._store_job),
+            make_route('GET', path, self._describe_copy),
+        ]
 
     def _store_job(self, request: Request, name: str) -> Response:
         if self.is_closed:
@@ -98,6 +111,15 @@
         log_event(Event.job_held, job=name, size=len(raw))
         return Response(HTTPStatus.OK, b'{}')
 
+    def _describe_copy(self, _request: Request, name: str) -> Response:
+        """Answer whether this disk has a copy, or is writing one."""
+        attempts = set(self._attempts.get(name, ()))
+        if name in self._job_names:
+            attempts |= self._read_attempts(name)
+        if not attempts:
+            raise Refusal(ErrorKind.not_found, f'no copy of {name}')
+        return answer_json(DiskCopy(tuple(sorted(attempts))))
+
     def _add_attempts(self, name: str, raw: bytes) -> bytes:
         """Add the attempts of an earlier copy to a later one.
 
--- a/tests/hosted/test_acceptance.py
+++ b/tests/hosted/test_acceptance.py
@@ -114,6 +114,7 @@
         copies_needed=3,
         record_board=lambda _board: None,
         store_on_disks=store_on_disks,
+        list_attempts=lambda _job: set(),
     )
     return JobAcceptor(
         ledger,  # type: ignore[arg-type]
