Soak: a job whose last answer was 429 runs no item

The soak counted only jobs that were refused at every attempt. PROTOCOL.md promises for each 429 that no part of the job runs, also after a 502 or a lost connection at another entry. check_job fails for it now; test_faultsoak has such a job with and without a run.

--- a/src/wigeonpier/bench/soakcallers.py
+++ b/src/wigeonpier/bench/soakcallers.py
@@ -36,6 +36,7 @@
 READ_GAP_SECONDS = (0.1, 0.5)
 ITEMS_PER_JOB = 5
 OK = 200
+LIMIT_REACHED = 429
 ACCEPTED = 202
 # Statuses which state that the request did not run and will not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -354,9 +355,11 @@
     :returns: description of each violated invariant.
     """
     names = [f'{job.name}-{number}' for number in range(ITEMS_PER_JOB)]
-    is_refused = set(job.statuses) <= NOT_RUN
-    if is_refused and any(runs[name] for name in names):
+    has_run = any(runs[name] for name in names)
+    if set(job.statuses) <= NOT_RUN and has_run:
         return [f'{job.name}: refused each time although an item ran']
+    if job.statuses[-1:] == [LIMIT_REACHED] and has_run:
+        return [f'{job.name}: over the limit at last although an item ran']
     if not job.is_accepted:
         return []
     if sorted(found['id'] for found in job.results) != names:
--- a/tests/bench/test_faultsoak.py
+++ b/tests/bench/test_faultsoak.py
@@ -231,3 +231,7 @@
     refused = build_job(replica, [503, 429])
     assert check_job(refused, replica, Counter({'j-0': 1}))
     assert not check_job(refused, replica, none)
+    # What the earlier entry did not know, the last one has promised.
+    promised = build_job(replica, [502, 0, 429])
+    assert check_job(promised, replica, Counter({'j-0': 1}))
+    assert not check_job(promised, replica, none)
