Test a write that is lost behind a worker

The entry's calls go through a worker; its write gets no answer and is executed late. The entry fences the job through a worker, and nothing runs.

--- a/tests/hosted/test_refusals_elsewhere.py
+++ b/tests/hosted/test_refusals_elsewhere.py
@@ -150,6 +150,25 @@
     assert not count_runs(site, 'late')
 
 
+def test_a_write_that_is_lost_behind_a_worker_is_fenced(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The worker waits for its answer; the entry must not take it for undone."""
+    start(site)
+    store = site.entries[0]._context.store_health
+    calls = site.entries[0]._context.store.calls
+    monkeypatch.setattr(calls, 'send_directly', make_lost_path(calls))
+    store.record_call(time.monotonic(), is_answered=False)
+    wait_for(store.find_relay_path, 'a worker carries the calls')
+    delay_write(site, f'{storekeys.OPEN_JOBS}late')
+    late = gevent.spawn(submit, site, 'late')
+    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
+    assert submit(site, 'other', entry=1) == 202
+    assert late.get() == REFUSED
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    assert not count_runs(site, 'late')
+
+
 def make_lost_path(
     calls: StoreCalls,
 ) -> Callable[[Call, float], Result[Reply, CallFailure]]:
