End an attempt to accept a job with its caller, and by a newer fence

Callers saw: a caller left an entry that was slow, came again at the next one and was answered 429; then the job ran, accepted by the first entry for nobody.

Cause: an attempt went on for up to 3.4 s whoever waited, and named whatever fence it found last. So the fence that made the 429 true stopped one write of the attempt, and the next one named the new revision. Where the write conflicted the attempt also sent copies to disks, which name no fence.

Change: an attempt ends when its caller's connection does (checked before each write and while it is settled, without a fence of its own, which would stop the live attempt), and when a board shows a newer fence than the attempt began with. A conflict sends no copies.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -4,22 +4,26 @@
 
 import time
 from collections import Counter
+from contextlib import ExitStack
 from dataclasses import dataclass, replace
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import gevent
 from result import Err, Ok
 
-from wigeonpier.errors import ErrorKind, Ran, Refusal
-from wigeonpier.hosted.jobfences import NO_FENCE
+from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.hosted.acceptattempt import (
+    RETRY_AFTER_SECONDS,
+    AcceptAttempt,
+    make_unsure_refusal,
+)
 from wigeonpier.models import OpenJob
 from wigeonpier.platform.port import Failure
 from wigeonpier.policy.matching import choose_service
 from wigeonpier.policy.placement import UNASSIGNED
 from wigeonpier.policy.quota import may_accept_unchecked
-from wigeonpier.telemetry.events import Event
-from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.exchange import watch_close
 from wigeonpier.web.messages import make_identity
 
 if TYPE_CHECKING:
@@ -33,10 +37,7 @@
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.hosted.reach import IsolationDetector
     from wigeonpier.hosted.views import JobViews
-    from wigeonpier.models import (
-        JobFence,
-        JobItem,
-    )
+    from wigeonpier.models import JobItem
     from wigeonpier.served import (
         ServedRoute,
     )
@@ -48,7 +49,6 @@
 # failure answer could be wrong.
 UNCERTAIN_TIMEOUT_SECONDS = 3.4
 RETRY_PAUSE_SECONDS = 0.15
-RETRY_AFTER_SECONDS = 1.0
 # The store usually answers in 4 ms.  After this time-out the disks are tried,
 # so that the caller gets its answer within 0.4 s.
 STORE_TIMEOUT_SECONDS = 0.12
@@ -96,28 +96,6 @@
         return (self.route.name, self.customer)
 
 
-@dataclass(slots=True)
-class AcceptAttempt:
-    """One attempt to accept a job.
-
-    :param job: the job.
-    :param name: id of the attempt, which disks store with the job.
-    :param started_at: when it began, seconds of the monotonic clock.
-    :param fence: fence that its last write has named.
-    :param may_be_kept: whether a write without an answer, or a copy on a disk,
-        may still put the job on the board.
-    :param has_board: whether the store has answered; then the attempt can be
-        fenced, also against writes that another entry has lost.
-    """
-
-    job: SubmittedJob
-    name: str
-    started_at: float
-    fence: JobFence = NO_FENCE
-    may_be_kept: bool = False
-    has_board: bool = False
-
-
 class JobAcceptor:
     """Accepts each job once, even if it is submitted repeatedly."""
 
@@ -140,21 +118,32 @@
         # Tokens of jobs stored on disks since the board was last read.
         self._disk_tokens: Counter[tuple[str, str]] = Counter()
 
-    def accept(self, job: SubmittedJob) -> AcceptOutcome:
+    def accept(
+        self, job: SubmittedJob, connection: Any = None
+    ) -> AcceptOutcome:
         """Store a job.
 
         :param job: the job.
+        :param connection: the caller's connection; the attempt ends with it.
         :returns: where it is kept.
         :raises Refusal: if the job is not known to be kept; the kind says
             whether it may be.
         """
         attempt = AcceptAttempt(job, make_identity(), time.monotonic())
+        with ExitStack() as stack:
+            if connection is not None:
+                watcher = watch_close(connection, attempt.abandon)
+                stack.callback(watcher.kill, block=False)
+            return self._accept_or_refuse(attempt)
+
+    def _accept_or_refuse(self, attempt: AcceptAttempt) -> AcceptOutcome:
         try:
             return self._accept(attempt)
         except Refusal as refusal:
-            if attempt.may_be_kept or attempt.has_board:
+            is_open = attempt.may_be_kept or attempt.has_board
+            if is_open and not attempt.is_abandoned:
                 return self._settle(attempt, refusal)
-            _log_refusal(attempt, refusal)
+            attempt.log_refusal(refusal)
             raise
 
     def _accept(self, attempt: AcceptAttempt) -> AcceptOutcome:
@@ -165,7 +154,8 @@
             if not isinstance(outcome, Failure):
                 return outcome
             attempt.may_be_kept |= outcome is Failure.unknown
-            if self._try_disks(attempt):
+            # Copies name no fence, so none are sent once it has changed.
+            if outcome is not Failure.conflict and self._try_disks(attempt):
                 return AcceptOutcome.disks
             timeout = self._choose_timeout(may_be_kept=attempt.may_be_kept)
             if time.monotonic() - attempt.started_at > timeout:
@@ -197,15 +187,15 @@
             accepted = self._fence(attempt, timeout)
             if accepted == Ok(True):
                 return AcceptOutcome.stood
-            is_over = time.monotonic() > deadline
+            is_over = attempt.is_abandoned or time.monotonic() > deadline
             if isinstance(accepted, Ok) or is_over:
                 break
             timeout = SLOW_STORE_TIMEOUT_SECONDS
             gevent.sleep(RETRY_PAUSE_SECONDS)
         refused = {attempt.name, *attempt.fence.attempts}
         is_fenced = isinstance(accepted, Ok) and held <= refused
-        final = refusal if is_fenced else _make_unsure_refusal()
-        _log_refusal(attempt, final, is_fenced=is_fenced)
+        final = refusal if is_fenced else make_unsure_refusal()
+        attempt.log_refusal(final, is_fenced=is_fenced)
         raise final
 
     def _fence(
@@ -254,14 +244,14 @@
         self._disk_tokens.clear()
         if job.name in board.jobs:
             return AcceptOutcome.stood
-        attempt.has_board = True
-        attempt.fence = board.get_fence(job.name)
+        attempt.record_fence(board.get_fence(job.name))
         if not self._has_room(board, job):
             # The fence shows whether the job was accepted before.
             raise _make_full_refusal()
         open_job = self._make_open_job(job)
         owners = self._backlogs.choose_owners(board, open_job)
         open_job = replace(open_job, owners=owners)
+        attempt.check_caller()
         created = self._ledger.create(
             open_job, job.items, timeout, attempt.fence
         )
@@ -294,6 +284,7 @@
             job.route.most_tokens,
         ):
             return False
+        attempt.check_caller()
         disk_write = self._disk_job_writer.store_on_disks(
             self._make_open_job(job), job.items, attempt.name
         )
@@ -349,14 +340,6 @@
     )
 
 
-def _make_unsure_refusal() -> Refusal:
-    return Refusal(
-        ErrorKind.upstream_lost,
-        'it is not known whether the job is kept',
-        ran=Ran.unknown,
-    )
-
-
 def _make_unkept_refusal() -> Refusal:
     return Refusal(
         ErrorKind.platform_down,
@@ -371,19 +354,3 @@
         'too many tokens wait on the route',
         retry_seconds=RETRY_AFTER_SECONDS,
     )
-
-
-def _log_refusal(
-    attempt: AcceptAttempt, refusal: Refusal, *, is_fenced: bool = False
-) -> None:
-    job = attempt.job
-    log_event(
-        Event.job_refused,
-        job=job.name,
-        attempt=attempt.name,
-        kind=refusal.kind.value,
-        may_stand=refusal.ran is Ran.unknown,
-        is_fenced=is_fenced,
-        tokens=job.tokens,
-        most_tokens=job.route.most_tokens,
-    )
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -62,7 +62,7 @@
         started_at = time.monotonic()
         job = _parse_job(routed)
         try:
-            outcome = self._acceptor.accept(job)
+            outcome = self._acceptor.accept(job, routed.request.connection)
         except Refusal as refusal:
             self._metrics.count('jobs_total', outcome=refusal.kind.value)
             raise
--- a/tests/hosted/test_refused_jobs.py
+++ b/tests/hosted/test_refused_jobs.py
@@ -45,6 +45,12 @@
     site: HostedSite, job: str, tokens: int = OTHER_TOKENS, entry: int = 0
 ) -> int:
     """Submit a job of one item with this number of tokens."""
+    body = make_body(job, tokens)
+    return site.call('POST', '/jobs/x', job, body, entry=entry).status
+
+
+def make_body(job: str, tokens: int = OTHER_TOKENS) -> bytes:
+    """Make the body of a job of one item with this number of tokens."""
     item = {
         'id': f'{job}0',
         'path': f'/jobs/{job}',
@@ -52,8 +58,7 @@
         'body': base64.b64encode(b'{}').decode(),
         'tokens': tokens,
     }
-    body = msgspec.json.encode({'items': [item]})
-    return site.call('POST', '/jobs/x', job, body, entry=entry).status
+    return msgspec.json.encode({'items': [item]})
 
 
 def delay_write(site: HostedSite, prefix: str, count: int = 1) -> None:
