Do not refuse a repeat of an accepted job while the store is down

Callers saw: a job that had been accepted and ran was answered 503 when it came again during an outage with half of the route's limit waiting: 503 promises that no part of it runs. So was one that only disks had.

Cause: an entry that can't read the store asked no other source of what it knows: the board as last read, the jobs that it has stored on disks itself, the disks.

Change: a job of the last board, or one that this entry has stored on disks, is answered 202 as any repeat; one of which a disk has a copy 502. All else stays 503.

Measured: three tests of tests/hosted/test_copies_elsewhere.py were answered 503 on the commit before and pass. test_acceptance: its stand-in for disks knows of no accepted job; no check changed. test_contact (refused within 0.3 s where cut off) and test_full_disk pass unchanged.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -143,8 +143,11 @@
             is_open = attempt.may_be_kept or attempt.has_board
             if is_open and not attempt.is_abandoned:
                 return self._settle(attempt, refusal)
-            attempt.log_refusal(refusal)
-            raise
+            final = refusal
+            if self._disk_job_writer.list_attempts(attempt.job.name):
+                final = make_unsure_refusal()
+            attempt.log_refusal(final)
+            raise final from None
 
     def _accept(self, attempt: AcceptAttempt) -> AcceptOutcome:
         store_timeout = STORE_TIMEOUT_SECONDS
@@ -153,6 +156,8 @@
             outcome = self._try_store(attempt, store_timeout)
             if not isinstance(outcome, Failure):
                 return outcome
+            if self._disk_job_writer.was_accepted(attempt.job.name):
+                return AcceptOutcome.stood
             attempt.may_be_kept |= outcome is Failure.unknown
             # Copies name no fence, so none are sent once it has changed.
             if outcome is not Failure.conflict and self._try_disks(attempt):
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -109,12 +109,16 @@
         :returns: true for a limited time after this process stored the job on
             disks, and while a disk says that it has a copy.
         """
-        moment = self.stored_at.get(name)
-        is_recent = (
-            moment is not None
-            and time.monotonic() - moment < ASSUME_ON_DISK_SECONDS
-        )
-        return is_recent or bool(self.list_attempts(name))
+        return self._was_stored(name) or bool(self.list_attempts(name))
+
+    def was_accepted(self, name: str) -> bool:
+        """Check whether this process knows that a job was accepted.
+
+        :param name: id of the job.
+        :returns: true if the board as last read has it, and for a limited time
+            after this process stored it on disks.
+        """
+        return name in self.board.jobs or self._was_stored(name)
 
     def list_attempts(self, name: str) -> set[str]:
         """List the attempts whose copies of a job the disks have.
@@ -160,6 +164,13 @@
             self._record_stored(job.name)
         return disk_write
 
+    def _was_stored(self, name: str) -> bool:
+        moment = self.stored_at.get(name)
+        return (
+            moment is not None
+            and time.monotonic() - moment < ASSUME_ON_DISK_SECONDS
+        )
+
     def _record_stored(self, name: str) -> None:
         now = time.monotonic()
         self.stored_at = {
--- a/tests/hosted/test_acceptance.py
+++ b/tests/hosted/test_acceptance.py
@@ -115,6 +115,7 @@
         record_board=lambda _board: None,
         store_on_disks=store_on_disks,
         list_attempts=lambda _job: set(),
+        was_accepted=lambda _job: False,
     )
     return JobAcceptor(
         ledger,  # type: ignore[arg-type]
--- a/tests/hosted/test_copies_elsewhere.py
+++ b/tests/hosted/test_copies_elsewhere.py
@@ -8,6 +8,8 @@
 from result import Err
 
 from tests.hosted.builders import make_configuration, make_route_entry, wait_for
+from tests.hosted.test_refused_jobs import FIRST_TOKENS, start, submit
+from wigeonpier.hosted import acceptance
 from wigeonpier.platform.port import Failure
 
 if TYPE_CHECKING:
@@ -54,6 +56,16 @@
     assert kept.submit_job(JOB, ITEMS, entry=1).status == UNSURE
 
 
+def test_a_repeat_without_the_store_is_not_refused(
+    kept: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was answered 503, which promises that no part of the job runs."""
+    monkeypatch.setattr(acceptance, 'may_accept_unchecked', lambda *_given: 0)
+    kept.store.faults.is_down = True
+    assert kept.submit_job('new', ITEMS, entry=1).status == UNAVAILABLE
+    assert kept.submit_job(JOB, ITEMS, entry=1).status == UNSURE
+
+
 def test_a_job_that_disks_have_is_not_reported_missing(
     kept: HostedSite,
 ) -> None:
@@ -77,3 +89,23 @@
     kept.wait_for_results(JOB, ITEMS)
     held = kept.entries[1]._disk_job_writer.list_attempts(JOB)
     assert not held
+
+
+def test_a_repeat_stands_while_the_store_is_down(site: HostedSite) -> None:
+    """It was answered 503, which promises that the running job does not run."""
+    start(site)
+    assert submit(site, 'other') == 202
+    site.store.faults.is_down = True
+    assert submit(site, 'first', FIRST_TOKENS) == 202
+
+
+def test_a_repeat_of_a_job_on_disks_stands_while_the_store_is_down(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The disks would not store it again, so that it was answered 503."""
+    start(site, FIRST_TOKENS // 2)
+    site.store.faults.is_down = True
+    assert submit(site, 'late', FIRST_TOKENS // 4) == 202
+    monkeypatch.setattr(acceptance, 'may_accept_unchecked', lambda *_given: 0)
+    assert submit(site, 'late', FIRST_TOKENS // 4) == 202
+    assert submit(site, 'new', FIRST_TOKENS // 4) == UNAVAILABLE
--- a/tests/hosted/test_refused_jobs.py
+++ b/tests/hosted/test_refused_jobs.py
@@ -32,13 +32,13 @@
 REFUSED = 429
 
 
-def start(site: HostedSite) -> None:
+def start(site: HostedSite, tokens: int = FIRST_TOKENS) -> None:
     """Start a site with a token limit, most of which is used."""
     site.configuration['routes'][-1] = make_route_entry(
         'batch_run', '/jobs/', maxAttempts=3, maxCount=MOST_TOKENS
     )
     site.start(replicas=1, entries=2, event_seconds=0.3)
-    assert submit(site, 'first', FIRST_TOKENS) == 202
+    assert submit(site, 'first', tokens) == 202
 
 
 def submit(
