Try items of jobs again after lone losses (own interface)

Callers of the own interface got an error as the result of a sound item after two upstreams were lost while it ran alone.

Cause: the same as for hosted items, a verdict from crashes alone.

A suspect's crashes are kept to the last 32, since an item may now be tried for hours.

--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -181,10 +181,12 @@
             if not chunk.ready:
                 self.on_queue_low()
             return True
-        if chunk.suspects and not self.gate.batch and not self._paused:
-            self._spawn(chunk, chunk.suspects.popleft(), alone=True)
-            return True
-        return False
+        if self.gate.batch or self._paused:
+            return False
+        suspect = chunk.take_suspect(time.monotonic())
+        if suspect is not None:
+            self._spawn(chunk, suspect, alone=True)
+        return suspect is not None
 
     def _spawn(self, chunk: Chunk, item: Item, *, alone: bool) -> None:
         stream = BatchStream(
--- a/src/wigeonpier/policy/itemretry.py
+++ b/src/wigeonpier/policy/itemretry.py
@@ -31,6 +31,8 @@
 FIRST_PART_PAUSE_SECONDS = 10.0
 PART_PAUSE_GROWTH = 4.0
 LONGEST_PART_PAUSE_SECONDS = 600.0
+# The longest pauses are reached before.
+MAX_GROWTH_STEPS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +82,18 @@
         later - earlier >= pace.first_seconds
         for earlier, later in pairwise(ordered)
     )
-    pause = pace.first_seconds * pace.growth**failed_tries
-    return ordered[-1] + min(pace.longest_seconds, pause)
+    return ordered[-1] + compute_pause(failed_tries, pace)
+
+
+def compute_pause(failed_tries: int, pace: RetryPace) -> float:
+    """Compute the pause before the next try.
+
+    :param failed_tries: tries after earlier pauses.
+    :param pace: how often something may be tried.
+    :returns: seconds.
+    """
+    growth = pace.growth ** min(failed_tries, MAX_GROWTH_STEPS)
+    return min(pace.longest_seconds, pace.first_seconds * growth)
 
 
 def compute_start(
--- a/src/wigeonpier/policy/suspicion.py
+++ b/src/wigeonpier/policy/suspicion.py
@@ -24,6 +24,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -47,6 +48,9 @@
 # Callers retry for hours.  A request that was not seen for this long, or that
 # an engine of another version could run, is tried once more.
 MEMORY_SECONDS = 3600.0
+# More than any decision needs.  An item that crashes upstreams is tried for as
+# long as it is owed.
+MAX_CRASHES = 32
 # Refused requests that callers retry are published at this interval.
 RENEW_SECONDS = 60.0
 
@@ -105,8 +109,9 @@
         if known and _rank_evidence(crash) <= _rank_evidence(known[0]):
             return False
         self.crashes = [one for one in self.crashes if one not in known]
-        self.crashes.append(crash)
-        return True
+        latest = sorted((*self.crashes, crash), key=attrgetter('at'))
+        self.crashes = latest[-MAX_CRASHES:]
+        return crash in self.crashes
 
     def is_forgotten(self, now: float) -> bool:
         """Check whether the request was not seen for too long.
