Design, operation and postmortem of items that are held back

Only runs that other workers may repeat take the lease: those for a suspected part and those after a pause. After a crash most of the items that were lost with it run alone once, and would have cost four calls of the store each.

--- a/src/wigeonpier/hosted/itemspacing.py
+++ b/src/wigeonpier/hosted/itemspacing.py
@@ -139,6 +139,12 @@
         self, work: ItemWork, hold: Hold, start: float, now: float
     ) -> None:
         is_known = self.held.get(work.fingerprint, 0) >= hold.next_try
+        # Items of jobs that have ended wait no longer.
+        self.held = {
+            fingerprint: until
+            for fingerprint, until in self.held.items()
+            if until > now
+        }
         self.held[work.fingerprint] = max(start, hold.next_try)
         if is_known:
             return
--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -252,8 +252,9 @@
         verdict = self.trials.check(trial, isolation, now)
         if verdict is not Verdict.granted:
             return False
-        is_alone = isolation is IsolationLevel.exclusive
-        if is_alone and not self._is_enough(work, self.leases.request(trial)):
+        if self._needs_lease(work, run_mode, trial) and not self._is_enough(
+            work, self.leases.request(trial)
+        ):
             return False
         work.isolation = isolation.value
         work.trial = trial
@@ -264,11 +265,24 @@
     def _is_without_lease(self, work: ItemWork) -> bool:
         """Check whether an item waits for a lease that was requested."""
         run_mode = self._get_run_mode(work)
-        if run_mode is not RunMode.alone:
+        trial = self._choose_trial(work, run_mode)
+        if not self._needs_lease(work, run_mode, trial):
             return False
-        state = self.leases.get_state(self._choose_trial(work, run_mode))
+        state = self.leases.get_state(trial)
         return state is not None and not self._is_enough(work, state)
 
+    def _needs_lease(
+        self, work: ItemWork, run_mode: RunMode, trial: str
+    ) -> bool:
+        """Check whether other workers may try an item for the same cause.
+
+        Of the items that share a crash with the cause, most run alone once and
+        have their content to themselves.
+        """
+        if run_mode is not RunMode.alone:
+            return False
+        return trial != work.fingerprint or bool(self.spacing.find_hold(work))
+
     def _is_enough(self, work: ItemWork, state: LeaseState) -> bool:
         """Check that no other worker tries an item for the same cause.
 
