Count a failed try of an item also where a crash was reported late

A report of the earlier crash that comes 0.4 s late made the gap to the next one shorter than the first pause, so that the pause did not grow. The test fails without the tolerance of 0.5 s, which is the delay that suspicions allow for.

--- a/src/wigeonpier/policy/itemretry.py
+++ b/src/wigeonpier/policy/itemretry.py
@@ -31,6 +31,8 @@
 FIRST_PART_PAUSE_SECONDS = 10.0
 PART_PAUSE_GROWTH = 4.0
 LONGEST_PART_PAUSE_SECONDS = 600.0
+# A delayed report makes a crash appear later by this much.
+REPORT_DELAY_SECONDS = 0.5
 # The longest pauses are reached before.
 MAX_GROWTH_STEPS = 16
 
@@ -79,7 +81,7 @@
     """
     ordered = sorted(crashes)
     failed_tries = sum(
-        later - earlier >= pace.first_seconds
+        later - earlier >= pace.first_seconds - REPORT_DELAY_SECONDS
         for earlier, later in pairwise(ordered)
     )
     return ordered[-1] + compute_pause(failed_tries, pace)
--- a/tests/policy/test_itemretry.py
+++ b/tests/policy/test_itemretry.py
@@ -52,6 +52,12 @@
     assert pause == pytest.approx(OWN_CONTENT_PACE.first_seconds)
 
 
+def test_a_delayed_report_of_a_crash_makes_no_pause_shorter() -> None:
+    crashes = [0.0, 1.4, 1 + OWN_CONTENT_PACE.first_seconds]
+    pause = compute_next_try(crashes, OWN_CONTENT_PACE) - crashes[-1]
+    assert pause > OWN_CONTENT_PACE.first_seconds
+
+
 def test_a_try_waits_for_calm_but_not_for_ever() -> None:
     restless = Surroundings(crashed_at=99.9, busy_share=1.0)
     assert compute_start(100, restless, 100) == 100 + CALM_SECONDS
