Limit the time and the size of what clients send

Cause: the server has no limit of time at all, and the operator's limits of heads and of idle time were not read.

Change: web/heads.py reads a head within its size (431) and its time (408); an idle connection is closed. A body has 30 s and 1 s for each 64 KiB in all, not 30 s for each 64 KiB, and is answered 408: not run, since a handler has its whole body before it forwards anything; it was answered 400, after which clients do not try again. What is left of a body is read for 2 s or 1 MB, then the connection is closed; 413 and 408 say so. The hosted entry takes the limits from the operator's configuration. Connections between our processes that were idle for 10 s are not reused, as servers close them after 75 s.

New kind of error: body_too_slow (408, not run).

--- a/src/wigeonpier/errors.py
+++ b/src/wigeonpier/errors.py
@@ -20,6 +20,7 @@
 
     invalid_request = 'invalid_request'
     body_too_large = 'body_too_large'
+    body_too_slow = 'body_too_slow'
     unauthenticated = 'unauthenticated'
     forbidden = 'forbidden'
     not_found = 'not_found'
@@ -75,6 +76,12 @@
             None,
             'Send a smaller body; the message gives the limit.',
         ),
+        ErrorKind.body_too_slow: ErrorAnswer(
+            HTTPStatus.REQUEST_TIMEOUT,
+            Ran.no,
+            1,
+            'Send the body again, faster.',
+        ),
         ErrorKind.unauthenticated: ErrorAnswer(
             HTTPStatus.UNAUTHORIZED,
             Ran.no,
--- a/src/wigeonpier/hosted/configuration.py
+++ b/src/wigeonpier/hosted/configuration.py
@@ -11,6 +11,7 @@
     decode_configuration,
 )
 from wigeonpier.platform.port import Change
+from wigeonpier.served import ClientLimits
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
@@ -43,6 +44,13 @@
         """
         return self.current.version if self.current else 0
 
+    def get_client_limits(self) -> ClientLimits:
+        """Return the limits of clients.
+
+        :returns: those in force, the defaults if none were read yet.
+        """
+        return self.current.client_limits if self.current else ClientLimits()
+
     def take(self, entry: Entry) -> None:
         """Apply the operator's key as read outside the watch.
 
--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -183,7 +183,11 @@
             (JOB_PATTERN, 'DELETE', self._jobs.cancel),
             (ITEM_PATTERN, 'GET', self._jobs.fetch_body),
         )
-        self._callers = Server(*split_address(settings.callers), self._answer)
+        self._callers = Server(
+            *split_address(settings.callers),
+            self._answer,
+            self._configuration.get_client_limits,
+        )
         self._balancer = Server(
             *split_address(settings.readiness),
             self._answer_ready,
--- a/src/wigeonpier/platform/operator.py
+++ b/src/wigeonpier/platform/operator.py
@@ -9,6 +9,7 @@
 
 from wigeonpier.platform import wire
 from wigeonpier.served import (
+    ClientLimits,
     RouteKind,
     ServedConfiguration,
     ServedCustomer,
@@ -68,6 +69,9 @@
 
 class _Limits(msgspec.Struct):
     body_bytes: int = msgspec.field(name='maxBodyBytes')
+    head_bytes: int = msgspec.field(name='maxHeaderBytes', default=0)
+    head_ms: float = msgspec.field(name='headerTimeoutMs', default=0)
+    idle_ms: float = msgspec.field(name='idleTimeoutMs', default=0)
 
 
 class _Configuration(msgspec.Struct):
@@ -91,6 +95,7 @@
         found.limits.body_bytes,
         None if found.tenants is None else _list_customers(found.tenants),
         tuple(_list_warnings(found.tenants or [])),
+        _make_client_limits(found.limits),
     )
 
 
@@ -124,7 +129,12 @@
         _Configuration(
             configuration.version,
             routes,
-            _Limits(configuration.body_limit),
+            _Limits(
+                configuration.body_limit,
+                configuration.client_limits.head_bytes,
+                configuration.client_limits.head_seconds * MILLISECONDS,
+                configuration.client_limits.idle_seconds * MILLISECONDS,
+            ),
             _list_tenants(configuration),
         ),
     )
@@ -147,6 +157,15 @@
     return msgspec.json.encode({'state': 'completed'})
 
 
+def _make_client_limits(found: _Limits) -> ClientLimits:
+    default = ClientLimits()
+    return ClientLimits(
+        found.head_bytes or default.head_bytes,
+        found.head_ms / MILLISECONDS or default.head_seconds,
+        found.idle_ms / MILLISECONDS or default.idle_seconds,
+    )
+
+
 def _make_route(route: _Route) -> ServedRoute:
     services = [(share.service, share.weight) for share in route.split]
     return ServedRoute(
--- a/src/wigeonpier/served.py
+++ b/src/wigeonpier/served.py
@@ -80,6 +80,20 @@
     burst: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a client may send, and how long it may take.
+
+    :param head_bytes: size of a request's head.
+    :param head_seconds: time from the first byte of a head to its last one.
+    :param idle_seconds: time between two requests on a connection.
+    """
+
+    head_bytes: int = 65_536
+    head_seconds: float = 30.0
+    idle_seconds: float = 75.0
+
+
 @dataclass(frozen=True, slots=True)
 class ServedConfiguration:
     """The operator's configuration.
@@ -89,6 +103,7 @@
     :param body_limit: maximum bytes of a body.
     :param customers: customers by key, ``None`` where no key is needed.
     :param warnings: descriptions of entries that look like mistakes.
+    :param client_limits: limits of clients besides that of a body.
     """
 
     version: int
@@ -96,3 +111,4 @@
     body_limit: int
     customers: Mapping[str, ServedCustomer] | None = None
     warnings: tuple[str, ...] = ()
+    client_limits: ClientLimits = ClientLimits()
--- a/src/wigeonpier/web/connections.py
+++ b/src/wigeonpier/web/connections.py
@@ -19,6 +19,8 @@
 
 CONNECT_SECONDS = 1.0
 MAX_CONNECTIONS = 2048
+# Servers close idle connections; a request could be lost on one that closes.
+MAX_IDLE_SECONDS = 10.0
 MIN_TIMEOUT_SECONDS = 0.001
 MAX_HEAD_BYTES = 65_536
 # A body that arrives at this rate is not cut.
@@ -39,6 +41,7 @@
     def __init__(self, *details: Any) -> None:
         """Create a connection without limits."""
         super().__init__(*details)
+        self.idle_since = time.monotonic()
         self._seconds_left = float('inf')
         self._bytes_left = float('inf')
 
@@ -107,12 +110,13 @@
         )
         self._is_reusing = is_reusing
 
-    def return_socket(self, sock: green.socket) -> None:
+    def return_socket(self, sock: BoundedSocket) -> None:
         """Keep a connection for the next request, or close it.
 
         :param sock: the connection.
         """
         if self._is_reusing:
+            sock.idle_since = time.monotonic()
             super().return_socket(sock)
         else:
             self.release_socket(sock)
@@ -122,6 +126,12 @@
     ) -> BoundedSocket:
         return BoundedSocket(family, socktype, protocol)
 
+    def _is_socket_alive(self, sock: BoundedSocket) -> bool:
+        idle_seconds = time.monotonic() - sock.idle_since
+        if idle_seconds > MAX_IDLE_SECONDS:
+            return False
+        return bool(super()._is_socket_alive(sock))
+
 
 class BoundedResponse(HTTPSocketPoolResponse):  # type: ignore[misc]
     """A response; bytes that follow it are no part of it.
--- a/src/wigeonpier/web/messages.py
+++ b/src/wigeonpier/web/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -21,7 +22,9 @@
 JSON_LINES_TYPE = 'application/jsonl'
 REQUEST_ID_BYTES = 12
 READ_BYTES = 65_536
-READ_TIMEOUT_SECONDS = 30
+BODY_SECONDS = 30.0
+# A body that arrives at this rate is not cut.
+MIN_BYTES_PER_SECOND = 65_536
 
 Model = TypeVar('Model')
 
@@ -94,12 +97,16 @@
         """
         self._check_length(int(self.headers.get('content-length') or 0))
         size = 0
+        seconds_left = BODY_SECONDS
         while True:
-            with gevent.Timeout(READ_TIMEOUT_SECONDS, _refuse_slow_body()):
+            started = time.monotonic()
+            with gevent.Timeout(max(0, seconds_left), _refuse_slow_body()):
                 part = self.stream.read(READ_BYTES)
             if not part:
                 return
             size += len(part)
+            seconds_left += len(part) / MIN_BYTES_PER_SECOND
+            seconds_left -= time.monotonic() - started
             self._check_length(size)
             yield part
 
@@ -181,6 +188,7 @@
 
 def _refuse_slow_body() -> Refusal:
     return Refusal(
-        ErrorKind.invalid_request,
-        f'no part of the body arrived within {READ_TIMEOUT_SECONDS} s',
+        ErrorKind.body_too_slow,
+        f'the body did not arrive within {BODY_SECONDS} s and'
+        f' 1 s for each {MIN_BYTES_PER_SECOND} bytes',
     )
--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -8,16 +8,19 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from http import HTTPStatus
+from io import BufferedReader, BytesIO
 from itertools import chain
 from typing import TYPE_CHECKING, Any
 
-from gevent import pywsgi
+from gevent import Timeout, pywsgi
 from gevent import sleep as pause
 from gevent import socket as green
 
 from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.served import ClientLimits
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.heads import HeadError, read_head
 from wigeonpier.web.messages import Request, Response, answer_refusal
 
 if TYPE_CHECKING:
@@ -29,6 +32,15 @@
 
 BACKLOG = 1024
 DRAIN_POLL_SECONDS = 0.02
+# A body that no handler reads is read for so long, so that the client can read
+# the response first: closing before discards it.
+DISCARD_SECONDS = 2.0
+MAX_DISCARDED_BYTES = 1_048_576
+DISCARD_PART_BYTES = 16_384
+# Their bodies were not read to the end.
+UNREAD_STATUSES = frozenset(
+    (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+)
 TARGET_KEY = 'wigeonpier.target'
 CONNECTION_KEY = 'wigeonpier.connection'
 
@@ -102,7 +114,34 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Logs broken connections as events instead of tracebacks."""
+    """Limits what clients send, and logs broken connections as events."""
+
+    server: _ListeningServer
+
+    def __init__(self, *details: Any) -> None:
+        super().__init__(*details)
+        self._head_error: HeadError | None = None
+        self._rest_of_head = b''
+
+    def read_requestline(self) -> str:
+        self._head_error = None
+        try:
+            head = read_head(self.rfile, self.server.find_limits())
+        except HeadError as error:
+            self._head_error = error
+            # The base class closes the connection after an empty line.
+            return str(error)
+        line_size = head.find(b'\n') + 1
+        self._rest_of_head = head[line_size:]
+        return head[:line_size].decode('latin-1')
+
+    def read_request(self, raw_requestline: str) -> Any:
+        if self._head_error is not None:
+            raise self._head_error
+        with ExitStack() as stack:
+            stack.callback(setattr, self, 'rfile', self.rfile)
+            self.rfile = BufferedReader(BytesIO(self._rest_of_head))
+            return super().read_request(raw_requestline)
 
     def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         environ: dict[str, Any] = super().get_environ()
@@ -110,6 +149,24 @@
         environ[CONNECTION_KEY] = self.socket
         return environ
 
+    def run_application(self) -> None:
+        super().run_application()
+        if not _discard_body(self.wsgi_input):
+            # The base class would read on as long as bytes come.
+            self.wsgi_input = pywsgi.Input(BufferedReader(BytesIO()), 0)
+            self.close_connection = True
+
+    def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
+        log_event(
+            Event.request_broken,
+            path=self.path or '',
+            problem=f'{type(error).__name__}: {error}',
+        )
+        status = HTTPStatus.BAD_REQUEST
+        if isinstance(error, HeadError):
+            status = error.status
+        return str(status.value), _render_error(status)
+
     def _log_error(self, kind: type, error: Exception, _trace: Any) -> None:
         log_event(
             Event.request_broken,
@@ -118,22 +175,41 @@
         )
 
 
+class _ListeningServer(pywsgi.WSGIServer):
+    """Listener with the limits of its clients."""
+
+    find_limits: Callable[[], ClientLimits]
+
+
 class Server:
     """HTTP server on one address that counts requests in flight."""
 
-    def __init__(self, host: str, port: int, handler: Handler) -> None:
-        """Bind the address; port 0 selects a free port."""
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: Handler,
+        find_limits: Callable[[], ClientLimits] = ClientLimits,
+    ) -> None:
+        """Bind the address.
+
+        :param host: address to listen on.
+        :param port: port, 0 for a free one.
+        :param handler: handles the requests.
+        :param find_limits: returns the limits of clients, for each request.
+        """
         self.in_flight = 0
         self.is_closing = False
         self.handler = handler
         self._listener = _open_listener(host, port)
-        self._server = pywsgi.WSGIServer(
+        self._server = _ListeningServer(
             self._listener,
             self._serve,
             log=None,
             error_log=None,
             handler_class=_Handler,
         )
+        self._server.find_limits = find_limits
 
     @property
     def address(self) -> str:
@@ -179,7 +255,7 @@
         headers += response.headers.items()
         if isinstance(response.body, bytes):
             headers.append(('Content-Length', str(len(response.body))))
-        if self.is_closing:
+        if self.is_closing or response.status in UNREAD_STATUSES:
             # A client with a persistent connection has to open a new one,
             # which reaches another process.
             headers.append(('Connection', 'close'))
@@ -235,6 +311,29 @@
     return response
 
 
+def _discard_body(stream: Any) -> bool:
+    """Read what an application left of a body.
+
+    :returns: whether all of it arrived soon and was small.
+    """
+    discarded = 0
+    try:
+        with Timeout(DISCARD_SECONDS):
+            while discarded < MAX_DISCARDED_BYTES:
+                part = stream.read(DISCARD_PART_BYTES)
+                discarded += len(part)
+                if not part:
+                    return True
+    except (OSError, Timeout) as error:
+        log_event(Event.request_broken, path='', problem=f'rest: {error}')
+    return False
+
+
+def _render_error(status: HTTPStatus) -> bytes:
+    line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+    return f'{line}Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
+
+
 def _skip_release() -> None:
     """Do nothing; the caller still counts the request as in flight."""
 
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -9,7 +9,7 @@
     decode_configuration,
     encode_configuration,
 )
-from wigeonpier.served import ServedCustomer
+from wigeonpier.served import ClientLimits, ServedCustomer
 
 
 def decode(*customers: dict, **changes: object):
@@ -57,3 +57,11 @@
         make_customer('b', 'k3'),
     )
     assert decode_configuration(encode_configuration(found)) == found
+
+
+def test_limits_of_clients_are_read_and_have_defaults() -> None:
+    limits = {'maxBodyBytes': 1, 'headerTimeoutMs': 2500, 'idleTimeoutMs': 0}
+    raw = msgspec.json.encode({'version': 1, 'routes': [], 'limits': limits})
+    assert decode_configuration(raw).client_limits == ClientLimits(
+        head_seconds=2.5
+    )
--- a/tests/web/test_client.py
+++ b/tests/web/test_client.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 from result import Err
 
+from wigeonpier.web import connections
 from wigeonpier.web.client import CallFailure, HttpClient, Reply
 from wigeonpier.web.messages import Response
 from wigeonpier.web.server import Server
@@ -169,3 +170,22 @@
         HttpClient().open(
             '127.0.0.1:1', 'GET', '/x', headers={'accept': 'a\r\nb: c'}
         )
+
+
+def test_a_connection_that_was_idle_too_long_is_not_reused(
+    monkeypatch, serve
+) -> None:
+    """Guards against a request that is sent while the server closes."""
+    monkeypatch.setattr(connections, 'MAX_IDLE_SECONDS', 0.1)
+    ports: set[int] = set()
+
+    def answer(request: Request) -> Response:
+        ports.add(request.connection.getpeername()[1])
+        return Response(200, b'good')
+
+    server = serve(answer)
+    client = HttpClient()
+    for pause_seconds, count in ((0, 1), (0.2, 1), (0, 2), (0, 2)):
+        assert client.call(server.address, 'GET', '/x').is_ok()
+        assert len(ports) == count
+        gevent.sleep(pause_seconds)
