Do not refuse the repeat of a job whose first write may take effect

What callers saw: the first send of a job was answered "outcome unknown"; the repeat with the same key 429 limit_reached, or 503 platform_down, "not run"; the first write took effect later and the job ran.

Cause: the limit of the queue was checked after the record of the request was written, so that a record did not show whether the job's write had begun; and a send that wrote nothing spoke for the earlier send as well.

Change: the queue is checked before the record is written. A request that has a record was admitted once and is not refused for the queue again; a new one that is refused leaves no record. A repeat that finds the service down says that it is unknown whether the request was accepted. It works without a fence, since the repeat writes the same key with the same condition: both can take effect once.

--- a/src/wigeonpier/entry/jobs.py
+++ b/src/wigeonpier/entry/jobs.py
@@ -81,18 +81,26 @@
         """
         record = self.read_file(customer, request.input_file_id)
         digest = _digest_request(request, record)
-        resend = self._resolve_resend(
-            customer,
-            f'key:{idempotency_key}' if idempotency_key else f'body:{digest}',
-            digest,
-            deployment,
+        source = (
+            f'key:{idempotency_key}' if idempotency_key else f'body:{digest}'
         )
-        existing = self._find_page(customer, resend.job)
-        if existing is not None:
-            return existing
-        job = _make_job(resend, request, record, deployment)
-        self._check_queue(customer, job, deployment)
-        return self._write_job(job)
+        key = keys.name_resend(customer, _hash_text(source))
+        entry = self._read(key)
+        resend = _read_resend(entry, deployment.batch.resend_hours)
+        own = _make_resend(digest)
+        if resend is None:
+            # A request that was admitted once is not refused later for a full
+            # queue, since the first write of its job may still take effect.
+            self._check_queue(customer, sum(record.pages), deployment)
+            resend = self._write_resend(key, entry, own)
+        resend = _check_same_digest(resend, digest)
+        try:
+            return self._accept(resend, request, record, deployment)
+        except Refusal as refusal:
+            if resend is not own and refusal.kind is ErrorKind.platform_down:
+                # This send wrote nothing; the earlier one may have.
+                refusal.ran = Ran.unknown
+            raise
 
     def show(self, customer: str, job_id: str) -> BatchPage:
         """Show one job.
@@ -240,21 +248,24 @@
         )
         return show_job(job, claims)
 
-    def _resolve_resend(
+    def _accept(
         self,
-        customer: str,
-        source: str,
-        digest: str,
+        resend: Resend,
+        request: BatchRequest,
+        record: FileRecord,
         deployment: Deployment,
+    ) -> BatchPage:
+        """Write the job of a request, or find it written."""
+        existing = self._find_page(record.customer, resend.job)
+        if existing is not None:
+            return existing
+        return self._write_job(_make_job(resend, request, record, deployment))
+
+    def _write_resend(
+        self, key: str, entry: Entry | None, own: Resend
     ) -> Resend:
         """Get the job id that all sends of this request share."""
-        key = keys.name_resend(customer, _hash_text(source))
-        entry = self._read(key)
-        existing = _read_resend(entry, deployment.batch.resend_hours)
-        if existing is not None:
-            return _check_same_digest(existing, digest)
-        resend = _make_resend(digest)
-        raw = msgspec.json.encode(resend)
+        raw = msgspec.json.encode(own)
         written = swap_confirmed(
             self.platform,
             key,
@@ -264,25 +275,22 @@
             WRITE_TIMEOUT_SECONDS,
         )
         if isinstance(written, Ok):
-            return resend
+            return own
         if written.err_value is not Failure.conflict:
             raise refuse_write(written.err_value)
         stored = self._read(key)
         if stored is None:
             raise Refusal(ErrorKind.conflict, 'the resend key changes')
-        return _check_same_digest(
-            msgspec.json.decode(stored.value, type=Resend),
-            digest,
-        )
+        return msgspec.json.decode(stored.value, type=Resend)
 
     def _check_queue(
         self,
         customer: str,
-        job: Job,
+        items: int,
         deployment: Deployment,
     ) -> None:
         limit = deployment.customers[customer].limits.queued_items
-        if self.board.count_queued(customer) + job.items > limit:
+        if self.board.count_queued(customer) + items > limit:
             raise Refusal(
                 ErrorKind.limit_reached,
                 f'at most {limit} items may be queued',
