Watch a caller that sent more than its request for its close

A stream went on, and was sent to another upstream once the first was silent, although its caller had left: the close was looked for with one read, which returns the bytes that follow the request, such as an empty line or the next request, and the watch ended there. The class is that of a request sent although its caller has gone: the close of a caller is looked for once, at a moment when it can't be seen.

While bytes are unread the connection is polled for the peer's close, each 0.1 s; a caller that sends nothing more costs what it did.

--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 import time
@@ -16,6 +17,7 @@
 
 import gevent
 from gevent import socket as green
+from gevent.monkey import get_original
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from wigeonpier.web.joinedheads import is_joined
@@ -29,6 +31,9 @@
 # SO_LINGER enabled with a timeout of 0 s: closing sends a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MIN_TIMEOUT_SECONDS = 0.001
+CLOSE_CHECK_SECONDS = 0.1
+# That of gevent does not know of a connection that the peer has closed.
+_make_poll = get_original('select', 'poll')
 FIRST_FINAL_STATUS = 200
 # An upstream that sends more foreign responses in a row is not waited for.
 MAX_SKIPPED_RESPONSES = 4
@@ -393,8 +398,8 @@
     """Start a greenlet that calls back when the peer closes a connection.
 
     :param sock: the connection; no data is consumed.
-    :param on_close: called once; not called if data arrives first.
-    :returns: the greenlet.
+    :param on_close: called once.
+    :returns: the greenlet, which the caller ends.
     """
     return gevent.spawn(_watch_close, sock, on_close)
 
@@ -403,7 +408,19 @@
     try:
         green.wait_read(sock.fileno())
         is_closed = not sock.recv(1, socket.MSG_PEEK)
+        # Unread data hides the close from a read.
+        while not is_closed:
+            gevent.sleep(CLOSE_CHECK_SECONDS)
+            is_closed = _is_closed_by_peer(sock)
     except OSError:
         is_closed = True
     if is_closed:
         on_close()
+
+
+def _is_closed_by_peer(sock: Any) -> bool:
+    if sock.fileno() < 0:
+        return True
+    poll = _make_poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/tests/hosted/test_left_streams.py
+++ b/tests/hosted/test_left_streams.py
@@ -157,3 +157,26 @@
     gevent.sleep(OVERLAP_SECONDS)
     stalling.stop()
     assert 0 < stalling.ended_at < left_at + OVERLAP_SECONDS
+
+
+def test_a_run_ends_although_its_caller_had_sent_more(site: HostedSite) -> None:
+    """Bytes behind its request hid the close, and its run went on."""
+    site.start(replicas=1)
+    stalling = add_stalling(site)
+    host, _colon, port = site.addresses[0].rpartition(':')
+    left_at = 0.0
+    for number in range(MAX_REQUESTS):
+        headers = [('Host', HOST), ('X-Attempt-Id', f'q{number}')]
+        raw = make_request('POST', '/ask/1', headers, b'{}')
+        caller = socket.create_connection((host, int(port)))
+        caller.sendall(raw)
+        gevent.sleep(LEAVES_AFTER_SECONDS)
+        caller.sendall(b'\r\n')
+        gevent.sleep(LEAVES_AFTER_SECONDS)
+        caller.close()
+        left_at = time.monotonic()
+        if stalling.identity:
+            break
+    gevent.sleep(OVERLAP_SECONDS)
+    stalling.stop()
+    assert 0 < stalling.ended_at < left_at + OVERLAP_SECONDS
