--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 import time
@@ -16,6 +17,7 @@
 
 import gevent
 from gevent import socket as green
+from gevent.monkey import get_original
 
 from wigeonpier.web.readlimits import (
     MAX_CALL_BODY_BYTES,
@@ -34,6 +36,9 @@
 # SO_LINGER enabled with a timeout of 0 s: closing sends a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 MIN_TIMEOUT_SECONDS = 0.001
+CLOSE_CHECK_SECONDS = 0.1
+# That of gevent does not know of a connection that the peer has closed.
+_make_poll = get_original('select', 'poll')
 # A late response to an earlier request precedes that to the next one, so only
 # the last requests on a connection matter.
 MAX_CARRIED_REQUESTS = 8
@@ -311,8 +316,8 @@
     """Start a greenlet that calls back when the peer closes a connection.
 
     :param sock: the connection; no data is consumed.
-    :param on_close: called once; not called if data arrives first.
-    :returns: the greenlet.
+    :param on_close: called once.
+    :returns: the greenlet, which the caller ends.
     """
     return gevent.spawn(_watch_close, sock, on_close)
 
@@ -321,7 +326,19 @@
     try:
         green.wait_read(sock.fileno())
         is_closed = not sock.recv(1, socket.MSG_PEEK)
+        # Unread data hides the close from a read.
+        while not is_closed:
+            gevent.sleep(CLOSE_CHECK_SECONDS)
+            is_closed = _is_closed_by_peer(sock)
     except OSError:
         is_closed = True
     if is_closed:
         on_close()
+
+
+def _is_closed_by_peer(sock: Any) -> bool:
+    if sock.fileno() < 0:
+        return True
+    poll = _make_poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
