Limit the size of an answer to a batch item

What callers saw: an engine that sends an answer to an item without end, as events or as one body, made the local process grow until it stopped; the item stayed there.

Cause: the text of an item is joined until the end mark arrives.

Change: an answer has at most 8 MiB, else the connection is closed and the run is lost, as after any answer that breaks off.

--- a/src/wigeonpier/local/engine.py
+++ b/src/wigeonpier/local/engine.py
@@ -17,15 +17,19 @@
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web import headers
 from wigeonpier.web.client import CallFailure
+from wigeonpier.web.connections import AnswerLimitError
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, JSON_TYPE
 from wigeonpier.web.sse import CHAT, TEXT, Assembler, Completion, continue_body
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from wigeonpier.local.gate import Gate
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import HttpClient, StreamReply
 
 READ_TIMEOUT_SECONDS = 60.0
+MAX_ANSWER_BYTES = 8_388_608
 CANCEL_TIMEOUT_SECONDS = 2.0
 MAX_CANCEL_ATTEMPTS = 10
 CANCEL_INTERVAL_SECONDS = 0.02
@@ -209,7 +213,7 @@
         if not content_type.startswith(EVENT_STREAM_TYPE):
             return _read_response(run, reply)
         with self.gate.watch_tokens() as watch:
-            for line in reply.iterate_lines():
+            for line in _limit_answer(reply.iterate_lines()):
                 if run.assembler.feed(line):
                     self._observe_token(run, watch.last)
                     watch.record_token()
@@ -245,8 +249,17 @@
     return msgspec.json.encode(body)
 
 
+def _limit_answer(lines: Iterator[bytes]) -> Iterator[bytes]:
+    size = 0
+    for line in lines:
+        size += len(line)
+        if size > MAX_ANSWER_BYTES:
+            raise AnswerLimitError('the answer is too long')
+        yield line
+
+
 def _read_response(run: Run, reply: StreamReply) -> RunEnd:
-    run.answer = reply.read()
+    run.answer = reply.read(READ_TIMEOUT_SECONDS, MAX_ANSWER_BYTES)
     if reply.status == TOO_MANY:
         return RunEnd.not_run
     if reply.status >= SERVER_ERROR:
--- a/tests/local/test_foreign_answers.py
+++ b/tests/local/test_foreign_answers.py
@@ -47,7 +47,8 @@
     engine.stop()
 
 
-def _make_path(address: str) -> OnlinePath:
+def make_path(address: str) -> OnlinePath:
+    """Make the online path of a local process with an engine."""
     suspects = LocalSuspects(
         'vm-1',
         address,
@@ -73,7 +74,7 @@
 
 
 def test_online_requests_receive_no_answer_to_an_earlier_one(engine) -> None:
-    path = _make_path(engine.address)
+    path = make_path(engine.address)
     for number in range(REQUESTS):
         body = b'request-%d' % number
         assert _ask(path, body) == make_answer(body).partition(b'\r\n\r\n')[2]
