Keep at most 4 MiB of a stream to resume it

What callers saw: nothing yet; an upstream that streams events without end made the entry grow, since it keeps each relayed line to resume the stream elsewhere.

Change: a longer stream is relayed to its end, but if it breaks off its caller is answered "upstream lost, it may have run", as where no attempt is left. Two tests in tests/entry/test_forward.py.

--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -20,6 +20,7 @@
     make_version_failure,
     render_error,
 )
+from wigeonpier.entry.senttext import SentText
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.invariants import Invariant, check_invariant
 from wigeonpier.policy.retry import (
@@ -41,7 +42,6 @@
 from wigeonpier.web.sse import (
     Completion,
     continue_body,
-    is_end_line,
     is_text_line,
     join_chunks,
     read_version,
@@ -272,11 +272,11 @@
     def _relay(
         self, pending: PendingRequest, connection: _StreamConnection
     ) -> Iterator[bytes]:
-        sent: list[bytes] = []
+        sent = SentText()
         try:
             while True:
                 yield from self._relay_part(pending, connection, sent)
-                if sent and is_end_line(sent[-1]):
+                if sent.has_ended:
                     return
                 connection.release()
                 connection.attach(
@@ -289,7 +289,7 @@
         self,
         pending: PendingRequest,
         connection: _StreamConnection,
-        sent: list[bytes],
+        sent: SentText,
     ) -> Iterator[bytes]:
         last: float = 0
         with suppress(OSError, HTTPParseError):
@@ -302,9 +302,7 @@
                     )
                     last = now
                     pending.tokens += 1
-                    sent.append(line)
-                elif is_end_line(line):
-                    sent.append(line)
+                sent.record(line)
                 yield line
 
     def _record_token(
@@ -322,7 +320,7 @@
         self,
         pending: PendingRequest,
         state: UpstreamState,
-        sent: list[bytes],
+        sent: SentText,
     ) -> tuple[UpstreamState, StreamReply, Iterator[bytes]]:
         """Continue a stream at an engine with the fingerprint of the first one.
 
@@ -330,8 +328,12 @@
         :raises Refusal: when no further attempt is allowed.
         """
         record_outcome(state, went_well=False, now=self.directory.clock())
+        failure = classify_failure(CallFailure.lost)
+        if not sent.is_whole:
+            pending.may_have_run = True
+            raise failure.refusal
         pending.compute_fingerprint()
-        delivered = join_chunks(sent)
+        delivered = join_chunks(sent.lines)
         body = continue_body(
             pending.body,
             delivered.text,
@@ -341,7 +343,6 @@
         # did not run.
         pending.may_have_run = True
         continuation = replace(pending, body=body)
-        failure = classify_failure(CallFailure.lost)
         while True:
             self._plan_retry(continuation, state, failure)
             continuation.criteria = self._exclude_other_versions(
--- a/tests/entry/test_forward.py
+++ b/tests/entry/test_forward.py
@@ -14,8 +14,10 @@
 
 from tests.builders import build_upstream
 from tests.streamedreply import StreamedReply
+from wigeonpier.entry import senttext
 from wigeonpier.entry.forward import Forwarder
 from wigeonpier.entry.pending import PendingRequest
+from wigeonpier.entry.senttext import SentText
 from wigeonpier.entry.suspects import SuspectFilter
 from wigeonpier.errors import Ran, Refusal
 from wigeonpier.membership.directory import Directory, Member
@@ -166,3 +168,26 @@
     error = msgspec.json.decode(texts[-1][6:])['error']
     assert error['ran'] == 'unknown'
     assert error['type'] in {'version_gone', 'no_upstream'}
+
+
+def test_a_stream_that_is_too_long_to_be_kept_is_not_resumed(
+    monkeypatch,
+) -> None:
+    monkeypatch.setattr(senttext, 'MAX_KEPT_BYTES', 100)
+    _began, texts = _read_stream(['a', 'a'], 1)
+    assert len(texts) == 3
+    error = msgspec.json.decode(texts[-1][6:])['error']
+    assert error['type'] == 'upstream_lost'
+    assert error['ran'] == 'unknown'
+
+
+def test_no_text_is_kept_of_a_stream_that_is_too_long(monkeypatch) -> None:
+    monkeypatch.setattr(senttext, 'MAX_KEPT_BYTES', 100)
+    sent = SentText()
+    kept = 0
+    for _ in range(50):
+        sent.record(b'data: {"text":"word"}\n')
+        kept = max(kept, sum(map(len, sent.lines)))
+    assert kept <= 100
+    assert not sent.is_whole
+    assert not sent.lines
