Log the peers of the own interface that are cut off

A call that ends at a limit of time or bytes looked like a lost connection. peer_cut_off names the peer and the limit; it is not logged where no byte arrived, which is a plain timeout.

--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -200,6 +200,11 @@
         WARNING_LEVEL,
         'A peer dropped an idle connection; its idle limit is reduced.',
     )
+    peer_cut_off = (
+        340,
+        WARNING_LEVEL,
+        'A process or an engine sent bytes without completing an answer.',
+    )
     platform_failed = (400, WARNING_LEVEL, 'A platform call failed.')
     platform_lost = (402, WARNING_LEVEL, 'The store is unreachable.')
     platform_found = (403, INFO_LEVEL, 'The store is reachable again.')
--- a/src/wigeonpier/web/connections.py
+++ b/src/wigeonpier/web/connections.py
@@ -17,6 +17,9 @@
     HTTPSocketPoolResponse,
 )
 
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
+
 CONNECT_SECONDS = 1.0
 MAX_CONNECTIONS = 2048
 # Servers close idle connections; a request could be lost on one that closes.
@@ -44,6 +47,7 @@
         self.idle_since = time.monotonic()
         self._seconds_left = float('inf')
         self._bytes_left = float('inf')
+        self._has_received = False
 
     def set_limits(self, seconds: float, size: int) -> None:
         """Limit what the peer may take and send from now on.
@@ -54,6 +58,7 @@
         """
         self._seconds_left = seconds
         self._bytes_left = size
+        self._has_received = False
 
     def recv(self, *details: Any) -> bytes:
         """Receive bytes within the limits.
@@ -63,11 +68,18 @@
         :raises AnswerLimitError: if the peer has sent too much.
         """
         if self._bytes_left <= 0:
+            self._log_cut('too many bytes')
             raise AnswerLimitError('the peer sends too many bytes')
         self._apply_timeout()
         started = time.monotonic()
-        received: bytes = super().recv(*details)
+        try:
+            received: bytes = super().recv(*details)
+        except TimeoutError:
+            if self._has_received:
+                self._log_cut('too slow')
+            raise
         size = len(received)
+        self._has_received = True
         self._bytes_left -= size
         self._seconds_left -= time.monotonic() - started
         self._seconds_left += size / MIN_BYTES_PER_SECOND
@@ -85,10 +97,15 @@
 
     def _apply_timeout(self) -> None:
         if self._seconds_left <= 0:
+            self._log_cut('too slow')
             raise TimeoutError('the peer takes too long')
         if self._seconds_left != float('inf'):
             self.settimeout(max(self._seconds_left, MIN_TIMEOUT_SECONDS))
 
+    def _log_cut(self, problem: str) -> None:
+        address = ':'.join(map(str, self.getpeername()[:2]))
+        log_event(Event.peer_cut_off, address=address, problem=problem)
+
 
 class BoundedPool(ConnectionPool):  # type: ignore[misc]
     """Connections to one address."""
