Stand-in replicas send bytes without end; the soak lets them by default

The part of a body that is held has half of the remaining time where the request may be repeated, so that another upstream can still answer.

--- a/src/wigeonpier/bench/endless.py
+++ b/src/wigeonpier/bench/endless.py
@@ -13,7 +13,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-    from wigeonpier.web.messages import Response
 
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
@@ -57,10 +56,12 @@
 
     :param kind: what is sent, ``None`` for ordinary answers.
     :param is_trickle: whether a few bytes are sent at a time, with pauses.
+    :param count: how often it was sent.
     """
 
     kind: Endless | None = None
     is_trickle: bool = False
+    count: int = 0
 
     def send(
         self, connection: Any, headers: Mapping[str, str] = NO_HEADERS
@@ -72,21 +73,12 @@
         :raises OSError: when the caller has closed it.
         """
         if self.kind is not None:
+            self.count += 1
             start, piece = make_bytes(self.kind, headers)
             send_without_end(
                 connection, start, piece, is_trickle=self.is_trickle
             )
 
-    def apply(self, connection: Any, response: Response) -> None:
-        """Send instead of a response, where this is set.
-
-        :param connection: the caller's connection.
-        :param response: the ordinary response.
-        :raises OSError: when the caller has closed the connection.
-        """
-        if self.kind is not None:
-            self.send(connection, response.headers)
-
 
 def make_bytes(
     kind: Endless, headers: Mapping[str, str] = NO_HEADERS
--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -23,6 +23,7 @@
     check_crashing_runs,
     count_crashes,
 )
+from wigeonpier.bench.soakendless import SoakEndless
 from wigeonpier.bench.soakfaults import SoakFaults
 from wigeonpier.bench.soakkeys import SoakKeys
 from wigeonpier.bench.soaklate import SoakLateEffects
@@ -45,6 +46,7 @@
 STREAMS_SEED = 4
 PROMPTS_SEED = 5
 LATE_SEED = 6
+ENDLESS_SEED = 7
 # Of two jobs, so that some are refused while late writes of them are pending.
 MOST_TOKENS = 100
 # Share of entries among the processes that are not storage.
@@ -113,6 +115,7 @@
     :param site: site under test.
     :param parts: what is played.
     :param late: injects late effects, if these are played.
+    :param endless: lets replicas send bytes without end.
     """
 
     seed: int
@@ -120,9 +123,11 @@
     site: SoakSite
     parts: SoakParts
     late: SoakLateEffects = field(init=False)
+    endless: SoakEndless = field(init=False)
 
     def __post_init__(self) -> None:
-        """Prepare the late effects."""
+        """Prepare the late effects and the endless bytes."""
+        self.endless = SoakEndless(self.site, self._make_rng(ENDLESS_SEED))
         self.late = SoakLateEffects(self.site, self._make_rng(LATE_SEED))
 
     def run(self) -> FaultSoakReport:
@@ -152,6 +157,7 @@
                     (streams, self.parts.has_versions),
                     (prompts, self.parts.has_parts),
                     (self.late, self.parts.has_late_effects),
+                    (self.endless, True),
                 )
                 if is_played
             ]
@@ -160,10 +166,15 @@
             callers.finish(FINISH_SECONDS)
             broken = callers.find_violations(self.site.replicas)
             broken += streams.find_violations()
+            broken += self.endless.find_violations()
             if self.parts.has_keys:
                 broken += keys.find_violations(self.site.list_received())
         return self._make_report(
-            faults | crashes.counts | keys.counts | self.late.counts,
+            faults
+            | crashes.counts
+            | keys.counts
+            | self.late.counts
+            | self.endless.counts,
             callers,
             dict(streams.counts),
             broken,
--- a/src/wigeonpier/bench/processes.py
+++ b/src/wigeonpier/bench/processes.py
@@ -5,6 +5,7 @@
 import errno
 import fcntl
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -116,6 +117,17 @@
                 stderr=log,
             )
 
+    def measure_memory(self) -> int:
+        """Measure the memory of the process.
+
+        :returns: bytes, 0 if it is not running.
+        """
+        if self._child is None or not self.is_running:
+            return 0
+        path = Path('/proc', str(self._child.pid), 'statm')
+        statm = path.read_text(encoding='ascii')
+        return int(statm.split()[1]) * resource.getpagesize()
+
     @property
     def disk(self) -> Path:
         """Return the folder of its disk."""
--- a/src/wigeonpier/bench/replica.py
+++ b/src/wigeonpier/bench/replica.py
@@ -19,6 +19,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
+from wigeonpier.bench.endless import EndlessBytes
 from wigeonpier.bench.lateanswers import LateAnswers
 from wigeonpier.models import Replica, UpstreamReport
 from wigeonpier.platform import wire
@@ -78,6 +79,8 @@
     :param is_unframed: streams have neither a length nor chunks and end with
         their connection.
     :param late: answers that are sent once more.
+    :param endless: bytes that it sends without end instead of answers.
+    :param endless_report: likewise, instead of reports of its load.
     """
 
     break_after: int = 0
@@ -89,6 +92,8 @@
     deadly_parts: set[str] = field(default_factory=set)
     is_unframed: bool = False
     late: LateAnswers = field(default_factory=LateAnswers)
+    endless: EndlessBytes = field(default_factory=EndlessBytes)
+    endless_report: EndlessBytes = field(default_factory=EndlessBytes)
 
 
 @dataclass(slots=True)
@@ -328,8 +333,10 @@
             gevent.sleep(UNRESPONSIVE_STEP_SECONDS)
         self.faults.late.send(request.connection)
         if request.path == wire.REPORT_PATH:
+            self.faults.endless_report.send(request.connection)
             return self._report()
         response = self._answer_request(request)
+        self.faults.endless.send(request.connection, response.headers)
         body = response.body
         if not isinstance(body, bytes):
             body = _encode_stream(self, response.headers[wire.REQUEST_ID])
--- a/src/wigeonpier/bench/soaksite.py
+++ b/src/wigeonpier/bench/soaksite.py
@@ -131,6 +131,8 @@
             replica.faults.break_after = 0
             replica.faults.turn_away = 0
             replica.faults.late.remaining = 0
+            replica.faults.endless.kind = None
+            replica.faults.endless_report.kind = None
 
     def start_missing(self) -> None:
         """Start each process that is not running."""
--- a/src/wigeonpier/hosted/bodies.py
+++ b/src/wigeonpier/hosted/bodies.py
@@ -38,21 +38,28 @@
 
 LENGTH = 'Content-Length'
 MIN_READ_TIMEOUT_SECONDS = 0.01
+# Share of the remaining time, so that another upstream can still answer.
+REPEATABLE_SHARE = 0.5
 
 
 class BodyReader:
     """Reads one body within limits of time and bytes."""
 
-    def __init__(self, answer: Exchange, seconds: float) -> None:
+    def __init__(
+        self, answer: Exchange, seconds: float, start_seconds: float
+    ) -> None:
         """Read from the beginning of the body.
 
         :param answer: the answer.
         :param seconds: time limit, without the time that the caller takes to
             read.
+        :param start_seconds: time limit of the part that is held.
         """
         self.answer = answer
         self.is_complete = False
-        self._deadline = time.monotonic() + seconds
+        now = time.monotonic()
+        self._deadline = now + seconds
+        self._start_deadline = now + start_seconds
         self._received = 0
         self._declared = answer.get_header(LENGTH)
         self._limit = (
@@ -70,7 +77,7 @@
             raise self.answer.cut(ReadLimit.body)
         start = bytearray()
         while len(start) <= MAX_HELD_BYTES and not self.is_complete:
-            part = self._read_part()
+            part = self._read_part(self._start_deadline)
             start += part
             self.is_complete = not part
         return bytes(start)
@@ -81,15 +88,15 @@
         :yields: its parts as they arrive.
         :raises OSError: if it is truncated, too long or late.
         """
-        part = self._read_part()
+        part = self._read_part(self._deadline)
         while part:
             yielded_at = time.monotonic()
             yield part
             self._deadline += time.monotonic() - yielded_at
-            part = self._read_part()
+            part = self._read_part(self._deadline)
 
-    def _read_part(self) -> bytes:
-        part = self.answer.read_part(self._deadline)
+    def _read_part(self, deadline: float) -> bytes:
+        part = self.answer.read_part(deadline)
         self._received += len(part)
         if self._received > self._limit:
             raise self.answer.cut(ReadLimit.body)
@@ -117,7 +124,8 @@
         :raises CallerGoneError: when the caller has disconnected.
         """
         seconds = max(request.seconds_left, MIN_READ_TIMEOUT_SECONDS)
-        reader = BodyReader(answer, seconds)
+        share = REPEATABLE_SHARE if request.may_run_again else 1
+        reader = BodyReader(answer, seconds, seconds * share)
         try:
             start = reader.read_start()
         except OSError as error:
--- /dev/null
+++ b/tests/hosted/test_bodies.py
@@ -0,0 +1,154 @@
+"""Bodies that are passed on in parts: long, slowly read, broken, endless."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+from result import Err
+
+from tests.web.endlesspeer import EndlessPeer
+from wigeonpier.bench.endless import Endless
+from wigeonpier.hosted.bodies import BodyForwarder, BodyReader
+from wigeonpier.hosted.failures import BrokenStreamError, SendFailure
+from wigeonpier.web.exchange import Exchange, make_request
+from wigeonpier.web.pool import ConnectionPool
+from wigeonpier.web.readlimits import MAX_HELD_BYTES, EndlessAnswerError
+
+if TYPE_CHECKING:
+    from tests.hosted.builders import HostedSite
+
+REQUEST = make_request('GET', '/', [('Host', 'h')])
+LONG_BYTES = 20_000_000
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
+# Less than the caller takes.
+SECONDS = 0.5
+MAX_MEMORY_BYTES = 6_000_000
+
+
+def begin(answer: bytes) -> Exchange:
+    """Begin to read an answer that is followed by the connection's end."""
+
+    def serve(sock, _address) -> None:
+        sock.recv(65_536)
+        sock.sendall(answer)
+
+    server = StreamServer(('127.0.0.1', 0), serve)
+    server.start()
+    return open_exchange(f'127.0.0.1:{server.server_port}')
+
+
+def open_exchange(address: str) -> Exchange:
+    """Send a request and read the head of the response."""
+    return ConnectionPool().exchange(address, REQUEST, 1).unwrap()
+
+
+def read_slowly(reader: BodyReader) -> int:
+    """Read a body in steps; returns its size in bytes."""
+    size = len(reader.read_start())
+    paused_at = 0
+    for part in reader.iterate():
+        size += len(part)
+        if size - paused_at > LONG_BYTES / 20:
+            paused_at = size
+            gevent.sleep(SECONDS / 8)
+    return size
+
+
+def test_a_long_body_that_is_read_slowly_is_whole_and_not_held() -> None:
+    """It takes the caller longer than the time limit to read it."""
+    exchange = begin(HEAD % LONG_BYTES + bytes(LONG_BYTES))
+    reader = BodyReader(exchange, SECONDS, SECONDS)
+    tracemalloc.start()
+    began = time.monotonic()
+    size = read_slowly(reader)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert size == LONG_BYTES
+    assert time.monotonic() - began > SECONDS
+    # The server's copy of the answer was made before.
+    assert peak < MAX_MEMORY_BYTES
+
+
+@pytest.mark.parametrize(
+    ('kind', 'is_trickle'),
+    [
+        (Endless.sized_body, False),
+        (Endless.chunked_body, False),
+        (Endless.unframed_body, False),
+        (Endless.chunked_body, True),
+    ],
+)
+def test_a_body_without_end_is_cut(kind: Endless, *, is_trickle: bool) -> None:
+    """Even where it is passed on as fast as it arrives."""
+    exchange = open_exchange(EndlessPeer(kind, is_trickle).address)
+    reader = BodyReader(exchange, SECONDS, SECONDS)
+    began = time.monotonic()
+    with pytest.raises(EndlessAnswerError):
+        read_slowly(reader)
+    assert time.monotonic() - began < SECONDS * 20
+
+
+def make_forwarder(recorded: list) -> BodyForwarder:
+    """Make a forwarder whose outcomes are recorded."""
+
+    def record(*given: object) -> None:
+        recorded.append(given[-1])
+
+    sender = SimpleNamespace(
+        binder=SimpleNamespace(
+            suspects=SimpleNamespace(
+                record_completion=record, record_failed_answer=record
+            )
+        ),
+        outcomes=SimpleNamespace(record_success=record),
+        record_failure=record,
+    )
+    return BodyForwarder(sender)
+
+
+def make_request_state() -> SimpleNamespace:
+    """Make what is read of a request."""
+    return SimpleNamespace(
+        seconds_left=SECONDS,
+        may_run_again=False,
+        upstream=SimpleNamespace(name='i-1'),
+        release=lambda **_given: None,
+    )
+
+
+def test_a_broken_long_body_does_not_look_complete() -> None:
+    recorded: list = []
+    exchange = begin(HEAD % LONG_BYTES + bytes(LONG_BYTES // 2))
+    read = make_forwarder(recorded).read(make_request_state(), exchange)
+    with pytest.raises(BrokenStreamError):
+        list(read.unwrap())
+    assert recorded == [SendFailure.lost]
+
+
+def test_a_body_that_breaks_early_is_not_passed_on() -> None:
+    """Nothing was sent to the caller, so the request may be repeated."""
+    recorded: list = []
+    exchange = begin(HEAD % LONG_BYTES + bytes(MAX_HELD_BYTES // 2))
+    read = make_forwarder(recorded).read(make_request_state(), exchange)
+    assert read == Err(SendFailure.lost)
+    assert recorded == [SendFailure.lost]
+
+
+def test_a_request_is_repeated_after_an_endless_body(
+    site: HostedSite,
+) -> None:
+    """It was answered with an error, although another upstream had room."""
+    site.start(replicas=2)
+    endless = site.replicas[0].faults.endless
+    endless.kind = Endless.sized_body
+    replies = [
+        site.call('POST', f'/ask/{number}', f'q{number}') for number in range(6)
+    ]
+    assert endless.count
+    assert {reply.status for reply in replies} == {200}
