End calls within a response that has begun after 10 seconds

A watch of the store may wait 30 s; a body of a few bytes at a time kept it, and the changes behind it, for as long. The test fails without the limit (30 s). A second test measures that other greenlets run during a flood.

--- a/src/wigeonpier/web/pool.py
+++ b/src/wigeonpier/web/pool.py
@@ -16,7 +16,11 @@
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.client import CallFailure, Reply
 from wigeonpier.web.exchange import Exchange
-from wigeonpier.web.readlimits import MAX_CALL_BODY_BYTES, ReadLimit
+from wigeonpier.web.readlimits import (
+    MAX_CALL_BODY_BYTES,
+    MAX_CALL_BODY_SECONDS,
+    ReadLimit,
+)
 
 if TYPE_CHECKING:
     from collections import deque
@@ -174,8 +178,9 @@
 
         :param address: ``host:port``.
         :param raw: the encoded request.
-        :param timeout: time limit of the head and of the body, seconds; a
-            long body that arrives fast enough may take twice as long.
+        :param timeout: time limit of the head, and of the body within that of
+            calls, seconds; a long body that arrives fast enough may take twice
+            as long.
         :param on_open: called with the exchange before the request is sent,
             so that the caller can abort it from another greenlet.
         :param limit: longest body, bytes.
@@ -186,9 +191,11 @@
             return opened
         current = opened.ok_value
         on_open(current)
+        body_timeout = min(timeout, MAX_CALL_BODY_SECONDS)
         try:
             current.send(raw, timeout)
-            return Ok(Reply(current.status, current.read(timeout, limit)))
+            body = current.read(body_timeout, limit)
+            return Ok(Reply(current.status, body))
         except OSError:
             current.abort()
             return Err(CallFailure.lost)
--- a/src/wigeonpier/web/readlimits.py
+++ b/src/wigeonpier/web/readlimits.py
@@ -20,6 +20,8 @@
 # Body of a response that is decoded as a whole; a page of results in base64
 # takes some MB.
 MAX_CALL_BODY_BYTES = 33_554_432
+# A call may wait for its response, but not within it.
+MAX_CALL_BODY_SECONDS = 10.0
 # Body of a response that is read only to reuse the connection, or reports load.
 MAX_SMALL_BODY_BYTES = 1_048_576
 # A long body may arrive after the timeout of its call at this rate.
--- a/tests/web/test_readlimits.py
+++ b/tests/web/test_readlimits.py
@@ -4,6 +4,7 @@
 
 import time
 import tracemalloc
+from itertools import pairwise
 
 import gevent
 import pytest
@@ -12,6 +13,7 @@
 from tests.web.endlesspeer import EndlessPeer
 from wigeonpier.bench.endless import Endless
 from wigeonpier.hosted.events import EventReader
+from wigeonpier.web import pool as poolmodule
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import Exchange, make_request
 from wigeonpier.web.pool import ConnectionPool
@@ -97,3 +99,35 @@
     with pytest.raises(OSError):
         while True:
             reader.read(TIMEOUT_SECONDS)
+
+
+def test_a_call_that_may_wait_for_long_ends_within_its_response(
+    monkeypatch,
+) -> None:
+    """A watch of the store missed changes for as long as it may wait."""
+    monkeypatch.setattr(poolmodule, 'MAX_CALL_BODY_SECONDS', 0.5)
+    peer = EndlessPeer(Endless.sized_body, is_trickle=True)
+    elapsed, _held = measure(
+        lambda: ConnectionPool().call(peer.address, REQUEST, 30), 5
+    )
+    assert elapsed < 2
+    check_reset(peer)
+
+
+def test_other_requests_are_served_during_a_flood() -> None:
+    """A socket with data does not wait, so that nothing else ran."""
+    peer = EndlessPeer(Endless.chunked_body)
+    opened = ConnectionPool().exchange(peer.address, REQUEST, 1).unwrap()
+    steps = []
+
+    def step() -> None:
+        while True:
+            gevent.sleep(0.01)
+            steps.append(time.monotonic())
+
+    stepping = gevent.spawn(step)
+    with pytest.raises(OSError):
+        opened.read(1)
+    stepping.kill()
+    gaps = [late - early for early, late in pairwise(steps)]
+    assert max(gaps) < 0.5
