--- a/tests/web/test_readlimits.py
+++ b/tests/web/test_readlimits.py
@@ -4,6 +4,8 @@
 
 import time
 import tracemalloc
+from itertools import chain, repeat
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -12,11 +14,16 @@
 from tests.web.endlesspeer import EndlessPeer
 from wigeonpier.bench.endless import Endless
 from wigeonpier.hosted.events import EventReader
+from wigeonpier.web import pool as poolmodule
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import Exchange, make_request
 from wigeonpier.web.pool import ConnectionPool
+from wigeonpier.web.responsereader import READ_BYTES, ResponseReader
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
+UNSIZED_HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
+# More than is read before others run.
+FLOOD_PARTS = 40
 TIMEOUT_SECONDS = 1.5
 # Time for the last read and for the close.
 SLACK_SECONDS = 0.5
@@ -97,3 +104,33 @@
     with pytest.raises(OSError):
         while True:
             reader.read(TIMEOUT_SECONDS)
+
+
+def test_a_call_that_may_wait_for_long_ends_within_its_response(
+    monkeypatch,
+) -> None:
+    """A watch of the store missed changes for as long as it may wait."""
+    monkeypatch.setattr(poolmodule, 'MAX_CALL_BODY_SECONDS', 0.5)
+    peer = EndlessPeer(Endless.sized_body, is_trickle=True)
+    elapsed, _held = measure(
+        lambda: ConnectionPool().call(peer.address, REQUEST, 30), 5
+    )
+    assert elapsed < 2
+    check_reset(peer)
+
+
+def test_other_requests_are_served_during_a_flood() -> None:
+    """A socket with data does not wait, so that nothing else ran."""
+    parts = chain((UNSIZED_HEAD,), repeat(bytes(READ_BYTES)))
+    sock = SimpleNamespace(
+        settimeout=lambda _seconds: None, recv=lambda _size: next(parts)
+    )
+    reader = ResponseReader(sock)
+    steps: list[int] = []
+    stepping = gevent.spawn(lambda: steps.append(1))
+    deadline = time.monotonic() + 5
+    reader.read_head(deadline)
+    for _part in range(FLOOD_PARTS):
+        reader.read_part(deadline)
+    assert steps
+    stepping.kill()
