Let a test of stored origins outlast a stalled process

The test pauses once for 9 ms; where the process stalls for longer, that pause and the one of 3 ms before the record is sent end in the same turn of the event loop, and the test looks first.

With the same stalls: 2.

--- a/tests/hosted/test_originkeepers.py
+++ b/tests/hosted/test_originkeepers.py
@@ -27,6 +27,7 @@
 
 ORIGIN = StreamOrigin('s', 'v1')
 KEY = 'k'
+PAUSES = 10
 WORKERS = 8
 
 
@@ -86,7 +87,9 @@
 def publish(keepers: OriginKeepers) -> None:
     """Send the record, and wait until it is sent."""
     keepers.publish(KEY, ORIGIN)
-    gevent.sleep(BATCH_SECONDS * 3)
+    # Each pause lets all greenlets run once, also after a stalled one.
+    for _ in range(PAUSES):
+        gevent.sleep(BATCH_SECONDS)
 
 
 def test_a_record_is_at_two_workers_and_found_there(pool) -> None:
