Log why an item has ended

Cause: an item that ended abandoned without a failed run could have been answered that it can never be done, or have outlived its retention; the log did not say which.

Change: item_done has why: the end of the last run, or retention.

Measured: tests of explained items pass, with one for an item that can never be done.

--- a/src/wigeonpier/hosted/runner.py
+++ b/src/wigeonpier/hosted/runner.py
@@ -41,6 +41,8 @@
 IDLE_STEP_SECONDS = 0.25
 RETRY_SECONDS = 0.25
 FAILED_RETRY_SECONDS = 0.5
+# Why an item ends whose last run does not say so.
+RETENTION_OVER = 'retention'
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,10 +222,10 @@
             if not work.inherited_events:
                 self._lengths.record(work.run_seconds, len(work.texts))
             self._trials.record_completion(work)
-            self._finish(work, ItemState.completed)
+            self._finish(work, ItemState.completed, outcome.value)
         elif outcome is RunOutcome.impossible:
             self._trials.record_failed_answer(work)
-            self._finish(work, ItemState.abandoned)
+            self._finish(work, ItemState.abandoned, outcome.value)
         elif outcome is not RunOutcome.paused:
             self._record_failed_run(work, outcome)
 
@@ -295,24 +297,24 @@
             has_ended=has_crashed,
         )
         if work.failures >= work.job.tries:
-            self._finish(work, ItemState.abandoned)
+            self._finish(work, ItemState.abandoned, outcome.value)
         work.retry_at = time.monotonic() + pause
 
-    def _finish(self, work: ItemWork, state: ItemState) -> None:
+    def _finish(self, work: ItemWork, state: ItemState, why: str) -> None:
         self.work.pop(work.key, None)
         output = '\n'.join(work.texts) if state is ItemState.completed else ''
         self._finished.add(work.key)
         if state is ItemState.completed:
             self._trials.health.record_item(work, went_well=True)
         self._writer.add(work.key, ItemResult(work.item.name, state, output))
-        self._log_item(Event.item_done, work, state=state.value)
+        self._log_item(Event.item_done, work, state=state.value, why=why)
         self._metrics.count('items_total', state=state.value)
 
     def _abandon_expired(self) -> None:
         now = time.monotonic()
         for work in list(self.work.values()):
             if now > work.attempt_until and not work.is_running:
-                self._finish(work, ItemState.abandoned)
+                self._finish(work, ItemState.abandoned, RETENTION_OVER)
 
     def _log_item(
         self, event: Event, work: ItemWork, **fields: str | bool
--- a/tests/hosted/test_explained.py
+++ b/tests/hosted/test_explained.py
@@ -94,10 +94,20 @@
     assert all(
         'end=failed' in line for line in find_lines(lines, 'item_broken')
     )
-    assert 'state=abandoned' in find_lines(lines, 'item_done')[0]
+    done = find_lines(lines, 'item_done')[0]
+    assert 'state=abandoned' in done
+    assert 'why=failed' in done
     assert find_lines(explain('j3'), 'job_accepted')
 
 
+def test_item_that_can_never_be_done_shows_why(site, explain) -> None:
+    for replica in site.replicas:
+        replica.faults.impossible = {'j50'}
+    site.submit_job('j5', 1)
+    assert site.wait_for_results('j5', 1)[0]['state'] == 'abandoned'
+    assert 'why=impossible' in find_lines(explain('j50'), 'item_done')[0]
+
+
 def test_log_line_is_json_with_number(site, tmp_path) -> None:
     site.call('POST', '/nowhere/1', 'q4')
     lines = (tmp_path / 'log').read_text().splitlines()
