--- a/src/wigeonpier/policy/suspicion.py
+++ b/src/wigeonpier/policy/suspicion.py
@@ -24,10 +24,11 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Set
+    from collections.abc import Sequence, Set
 
 # In a service that loses several upstreams a second, a second crash is more
 # likely to be chance than not, so it only isolates the request.  Three crashes
@@ -47,6 +48,9 @@
 # Callers retry for hours.  A request that was not seen for this long, or that
 # an engine of another version could run, is tried once more.
 MEMORY_SECONDS = 3600.0
+# More than any decision needs.  An item that crashes upstreams is tried for as
+# long as it is owed.
+MAX_CRASHES = 32
 # Refused requests that callers retry are published at this interval.
 RENEW_SECONDS = 60.0
 
@@ -69,6 +73,8 @@
     :param at: when, seconds of this process's monotonic clock.
     :param was_alone: whether no other suspected request ran there.
     :param had_output: whether the run of the request had produced events.
+    :param is_item: whether it was a run of a batch item, which isolates equal
+        requests and proves nothing against them.
     """
 
     upstream: str
@@ -76,6 +82,7 @@
     at: float
     was_alone: bool
     had_output: bool = False
+    is_item: bool = False
 
 
 @dataclass(slots=True)
@@ -99,11 +106,12 @@
         """
         self.last_seen_at = max(self.last_seen_at, crash.at)
         known = [one for one in self.crashes if one.upstream == crash.upstream]
-        if known and (known[0].was_alone or not crash.was_alone):
+        if known and _rank_evidence(crash) <= _rank_evidence(known[0]):
             return False
         self.crashes = [one for one in self.crashes if one not in known]
-        self.crashes.append(crash)
-        return True
+        latest = sorted((*self.crashes, crash), key=attrgetter('at'))
+        self.crashes = latest[-MAX_CRASHES:]
+        return crash in self.crashes
 
     def is_forgotten(self, now: float) -> bool:
         """Check whether the request was not seen for too long.
@@ -140,15 +148,23 @@
         any request that is known to be the cause.
     :returns: true after three crashes, one of them alone and before any
         output, or after four; in an unstable service after three, two of them
-        so, or after six.  Crashes after the first output count half.
+        so, or after six.  Crashes after the first output count half, and
+        those under batch items do not count.
     """
-    early = [crash for crash in suspect.crashes if not crash.had_output]
-    late = len(suspect.crashes) - len(early)
-    return is_enough_evidence(
-        len(early) + WEIGHT_AFTER_OUTPUT * late,
-        sum(crash.was_alone for crash in early),
-        other_crashes,
-    )
+    crashes = [crash for crash in suspect.crashes if not crash.is_item]
+    return _weigh(crashes, other_crashes)
+
+
+def needs_pauses(suspect: Suspect | None) -> bool:
+    """Check whether a batch item is tried only after pauses.
+
+    :param suspect: crashes that count against it, ``None`` for none.
+    :returns: true if an equal request is refused, or would be if the crashes
+        under items were evidence.
+    """
+    if suspect is None or not suspect.crashes:
+        return False
+    return suspect.is_culprit or _weigh(suspect.crashes, 0)
 
 
 def is_enough_evidence(count: float, lone: int, other_crashes: int) -> bool:
@@ -168,3 +184,17 @@
     return count >= max_without_lone or (
         count >= CRASHES_TO_QUARANTINE and has_lone_evidence
     )
+
+
+def _weigh(crashes: Sequence[Crash], other_crashes: int) -> bool:
+    early = [crash for crash in crashes if not crash.had_output]
+    late = len(crashes) - len(early)
+    return is_enough_evidence(
+        len(early) + WEIGHT_AFTER_OUTPUT * late,
+        sum(crash.was_alone for crash in early),
+        other_crashes,
+    )
+
+
+def _rank_evidence(crash: Crash) -> tuple[bool, bool]:
+    return (not crash.is_item, crash.was_alone)
--- a/tests/hosted/test_refused_jobs.py
+++ b/tests/hosted/test_refused_jobs.py
@@ -32,19 +32,25 @@
 REFUSED = 429
 
 
-def start(site: HostedSite) -> None:
+def start(site: HostedSite, tokens: int = FIRST_TOKENS) -> None:
     """Start a site with a token limit, most of which is used."""
     site.configuration['routes'][-1] = make_route_entry(
         'batch_run', '/jobs/', maxAttempts=3, maxCount=MOST_TOKENS
     )
     site.start(replicas=1, entries=2, event_seconds=0.3)
-    assert submit(site, 'first', FIRST_TOKENS) == 202
+    assert submit(site, 'first', tokens) == 202
 
 
 def submit(
     site: HostedSite, job: str, tokens: int = OTHER_TOKENS, entry: int = 0
 ) -> int:
     """Submit a job of one item with this number of tokens."""
+    body = make_body(job, tokens)
+    return site.call('POST', '/jobs/x', job, body, entry=entry).status
+
+
+def make_body(job: str, tokens: int = OTHER_TOKENS) -> bytes:
+    """Make the body of a job of one item with this number of tokens."""
     item = {
         'id': f'{job}0',
         'path': f'/jobs/{job}',
@@ -52,8 +58,7 @@
         'body': base64.b64encode(b'{}').decode(),
         'tokens': tokens,
     }
-    body = msgspec.json.encode({'items': [item]})
-    return site.call('POST', '/jobs/x', job, body, entry=entry).status
+    return msgspec.json.encode({'items': [item]})
 
 
 def delay_write(site: HostedSite, prefix: str, count: int = 1) -> None:
--- a/tests/local/test_extra_answers.py
+++ b/tests/local/test_extra_answers.py
@@ -8,12 +8,8 @@
 from gevent.server import StreamServer
 
 from wigeonpier.batch.models import TEXT_PATH
-from wigeonpier.local.engine import (
-    Engine,
-    Run,
-    RunEnd,
-    make_engine_client,
-)
+from wigeonpier.local.app import make_upstream_client
+from wigeonpier.local.engine import Engine, Run, RunEnd
 from wigeonpier.local.gate import Gate
 from wigeonpier.telemetry.metrics import Metrics
 
@@ -66,7 +62,7 @@
 
 def make_engine(address: str) -> Engine:
     """Make the caller of an engine, as a local process does."""
-    return Engine(make_engine_client(), address, Gate(), Metrics(), 's')
+    return Engine(make_upstream_client(), address, Gate(), Metrics(), 's')
 
 
 def test_an_item_behind_the_answer_to_another_one_runs_once(repeating) -> None:
--- a/tests/web/test_joinedheads.py
+++ b/tests/web/test_joinedheads.py
@@ -6,9 +6,10 @@
 import pytest
 from gevent.server import StreamServer
 
-from wigeonpier.web.exchange import BrokenAnswerError, make_request
+from wigeonpier.web.exchange import make_request
 from wigeonpier.web.joinedheads import is_joined
 from wigeonpier.web.pool import ConnectionPool
+from wigeonpier.web.readlimits import BrokenAnswerError
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
 OWN = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
