Promise nothing to a caller that has ended its side while a job is accepted

Callers saw a job refused with 429, and its item ran a second later, where the caller had ended its side of the connection after the job and still read the answer.

Cause: the close of one side is taken for a caller that has left; an attempt whose caller has left wrote no fence and passed its refusal on, on the assumption that nobody reads it.

Change: such an attempt answers that the outcome is not known.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -144,7 +144,10 @@
             if is_open and not attempt.is_abandoned:
                 return self._settle(attempt, refusal)
             final = refusal
-            if self._disk_job_writer.list_attempts(attempt.job.name):
+            # A caller that has ended its side of the connection still reads.
+            if attempt.is_abandoned or self._disk_job_writer.list_attempts(
+                attempt.job.name
+            ):
                 final = make_unsure_refusal()
             attempt.log_refusal(final)
             raise final from None
--- a/tests/hosted/test_overlapping_attempts.py
+++ b/tests/hosted/test_overlapping_attempts.py
@@ -10,7 +10,7 @@
 from gevent.event import Event as Signal
 from result import Err, Ok, Result
 
-from tests.hosted.builders import HOST, make_open_job
+from tests.hosted.builders import HOST, make_open_job, wait_for
 from tests.hosted.test_acceptance import (
     ContestedLedger,
     SlowLedger,
@@ -18,9 +18,11 @@
     make_job,
 )
 from tests.hosted.test_refused_jobs import (
+    LATE_SECONDS,
     REFUSED,
     RUN_SECONDS,
     count_runs,
+    delay_write,
     make_body,
     start,
     submit,
@@ -29,6 +31,7 @@
 from wigeonpier.hosted.acceptance import AcceptOutcome
 from wigeonpier.hosted.board import Board
 from wigeonpier.models import JobFence
+from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Failure
 from wigeonpier.settings.process import split_address
 from wigeonpier.web.exchange import make_request
@@ -38,6 +41,9 @@
 
 JOB = make_open_job().name
 NEWER = JobFence(9)
+READ_BYTES = 65_536
+# Statuses that promise that no part of the job runs.
+PROMISES = (408, 421, 429, 503)
 
 
 class FencedLedger(SlowLedger):
@@ -117,6 +123,22 @@
     assert not count_runs(site, 'late')
 
 
+def test_a_caller_that_only_ended_its_side_gets_no_untrue_refusal(
+    site: HostedSite,
+) -> None:
+    """It was taken for one that has left, answered 429, and the job ran."""
+    start(site)
+    delay_write(site, f'{storekeys.OPEN_JOBS}late')
+    caller = send(site, 'late')
+    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
+    caller.shutdown(socket.SHUT_WR)
+    assert submit(site, 'other', entry=1) == 202
+    answer = caller.recv(READ_BYTES)
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    is_refused = any(b' %d ' % status in answer for status in PROMISES)
+    assert not (is_refused and count_runs(site, 'late'))
+
+
 def send(site: HostedSite, job: str) -> socket.socket:
     """Send a job to the first entry without waiting for the answer."""
     headers = [('Host', HOST), ('X-Attempt-Id', job)]
