Give the stub request of the body tests its last send

Two tests of tests/hosted/test_bodies.py failed with an AttributeError, as a broken body records its problem in the last send, which the stub lacked. The assertions are unchanged; all 8 tests of the file pass.

--- a/tests/hosted/test_bodies.py
+++ b/tests/hosted/test_bodies.py
@@ -118,6 +118,7 @@
         seconds_left=SECONDS,
         may_run_again=False,
         upstream=SimpleNamespace(name='i-1'),
+        last_send=SimpleNamespace(problem=''),
         release=lambda **_given: None,
     )
 
