Cut a body early only while it arrives below a minimum rate

Callers of routes that may repeat got an error for honest bodies that took over half of the remaining time: each upstream was cut at half, so no send could succeed, and each was blamed. A deadline of the request that passed within a body also counted as bytes without end.

The start of a body is cut at half of the time only while it arrives below 1,000 bytes a second on average, or has paused for 1.5 s. A read that reaches its own deadline within a body is a plain time-out: silent, not endless.

--- a/src/wigeonpier/hosted/bodies.py
+++ b/src/wigeonpier/hosted/bodies.py
@@ -38,8 +38,14 @@
 
 LENGTH = 'Content-Length'
 MIN_READ_TIMEOUT_SECONDS = 0.01
-# Share of the remaining time, so that another upstream can still answer.
+# Share of the remaining time after which a body that arrives too slowly is cut,
+# so that another upstream can still answer.
 REPEATABLE_SHARE = 0.5
+# An average since the head.
+MIN_START_BYTES_PER_SECOND = 1_000
+# What arrived earlier counts for this long, so that a body that has stopped is
+# cut.
+MAX_STALL_SECONDS = 1.5
 
 
 class BodyReader:
@@ -53,13 +59,16 @@
         :param answer: the answer.
         :param seconds: time limit, without the time that the caller takes to
             read.
-        :param start_seconds: time limit of the part that is held.
+        :param start_seconds: time after which the part that is held is cut
+            while it arrives below the minimum rate.
         """
         self.answer = answer
         self.is_complete = False
         now = time.monotonic()
         self._deadline = now + seconds
         self._start_deadline = now + start_seconds
+        # Until when the bytes so far are at the minimum rate.
+        self._slow_at = now
         self._received = 0
         self._declared = answer.get_header(LENGTH)
         self._limit = (
@@ -77,7 +86,7 @@
             raise self.answer.cut(ReadLimit.body)
         start = bytearray()
         while len(start) <= MAX_HELD_BYTES and not self.is_complete:
-            part = self._read_part(self._start_deadline)
+            part = self._read_start_part()
             start += part
             self.is_complete = not part
         return bytes(start)
@@ -95,6 +104,20 @@
             self._deadline += time.monotonic() - yielded_at
             part = self._read_part(self._deadline)
 
+    def _read_start_part(self) -> bytes:
+        limit = max(self._start_deadline, self._slow_at)
+        try:
+            part = self._read_part(min(limit, self._deadline))
+        except TimeoutError:
+            if self._received and limit < self._deadline:
+                raise self.answer.cut(ReadLimit.time) from None
+            raise
+        self._slow_at = min(
+            self._slow_at + len(part) / MIN_START_BYTES_PER_SECOND,
+            time.monotonic() + MAX_STALL_SECONDS,
+        )
+        return part
+
     def _read_part(self, deadline: float) -> bytes:
         part = self.answer.read_part(deadline)
         self._received += len(part)
--- a/src/wigeonpier/web/responsereader.py
+++ b/src/wigeonpier/web/responsereader.py
@@ -105,7 +105,7 @@
         buffer = self.parser._body_buffer  # noqa: SLF001, WPS437
         while not self.is_whole:
             allowance = min(extra, len(buffer) / MIN_BODY_BYTES_PER_SECOND)
-            self._receive(deadline + allowance, has_begun=bool(buffer))
+            self._receive(deadline + allowance)
             if len(buffer) > limit:
                 raise EndlessAnswerError(ReadLimit.body)
         return self.take_body()
@@ -118,7 +118,7 @@
         :raises OSError: if the body is truncated or times out.
         """
         while not (self.parser._body_buffer or self.is_whole):  # noqa: SLF001, WPS437
-            self._receive(deadline, has_begun=self.parser.body_bytes > 0)
+            self._receive(deadline)
         return self.take_body()
 
     def take_body(self) -> bytes:
--- a/tests/web/test_readlimits.py
+++ b/tests/web/test_readlimits.py
@@ -119,6 +119,29 @@
     check_reset(peer)
 
 
+@pytest.mark.parametrize(
+    'read',
+    [
+        lambda exchange: exchange.read(SLACK_SECONDS),
+        lambda exchange: exchange.read_part(time.monotonic() - 1),
+    ],
+)
+def test_the_end_of_its_time_is_no_limit_of_a_body(read) -> None:
+    """A body that was still arriving counted as one without end."""
+    pool = ConnectionPool()
+    limits: list = []
+    pool.on_endless = limits.append
+    peer = EndlessPeer(Endless.sized_body, is_trickle=True)
+    exchange = pool.exchange(peer.address, REQUEST, 1).unwrap()
+    assert exchange.read_part(time.monotonic() + 1)
+    with pytest.raises(TimeoutError):
+        read(exchange)
+    assert not limits
+    exchange.abort()
+    exchange.close()
+    check_reset(peer)
+
+
 def test_other_requests_are_served_during_a_flood() -> None:
     """A socket with data does not wait, so that nothing else ran."""
     parts = chain((UNSIZED_HEAD,), repeat(bytes(READ_BYTES)))
