Let a stall within a line or a head end no answer early

A stream that could not go elsewhere ended after a pause of 1 s within a line, and a head after 1 s, though their deadlines were far: a lost segment that is sent again takes that long. The upstream was blamed.

A line is bounded by the timeout of its read, which the policy chooses, and by its bytes; the end of that time within an event is a time-out of the read. The last wait of a request for its head has the time of the policy, which is short where it may run elsewhere. Other heads have 3.5 s, over two retransmissions.

--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -70,7 +70,8 @@
         :param timeout: time limit, seconds; events without id and data do not
             extend it.
         :returns: the event, ``None`` at the end of a complete stream.
-        :raises OSError: if the stream is truncated, also within an event.
+        :raises OSError: if the stream is truncated or times out, also within
+            an event.
         """
         began_at = time.monotonic()
         deadline = (self._empty_since or began_at) + timeout
@@ -103,17 +104,13 @@
         line = self._answer.take_line()
         if line:
             return line
+        if left < 0:
+            raise self._answer.cut(ReadLimit.event)
         seconds = deadline - time.monotonic()
-        is_waiting = has_begun or self._empty_bytes > 0
-        if left < 0 or (is_waiting and seconds < 0):
-            limit = ReadLimit.event if left < 0 else ReadLimit.time
-            raise self._answer.cut(limit)
-        try:
-            return self._answer.read_line(seconds, left)
-        except TimeoutError:
-            if is_waiting:
-                raise self._answer.cut(ReadLimit.time) from None
-            raise
+        if seconds < 0 and (has_begun or self._empty_bytes > 0):
+            # Each read waits for a moment, which a peer could extend.
+            raise TimeoutError('timed out within an event')
+        return self._answer.read_line(seconds, left)
 
     def _record(self, event: StreamEvent, began_at: float) -> None:
         if event.identity or DATA in event.raw:
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -246,7 +246,10 @@
             timeout = waiting.CHECK_INTERVAL_SECONDS
             if time.monotonic() - began + timeout > limit:
                 break
-        exchange.await_head(limit - (time.monotonic() - began))
+        # The policy decides how long to wait, also within a head.
+        exchange.await_head(
+            limit - (time.monotonic() - began), head_seconds=limit
+        )
 
     def _check_answer(
         self,
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -22,6 +22,7 @@
 from wigeonpier.web.readlimits import (
     MAX_CALL_BODY_BYTES,
     MAX_EVENT_BYTES,
+    MAX_HEAD_SECONDS,
     EndlessAnswerError,
     ReadLimit,
 )
@@ -174,15 +175,17 @@
             self._record_drop()
             raise
 
-    def await_head(self, timeout: float) -> None:
+    def await_head(
+        self, timeout: float, head_seconds: float = MAX_HEAD_SECONDS
+    ) -> None:
         """Read the head of the response; may be repeated after a timeout.
 
-        :param timeout: time limit, seconds; once the head has begun, it also
-            has to be complete within the limit for heads.
+        :param timeout: time limit, seconds.
+        :param head_seconds: time limit of a head that has begun, likewise.
         :raises OSError: if the connection is lost or times out.
         """
         try:
-            self._reader.read_head(_set_deadline(timeout))
+            self._reader.read_head(_set_deadline(timeout), head_seconds)
         except TimeoutError:
             raise
         except EndlessAnswerError as error:
@@ -194,8 +197,7 @@
     def read_line(self, timeout: float, limit: int = MAX_EVENT_BYTES) -> bytes:
         """Read one line of the response body.
 
-        :param timeout: time limit, seconds; once the line has begun, it also
-            has to be complete within the limit for lines.
+        :param timeout: time limit, seconds.
         :param limit: longest line, bytes.
         :returns: the line with its terminator; an unterminated last line as it
             is; empty after the end of the body.
--- a/src/wigeonpier/web/readlimits.py
+++ b/src/wigeonpier/web/readlimits.py
@@ -8,15 +8,13 @@
 # bytes that carry no body: informational responses, extensions of chunks,
 # trailers, and whatever separates responses.
 MAX_FRAMING_BYTES = 131_072
-# A response head fits in some packets.
-MAX_HEAD_SECONDS = 1.0
+# A response head fits in some packets; one of them may be lost twice.
+MAX_HEAD_SECONDS = 3.5
 # Bodies of responses that are skipped, together.
 MAX_SKIPPED_BYTES = 1_048_576
 # Some tokens and their probabilities take some KB, a report of an entry's
 # customers some hundred.
 MAX_EVENT_BYTES = 1_048_576
-# A started line is complete after this time, as its writer does not pause.
-MAX_LINE_SECONDS = 1.0
 # Body of a response that is decoded as a whole; a page of results in base64
 # takes some MB.
 MAX_CALL_BODY_BYTES = 33_554_432
--- a/src/wigeonpier/web/responsereader.py
+++ b/src/wigeonpier/web/responsereader.py
@@ -11,7 +11,6 @@
 from wigeonpier.web.readlimits import (
     MAX_BYTES_IN_A_ROW,
     MAX_HEAD_SECONDS,
-    MAX_LINE_SECONDS,
     MIN_BODY_BYTES_PER_SECOND,
     BrokenAnswerError,
     ByteMeter,
@@ -40,16 +39,18 @@
         """Check whether the response is complete according to its framing."""
         return bool(self.parser.message_complete)
 
-    def read_head(self, deadline: float) -> None:
+    def read_head(
+        self, deadline: float, head_seconds: float = MAX_HEAD_SECONDS
+    ) -> None:
         """Read the head; may be repeated after a timeout.
 
-        :param deadline: until when to wait, seconds; a head that has begun
-            also has to be complete within the limit for heads.
+        :param deadline: until when to wait, seconds.
+        :param head_seconds: time limit of a head that has begun.
         :raises OSError: if the connection is lost or times out.
         """
         while not self.parser.has_head:
             began_at = self.parser.head_began_at
-            head_deadline = began_at + MAX_HEAD_SECONDS
+            head_deadline = began_at + head_seconds
             if began_at and head_deadline < deadline:
                 self._receive(head_deadline, has_begun=True)
             else:
@@ -58,14 +59,12 @@
     def read_line(self, deadline: float, limit: int) -> bytes:
         """Read one line of the body.
 
-        :param deadline: until when to wait, seconds; a line that has begun
-            also has to be complete within the limit for lines.
+        :param deadline: until when to wait, seconds.
         :param limit: longest line, bytes.
         :returns: the line, as of :meth:`Exchange.read_line`.
         :raises OSError: if the body is truncated or times out.
         """
         buffer = self.parser._body_buffer  # noqa: SLF001, WPS437
-        has_begun = False
         while True:
             line = self.take_line()
             if line:
@@ -74,10 +73,7 @@
                 return self.take_body()
             if len(buffer) > limit:
                 raise EndlessAnswerError(ReadLimit.event)
-            if buffer and not has_begun:
-                has_begun = True
-                deadline = min(deadline, time.monotonic() + MAX_LINE_SECONDS)
-            self._receive(deadline, has_begun=has_begun)
+            self._receive(deadline)
 
     def take_line(self) -> bytes:
         """Take the next line of the body if it was received.
--- a/tests/hosted/test_sender.py
+++ b/tests/hosted/test_sender.py
@@ -13,6 +13,7 @@
 
 from tests.builders import build_upstream
 from tests.hosted.builders import SERVICE, make_online_request, make_sender
+from tests.web.stallingpeer import start_stalling_peer
 from wigeonpier.hosted import sender as sending
 from wigeonpier.hosted.failures import (
     CallerGoneError,
@@ -23,6 +24,7 @@
 from wigeonpier.models import OnlineLoad
 from wigeonpier.platform import wire
 from wigeonpier.policy.route import record_load
+from wigeonpier.web.readlimits import MAX_HEAD_SECONDS
 
 if TYPE_CHECKING:
     from wigeonpier.hosted.sender import (
@@ -30,6 +32,11 @@
     )
 
 READ_BYTES = 65_536
+HEAD = (
+    b'HTTP/1.1 200 OK\r\n%b: q1\r\n%b: s\r\n'
+    b'Content-Type: text/event-stream\r\n\r\n'
+    % (wire.REQUEST_ID.encode(), wire.SIGNATURE.encode())
+)
 PAUSE_SECONDS = 0.05
 
 
@@ -131,6 +138,20 @@
     assert request.runs == runs
 
 
+def test_a_last_run_waits_for_a_stalled_head_until_its_deadline() -> None:
+    """It was ended although it could not run elsewhere."""
+    sender = build_sender(0)
+    [upstream] = sender.binder.replicas.list_upstreams()
+    stall_seconds = MAX_HEAD_SECONDS + 0.3
+    upstream.address = start_stalling_peer(
+        HEAD[:20], HEAD[20:], seconds=stall_seconds
+    )
+    request = make_online_request()
+    request.runs = request.route.tries - 1
+    request.deadline = time.monotonic() + stall_seconds * 2
+    assert sender.send(request).unwrap().status == 200
+
+
 def test_a_request_whose_caller_left_is_not_sent() -> None:
     """It ran on while its caller resumed the stream at another entry."""
     sender = build_sender(0)
