Limit how long a caller may keep a body waiting

A caller that does not read a long body held the slot of its upstream as long as it was connected, since the time of the caller is no time of the body and nothing bounds a blocked write. The start of the body was held until the end, and the time in which the caller takes it did count.

A caller may keep a body waiting for 30 s apart from the time that its bytes need at 64 KiB a second; then the connection with it ends, and the exchange is reset. The start is dropped once the caller has it, and its time is left out.

--- a/src/wigeonpier/hosted/bodies.py
+++ b/src/wigeonpier/hosted/bodies.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import time
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import gevent
 from result import Err, Ok, Result
 
 from wigeonpier.hosted.failures import (
     BrokenStreamError,
+    CallerGoneError,
     SendFailure,
     classify_disconnect,
 )
@@ -46,6 +49,11 @@
 # What arrived earlier counts for this long, so that a body that has stopped is
 # cut.
 MAX_STALL_SECONDS = 1.5
+# How long a caller may keep a body waiting, apart from the time that its bytes
+# need at the minimum rate.
+MAX_CALLER_SECONDS = 30.0
+MIN_CALLER_BYTES_PER_SECOND = 65_536
+MIN_CALLER_SECONDS = 0.001
 
 
 class BodyReader:
@@ -69,6 +77,7 @@
         self._start_deadline = now + start_seconds
         # Until when the bytes so far are at the minimum rate.
         self._slow_at = now
+        self._caller_seconds = MAX_CALLER_SECONDS
         self._received = 0
         self._declared = answer.get_header(LENGTH)
         self._limit = (
@@ -99,11 +108,31 @@
         """
         part = self._read_part(self._deadline)
         while part:
-            yielded_at = time.monotonic()
-            yield part
-            self._deadline += time.monotonic() - yielded_at
+            with self.wait_for_caller(len(part)):
+                yield part
             part = self._read_part(self._deadline)
 
+    @contextmanager
+    def wait_for_caller(self, size: int) -> Iterator[None]:
+        """Leave out the time in which the caller takes a part of the body.
+
+        :param size: bytes of the part.
+        :yields: once, while the caller takes it.
+        :raises CallerGoneError: in this greenlet, if it takes too long.
+        """
+        began = time.monotonic()
+        with gevent.Timeout(
+            max(self._caller_seconds, MIN_CALLER_SECONDS),
+            CallerGoneError('the caller reads too slowly'),
+        ):
+            yield
+        seconds = time.monotonic() - began
+        self._deadline += seconds
+        self._caller_seconds = min(
+            MAX_CALLER_SECONDS,
+            self._caller_seconds - seconds + size / MIN_CALLER_BYTES_PER_SECOND,
+        )
+
     def _read_start_part(self) -> bytes:
         limit = max(self._start_deadline, self._slow_at)
         try:
@@ -156,17 +185,19 @@
         if reader.is_complete:
             self._record_end(request, answer)
             return Ok(start)
-        return Ok(self._pass_on(request, reader, start))
+        return Ok(self._pass_on(request, reader, [start]))
 
     def _pass_on(
-        self, request: OnlineRequest, reader: BodyReader, start: bytes
+        self, request: OnlineRequest, reader: BodyReader, held: list[bytes]
     ) -> Iterator[bytes]:
         """Pass on a body.
 
+        :param held: its start, which is dropped once the caller has it.
         :raises BrokenStreamError: if it breaks off, so that the response does
             not look complete.
         """
-        yield start
+        with reader.wait_for_caller(len(held[0])):
+            yield held.pop()
         try:
             yield from reader.iterate()
         except OSError as error:
--- a/tests/hosted/test_bodies.py
+++ b/tests/hosted/test_bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import time
 import tracemalloc
 from types import SimpleNamespace
@@ -9,23 +10,28 @@
 
 import gevent
 import pytest
+from gevent import socket
 from gevent.server import StreamServer
 from result import Err, Ok
 
 from tests.web.endlesspeer import EndlessPeer
 from wigeonpier.bench.endless import Endless
+from wigeonpier.hosted import bodies
 from wigeonpier.hosted.bodies import (
     MAX_STALL_SECONDS,
     BodyForwarder,
     BodyReader,
+    make_response,
 )
 from wigeonpier.hosted.failures import BrokenStreamError, SendFailure
 from wigeonpier.web.exchange import Exchange, make_request
 from wigeonpier.web.pool import ConnectionPool
 from wigeonpier.web.readlimits import MAX_HELD_BYTES, EndlessAnswerError
+from wigeonpier.web.server import Server
 
 if TYPE_CHECKING:
     from tests.hosted.builders import HostedSite
+    from wigeonpier.web.messages import Request, Response
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
 LONG_BYTES = 20_000_000
@@ -226,6 +232,56 @@
     assert not limits
 
 
+def pass_on(peer: EndlessPeer) -> Server:
+    """Start a server that passes on the body of a peer."""
+
+    def answer(_request: Request) -> Response:
+        exchange = open_exchange(peer.address)
+        read = make_forwarder([]).read(make_request_state(10), exchange)
+        response = make_response(exchange, read.unwrap())
+        response.on_close.append(exchange.abort)
+        response.on_close.append(exchange.close)
+        return response
+
+    server = Server('127.0.0.1', 0, answer)
+    server.start()
+    return server
+
+
+def test_a_caller_that_never_reads_frees_the_slot(monkeypatch) -> None:
+    """The upstream kept its slot for as long as the caller was connected."""
+    monkeypatch.setattr(bodies, 'MAX_CALLER_SECONDS', SECONDS)
+    peer = EndlessPeer(Endless.chunked_body)
+    server = pass_on(peer)
+    host, port = server.address.split(':')
+    caller = socket.create_connection((host, int(port)))
+    caller.sendall(REQUEST)
+    gevent.sleep(SECONDS * 6)
+    assert peer.ended_at
+    assert not server.in_flight
+    caller.close()
+    server.stop()
+
+
+def test_the_start_of_a_body_is_dropped_once_it_is_taken() -> None:
+    """It was held until the end of the body."""
+    exchange = begin(HEAD % LONG_BYTES + bytes(LONG_BYTES))
+    read = make_forwarder([]).read(make_request_state(), exchange).unwrap()
+    start = next(read)
+    next(read)
+    # The variable and the argument.
+    assert sys.getrefcount(start) == 2
+
+
+def test_the_time_in_which_the_start_is_taken_does_not_count() -> None:
+    """The body was cut as the time for the start was that of the upstream."""
+    exchange = begin(HEAD % LONG_BYTES + bytes(LONG_BYTES))
+    read = make_forwarder([]).read(make_request_state(), exchange).unwrap()
+    size = len(next(read))
+    gevent.sleep(SECONDS * 1.2)
+    assert size + sum(map(len, read)) == LONG_BYTES
+
+
 def test_a_request_is_repeated_after_an_endless_body(
     site: HostedSite,
 ) -> None:
