Let comments leave the time of a stream as it is

A stream whose timeout is the time left of its request was ended early when comments came before its next event: the time counted from the first comment, while the timeout had shrunk since. Now the deadline of the first read holds until an event with an id or data comes.

--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -53,7 +53,7 @@
         self._has_events = False
         # Of events without id and data, since the last other one.
         self._empty_bytes = 0
-        self._empty_since: float = 0
+        self._empty_deadline: float = 0
 
     @property
     def is_cut_off(self) -> bool:
@@ -73,8 +73,7 @@
         :raises OSError: if the stream is truncated or times out, also within
             an event.
         """
-        began_at = time.monotonic()
-        deadline = (self._empty_since or began_at) + timeout
+        deadline = self._empty_deadline or time.monotonic() + timeout
         left = MAX_EVENT_BYTES - self._empty_bytes
         raw = bytearray()
         identity = b''
@@ -91,7 +90,7 @@
                 identity = line[len(IDENTITY) :].strip()
             if line in BLANK:
                 event = StreamEvent(bytes(raw), identity.decode('latin-1'))
-                self._record(event, began_at)
+                self._record(event, deadline)
                 return event
 
     def _read_line(self, deadline: float, left: int, has_begun: bool) -> bytes:  # noqa: FBT001
@@ -112,11 +111,11 @@
             raise TimeoutError('timed out within an event')
         return self._answer.read_line(seconds, left)
 
-    def _record(self, event: StreamEvent, began_at: float) -> None:
+    def _record(self, event: StreamEvent, deadline: float) -> None:
         if event.identity or DATA in event.raw:
             self._has_events = True
             self._empty_bytes = 0
-            self._empty_since = 0
+            self._empty_deadline = 0
         else:
             self._empty_bytes += len(event.raw)
-            self._empty_since = self._empty_since or began_at
+            self._empty_deadline = deadline
--- a/tests/web/test_stalls.py
+++ b/tests/web/test_stalls.py
@@ -72,3 +72,16 @@
             reader.read(SHORT_SECONDS)
     assert SHORT_SECONDS * 0.9 < time.monotonic() - began < SHORT_SECONDS * 1.5
     assert not limits
+
+
+def test_comments_do_not_shorten_the_time_of_a_stream() -> None:
+    """Where the time is that of the request, it passed twice as fast."""
+    parts = [b':\n\n'] * 6 + [b'id: 1\ndata: a\n\n']
+    address = start_stalling_peer(HEAD, *parts, seconds=0.1)
+    exchange, _limits = open_stream(address)
+    reader = EventReader(exchange)
+    deadline = time.monotonic() + 1
+    event = None
+    while event is None or not event.identity:
+        event = reader.read(deadline - time.monotonic())
+    assert event.identity == '1'
