--- a/src/wigeonpier/hosted/bodies.py
+++ b/src/wigeonpier/hosted/bodies.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import time
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import gevent
 from result import Err, Ok, Result
 
 from wigeonpier.hosted.failures import (
     BrokenStreamError,
+    CallerGoneError,
     SendFailure,
     classify_disconnect,
 )
@@ -38,8 +41,19 @@
 
 LENGTH = 'Content-Length'
 MIN_READ_TIMEOUT_SECONDS = 0.01
-# Share of the remaining time, so that another upstream can still answer.
+# Share of the remaining time after which a body that arrives too slowly is cut,
+# so that another upstream can still answer.
 REPEATABLE_SHARE = 0.5
+# An average since the head.
+MIN_START_BYTES_PER_SECOND = 1_000
+# What arrived earlier counts for this long, so that a body that has stopped is
+# cut.
+MAX_STALL_SECONDS = 1.5
+# How long a caller may keep a body waiting, apart from the time that its bytes
+# need at the minimum rate.
+MAX_CALLER_SECONDS = 30.0
+MIN_CALLER_BYTES_PER_SECOND = 65_536
+MIN_CALLER_SECONDS = 0.001
 
 
 class BodyReader:
@@ -53,13 +67,17 @@
         :param answer: the answer.
         :param seconds: time limit, without the time that the caller takes to
             read.
-        :param start_seconds: time limit of the part that is held.
+        :param start_seconds: time after which the part that is held is cut
+            while it arrives below the minimum rate.
         """
         self.answer = answer
         self.is_complete = False
         now = time.monotonic()
         self._deadline = now + seconds
         self._start_deadline = now + start_seconds
+        # Until when the bytes so far are at the minimum rate.
+        self._slow_at = now
+        self._caller_seconds = MAX_CALLER_SECONDS
         self._received = 0
         self._declared = answer.get_header(LENGTH)
         self._limit = (
@@ -77,7 +95,7 @@
             raise self.answer.cut(ReadLimit.body)
         start = bytearray()
         while len(start) <= MAX_HELD_BYTES and not self.is_complete:
-            part = self._read_part(self._start_deadline)
+            part = self._read_start_part()
             start += part
             self.is_complete = not part
         return bytes(start)
@@ -90,11 +108,45 @@
         """
         part = self._read_part(self._deadline)
         while part:
-            yielded_at = time.monotonic()
-            yield part
-            self._deadline += time.monotonic() - yielded_at
+            with self.wait_for_caller(len(part)):
+                yield part
             part = self._read_part(self._deadline)
 
+    @contextmanager
+    def wait_for_caller(self, size: int) -> Iterator[None]:
+        """Leave out the time in which the caller takes a part of the body.
+
+        :param size: bytes of the part.
+        :yields: once, while the caller takes it.
+        :raises CallerGoneError: in this greenlet, if it takes too long.
+        """
+        began = time.monotonic()
+        with gevent.Timeout(
+            max(self._caller_seconds, MIN_CALLER_SECONDS),
+            CallerGoneError('the caller reads too slowly'),
+        ):
+            yield
+        seconds = time.monotonic() - began
+        self._deadline += seconds
+        self._caller_seconds = min(
+            MAX_CALLER_SECONDS,
+            self._caller_seconds - seconds + size / MIN_CALLER_BYTES_PER_SECOND,
+        )
+
+    def _read_start_part(self) -> bytes:
+        limit = max(self._start_deadline, self._slow_at)
+        try:
+            part = self._read_part(min(limit, self._deadline))
+        except TimeoutError:
+            if self._received and limit < self._deadline:
+                raise self.answer.cut(ReadLimit.time) from None
+            raise
+        self._slow_at = min(
+            self._slow_at + len(part) / MIN_START_BYTES_PER_SECOND,
+            time.monotonic() + MAX_STALL_SECONDS,
+        )
+        return part
+
     def _read_part(self, deadline: float) -> bytes:
         part = self.answer.read_part(deadline)
         self._received += len(part)
@@ -133,17 +185,19 @@
         if reader.is_complete:
             self._record_end(request, answer)
             return Ok(start)
-        return Ok(self._pass_on(request, reader, start))
+        return Ok(self._pass_on(request, reader, [start]))
 
     def _pass_on(
-        self, request: OnlineRequest, reader: BodyReader, start: bytes
+        self, request: OnlineRequest, reader: BodyReader, held: list[bytes]
     ) -> Iterator[bytes]:
         """Pass on a body.
 
+        :param held: its start, which is dropped once the caller has it.
         :raises BrokenStreamError: if it breaks off, so that the response does
             not look complete.
         """
-        yield start
+        with reader.wait_for_caller(len(held[0])):
+            yield held.pop()
         try:
             yield from reader.iterate()
         except OSError as error:
--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -53,7 +53,7 @@
         self._has_events = False
         # Of events without id and data, since the last other one.
         self._empty_bytes = 0
-        self._empty_since: float = 0
+        self._empty_deadline: float = 0
 
     @property
     def is_cut_off(self) -> bool:
@@ -70,10 +70,10 @@
         :param timeout: time limit, seconds; events without id and data do not
             extend it.
         :returns: the event, ``None`` at the end of a complete stream.
-        :raises OSError: if the stream is truncated, also within an event.
+        :raises OSError: if the stream is truncated or times out, also within
+            an event.
         """
-        began_at = time.monotonic()
-        deadline = (self._empty_since or began_at) + timeout
+        deadline = self._empty_deadline or time.monotonic() + timeout
         left = MAX_EVENT_BYTES - self._empty_bytes
         raw = bytearray()
         identity = b''
@@ -90,7 +90,7 @@
                 identity = line[len(IDENTITY) :].strip()
             if line in BLANK:
                 event = StreamEvent(bytes(raw), identity.decode('latin-1'))
-                self._record(event, began_at)
+                self._record(event, deadline)
                 return event
 
     def _read_line(self, deadline: float, left: int, has_begun: bool) -> bytes:  # noqa: FBT001
@@ -103,23 +103,19 @@
         line = self._answer.take_line()
         if line:
             return line
+        if left < 0:
+            raise self._answer.cut(ReadLimit.event)
         seconds = deadline - time.monotonic()
-        is_waiting = has_begun or self._empty_bytes > 0
-        if left < 0 or (is_waiting and seconds < 0):
-            limit = ReadLimit.event if left < 0 else ReadLimit.time
-            raise self._answer.cut(limit)
-        try:
-            return self._answer.read_line(seconds, left)
-        except TimeoutError:
-            if is_waiting:
-                raise self._answer.cut(ReadLimit.time) from None
-            raise
-
-    def _record(self, event: StreamEvent, began_at: float) -> None:
+        if seconds < 0 and (has_begun or self._empty_bytes > 0):
+            # Each read waits for a moment, which a peer could extend.
+            raise TimeoutError('timed out within an event')
+        return self._answer.read_line(seconds, left)
+
+    def _record(self, event: StreamEvent, deadline: float) -> None:
         if event.identity or DATA in event.raw:
             self._has_events = True
             self._empty_bytes = 0
-            self._empty_since = 0
+            self._empty_deadline = 0
         else:
             self._empty_bytes += len(event.raw)
-            self._empty_since = self._empty_since or began_at
+            self._empty_deadline = deadline
