Send no 100 Continue behind an answer

Callers that sent Expect: 100-continue and were answered without their body being read saw the answer, then 'HTTP/1.1 100 Continue', and the end of the connection after 2 s: bytes that are no answer.

Cause: what a handler leaves of a body is read so that the connection can be reused, and the first read sends the go-ahead that is still owed.

Such a body is not read any more. The answer has Connection: close and the connection ends at once; it stays open where the declared body is empty.

Before, all three tests of tests/web/test_unread_bodies.py failed: no Connection: close with a body, and 100 Continue before the second answer with an empty one.

--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -43,6 +43,7 @@
 )
 TARGET_KEY = 'wigeonpier.target'
 CONNECTION_KEY = 'wigeonpier.connection'
+BODY_KEY = 'wigeonpier.body'
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,15 +148,23 @@
         environ: dict[str, Any] = super().get_environ()
         environ[TARGET_KEY] = self.path
         environ[CONNECTION_KEY] = self.socket
+        environ[BODY_KEY] = self.wsgi_input
         return environ
 
     def run_application(self) -> None:
         super().run_application()
+        if _owes_continue(self.wsgi_input):
+            # Reading would send it, behind the answer.
+            self._drop_body()
+            return
         if not _discard_body(self.wsgi_input):
-            # The base class would read on as long as bytes come.
-            self.wsgi_input = pywsgi.Input(BufferedReader(BytesIO()), 0)
+            self._drop_body()
             self.close_connection = True
 
+    def _drop_body(self) -> None:
+        # The base class would read on as long as bytes come.
+        self.wsgi_input = pywsgi.Input(BufferedReader(BytesIO()), 0)
+
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         log_event(
             Event.request_broken,
@@ -255,7 +264,8 @@
         headers += response.headers.items()
         if isinstance(response.body, bytes):
             headers.append(('Content-Length', str(len(response.body))))
-        if self.is_closing or response.status in UNREAD_STATUSES:
+        is_last = self.is_closing or response.status in UNREAD_STATUSES
+        if is_last or _leaves_body(environ[BODY_KEY]):
             # A client with a persistent connection has to open a new one,
             # which reaches another process.
             headers.append(('Connection', 'close'))
@@ -311,6 +321,17 @@
     return response
 
 
+def _owes_continue(stream: Any) -> bool:
+    """Check whether the client still waits for a go-ahead with its body."""
+    return stream.socket is not None
+
+
+def _leaves_body(stream: Any) -> bool:
+    """Check whether a body stays unread, so that the connection must end."""
+    has_body = stream.chunked_input or bool(stream.content_length)
+    return has_body and _owes_continue(stream)
+
+
 def _discard_body(stream: Any) -> bool:
     """Read what an application left of a body.
 
