End a connection with an unread large body readably

Callers whose large body was not read saw an answer that kept the connection open, and a reset while they still sent: ECONNRESET instead of the answer.

Cause: a body over the limit was read up to the limit, and the connection then closed with unread bytes, which the answer did not announce.

Where over 1 MB of the declared body is left, the answer has Connection: close. Where a body is left, the server sends its end right after the answer and reads on, at most 4 MiB and 2 s, so that the client can read the answer. A body in chunks has no known length; its answer can't announce the end, but is readable. A body that stalls may hold its connection for 4 s instead of 2.

--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -36,6 +36,8 @@
 # the response first: closing before discards it.
 DISCARD_SECONDS = 2.0
 MAX_DISCARDED_BYTES = 1_048_576
+# After the last answer of a connection.
+MAX_DRAINED_BYTES = 4_194_304
 DISCARD_PART_BYTES = 16_384
 # Their bodies were not read to the end.
 UNREAD_STATUSES = frozenset(
@@ -153,17 +155,12 @@
 
     def run_application(self) -> None:
         super().run_application()
-        if _owes_continue(self.wsgi_input):
-            # Reading would send it, behind the answer.
-            self._drop_body()
-            return
-        if not _discard_body(self.wsgi_input):
-            self._drop_body()
+        body = self.wsgi_input
+        if not _discard_body(body):
+            # The base class would read on as long as bytes come.
+            self.wsgi_input = pywsgi.Input(BufferedReader(BytesIO()), 0)
             self.close_connection = True
-
-    def _drop_body(self) -> None:
-        # The base class would read on as long as bytes come.
-        self.wsgi_input = pywsgi.Input(BufferedReader(BytesIO()), 0)
+            _close_gently(self.socket)
 
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         log_event(
@@ -321,15 +318,13 @@
     return response
 
 
-def _owes_continue(stream: Any) -> bool:
-    """Check whether the client still waits for a go-ahead with its body."""
-    return stream.socket is not None
-
-
 def _leaves_body(stream: Any) -> bool:
-    """Check whether a body stays unread, so that the connection must end."""
-    has_body = stream.chunked_input or bool(stream.content_length)
-    return has_body and _owes_continue(stream)
+    """Check whether a body is not read, so that its connection has to end."""
+    left = (stream.content_length or 0) - stream.position
+    if stream.socket is not None:
+        # Reading would send a 100 Continue behind the answer.
+        return stream.chunked_input or left > 0
+    return not stream.chunked_input and left > MAX_DISCARDED_BYTES
 
 
 def _discard_body(stream: Any) -> bool:
@@ -337,6 +332,10 @@
 
     :returns: whether all of it arrived soon and was small.
     """
+    if _leaves_body(stream):
+        return False
+    # Without a body, a read would still send a 100 Continue.
+    stream.socket = None
     discarded = 0
     try:
         with Timeout(DISCARD_SECONDS):
@@ -350,6 +349,25 @@
     return False
 
 
+def _close_gently(connection: Any) -> None:
+    """End the answers of a connection and read on for a while.
+
+    Closing a connection with unread bytes resets it, and the client that
+    still sends loses the answer.
+    """
+    drained = 0
+    try:
+        with Timeout(DISCARD_SECONDS):
+            connection.shutdown(socket.SHUT_WR)
+            while drained < MAX_DRAINED_BYTES:
+                part = connection.recv(DISCARD_PART_BYTES)
+                drained += len(part)
+                if not part:
+                    return
+    except (OSError, Timeout) as error:
+        log_event(Event.request_broken, path='', problem=f'close: {error}')
+
+
 def _render_error(status: HTTPStatus) -> bytes:
     line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
     return f'{line}Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
--- a/tests/web/test_unread_bodies.py
+++ b/tests/web/test_unread_bodies.py
@@ -9,13 +9,16 @@
 from gevent import socket
 
 from wigeonpier.errors import ErrorKind, Refusal
-from wigeonpier.web.server import Server
+from wigeonpier.web.server import MAX_DISCARDED_BYTES, Server
 
 GIVE_UP_SECONDS = 5.0
 PROMPT_SECONDS = 1.0
 EXPECTING = b'Expect: 100-continue\r\n'
 SIZED = b'Content-Length: 5\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
+PIECE_BYTES = 65_536
+LARGE_BYTES = 3 * MAX_DISCARDED_BYTES
+LARGE = b'Content-Length: %d\r\n' % LARGE_BYTES
 NOT_FOUND = b'HTTP/1.1 404 Not Found'
 
 
@@ -81,3 +84,39 @@
     lines, rest = split_answer(read_to_end(sock))
     assert lines[0] == NOT_FOUND
     assert rest[find_length(lines) :].startswith(NOT_FOUND)
+
+
+@pytest.mark.parametrize('framing', [LARGE, CHUNKED])
+def test_a_large_body_is_sent_without_a_reset(connect, framing: bytes) -> None:
+    """The client lost the answer with ``ECONNRESET`` while it sent."""
+    sock = connect()
+    sock.sendall(make_head(framing))
+    chunk = b'%x\r\n%b\r\n' % (PIECE_BYTES, bytes(PIECE_BYTES))
+    piece = chunk if framing == CHUNKED else bytes(PIECE_BYTES)
+    for _number in range(LARGE_BYTES // PIECE_BYTES):
+        sock.sendall(piece)
+        gevent.sleep(0)
+    lines, rest = split_answer(read_to_end(sock))
+    assert lines[0] == NOT_FOUND
+    assert len(rest) == find_length(lines)
+
+
+def test_the_answer_to_a_large_body_ends_its_connection(connect) -> None:
+    """A client that waits with its body sent the next request behind it."""
+    sock = connect()
+    started = time.monotonic()
+    sock.sendall(make_head(LARGE))
+    lines, rest = split_answer(read_to_end(sock))
+    assert b'Connection: close' in lines
+    assert len(rest) == find_length(lines)
+    assert time.monotonic() - started < PROMPT_SECONDS
+
+
+def test_a_small_body_keeps_its_connection(connect) -> None:
+    sock = connect()
+    sock.sendall(b'%bhello' % make_head(SIZED))
+    last = make_head(b'Content-Length: 0\r\nConnection: close\r\n')
+    sock.sendall(last)
+    lines, rest = split_answer(read_to_end(sock))
+    assert b'Connection: close' not in lines
+    assert rest[find_length(lines) :].startswith(NOT_FOUND)
