Keep a relayed write no longer than its caller waits

A write that an entry sent through a worker could take effect up to 32 s later, after the entry had given it up and its fence of 20 to 30 s had ended.

Cause: a relay waited for every call as long as for a watch.

Only a watch, a GET of the watch path, has that time now; any other call has the ordinary timeout of the store's callers, 1.2 s. The platform part decides.

Before, the five cases of test_a_relayed_call_does_not_outlast_its_caller failed: 200 from a store that answered after 2.5 s, where the caller waits 1.2 s. Now they pass, and a watch still waits; with tests/platform and test_refusals_elsewhere.py 63 passed.

--- a/src/wigeonpier/hosted/relay.py
+++ b/src/wigeonpier/hosted/relay.py
@@ -18,7 +18,7 @@
 
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.platform.port import StorePath
-from wigeonpier.platform.store import MAX_CALL_SECONDS
+from wigeonpier.platform.store import find_call_seconds
 from wigeonpier.web.exchange import make_request
 from wigeonpier.web.messages import JSON_TYPE, Request, Response
 from wigeonpier.web.server import Route, make_route
@@ -75,7 +75,7 @@
             called = self._pool.call(
                 self._calls.address,
                 raw,
-                MAX_CALL_SECONDS,
+                find_call_seconds(request.method, target),
             )
         if isinstance(called, Err):
             # The outcome is unknown: the call may still take effect.
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -308,6 +308,20 @@
         return self.calls.send(make_call(method, path, query, body), timeout)
 
 
+def find_call_seconds(method: str, target: str) -> float:
+    """Find how long the caller of the service may wait for an answer.
+
+    A relay that waits longer may let a write take effect after its caller has
+    left and its fence has ended.
+
+    :param method: HTTP method.
+    :param target: path with query.
+    :returns: longest time without any data, seconds.
+    """
+    is_watch = method == 'GET' and target.partition('?')[0] == wire.WATCH_PATH
+    return MAX_CALL_SECONDS if is_watch else CALL_TIMEOUT_SECONDS
+
+
 def _make_stale_query(*, allow_stale: bool) -> dict[str, int]:
     return {wire.ALLOW_STALE: 1} if allow_stale else {}
 
