Use one peer of bytes without end in all tests

tests/web/endlesspeer.py and tests/web/endlessanswers.py each had a class EndlessPeer, and tests/local/test_endless_answers.py imported the names of one from the other: it failed at collection with an ImportError and ran nothing.

The tests read the time of each end instead of a count of ends, which is the same condition.

--- a/tests/local/test_endless_answers.py
+++ b/tests/local/test_endless_answers.py
@@ -34,7 +34,7 @@
     peers = []
 
     def start(kind: str, *, is_slow: bool) -> EndlessPeer:
-        peers.append(EndlessPeer(*ENDLESS[kind], is_slow=is_slow))
+        peers.append(EndlessPeer(ENDLESS[kind], is_slow))
         return peers[-1]
 
     yield start
@@ -44,7 +44,7 @@
 
 def _wait_for_end(peer: EndlessPeer) -> None:
     with gevent.Timeout(GIVE_UP_SECONDS):
-        while not peer.ended:
+        while not peer.ended_at:
             gevent.sleep(0.01)
 
 
--- a/tests/web/test_answer_limits.py
+++ b/tests/web/test_answer_limits.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Err
 
-from tests.web.endlessanswers import BODIES, HEADS, LINES, EndlessPeer
+from tests.web.endlesspeer import BODIES, HEADS, LINES, EndlessPeer
 from wigeonpier.web.client import CallFailure, HttpClient
 from wigeonpier.web.messages import Response
 from wigeonpier.web.server import Server
@@ -30,7 +30,7 @@
     peers = []
 
     def start(kind: tuple[bytes, bytes], is_slow: bool) -> EndlessPeer:
-        peer = EndlessPeer(*kind, is_slow=is_slow)
+        peer = EndlessPeer(kind, is_slow)
         peers.append(peer)
         return peer
 
@@ -42,7 +42,7 @@
 def _check_ended(peer: EndlessPeer) -> None:
     assert peer.sent_bytes < MAX_SENT_BYTES
     with gevent.Timeout(GIVE_UP_SECONDS):
-        while not peer.ended:
+        while not peer.ended_at:
             gevent.sleep(0.01)
 
 
