--- a/src/wigeonpier/web/connections.py
+++ b/src/wigeonpier/web/connections.py
@@ -19,6 +19,7 @@
 
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.responseparser import FIRST_FINAL_STATUS
 
 CONNECT_SECONDS = 1.0
 MAX_CONNECTIONS = 2048
@@ -28,7 +29,6 @@
 MAX_HEAD_BYTES = 65_536
 # A body that arrives at this rate is not cut.
 MIN_BYTES_PER_SECOND = 1_000_000
-FIRST_FINAL_STATUS = 200
 
 
 class AnswerLimitError(OSError):
--- a/src/wigeonpier/web/exchange.py
+++ b/src/wigeonpier/web/exchange.py
@@ -19,6 +19,7 @@
 from gevent import socket as green
 from gevent.monkey import get_original
 
+from wigeonpier.web.connections import MIN_TIMEOUT_SECONDS
 from wigeonpier.web.readlimits import (
     MAX_CALL_BODY_BYTES,
     MAX_EVENT_BYTES,
@@ -35,7 +36,6 @@
 
 # SO_LINGER enabled with a timeout of 0 s: closing sends a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-MIN_TIMEOUT_SECONDS = 0.001
 CLOSE_CHECK_SECONDS = 0.1
 # That of gevent does not know of a connection that the peer has closed.
 _make_poll = get_original('select', 'poll')
