--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -323,8 +323,8 @@
     left = (stream.content_length or 0) - stream.position
     if stream.socket is not None:
         # Reading would send a 100 Continue behind the answer.
-        return stream.chunked_input or left > 0
-    return not stream.chunked_input and left > MAX_DISCARDED_BYTES
+        return bool(stream.chunked_input or left > 0)
+    return bool(not stream.chunked_input and left > MAX_DISCARDED_BYTES)
 
 
 def _discard_body(stream: Any) -> bool:
