--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -36,6 +36,8 @@
 # the response first: closing before discards it.
 DISCARD_SECONDS = 2.0
 MAX_DISCARDED_BYTES = 1_048_576
+# After the last answer of a connection.
+MAX_DRAINED_BYTES = 4_194_304
 DISCARD_PART_BYTES = 16_384
 # Their bodies were not read to the end.
 UNREAD_STATUSES = frozenset(
@@ -43,6 +45,7 @@
 )
 TARGET_KEY = 'wigeonpier.target'
 CONNECTION_KEY = 'wigeonpier.connection'
+BODY_KEY = 'wigeonpier.body'
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,14 +150,17 @@
         environ: dict[str, Any] = super().get_environ()
         environ[TARGET_KEY] = self.path
         environ[CONNECTION_KEY] = self.socket
+        environ[BODY_KEY] = self.wsgi_input
         return environ
 
     def run_application(self) -> None:
         super().run_application()
-        if not _discard_body(self.wsgi_input):
+        body = self.wsgi_input
+        if not _discard_body(body):
             # The base class would read on as long as bytes come.
             self.wsgi_input = pywsgi.Input(BufferedReader(BytesIO()), 0)
             self.close_connection = True
+            _close_gently(self.socket)
 
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         log_event(
@@ -255,7 +261,8 @@
         headers += response.headers.items()
         if isinstance(response.body, bytes):
             headers.append(('Content-Length', str(len(response.body))))
-        if self.is_closing or response.status in UNREAD_STATUSES:
+        is_last = self.is_closing or response.status in UNREAD_STATUSES
+        if is_last or _leaves_body(environ[BODY_KEY]):
             # A client with a persistent connection has to open a new one,
             # which reaches another process.
             headers.append(('Connection', 'close'))
@@ -311,11 +318,24 @@
     return response
 
 
+def _leaves_body(stream: Any) -> bool:
+    """Check whether a body is not read, so that its connection has to end."""
+    left = (stream.content_length or 0) - stream.position
+    if stream.socket is not None:
+        # Reading would send a 100 Continue behind the answer.
+        return bool(stream.chunked_input or left > 0)
+    return bool(not stream.chunked_input and left > MAX_DISCARDED_BYTES)
+
+
 def _discard_body(stream: Any) -> bool:
     """Read what an application left of a body.
 
     :returns: whether all of it arrived soon and was small.
     """
+    if _leaves_body(stream):
+        return False
+    # Without a body, a read would still send a 100 Continue.
+    stream.socket = None
     discarded = 0
     try:
         with Timeout(DISCARD_SECONDS):
@@ -329,6 +349,25 @@
     return False
 
 
+def _close_gently(connection: Any) -> None:
+    """End the answers of a connection and read on for a while.
+
+    Closing a connection with unread bytes resets it, and the client that
+    still sends loses the answer.
+    """
+    drained = 0
+    try:
+        with Timeout(DISCARD_SECONDS):
+            connection.shutdown(socket.SHUT_WR)
+            while drained < MAX_DRAINED_BYTES:
+                part = connection.recv(DISCARD_PART_BYTES)
+                drained += len(part)
+                if not part:
+                    return
+    except (OSError, Timeout) as error:
+        log_event(Event.request_broken, path='', problem=f'close: {error}')
+
+
 def _render_error(status: HTTPStatus) -> bytes:
     line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
     return f'{line}Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
