Let a client that sends a large body read its refusal

Now 64 MiB within the same 2 s; the new test fails with 1 MB (connection reset) and passes with 64 MiB. The other tests of limits set 1 MB themselves.

--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -35,7 +35,7 @@
 # A body that no handler reads is read for so long, so that the client can read
 # the response first: closing before discards it.
 DISCARD_SECONDS = 2.0
-MAX_DISCARDED_BYTES = 1_048_576
+MAX_DISCARDED_BYTES = 67_108_864
 DISCARD_PART_BYTES = 16_384
 # Their bodies were not read to the end.
 UNREAD_STATUSES = frozenset(
--- a/tests/web/test_client_limits.py
+++ b/tests/web/test_client_limits.py
@@ -33,6 +33,10 @@
         server_module, 'DISCARD_SECONDS', BODY_SECONDS, raising=False
     )
 
+    monkeypatch.setattr(
+        server_module, 'MAX_DISCARDED_BYTES', 1_000_000, raising=False
+    )
+
     def answer(request) -> Response:
         request.body_limit = BODY_LIMIT_BYTES
         if request.path == '/unread':
@@ -143,3 +147,24 @@
     with time_limit:
         received = client.read_to_end()
     assert received.count(b'HTTP/1.1 200 ') == 2
+
+
+def test_a_client_that_sends_all_of_a_large_body_reads_its_refusal() -> None:
+    """Guards against a reset that discards the response."""
+
+    def answer(request) -> Response:
+        request.body_limit = BODY_LIMIT_BYTES
+        try:
+            request.read_body()
+        except Refusal as refusal:
+            return answer_refusal(refusal)
+        return Response(200, b'')
+
+    server = Server('127.0.0.1', 0, answer)
+    server.start()
+    client = _Client(server.address)
+    size = 20 * BODY_LIMIT_BYTES
+    client.sock.sendall(b'%bContent-Length: %d\r\n\r\n' % (START, size))
+    client.sock.sendall(bytes(size))
+    assert client.read_to_end().startswith(b'HTTP/1.1 413 ')
+    server.stop()
