Merge the answer to a client that sends a large body

An unread rest is drained for 2 s and 32 MiB at most, so that the refusal of a body of 20 MB is readable.

--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -37,7 +37,7 @@
 DISCARD_SECONDS = 2.0
 MAX_DISCARDED_BYTES = 1_048_576
 # After the last answer of a connection.
-MAX_DRAINED_BYTES = 4_194_304
+MAX_DRAINED_BYTES = 33_554_432
 DISCARD_PART_BYTES = 16_384
 # Their bodies were not read to the end.
 UNREAD_STATUSES = frozenset(
