--- a/src/wigeonpier/hosted/itemspacing.py
+++ b/src/wigeonpier/hosted/itemspacing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -12,17 +13,19 @@
     Surroundings,
     compute_next_try,
     compute_start,
+    find_last_acquittal,
 )
-from wigeonpier.policy.suspicion import needs_pauses
+from wigeonpier.policy.suspicion import find_pauses_start, needs_pauses
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
     from wigeonpier.hosted.items import ItemWork
     from wigeonpier.hosted.upstream import LocalUpstream
     from wigeonpier.membership.suspicions import Suspicions
+    from wigeonpier.policy.itemretry import RetryPace
     from wigeonpier.telemetry.metrics import Metrics
 
 # An item whose retention ends is tried once more before it is abandoned.
@@ -109,22 +112,23 @@
         if self.upstream.version not in tried:
             return
         times = [crash.at for crash in suspect.crashes]
-        # No item is abandoned in a long pause.
-        last_try = max(
-            max(times) + OWN_CONTENT_PACE.first_seconds,
-            work.attempt_until - LAST_TRY_SECONDS,
-        )
-        next_try = compute_next_try(times, OWN_CONTENT_PACE)
-        yield Hold(min(next_try, last_try), 'item', len(times))
+        since = find_last_acquittal(suspect.crashes)
+        next_try = _compute_try_in_time(work, times, OWN_CONTENT_PACE, since)
+        yield Hold(next_try, 'item', len(times))
 
     def _list_part_holds(self, work: ItemWork) -> Iterator[Hold]:
         for culprit in self.suspicions.parts.culprits.find(work.part_keys):
             if self.upstream.version not in culprit.versions:
                 continue
             # A culprit from another process may come without its runs.
-            times = [run.at for run in culprit.runs.values()]
-            times = times or [culprit.last_seen_at]
-            next_try = compute_next_try(times, SHARED_PART_PACE)
+            runs = culprit.runs.values()
+            times = [run.at for run in runs] or [culprit.last_seen_at]
+            since = find_pauses_start(runs)
+            if math.isinf(since):
+                since = -math.inf
+            next_try = _compute_try_in_time(
+                work, times, SHARED_PART_PACE, since
+            )
             yield Hold(next_try, f'part {culprit.name}', len(times))
 
     def _observe(self) -> Surroundings:
@@ -158,3 +162,14 @@
             ends=hold.crashes,
             held_seconds=round(start - now, 3),
         )
+
+
+def _compute_try_in_time(
+    work: ItemWork, times: Sequence[float], pace: RetryPace, since: float
+) -> float:
+    """Compute the next try; no item is abandoned in a long pause."""
+    last_try = max(
+        max(times) + pace.first_seconds,
+        work.attempt_until - LAST_TRY_SECONDS,
+    )
+    return min(compute_next_try(times, pace, since), last_try)
--- a/src/wigeonpier/policy/itemretry.py
+++ b/src/wigeonpier/policy/itemretry.py
@@ -7,17 +7,27 @@
 
 Pauses follow from the times of the crashes alone, which all processes know and
 which outlast restarts.  A crash after a pause ends a try that has failed, and
-each failed try makes the next pause longer; crashes in a burst count as one.
+each failed try makes the next pause longer; crashes in a burst count as one,
+and those before the first pause count as none.
+
+Some failed tries of an item are bad luck: together with the wait for calm its
+pauses stay below the time after which it has to run again.  Only an item whose
+tries all crash their upstreams before any output waits longer.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
+from wigeonpier.policy.suspicion import find_pauses_start
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
+
+    from wigeonpier.policy.suspicion import Crash
 
 # An upstream that crashes in a burst crashes again within this time.
 CALM_SECONDS = 2.0
@@ -28,6 +38,9 @@
 FIRST_PAUSE_SECONDS = 5.0
 PAUSE_GROWTH = 2.0
 LONGEST_PAUSE_SECONDS = 60.0
+# As many failed tries in a row, and the longest pause until then.
+UNLUCKY_TRIES = 3
+LONGEST_UNLUCKY_PAUSE_SECONDS = 7.0
 FIRST_PART_PAUSE_SECONDS = 10.0
 PART_PAUSE_GROWTH = 4.0
 LONGEST_PART_PAUSE_SECONDS = 600.0
@@ -44,15 +57,23 @@
     :param first_seconds: pause after the crashes that led to it.
     :param growth: factor of the pause after each failed try.
     :param longest_seconds: longest pause.
+    :param unlucky_tries: failed tries that may be bad luck.
+    :param longest_unlucky_seconds: longest pause after as many.
     """
 
     first_seconds: float
     growth: float
     longest_seconds: float
+    unlucky_tries: int = 0
+    longest_unlucky_seconds: float = math.inf
 
 
 OWN_CONTENT_PACE = RetryPace(
-    FIRST_PAUSE_SECONDS, PAUSE_GROWTH, LONGEST_PAUSE_SECONDS
+    FIRST_PAUSE_SECONDS,
+    PAUSE_GROWTH,
+    LONGEST_PAUSE_SECONDS,
+    UNLUCKY_TRIES,
+    LONGEST_UNLUCKY_PAUSE_SECONDS,
 )
 SHARED_PART_PACE = RetryPace(
     FIRST_PART_PAUSE_SECONDS, PART_PAUSE_GROWTH, LONGEST_PART_PAUSE_SECONDS
@@ -72,17 +93,34 @@
     busy_share: float
 
 
-def compute_next_try(crashes: Iterable[float], pace: RetryPace) -> float:
+def find_last_acquittal(crashes: Sequence[Crash]) -> float:
+    """Find the last crash that says nothing against an item's own content.
+
+    A run with output has passed the point at which the item is suspected.
+
+    :param crashes: crashes that count against the item.
+    :returns: the last one after output, or the one that made pauses necessary
+        if that is later, seconds of the clock of the crashes.
+    """
+    late = [crash.at for crash in crashes if crash.had_output]
+    return max((find_pauses_start(crashes), *late))
+
+
+def compute_next_try(
+    crashes: Iterable[float], pace: RetryPace, since: float = -math.inf
+) -> float:
     """Compute when something may be tried again.
 
     :param crashes: times of the crashes, at least one, seconds of a clock.
     :param pace: how often it may be tried.
+    :param since: crashes until then end no failed try, seconds of that clock.
     :returns: the earliest time, seconds of the same clock.
     """
     ordered = sorted(crashes)
     failed_tries = sum(
         later - earlier >= pace.first_seconds - REPORT_DELAY_SECONDS
         for earlier, later in pairwise(ordered)
+        if later > since
     )
     return ordered[-1] + compute_pause(failed_tries, pace)
 
@@ -95,7 +133,10 @@
     :returns: seconds.
     """
     growth = pace.growth ** min(failed_tries, MAX_GROWTH_STEPS)
-    return min(pace.longest_seconds, pace.first_seconds * growth)
+    pause = min(pace.longest_seconds, pace.first_seconds * growth)
+    if failed_tries <= pace.unlucky_tries:
+        return min(pause, pace.longest_unlucky_seconds)
+    return pause
 
 
 def compute_start(
--- a/src/wigeonpier/policy/suspicion.py
+++ b/src/wigeonpier/policy/suspicion.py
@@ -22,13 +22,16 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence, Set
+    from collections.abc import Iterable, Sequence, Set
+
+    from wigeonpier.policy.promptparts import LostRun
 
 # In a service that loses several upstreams a second, a second crash is more
 # likely to be chance than not, so it only isolates the request.  Three crashes
@@ -167,6 +170,22 @@
     return suspect.is_culprit or _weigh(suspect.crashes, 0)
 
 
+def find_pauses_start(crashes: Iterable[Crash | LostRun]) -> float:
+    """Find the crash after which a batch item was tried only after pauses.
+
+    :param crashes: crashes that count against it, or a part of its prompt.
+    :returns: its time, infinite if there is none, seconds of their clock.
+    """
+    count: float = 0
+    lone = 0
+    for crash in sorted(crashes, key=attrgetter('at')):
+        count += WEIGHT_AFTER_OUTPUT if crash.had_output else 1
+        lone += crash.was_alone and not crash.had_output
+        if is_enough_evidence(count, lone, 0):
+            return crash.at
+    return math.inf
+
+
 def is_enough_evidence(count: float, lone: int, other_crashes: int) -> bool:
     """Check whether crashes are enough to identify their cause.
 
