Let no failed read hold a batch item for ever

Cause: an error while the lease of a try was taken, for instance an entry that could not be decoded, ended its greenlet, and the lease stayed pending: all items with that cause waited without end, at that worker.

The state of a lease ends with its greenlet now, whatever happens, and the error is logged (loop_failed, loop trial_leases). The new test failed on the code before, and passes.

--- a/src/wigeonpier/hosted/trialleases.py
+++ b/src/wigeonpier/hosted/trialleases.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -117,6 +118,28 @@
         ended.set()
 
     def _serve(self, trial: str) -> None:
+        try:
+            self._serve_once(trial)
+        except Exception:
+            # An item must not wait for this lease for ever.
+            log_event(
+                Event.loop_failed,
+                loop='trial_leases',
+                trial=trial,
+                trace=traceback.format_exc(),
+            )
+            self._states[trial] = LeaseState.pending
+            gevent.sleep(RETRY_SECONDS)
+        finally:
+            self._forget(trial)
+
+    def _forget(self, trial: str) -> None:
+        self._ended.pop(trial, None)
+        self._used.discard(trial)
+        self._lost.discard(trial)
+        self._states.pop(trial, None)
+
+    def _serve_once(self, trial: str) -> None:
         taken = self._take(trial)
         if isinstance(taken, Err):
             # Another worker has it, or the store does not answer.
@@ -126,7 +149,6 @@
             gevent.sleep(RETRY_SECONDS)
         else:
             self._keep(trial, taken.ok_value)
-        self._states.pop(trial, None)
 
     def _take(self, trial: str) -> Result[int, Failure]:
         key = storekeys.name_key(storekeys.TRIALS, digest_part(trial))
@@ -160,9 +182,5 @@
                 break
             self._store.renew_lease(lease)
             ended.wait(RENEWAL_INTERVAL_SECONDS)
-        self._ended.pop(trial)
-        self._used.discard(trial)
-        if trial in self._lost:
-            self._lost.discard(trial)
-        else:
+        if trial not in self._lost:
             self._store.revoke_lease(lease)
--- a/tests/hosted/test_trialleases.py
+++ b/tests/hosted/test_trialleases.py
@@ -43,6 +43,25 @@
     ]
 
 
+def raise_error() -> None:
+    """Fail like a read of an entry that cannot be decoded."""
+    raise ValueError('an invalid entry')
+
+
+def test_a_failed_read_does_not_hold_an_item_for_ever(
+    store: StandInStore,
+) -> None:
+    """The lease stayed pending, and was never requested again."""
+    (worker,) = make_workers(store, 1)
+    worker._refresh = raise_error
+    assert worker.request(CAUSE) is LeaseState.pending
+    wait_for(
+        lambda: worker.get_state(CAUSE) is None, 'the lease is not requested'
+    )
+    worker._refresh = lambda: None
+    wait_until_held(worker)
+
+
 def wait_until_held(leases: TrialLeases) -> float:
     """Wait for a lease; return how long that took."""
     began = time.monotonic()
