Read what the last holder stored before an item is tried

A lease also counted as held after the store had refused or failed to renew it.

The read before a try is made in any case now, of what is stored at that time; without an answer, or with too little of the lease left, the item is not tried. After a renewal that fails the lease counts as lost (event item_lease_lost) and is left to expire.

Four tests failed on the code before: the next holder did not know the item's crashes (recent read, old data in the store's stand-in), the lease counted as held 3 s after it had expired, and while the store was away, and it was held without the read. They pass. make_workers returns true from its stand-in of the read, whose result counts now.

--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -48,7 +48,7 @@
         ledger: JobLedger,
         runner: ItemRunner,
         make_watcher: WatcherFactory,
-        refresh_quarantine: Callable[[], None],
+        refresh_quarantine: Callable[[], object],
         wait: Callable[[float], object] = gevent.sleep,
     ) -> None:
         """Follow the assignments of a VM once started.
--- a/src/wigeonpier/hosted/quarantine/store.py
+++ b/src/wigeonpier/hosted/quarantine/store.py
@@ -154,19 +154,25 @@
         if isinstance(result, Err):
             self._log_failure(fingerprint, result.err_value.value)
 
-    def read(self) -> None:
+    def read(self, *, is_fresh: bool = False) -> bool:
         """Read all entries unless they were read recently.
 
         For processes that do not read the board, when they start a job; later
         changes reach them as updates.
+
+        :param is_fresh: whether to read in any case, and what is stored now.
+        :returns: false if the store does not answer.
         """
         now = time.monotonic()
-        if now - self._read_at < MIN_READ_INTERVAL_SECONDS:
-            return
+        is_recent = now - self._read_at < MIN_READ_INTERVAL_SECONDS
+        if is_recent and not is_fresh:
+            return True
         self._read_at = now
-        listed = self._store.list_prefix(storekeys.REFUSED, allow_stale=True)
+        listed = self._store.list_prefix(
+            storekeys.REFUSED, allow_stale=not is_fresh
+        )
         if isinstance(listed, Err):
-            return
+            return False
         self.load(
             {
                 entry.key.removeprefix(storekeys.REFUSED): msgspec.json.decode(
@@ -176,6 +182,7 @@
                 for entry in listed.ok_value.entries
             },
         )
+        return True
 
     def load(self, entries: Mapping[str, QuarantineEntry]) -> None:
         """Merge stored entries into what this process knows.
--- a/src/wigeonpier/hosted/trialleases.py
+++ b/src/wigeonpier/hosted/trialleases.py
@@ -53,14 +53,14 @@
         self,
         store: KeyValueStore,
         vm: str,
-        refresh: Callable[[], object],
+        refresh: Callable[[], bool],
     ) -> None:
         """Hold no lease.
 
         :param store: the key-value service.
         :param vm: name of this worker's VM.
         :param refresh: reads what other workers have stored of their tries;
-            called before a lease is used.
+            called before a lease is used; false if the store does not answer.
         """
         self._store = store
         self._vm = vm
@@ -157,6 +157,7 @@
             return found
         if found.ok_value:
             return Err(Failure.conflict)
+        granted_at = time.monotonic()
         granted = self._store.grant_lease(LEASE_SECONDS)
         if isinstance(granted, Err):
             return granted
@@ -166,8 +167,16 @@
         written = self._store.commit(change)
         if isinstance(written, Err):
             return written
-        self._refresh()
-        return Ok(granted.ok_value)
+        return self._prepare(granted_at).map(lambda _: granted.ok_value)
+
+    def _prepare(self, granted_at: float) -> Result[None, Failure]:
+        """Read what the last holder has stored, while the lease lasts."""
+        if not self._refresh():
+            return Err(Failure.unavailable)
+        # A run that starts last needs the lease until it is renewed.
+        if time.monotonic() - granted_at > LEASE_SECONDS - START_SECONDS:
+            return Err(Failure.conflict)
+        return Ok(None)
 
     def _keep(self, trial: str, lease: int) -> None:
         """Renew a lease until its run has ended, or is not started in time."""
@@ -180,7 +189,11 @@
         while trial in self._used:
             if time.monotonic() - held_at > MAX_HELD_SECONDS:
                 break
-            self._store.renew_lease(lease)
+            renewed = self._store.renew_lease(lease)
+            if renewed != Ok(True):
+                # It expires by itself, as after a crash.
+                log_event(Event.item_lease_lost, trial=trial)
+                return
             ended.wait(RENEWAL_INTERVAL_SECONDS)
         if trial not in self._lost:
             self._store.revoke_lease(lease)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
@@ -82,7 +83,11 @@
             quarantine,
             health,
             ItemSpacing(self._upstream, suspicions, context.metrics),
-            TrialLeases(context.store, settings.name, quarantine.read),
+            TrialLeases(
+                context.store,
+                settings.name,
+                partial(quarantine.read, is_fresh=True),
+            ),
         )
         self._runner = ItemRunner(
             self._upstream,
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -297,6 +297,11 @@
         'A batch item under which upstreams crashed may be tried, one run at a'
         ' time in the service.',
     )
+    item_lease_lost = (
+        648,
+        WARNING_LEVEL,
+        'The lease of a try of a batch item was not renewed.',
+    )
     item_restarted = (
         639,
         INFO_LEVEL,
--- a/tests/hosted/test_trialleases.py
+++ b/tests/hosted/test_trialleases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
@@ -10,12 +11,17 @@
 
 from tests.hosted.builders import wait_for
 from wigeonpier.bench.store import StandInStore
+from wigeonpier.hosted.quarantine.store import QuarantineStore
 from wigeonpier.hosted.trialleases import (
     LEASE_SECONDS,
     LeaseState,
     TrialLeases,
 )
+from wigeonpier.membership.suspicions import Suspicions
+from wigeonpier.membership.updates import CrashReport, SuspicionUpdate
+from wigeonpier.platform import storekeys
 from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.policy.suspicion import needs_pauses
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -24,6 +30,7 @@
 
 WORKERS = 8
 CAUSE = 'assistant/bad'
+ITEM = '0' * 32
 
 
 @pytest.fixture
@@ -38,12 +45,12 @@
     """Make the leases of some workers."""
     client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
     return [
-        TrialLeases(client, f'vm-{number}', lambda: None)
+        TrialLeases(client, f'vm-{number}', lambda: True)
         for number in range(count)
     ]
 
 
-def raise_error() -> None:
+def raise_error() -> bool:
     """Fail like a read of an entry that cannot be decoded."""
     raise ValueError('an invalid entry')
 
@@ -58,10 +65,67 @@
     wait_for(
         lambda: worker.get_state(CAUSE) is None, 'the lease is not requested'
     )
-    worker._refresh = lambda: None
+    worker._refresh = lambda: True
     wait_until_held(worker)
 
 
+def test_the_next_holder_knows_what_the_last_one_has_stored(
+    store: StandInStore,
+) -> None:
+    """It had read the store just before, and reads were out of date."""
+    client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
+    known, later = Suspicions(), Suspicions()
+    reader = QuarantineStore(client, later, gevent.sleep)
+    reader.read()
+    store.keep_old()
+    crash = CrashReport(ITEM, 'i-0', 'v1', 0, was_alone=True, is_item=True)
+    known.merge(SuspicionUpdate(ends=(crash, *make_burst())))
+    QuarantineStore(client, known, gevent.sleep).record(ITEM)
+    key = storekeys.name_key(storekeys.REFUSED, ITEM)
+    wait_for(lambda: store.list_keys(key), 'the store has the item')
+    wait_until_held(
+        TrialLeases(client, 'vm', partial(reader.read, is_fresh=True))
+    )
+    assert needs_pauses(later.suspects.get(ITEM))
+
+
+def make_burst() -> list[CrashReport]:
+    """Make the reports of more crashes under the item."""
+    return [
+        CrashReport(ITEM, f'i-{number}', 'v1', 0, was_alone=True, is_item=True)
+        for number in range(1, 4)
+    ]
+
+
+@pytest.mark.parametrize('is_expired', [True, False])
+def test_a_lease_that_is_not_renewed_is_not_held(
+    store: StandInStore, is_expired: bool
+) -> None:
+    """Another worker had it while items were still tried here."""
+    (worker,) = make_workers(store, 1)
+    wait_until_held(worker)
+    worker.use(CAUSE)
+    if is_expired:
+        store._leases.clear()
+    else:
+        store.faults.is_down = True
+    deadline = time.monotonic() + LEASE_SECONDS
+    while worker.get_state(CAUSE) is LeaseState.held:
+        assert time.monotonic() < deadline, 'the lease still counts as held'
+        gevent.sleep(0.05)
+
+
+def test_no_lease_is_held_without_what_others_have_stored(
+    store: StandInStore,
+) -> None:
+    (worker,) = make_workers(store, 1)
+    worker._refresh = lambda: False
+    wait_for(
+        lambda: worker.request(CAUSE) is LeaseState.unavailable,
+        'the store is found to be away',
+    )
+
+
 def wait_until_held(leases: TrialLeases) -> float:
     """Wait for a lease; return how long that took."""
     began = time.monotonic()
