--- a/src/wigeonpier/hosted/itemspacing.py
+++ b/src/wigeonpier/hosted/itemspacing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -12,21 +13,25 @@
     Surroundings,
     compute_next_try,
     compute_start,
+    find_last_acquittal,
 )
-from wigeonpier.policy.suspicion import needs_pauses
+from wigeonpier.policy.suspicion import find_pauses_start, needs_pauses
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
     from wigeonpier.hosted.items import ItemWork
     from wigeonpier.hosted.upstream import LocalUpstream
     from wigeonpier.membership.suspicions import Suspicions
+    from wigeonpier.policy.itemretry import RetryPace
     from wigeonpier.telemetry.metrics import Metrics
 
 # An item whose retention ends is tried once more before it is abandoned.
 LAST_TRY_SECONDS = 20.0
+# All items that wait are checked in each step of the runner.
+DROP_INTERVAL_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +64,7 @@
     suspicions: Suspicions
     metrics: Metrics
     held: dict[str, float] = field(default_factory=dict)
+    _next_drop_at: float = 0
 
     def __post_init__(self) -> None:
         """Report how many items wait."""
@@ -101,6 +107,17 @@
         self._record_hold(work, hold, start, now)
         return False
 
+    def _drop_ended(self, now: float) -> None:
+        """Drop items of jobs that have ended, which wait no longer."""
+        if now < self._next_drop_at:
+            return
+        self._next_drop_at = now + DROP_INTERVAL_SECONDS
+        self.held = {
+            fingerprint: until
+            for fingerprint, until in self.held.items()
+            if until > now
+        }
+
     def _list_own_holds(self, work: ItemWork) -> Iterator[Hold]:
         suspect = self.suspicions.suspects.get(work.fingerprint)
         if suspect is None or not needs_pauses(suspect):
@@ -109,22 +126,23 @@
         if self.upstream.version not in tried:
             return
         times = [crash.at for crash in suspect.crashes]
-        # No item is abandoned in a long pause.
-        last_try = max(
-            max(times) + OWN_CONTENT_PACE.first_seconds,
-            work.attempt_until - LAST_TRY_SECONDS,
-        )
-        next_try = compute_next_try(times, OWN_CONTENT_PACE)
-        yield Hold(min(next_try, last_try), 'item', len(times))
+        since = find_last_acquittal(suspect.crashes)
+        next_try = _compute_try_in_time(work, times, OWN_CONTENT_PACE, since)
+        yield Hold(next_try, 'item', len(times))
 
     def _list_part_holds(self, work: ItemWork) -> Iterator[Hold]:
         for culprit in self.suspicions.parts.culprits.find(work.part_keys):
             if self.upstream.version not in culprit.versions:
                 continue
             # A culprit from another process may come without its runs.
-            times = [run.at for run in culprit.runs.values()]
-            times = times or [culprit.last_seen_at]
-            next_try = compute_next_try(times, SHARED_PART_PACE)
+            runs = culprit.runs.values()
+            times = [run.at for run in runs] or [culprit.last_seen_at]
+            since = find_pauses_start(runs)
+            if math.isinf(since):
+                since = -math.inf
+            next_try = _compute_try_in_time(
+                work, times, SHARED_PART_PACE, since
+            )
             yield Hold(next_try, f'part {culprit.name}', len(times))
 
     def _observe(self) -> Surroundings:
@@ -139,12 +157,7 @@
         self, work: ItemWork, hold: Hold, start: float, now: float
     ) -> None:
         is_known = self.held.get(work.fingerprint, 0) >= hold.next_try
-        # Items of jobs that have ended wait no longer.
-        self.held = {
-            fingerprint: until
-            for fingerprint, until in self.held.items()
-            if until > now
-        }
+        self._drop_ended(now)
         self.held[work.fingerprint] = max(start, hold.next_try)
         if is_known:
             return
@@ -158,3 +171,14 @@
             ends=hold.crashes,
             held_seconds=round(start - now, 3),
         )
+
+
+def _compute_try_in_time(
+    work: ItemWork, times: Sequence[float], pace: RetryPace, since: float
+) -> float:
+    """Compute the next try; no item is abandoned in a long pause."""
+    last_try = max(
+        max(times) + pace.first_seconds,
+        work.attempt_until - LAST_TRY_SECONDS,
+    )
+    return min(compute_next_try(times, pace, since), last_try)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
@@ -82,7 +84,12 @@
             quarantine,
             health,
             ItemSpacing(self._upstream, suspicions, context.metrics),
-            TrialLeases(context.store, settings.name, quarantine.read),
+            TrialLeases(
+                context.store,
+                settings.name,
+                partial(quarantine.read, is_fresh=True),
+                random.Random(),
+            ),
         )
         self._runner = ItemRunner(
             self._upstream,
--- a/tests/hosted/test_trialleases.py
+++ b/tests/hosted/test_trialleases.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
+import random
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import gevent
 import pytest
+from result import Ok
 
 from tests.hosted.builders import wait_for
 from wigeonpier.bench.store import StandInStore
+from wigeonpier.hosted.quarantine.store import QuarantineStore
 from wigeonpier.hosted.trialleases import (
     LEASE_SECONDS,
     LeaseState,
     TrialLeases,
 )
+from wigeonpier.membership.suspicions import Suspicions
+from wigeonpier.membership.updates import CrashReport, SuspicionUpdate
+from wigeonpier.platform import storekeys
 from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.policy.suspicion import needs_pauses
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -24,6 +32,9 @@
 
 WORKERS = 8
 CAUSE = 'assistant/bad'
+ITEM = '0' * 32
+MANY_WORKERS = 100
+WATCH_SECONDS = 4.0
 
 
 @pytest.fixture
@@ -38,11 +49,127 @@
     """Make the leases of some workers."""
     client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
     return [
-        TrialLeases(client, f'vm-{number}', lambda: None)
+        TrialLeases(client, f'vm-{number}', lambda: True, random.Random(number))
         for number in range(count)
     ]
 
 
+def raise_error() -> bool:
+    """Fail like a read of an entry that cannot be decoded."""
+    raise ValueError('an invalid entry')
+
+
+class BusyStore:
+    """A store in which another worker has each lease."""
+
+    def __init__(self) -> None:
+        self.reads: list[float] = []
+
+    def read_revision(self, _key: str) -> Ok[int]:
+        """Count the read."""
+        self.reads.append(time.monotonic())
+        return Ok(1)
+
+
+def test_workers_that_wait_for_a_lease_read_the_store_rarely() -> None:
+    """With 600 workers they made 1,200 reads a second for each cause."""
+    store = BusyStore()
+    workers = [
+        TrialLeases(store, f'vm-{number}', lambda: True, random.Random(number))
+        for number in range(MANY_WORKERS)
+    ]
+    began = time.monotonic()
+    while time.monotonic() < began + WATCH_SECONDS:
+        for worker in workers:
+            worker.request(CAUSE, is_shared=True)
+        gevent.sleep(0.02)
+    early = [at for at in store.reads if at < began + 0.5]
+    assert 0 < len(early) < MANY_WORKERS / 2
+    assert MANY_WORKERS < len(store.reads) <= 4 * MANY_WORKERS
+
+
+def test_a_worker_that_was_refused_a_lease_often_asks_at_least_each_7_s(
+    store: StandInStore,
+) -> None:
+    (worker,) = make_workers(store, 1)
+    waits = [worker._back_off(CAUSE) for _ in range(100)]
+    assert waits[0] < 1
+    assert 3 < min(waits[10:]) < max(waits) < 7
+
+
+def test_a_failed_read_does_not_hold_an_item_for_ever(
+    store: StandInStore,
+) -> None:
+    """The lease stayed pending, and was never requested again."""
+    (worker,) = make_workers(store, 1)
+    worker._refresh = raise_error
+    assert worker.request(CAUSE) is LeaseState.pending
+    wait_for(
+        lambda: worker.get_state(CAUSE) is None, 'the lease is not requested'
+    )
+    worker._refresh = lambda: True
+    wait_until_held(worker)
+
+
+def test_the_next_holder_knows_what_the_last_one_has_stored(
+    store: StandInStore,
+) -> None:
+    """It had read the store just before, and reads were out of date."""
+    client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
+    known, later = Suspicions(), Suspicions()
+    reader = QuarantineStore(client, later, gevent.sleep)
+    reader.read()
+    store.keep_old()
+    crash = CrashReport(ITEM, 'i-0', 'v1', 0, was_alone=True, is_item=True)
+    known.merge(SuspicionUpdate(ends=(crash, *make_burst())))
+    QuarantineStore(client, known, gevent.sleep).record(ITEM)
+    key = storekeys.name_key(storekeys.REFUSED, ITEM)
+    wait_for(lambda: store.list_keys(key), 'the store has the item')
+    wait_until_held(
+        TrialLeases(
+            client, 'vm', partial(reader.read, is_fresh=True), random.Random(0)
+        )
+    )
+    assert needs_pauses(later.suspects.get(ITEM))
+
+
+def make_burst() -> list[CrashReport]:
+    """Make the reports of more crashes under the item."""
+    return [
+        CrashReport(ITEM, f'i-{number}', 'v1', 0, was_alone=True, is_item=True)
+        for number in range(1, 4)
+    ]
+
+
+@pytest.mark.parametrize('is_expired', [True, False])
+def test_a_lease_that_is_not_renewed_is_not_held(
+    store: StandInStore, is_expired: bool
+) -> None:
+    """Another worker had it while items were still tried here."""
+    (worker,) = make_workers(store, 1)
+    wait_until_held(worker)
+    worker.use(CAUSE)
+    if is_expired:
+        store._leases.clear()
+    else:
+        store.faults.is_down = True
+    deadline = time.monotonic() + LEASE_SECONDS
+    while worker.get_state(CAUSE) is LeaseState.held:
+        assert time.monotonic() < deadline, 'the lease still counts as held'
+        gevent.sleep(0.05)
+
+
+def test_no_lease_is_held_without_what_others_have_stored(
+    store: StandInStore,
+) -> None:
+    (worker,) = make_workers(store, 1)
+    worker._refresh = lambda: False
+    wait_for(
+        lambda: worker.request(CAUSE) is LeaseState.unavailable,
+        'the store is found to be away',
+    )
+
+
 def wait_until_held(leases: TrialLeases) -> float:
     """Wait for a lease; return how long that took."""
     began = time.monotonic()
