--- a/src/wigeonpier/bench/endless.py
+++ b/src/wigeonpier/bench/endless.py
@@ -10,6 +10,8 @@
 
 import gevent
 
+from wigeonpier.platform import wire
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
@@ -92,7 +94,7 @@
     lines = [f'{name}: {text}\r\n' for name, text in headers.items()]
     head = b'%b%b' % (STATUS_LINE, ''.join(lines).encode('latin-1'))
     stream = b'%b%b%b\r\n' % (head, STREAM_HEAD, CHUNKED)
-    other = b'%bX-Attempt-Id: other\r\n' % STATUS_LINE
+    other = b'%b%b: other\r\n' % (STATUS_LINE, wire.REQUEST_ID.encode())
     parts = {
         Endless.head: (head, MORE),
         Endless.head_value: (b'%bX-More: ' % head, FILLER),
