--- a/tests/policy/crashreplay.py
+++ b/tests/policy/crashreplay.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -19,6 +20,7 @@
 STEP = 0.05
 RUN_SECONDS = 5.0
 CRASH_SECONDS = 0.05
+OUTPUT_SECONDS = 0.5
 
 
 @dataclass
@@ -30,6 +32,8 @@
     :param seed: seed of the crashes for other reasons.
     :param burst_seconds: how long upstreams crash for other reasons.
     :param crash_seconds: mean time between these crashes.
+    :param early_seconds: time within which the first crashes came.
+    :param early_crashes: how many upstreams crashed then.
     """
 
     pace: RetryPace
@@ -37,14 +41,21 @@
     seed: int
     burst_seconds: float = 15.0
     crash_seconds: float = 1.0
+    early_seconds: float = 2.0
+    early_crashes: int = 3
     crashes: list[float] = field(default_factory=list)
     tries: list[float] = field(default_factory=list)
     completed_at: float = 0
+    since: float = -math.inf
 
     def run(self, seconds: float) -> CrashReplay:
         """Play some seconds after the crashes that led to the pauses."""
         rng = random.Random(self.seed)
-        self.crashes = sorted(rng.uniform(-2, 0) for _ in range(3))
+        self.crashes = sorted(
+            rng.uniform(-self.early_seconds, 0)
+            for _ in range(self.early_crashes)
+        )
+        self.since = self.crashes[2]
         other = 0.0
         started_at = 0.0
         step = 0
@@ -58,6 +69,8 @@
                 # Any upstream may crash, also the one that runs the item.
                 if started_at and rng.random() < 1 / 3:
                     self.crashes.append(now)
+                    if now - started_at > OUTPUT_SECONDS:
+                        self.since = now
                     started_at = 0.0
             if started_at:
                 started_at = self._end_run(started_at, now)
@@ -77,5 +90,5 @@
 
     def _may_start(self, other: float, now: float, rng: random.Random) -> bool:
         surroundings = Surroundings(max(other, *self.crashes), rng.random())
-        next_try = compute_next_try(self.crashes, self.pace)
+        next_try = compute_next_try(self.crashes, self.pace, self.since)
         return compute_start(next_try, surroundings, now) <= now
--- a/tests/policy/test_itemretry.py
+++ b/tests/policy/test_itemretry.py
@@ -103,14 +103,37 @@
     assert compute_start(100, Surroundings(last, 1.0), last) == last
 
 
-@pytest.mark.parametrize('pace', [OWN_CONTENT_PACE, SHARED_PART_PACE])
-def test_unlucky_items_complete_soon_after_the_burst(pace) -> None:
+@pytest.mark.parametrize('early_seconds', [2.0, 10.0, 20.0])
+@pytest.mark.parametrize('early_crashes', [3, 5, 8])
+def test_unlucky_items_complete_soon_after_the_burst(
+    early_seconds, early_crashes
+) -> None:
     """Upstreams crash at random for 15 s; then the item is owed."""
     for seed in range(SEEDS):
-        replay = CrashReplay(pace, is_cause=False, seed=seed).run(1000)
+        replay = CrashReplay(
+            OWN_CONTENT_PACE,
+            is_cause=False,
+            seed=seed,
+            early_seconds=early_seconds,
+            early_crashes=early_crashes,
+        ).run(100)
+        assert replay.completed_at, seed
+        assert replay.tries[-1] < replay.crashes[-1] + FINISH_SECONDS, seed
+
+
+@pytest.mark.parametrize('early_seconds', [2.0, 20.0])
+def test_items_with_an_unlucky_part_complete_after_their_pauses(
+    early_seconds,
+) -> None:
+    """Pauses of parts are longer, as the rules bound requests with them."""
+    pace = SHARED_PART_PACE
+    for seed in range(SEEDS):
+        replay = CrashReplay(
+            pace, is_cause=False, seed=seed, early_seconds=early_seconds
+        ).run(1000)
         assert replay.completed_at
         pauses = [
-            compute_next_try(replay.crashes[:count], pace)
+            compute_next_try(replay.crashes[:count], pace, replay.since)
             - replay.crashes[count - 1]
             for count in range(3, len(replay.crashes) + 1)
         ]
