--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -190,14 +190,6 @@
         self.suspects.remove(due[0])
         return due[0]
 
-    def has_suspect_since(self, moment: float) -> bool:
-        """Check whether an item has waited to run alone for long.
-
-        :param moment: seconds of the monotonic clock.
-        :returns: true if one could have started before then.
-        """
-        return any(item.not_before < moment for item in self.suspects)
-
     def plan(self, *items: Item) -> None:
         """Queue items that do not run, or settle them, by their ledgers.
 
@@ -304,7 +296,6 @@
                 self.ready.append(item)
             case Step.run_alone:
                 log_event(Event.item_suspect, chunk=self.name, item=item.index)
-                item.not_before = time.monotonic()
                 self.suspects.append(item)
             case Step.run_later if time.time() < self.job.deadline:
                 self._defer_item(item, ledger)
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -38,8 +38,6 @@
 START_INTERVAL_SECONDS = 0.25
 RELEASE_POLL_SECONDS = 0.02
 RATE_SMOOTHING = 0.9
-# An item that runs alone is owed as well where others are always ready.
-MAX_SUSPECT_WAIT_SECONDS = 10.0
 FIRST_ERROR_STATUS = 400
 SERVICES = '/services/'
 
@@ -91,8 +89,6 @@
     _paused: deque[ActiveItem] = field(default_factory=deque)
     _running: set[ActiveItem] = field(default_factory=set)
     _items_per_second: float = 0
-    # When an item was last started alone, seconds of the monotonic clock.
-    _lone_at: float = 0
     _completed_items: int = 0
 
     def start(self) -> None:
@@ -174,13 +170,6 @@
             active.resumed.set()
             return True
         chunks = sorted(self.owned_chunks.chunks.values(), key=_rank_chunk)
-        now = time.monotonic()
-        latest = now - MAX_SUSPECT_WAIT_SECONDS
-        if self._lone_at < latest and any(
-            chunk.has_suspect_since(latest) for chunk in chunks
-        ):
-            # The others end, and none starts before it.
-            return any(self._start_suspect(chunk) for chunk in chunks)
         return any(self._start_from_chunk(chunk) for chunk in chunks)
 
     def _start_from_chunk(self, chunk: Chunk) -> bool:
@@ -192,14 +181,10 @@
             if not chunk.ready:
                 self.on_queue_low()
             return True
-        return self._start_suspect(chunk)
-
-    def _start_suspect(self, chunk: Chunk) -> bool:
         if self.gate.batch or self._paused:
             return False
         suspect = chunk.take_suspect(time.monotonic())
         if suspect is not None:
-            self._lone_at = time.monotonic()
             self._spawn(chunk, suspect, alone=True)
         return suspect is not None
 
--- a/tests/batch/test_chunk.py
+++ b/tests/batch/test_chunk.py
@@ -3,16 +3,35 @@
 from __future__ import annotations
 
 import time
+from types import SimpleNamespace
 
 import pytest
 
-from tests.batch.builders import make_chunk
+from wigeonpier.batch.chunk import Chunk, Item
+from wigeonpier.policy.attempts import Bounds, Ledger
 from wigeonpier.records import Status
 
+BOUNDS = Bounds(failures=3, lone_losses=2)
 DAY_SECONDS = 86_400
 LONGEST_PAUSE_SECONDS = 60
 
 
+def make_chunk(lone_losses: int, seconds_left: float) -> tuple[Chunk, Item]:
+    """Make a chunk with one item that has been lost while it ran alone."""
+    item = Item(0, SimpleNamespace(custom_id='c'), is_idempotent=True)
+    chunk = Chunk(
+        context=SimpleNamespace(bounds=BOUNDS),
+        job=SimpleNamespace(id='j', deadline=time.time() + seconds_left),
+        index=0,
+        claim=None,
+        revision=1,
+        journal=SimpleNamespace(commit=lambda _records: None),
+        items=[item],
+        ledgers=[Ledger(losses=lone_losses, lone_losses=lone_losses)],
+    )
+    return chunk, item
+
+
 @pytest.mark.parametrize('lone_losses', [2, 3, 50])
 def test_an_item_under_which_upstreams_were_lost_is_tried_again(
     lone_losses: int,
