--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import secrets
-import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from itertools import chain
@@ -29,7 +28,6 @@
     Ledger,
     Step,
     apply_record,
-    compute_item_pause,
     decide_item,
     write_snapshot,
 )
@@ -88,13 +86,11 @@
     :param index: position in the chunk.
     :param line: line of the input file.
     :param is_idempotent: whether it may run more than once.
-    :param not_before: earliest start, seconds of the monotonic clock.
     """
 
     index: int
     line: Line
     is_idempotent: bool
-    not_before: float = 0
 
 
 @dataclass(slots=True)
@@ -178,18 +174,6 @@
                     apply_record(self.ledgers[record.item], record)
                 return
 
-    def take_suspect(self, now: float) -> Item | None:
-        """Take the next item to run alone whose pause is over.
-
-        :param now: seconds of the monotonic clock.
-        :returns: the item, ``None`` if there is none.
-        """
-        due = [item for item in self.suspects if item.not_before <= now]
-        if not due:
-            return None
-        self.suspects.remove(due[0])
-        return due[0]
-
     def plan(self, *items: Item) -> None:
         """Queue items that do not run, or settle them, by their ledgers.
 
@@ -297,9 +281,7 @@
             case Step.run_alone:
                 log_event(Event.item_suspect, chunk=self.name, item=item.index)
                 self.suspects.append(item)
-            case Step.run_later if time.time() < self.job.deadline:
-                self._defer_item(item, ledger)
-            case Step.fail | Step.run_later:
+            case Step.fail:
                 reason = ledger.last_reason or 'its worker was lost each time'
                 return make_error(item, Status.failed, reason)
             case Step.settle_unknown:
@@ -310,19 +292,6 @@
                 )
         return None
 
-    def _defer_item(self, item: Item, ledger: Ledger) -> None:
-        """Queue an item under which upstreams were lost, after a pause."""
-        pause = compute_item_pause(ledger, self.context.bounds)
-        item.not_before = time.monotonic() + pause
-        self.suspects.append(item)
-        log_event(
-            Event.item_held,
-            chunk=self.name,
-            item=item.index,
-            ends=ledger.lone_losses,
-            held_seconds=pause,
-        )
-
 
 def write_claim(
     platform: Platform,
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -181,12 +181,10 @@
             if not chunk.ready:
                 self.on_queue_low()
             return True
-        if self.gate.batch or self._paused:
-            return False
-        suspect = chunk.take_suspect(time.monotonic())
-        if suspect is not None:
-            self._spawn(chunk, suspect, alone=True)
-        return suspect is not None
+        if chunk.suspects and not self.gate.batch and not self._paused:
+            self._spawn(chunk, chunk.suspects.popleft(), alone=True)
+            return True
+        return False
 
     def _spawn(self, chunk: Chunk, item: Item, *, alone: bool) -> None:
         stream = BatchStream(
--- a/src/wigeonpier/policy/attempts.py
+++ b/src/wigeonpier/policy/attempts.py
@@ -6,7 +6,6 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from wigeonpier.policy.itemretry import OWN_CONTENT_PACE, compute_pause
 from wigeonpier.records import Begin, Failure, Outcome, Ready, Release
 
 if TYPE_CHECKING:
@@ -20,7 +19,6 @@
 
     run = 'run'
     run_alone = 'run_alone'
-    run_later = 'run_later'
     fail = 'fail'
     settle_unknown = 'settle_unknown'
     nothing = 'nothing'
@@ -53,8 +51,7 @@
     """How often an item is attempted.
 
     :param failures: most failed attempts.
-    :param lone_losses: losses while it ran alone after which it is tried
-        only after pauses.
+    :param lone_losses: most losses while it ran alone.
     """
 
     failures: int
@@ -138,7 +135,7 @@
     if ledger.failures >= bounds.failures:
         return Step.fail
     if ledger.lone_losses >= bounds.lone_losses:
-        return Step.run_later
+        return Step.fail
     if ledger.losses:
         return Step.run_alone
     return Step.run
@@ -165,14 +162,3 @@
     if ledger.is_open:
         records.append(Begin(index, ledger.was_alone))
     return records
-
-
-def compute_item_pause(ledger: Ledger, bounds: Bounds) -> float:
-    """Compute the pause before an item is tried alone again.
-
-    :param ledger: what is known of it.
-    :param bounds: how often it is attempted.
-    :returns: seconds.
-    """
-    failed_tries = ledger.lone_losses - bounds.lone_losses
-    return compute_pause(failed_tries, OWN_CONTENT_PACE)
--- a/tests/policy/test_attempts.py
+++ b/tests/policy/test_attempts.py
@@ -11,13 +11,11 @@
     Ledger,
     Step,
     apply_record,
-    compute_item_pause,
     decide_item,
     record_loss,
     replay_segment,
     write_snapshot,
 )
-from wigeonpier.policy.itemretry import OWN_CONTENT_PACE
 from wigeonpier.records import Begin, Failure, Outcome, Release, Status
 
 BOUNDS = Bounds(failures=3, lone_losses=2)
@@ -86,23 +84,9 @@
         failures=failures,
     )
     step = decide_item(ledger, idempotent=True, bounds=BOUNDS)
-    is_failed = failures >= 3
-    is_deferred = not is_failed and min(lone, losses) >= 2
-    assert (step is Step.fail) == is_failed
-    assert (step is Step.run_later) == is_deferred
-    assert not losses or step is not Step.run
-
-
-def test_pauses_between_lone_losses_grow_and_are_bounded() -> None:
-    """An item got an error as its result after two lone losses."""
-    pauses = []
-    for lone in range(BOUNDS.lone_losses, 3000):
-        ledger = Ledger(losses=lone, lone_losses=lone)
-        pauses.append(compute_item_pause(ledger, BOUNDS))
-    assert pauses[0] == OWN_CONTENT_PACE.first_seconds
-    assert pauses[1] > pauses[0]
-    assert pauses == sorted(pauses)
-    assert pauses[-1] == OWN_CONTENT_PACE.longest_seconds
+    is_spent = failures >= 3 or min(lone, losses) >= 2
+    assert (step is Step.fail) == is_spent
+    assert not is_spent or step is not Step.run
 
 
 def test_losses_beside_others_make_an_item_run_alone() -> None:
