Keep waiting requests from moving to slots that are taken

Callers saw answers seconds later than needed: a request left the queue of an upstream, where it had just begun to run, for a slot that another request of the same entry had taken 0.1 s before.

Cause: the load that decides a move comes from the reports of workers. A report that crosses a send on its way lacks that request and resets the count of requests sent since; and a request that leaves a queue is still counted there until the next report.

Change: a slot is free for a move only if the requests of this entry in progress there leave one, and a request that leaves a queue is taken off the estimate of that upstream at once.

--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -22,7 +22,7 @@
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy import waiting
-from wigeonpier.policy.route import record_outcome
+from wigeonpier.policy.route import record_departure, record_outcome
 from wigeonpier.policy.streamorigin import may_continue
 from wigeonpier.policy.trial import IsolationLevel
 from wigeonpier.telemetry.events import Event
@@ -204,6 +204,7 @@
             self._await_head(request, upstream, exchange)
         except QueueLeftError as departure:
             request.release(is_broken=True)
+            record_departure(upstream)
             return Err(departure.reason)
         except OSError as error:
             request.last_send.problem = repr(error)
--- a/src/wigeonpier/policy/waiting.py
+++ b/src/wigeonpier/policy/waiting.py
@@ -82,7 +82,7 @@
     """
     if current.load_fresh_until <= now or other.load_fresh_until <= now:
         return QueueDecision.stay
-    has_room = count_requests(other, now) < other.slots
+    has_room = _estimate_taken(other, now) < other.slots
     if count_requests(current, now) <= current.slots:
         is_unresponsive = waited.here >= UNRESPONSIVE_SHARE and has_room
         return QueueDecision.distrust if is_unresponsive else QueueDecision.stay
@@ -104,7 +104,7 @@
     """
     if other.load_fresh_until <= now:
         return False
-    return count_requests(other, now) < other.slots - SLOTS_LEFT_TO_OTHERS
+    return _estimate_taken(other, now) < other.slots - SLOTS_LEFT_TO_OTHERS
 
 
 def limit_back_off(seconds_left: float) -> float:
@@ -114,3 +114,9 @@
     :returns: seconds after which it is sent again, even without room.
     """
     return min(MAX_BACK_OFF_SECONDS, seconds_left * BACK_OFF_SHARE)
+
+
+def _estimate_taken(state: UpstreamState, now: float) -> float:
+    """Estimate the slots that are taken at an upstream."""
+    # A report may have been made before the last sends arrived there.
+    return max(count_requests(state, now), state.in_flight)
--- a/tests/policy/test_waiting.py
+++ b/tests/policy/test_waiting.py
@@ -7,7 +7,7 @@
 from tests.builders import build_upstream
 from tests.policy.crests import PeakModel
 from wigeonpier.models import OnlineLoad
-from wigeonpier.policy.route import record_load
+from wigeonpier.policy.route import record_departure, record_load
 from wigeonpier.policy.waiting import (
     QueueDecision,
     QueueTime,
@@ -43,6 +43,33 @@
     assert decided is (QueueDecision.move if moves else QueueDecision.stay)
 
 
+def test_no_request_moves_to_a_slot_that_this_entry_has_taken() -> None:
+    """A report that crosses a send on the way lacks the request."""
+    current, other = build_upstream('vm-1'), build_upstream('vm-2')
+    record_load(current, OnlineLoad(9, takes_work=True), 10.0)
+    other.in_flight = other.slots
+    record_load(other, OnlineLoad(0, takes_work=True), 10.0)
+    decided = decide_queued(current, other, QueueTime(0.5, 0.5), 10.1)
+    assert decided is QueueDecision.stay
+    assert not may_resend(other, 10.1)
+
+
+@pytest.mark.parametrize('is_reported', [True, False])
+def test_a_request_does_not_follow_one_that_has_left_its_queue(
+    is_reported: bool,
+) -> None:
+    """It may run as soon as the other one has left."""
+    current, other = build_upstream('vm-1'), build_upstream('vm-2')
+    record_load(other, OnlineLoad(0, takes_work=True), 10.0)
+    reported = current.slots + (1 if is_reported else 0)
+    record_load(current, OnlineLoad(reported, takes_work=True), 10.0)
+    current.sent_since_report = 0 if is_reported else 1
+    waited = QueueTime(0.5, 0.5)
+    assert decide_queued(current, other, waited, 10.1) is QueueDecision.move
+    record_departure(current)
+    assert decide_queued(current, other, waited, 10.1) is QueueDecision.stay
+
+
 def test_outdated_loads_cause_no_moves() -> None:
     current, other = build_upstream('vm-1'), build_upstream('vm-2')
     record_load(current, OnlineLoad(9, takes_work=True), 10.0)
