Write no job after the process was paused

A caller whose job was answered 429 or 503 by all entries could find that its items ran: an entry that was paused between reading the board and writing the job wrote it afterwards, naming a fence that it had read before. A fence that concerns no disk expires after 20 to 30 s, so a longer pause outlived it; that the caller had gone was seen only if its watcher ran first.

Cause: the wait for the write had no upper limit of its own. Change: an attempt that is older than 6 s, longer than any attempt of a process that runs, sends no write, neither to the store nor to disks, and its answer promises nothing.

Evidence: test_an_attempt_writes_no_job_after_a_pause failed before ("Ran.no is Ran.unknown").

--- a/src/wigeonpier/hosted/acceptattempt.py
+++ b/src/wigeonpier/hosted/acceptattempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,9 @@
     from wigeonpier.models import JobFence
 
 RETRY_AFTER_SECONDS = 1.0
+# Only an attempt whose process was paused lasts longer.  Its caller has gone to
+# another entry, whose fence may have expired before a later write.
+MAX_ATTEMPT_SECONDS = 6.0
 
 
 @dataclass(slots=True)
@@ -46,11 +50,12 @@
         self.is_abandoned = True
 
     def check_caller(self) -> None:
-        """Check that the caller still waits before a write is sent.
+        """Check that the caller may still wait before a write is sent.
 
-        :raises Refusal: if it has disconnected.
+        :raises Refusal: if it has disconnected, or the attempt is too old.
         """
-        if self.is_abandoned:
+        age = time.monotonic() - self.started_at
+        if self.is_abandoned or age > MAX_ATTEMPT_SECONDS:
             raise make_unsure_refusal()
 
     def record_fence(self, fence: JobFence) -> None:
--- a/tests/hosted/test_acceptance.py
+++ b/tests/hosted/test_acceptance.py
@@ -13,7 +13,7 @@
 
 from tests.hosted.builders import make_open_job
 from wigeonpier.errors import ErrorKind, Ran, Refusal
-from wigeonpier.hosted import acceptance
+from wigeonpier.hosted import acceptance, acceptattempt
 from wigeonpier.hosted.acceptance import (
     AcceptOutcome,
     JobAcceptor,
@@ -29,6 +29,7 @@
 MOST_TOKENS = 100
 # Time of one call of a slow store.
 SLOW_CALL_SECONDS = 0.15
+PAUSE_SECONDS = 0.2
 ROUTE = ServedRoute(
     name='r',
     host='h',
@@ -269,3 +270,29 @@
     refusal = refuse(ledger, [], copies=0, are_results_readable=False)
     assert refusal.kind is ErrorKind.platform_down
     assert len(ledger.refused) == 1
+
+
+class PausedLedger(UnknownLedger):
+    """Its process is paused while the board is read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writes = 0
+
+    def read_board(self, timeout: float) -> Result[Board, Failure]:
+        time.sleep(PAUSE_SECONDS)
+        return super().read_board(timeout)
+
+    def create(self, *given: Any) -> Result[int, Failure]:
+        self.writes += 1
+        return super().create(*given)
+
+
+def test_an_attempt_writes_no_job_after_a_pause(monkeypatch) -> None:
+    """The caller had been refused elsewhere, and that fence had expired."""
+    monkeypatch.setattr(acceptattempt, 'MAX_ATTEMPT_SECONDS', PAUSE_SECONDS / 2)
+    ledger, attempts = PausedLedger(), []
+    refusal = refuse(ledger, attempts)
+    assert refusal.ran is Ran.unknown
+    assert not ledger.writes
+    assert not attempts
