Cut floods of blank events before they cost a time-out

An upstream that sends blank events without end was not blamed where the process was busy, and each item or request sent to it cost seconds of processor time.

Cause: blank events were limited to 1 MB between two others, some 350,000 events, which took 4.6 s of processor time on a busy machine; the read of an item times out after 2 s, and a time-out without events shows no fault of the upstream.

Change: they have the limit of other bytes without a body, 128 KB, which took 0.7 s on the same machine.

--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -6,7 +6,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from wigeonpier.web.readlimits import MAX_EVENT_BYTES, ReadLimit
+from wigeonpier.web.readlimits import (
+    MAX_EVENT_BYTES,
+    MAX_FRAMING_BYTES,
+    ReadLimit,
+)
 
 if TYPE_CHECKING:
     from wigeonpier.web.exchange import Exchange
@@ -74,11 +78,12 @@
             an event.
         """
         deadline = self._empty_deadline or time.monotonic() + timeout
-        left = MAX_EVENT_BYTES - self._empty_bytes
         raw = bytearray()
         identity = b''
         while True:
-            line = self._read_line(deadline, left - len(raw), bool(raw))
+            line = self._read_line(
+                deadline, MAX_EVENT_BYTES - len(raw), bool(raw)
+            )
             if not line:
                 if raw:
                     raise ConnectionResetError(
@@ -119,3 +124,5 @@
         else:
             self._empty_bytes += len(event.raw)
             self._empty_deadline = deadline
+            if self._empty_bytes > MAX_FRAMING_BYTES:
+                raise self._answer.cut(ReadLimit.event)
--- a/tests/web/test_readlimits.py
+++ b/tests/web/test_readlimits.py
@@ -18,6 +18,7 @@
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import Exchange, make_request
 from wigeonpier.web.pool import ConnectionPool
+from wigeonpier.web.readlimits import EndlessAnswerError
 from wigeonpier.web.responsereader import READ_BYTES, ResponseReader
 
 REQUEST = make_request('GET', '/', [('Host', 'h')])
@@ -28,6 +29,8 @@
 # Time for the last read and for the close.
 SLACK_SECONDS = 0.5
 MAX_HELD_BYTES = 8_000_000
+# A comment each 0.1 s of a long stream fits several times.
+MAX_BLANK_BYTES = 131_072
 # The calls read bodies of 32 MB at most.
 MAX_CALL_HELD_BYTES = 100_000_000
 STREAMS = (
@@ -106,6 +109,23 @@
             reader.read(TIMEOUT_SECONDS)
 
 
+def test_a_flood_of_blank_events_is_cut_early() -> None:
+    """A busy process read them until its time-out, and blamed no upstream."""
+    peer = EndlessPeer(Endless.blank_events)
+    opened = ConnectionPool().begin(peer.address, 1).unwrap()
+    opened.send(REQUEST, TIMEOUT_SECONDS)
+    reader = EventReader(opened)
+    read_bytes = 0
+    with pytest.raises(EndlessAnswerError):
+        while True:
+            event = reader.read(10 * TIMEOUT_SECONDS)
+            assert event is not None
+            read_bytes += len(event.raw)
+    assert read_bytes <= MAX_BLANK_BYTES
+    opened.close()
+    check_reset(peer)
+
+
 def test_a_call_that_may_wait_for_long_ends_within_its_response(
     monkeypatch,
 ) -> None:
