Remove a job from the board also if it is first read when finished

What callers saw: a job whose results nobody read before the last one was written stayed on the board with its assignments until the janitor deleted it, after three times the time for which it must be readable; so did a job whose removal the store did not answer. Results and positions were right. Each accepted job reads the whole board, a job that does not fit reads the results of all open ones, and while the store is away (by reading) finished items count towards the limit of a route.

Cause: only read_new_results removed a job, once, and a view that is complete at its first read never gets there: it is not followed at a disk, and an entry has nothing to refresh.

Evidence: four new cases fail on the code before and on ("timed out waiting until nothing is left of it under wigeonpier/hosted/board/jobs/", with the disk and with the entry as the reader; "timed out waiting until the job left the board"; "assert 0 == 1" closes).

Change: each read of a finished job that is not known to be off the board starts its removal, once a second at most and beside the read, which does not wait for it. The event job_finished is logged only when the store has confirmed the removal.

--- a/src/wigeonpier/hosted/views.py
+++ b/src/wigeonpier/hosted/views.py
@@ -38,6 +38,8 @@
 # that do not exist yet.
 SHARED_READ_SECONDS = 0.6
 MAX_JOBS = 64
+# A job whose removal from the board failed is removed at a later read.
+CLOSE_PAUSE_SECONDS = 1.0
 # One page of results holds at most 1 MB.
 MAX_PAGE_BYTES = 900_000
 
@@ -51,7 +53,9 @@
     :param revision: revision up to which results were read.
     :param refreshed_at: when they were read, seconds of the monotonic clock.
     :param items: its items, read when a body is requested.
-    :param is_closed: whether this process removed it from the board.
+    :param is_closed: whether it is known to be removed from the board.
+    :param close_not_before: when its removal may be tried again, seconds of the
+        monotonic clock.
     :param lock: held while new results are read.
     """
 
@@ -61,6 +65,7 @@
     refreshed_at: float
     items: list[JobItem] | None = None
     is_closed: bool = False
+    close_not_before: float = 0
     lock: BoundedSemaphore = field(default_factory=BoundedSemaphore)
 
     @property
@@ -116,22 +121,10 @@
         :raises Refusal: if there is none, or if the store cannot be read.
         """
         view = self._views.get(name)
-        if view is not None:
-            return view
-        read = self._read_job(name)
-        if read is None and self._may_be_on_disk(name):
-            raise make_unreadable_refusal()
-        if read is None:
-            raise Refusal(ErrorKind.not_found, f'there is no job {name}')
-        while len(self._views) >= MAX_JOBS:
-            self._views.pop(next(iter(self._views)))
-        view = JobView(
-            read.head,
-            read.results,
-            read.revision,
-            refreshed_at=time.monotonic(),
-        )
-        return self._views.setdefault(name, view)
+        if view is None:
+            view = self._load(name)
+        self.close_finished(view)
+        return view
 
     def has_results(self, name: str, known: int) -> bool:
         """Check whether more results are cached than a reader has.
@@ -194,11 +187,15 @@
     def close_finished(self, view: JobView) -> None:
         """Remove a job from the board once its last result was read.
 
+        Readers do not wait for it.
+
         :param view: the job.
         """
-        if view.is_finished and not view.is_closed:
-            view.is_closed = isinstance(self._ledger.close(view.name), Ok)
-            log_event(Event.job_finished, job=view.name)
+        now = time.monotonic()
+        is_due = view.is_finished and not view.is_closed
+        if is_due and now >= view.close_not_before:
+            view.close_not_before = now + CLOSE_PAUSE_SECONDS
+            gevent.spawn(self._close, view)
 
     def read_new_results(self, view: JobView, wait: float) -> bool:
         """Read new results of a job.
@@ -216,6 +213,27 @@
         self.close_finished(view)
         return True
 
+    def _load(self, name: str) -> JobView:
+        read = self._read_job(name)
+        if read is None and self._may_be_on_disk(name):
+            raise make_unreadable_refusal()
+        if read is None:
+            raise Refusal(ErrorKind.not_found, f'there is no job {name}')
+        while len(self._views) >= MAX_JOBS:
+            self._views.pop(next(iter(self._views)))
+        view = JobView(
+            read.head,
+            read.results,
+            read.revision,
+            refreshed_at=time.monotonic(),
+        )
+        return self._views.setdefault(name, view)
+
+    def _close(self, view: JobView) -> None:
+        if isinstance(self._ledger.close(view.name), Ok):
+            view.is_closed = True
+            log_event(Event.job_finished, job=view.name)
+
     def _refresh_locked(self, view: JobView, known: int, wait: float) -> None:
         has_new_results = len(view.results) > known
         age = time.monotonic() - view.refreshed_at
--- a/tests/hosted/test_reader.py
+++ b/tests/hosted/test_reader.py
@@ -15,6 +15,7 @@
 from wigeonpier.hosted.readings import ReadingHandler, make_target
 from wigeonpier.hosted.views import JobViews
 from wigeonpier.models import ResultPage
+from wigeonpier.platform import storekeys
 from wigeonpier.web.messages import Request
 
 RANGE_METRIC_PREFIX = 'store_calls_total{call="/-/kv-range"'
@@ -174,3 +175,23 @@
         disk._server.stop()
     site.store.stop()
     assert len(site.read_results('j')['results']) == 1
+
+
+@pytest.mark.parametrize('has_disks', [True, False])
+def test_a_job_that_is_first_read_when_finished_leaves_the_board(
+    site: HostedSite, has_disks: bool
+) -> None:
+    """Its key and assignments stayed until the job was deleted."""
+    site.start()
+    site.submit_job('j', 2)
+    written = [storekeys.name_key(storekeys.RESULTS, 'j', n) for n in (0, 1)]
+    wait_for(lambda: all(map(site.store.list_keys, written)), 'it is finished')
+    if not has_disks:
+        for disk in site.disks:
+            disk._server.stop()
+    assert len(site.read_results('j')['results']) == 2
+    for space in (storekeys.OPEN_JOBS, storekeys.ASSIGNMENTS):
+        wait_for(
+            lambda space=space: not site.store.list_keys(space),
+            f'nothing is left of it under {space}',
+        )
--- a/tests/hosted/test_views.py
+++ b/tests/hosted/test_views.py
@@ -6,7 +6,7 @@
 import pytest
 from result import Err, Ok
 
-from tests.hosted.builders import make_open_job
+from tests.hosted.builders import make_open_job, wait_for
 from wigeonpier.errors import Refusal
 from wigeonpier.hosted.ledger import JobHead, PlacedResult, StoredJob
 from wigeonpier.hosted.views import JobViews
@@ -31,6 +31,8 @@
         self.delay = 0.0
         self.looks = 0
         self.is_away = False
+        self.closes = 0
+        self.can_close = True
 
     def read_job(self, name: str) -> Ok | Err:
         self.looks += 1
@@ -52,8 +54,9 @@
             fresh = self.results[revision - 1 :]
         return Ok((list(fresh), len(self.results) + 1))
 
-    def close(self, _job) -> Ok:
-        return Ok(1)
+    def close(self, _job) -> Ok | Err:
+        self.closes += 1
+        return Ok(1) if self.can_close else Err(Failure.unavailable)
 
 
 @pytest.fixture
@@ -142,3 +145,28 @@
     views.refresh(view, 0, 1.0)
     assert len(view.results) == 1
     assert ledger.looks == 1
+
+
+def test_a_job_leaves_the_board_at_a_later_read_if_the_store_was_down(
+    views, ledger
+) -> None:
+    """Its removal was tried only once, when the last result was read."""
+    view = views.find('j')
+    ledger.results = [build_result(index) for index in range(3)]
+    ledger.can_close = False
+    views.read_new_results(view, 0)
+    gevent.sleep(0.01)
+    ledger.can_close = True
+    wait_for(lambda: views.find('j').is_closed, 'the job left the board')
+    assert ledger.closes == 2
+
+
+def test_reads_of_a_finished_job_do_not_press_a_store_that_is_down(
+    views, ledger
+) -> None:
+    ledger.results = [build_result(index) for index in range(3)]
+    ledger.can_close = False
+    for _reader in range(20):
+        views.find('j')
+        gevent.sleep(0.001)
+    assert ledger.closes == 1
