Do not press a store that rejects the fences of refused jobs

What callers saw: nothing else than now. A fence that the store rejects with 429 was already written again until the time of the attempt is over, 2 s after its start, or 3.4 s if a write of the job is unknown, and only then answered 502; a new test shows it.

Cause: the pause between two tries was always 0.15 s, so one refused job made 14 writes in 2 s, each of them priced, while the store asks for fewer.

Change: the pause doubles from 0.15 s to 0.6 s, counted from the start of a try, so that tries that time out follow each other as closely as before. Retrying for longer instead of a 502 was weighed and left: the caller sends a job again after a 502 as after a 503 or 429, and time spent here is taken from that attempt.

Evidence: the new test fails on the code before ("assert 14 <= 6"). Measured: test_acceptance, test_refusals_elsewhere, test_refused_jobs, test_overlapping_attempts and test_copies_elsewhere pass (37 tests).

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -49,6 +49,9 @@
 # failure answer could be wrong.
 UNCERTAIN_TIMEOUT_SECONDS = 3.4
 RETRY_PAUSE_SECONDS = 0.15
+# Pauses between fences grow to this: a store that rejects calls with 429
+# charges for each of them.
+MAX_FENCE_PAUSE_SECONDS = 0.6
 # The store usually answers in 4 ms.  After this time-out the disks are tried,
 # so that the caller gets its answer within 0.4 s.
 STORE_TIMEOUT_SECONDS = 0.12
@@ -188,10 +191,12 @@
             may_be_kept=attempt.may_be_kept
         )
         timeout = STORE_TIMEOUT_SECONDS
+        pause = RETRY_PAUSE_SECONDS
         # Before the fence: a disk that has handed the job over by now makes it
         # conflict.
         held = self._disk_job_writer.list_attempts(attempt.job.name)
         while True:
+            tried_at = time.monotonic()
             accepted = self._fence(attempt, timeout)
             if accepted == Ok(True):
                 return AcceptOutcome.stood
@@ -199,7 +204,8 @@
             if isinstance(accepted, Ok) or is_over:
                 break
             timeout = SLOW_STORE_TIMEOUT_SECONDS
-            gevent.sleep(RETRY_PAUSE_SECONDS)
+            gevent.sleep(max(0, tried_at + pause - time.monotonic()))
+            pause = min(2 * pause, MAX_FENCE_PAUSE_SECONDS)
         refused = {attempt.name, *attempt.fence.attempts}
         is_fenced = isinstance(accepted, Ok) and held <= refused
         final = refusal if is_fenced else make_unsure_refusal()
--- a/tests/hosted/test_acceptance.py
+++ b/tests/hosted/test_acceptance.py
@@ -205,6 +205,20 @@
     assert refusal.ran is Ran.unknown
 
 
+def test_a_fence_that_the_store_rejects_for_its_rate_is_written_later() -> None:
+    rejected = Err(Failure.unavailable)
+    ledger = FullLedger(rejected, rejected, rejected, Ok(1))
+    assert refuse(ledger, [], copies=0).kind is ErrorKind.limit_reached
+    assert len(ledger.refused) == 4
+
+
+def test_fences_do_not_press_a_store_that_rejects_them_for_its_rate() -> None:
+    """Each refused job made 14 priced calls within 2 s."""
+    ledger = FullLedger(*[Err(Failure.unavailable)] * 99)
+    assert refuse(ledger, [], copies=0).ran is Ran.unknown
+    assert len(ledger.refused) <= 6
+
+
 def fail_to_read(*_given: object) -> None:
     """Refuse as views do when the store cannot be read."""
     raise make_unreadable_refusal()
