Share builders of tests of refusals, and parametrise those of copies

The tests of copies of answers came in two forms that differ in the copy only; they are parametrised over it now. The tests of refusals elsewhere share how a job is submitted whose write is lost, the path that is lost and the count of late runs. No check is left out: each case has the assertions that it had, and those of copies now all check that some requests are answered 200 and that each has an answer.

--- a/tests/hosted/test_foreign_answers.py
+++ b/tests/hosted/test_foreign_answers.py
@@ -83,59 +83,56 @@
     ]
 
 
-def test_a_refusal_of_another_request_sends_none_again(
-    site: HostedSite,
-) -> None:
-    """A request that may run once ran twice, or was refused and had run."""
-    start(site)
-    statuses = send_once(site)
-    assert max(count_runs(site).values()) == 1
-    assert not list_false_promises(site, statuses)
-    # The own answer, which follows the extra one, is awaited.
-    assert not LOST & set(statuses.values())
+def send_behind_refusals(site: HostedSite, shape: CopyShape) -> dict[str, int]:
+    """Send requests that may run once, and check what the answers promise.
 
-
-@pytest.mark.parametrize('mark', [b'HTTP/1.1 503 ', b'X-Not-Executed: '])
-def test_part_of_another_refusal_sends_none_again(
-    site: HostedSite, mark: bytes
-) -> None:
-    """It gave its status or its statement to the own answer behind it.
-
-    An own answer that is joined to a part of another one is lost: 502.
+    :param shape: what the replicas send once more of each answer.
+    :returns: the status of each answer, 0 for none.
     """
     start(site)
     for replica in site.replicas:
-        replica.faults.late.shape = CopyShape(cut_after=mark)
+        replica.faults.late.shape = shape
     statuses = send_once(site)
     assert max(count_runs(site).values()) == 1
     assert not list_false_promises(site, statuses)
     assert 0 not in statuses.values()
     assert 200 in statuses.values()
+    return statuses
 
 
-def test_many_refusals_of_another_request_send_none_again(
-    site: HostedSite,
+@pytest.mark.parametrize(
+    'shape',
+    [
+        pytest.param(CopyShape(), id='whole'),
+        pytest.param(CopyShape(piece_seconds=PIECE_SECONDS), id='in pieces'),
+    ],
+)
+def test_a_refusal_of_another_request_sends_none_again(
+    site: HostedSite, shape: CopyShape
 ) -> None:
-    """Only some are skipped; the own answer behind them is lost: 502."""
-    start(site)
-    for replica in site.replicas:
-        replica.faults.late.shape = CopyShape(times=MANY_TIMES)
-    statuses = send_once(site)
-    assert max(count_runs(site).values()) == 1
-    assert not list_false_promises(site, statuses)
-    assert 0 not in statuses.values()
-    assert 200 in statuses.values()
+    """A request that may run once ran twice, or was refused and had run."""
+    statuses = send_behind_refusals(site, shape)
+    # The own answer, which follows the extra one, is awaited.
+    assert not LOST & set(statuses.values())
 
 
-def test_a_refusal_in_pieces_sends_none_again(site: HostedSite) -> None:
-    start(site)
-    for replica in site.replicas:
-        shape = CopyShape(piece_seconds=PIECE_SECONDS)
-        replica.faults.late.shape = shape
-    statuses = send_once(site)
-    assert max(count_runs(site).values()) == 1
-    assert not list_false_promises(site, statuses)
-    assert not LOST & set(statuses.values())
+@pytest.mark.parametrize(
+    'shape',
+    [
+        pytest.param(CopyShape(cut_after=b'HTTP/1.1 503 '), id='status'),
+        pytest.param(CopyShape(cut_after=b'X-Not-Executed: '), id='statement'),
+        pytest.param(CopyShape(times=MANY_TIMES), id='many'),
+    ],
+)
+def test_a_refusal_that_hides_the_own_answer_sends_none_again(
+    site: HostedSite, shape: CopyShape
+) -> None:
+    """A part gave its status or its statement to the own answer behind it.
+
+    An own answer that is joined to a part of another one, or follows more than
+    are skipped, is lost: 502.
+    """
+    send_behind_refusals(site, shape)
 
 
 @pytest.mark.parametrize('path', ['/once/a', '/ask/a'])
--- a/tests/hosted/test_refusals_elsewhere.py
+++ b/tests/hosted/test_refusals_elsewhere.py
@@ -10,16 +10,14 @@
 
 from tests.hosted.builders import wait_for
 from tests.hosted.test_refused_jobs import (
-    LATE_SECONDS,
     REFUSED,
-    RUN_SECONDS,
-    count_runs,
-    delay_write,
+    count_late_runs,
     start,
     submit,
+    submit_late,
 )
 from wigeonpier.hosted import acceptance
-from wigeonpier.platform import storekeys, wire
+from wigeonpier.platform import wire
 from wigeonpier.platform.port import Failure
 from wigeonpier.web.client import CallFailure
 
@@ -40,25 +38,24 @@
 REFUSALS = 3
 
 
-def lose_entry(site: HostedSite, monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let the first entry give up a job whose write is late, without a fence."""
+def submit_unfenced(site: HostedSite, monkeypatch: pytest.MonkeyPatch) -> int:
+    """Submit a late job at an entry that gives it up without a fence."""
     monkeypatch.setattr(
         acceptance, 'UNCERTAIN_TIMEOUT_SECONDS', GIVEN_UP_SECONDS
     )
-    acceptor = site.entries[0]._jobs._acceptor
+    refuse_fences(site, monkeypatch, entry=0)
+    return submit_late(site)
+
+
+def refuse_fences(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch, entry: int
+) -> None:
+    """Let an entry write no fence."""
     monkeypatch.setattr(
-        acceptor._ledger.fences,
+        site.entries[entry]._jobs._acceptor._ledger.fences,
         'write',
         lambda *_given: Err(Failure.unavailable),
     )
-    delay_write(site, f'{storekeys.OPEN_JOBS}late')
-
-
-def await_lost_write(site: HostedSite, late: gevent.Greenlet) -> None:
-    """Wait until the first entry has lost the write and has given up."""
-    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
-    assert submit(site, 'other', entry=1) == 202
-    assert late.get() == UNSURE
 
 
 def test_a_refusal_is_true_although_another_entry_lost_a_write(
@@ -66,12 +63,9 @@
 ) -> None:
     """The second entry answered 429, and the job ran after that."""
     start(site)
-    lose_entry(site, monkeypatch)
-    late = gevent.spawn(submit, site, 'late')
-    await_lost_write(site, late)
+    assert submit_unfenced(site, monkeypatch) == UNSURE
     assert submit(site, 'late', entry=1) == REFUSED
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert not count_runs(site, 'late')
+    assert not count_late_runs(site)
     assert site.call('GET', '/-/lots/late?after=0').status == NOT_FOUND
 
 
@@ -80,18 +74,11 @@
 ) -> None:
     """It answered 429 although the store executed no write for it."""
     start(site)
-    lose_entry(site, monkeypatch)
     monkeypatch.setattr(acceptance, 'ACCEPT_TIMEOUT_SECONDS', GIVEN_UP_SECONDS)
-    late = gevent.spawn(submit, site, 'late')
-    await_lost_write(site, late)
-    monkeypatch.setattr(
-        site.entries[1]._jobs._acceptor._ledger.fences,
-        'write',
-        lambda *_given: Err(Failure.unavailable),
-    )
+    assert submit_unfenced(site, monkeypatch) == UNSURE
+    refuse_fences(site, monkeypatch, entry=1)
     assert submit(site, 'late', entry=1) == UNSURE
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert count_runs(site, 'late') == 1
+    assert count_late_runs(site) == 1
 
 
 def test_a_refusal_costs_as_many_calls_as_before(site: HostedSite) -> None:
@@ -124,13 +111,10 @@
 ) -> None:
     """Its end was answered 404, and it ran once the write took effect."""
     start(site)
-    lose_entry(site, monkeypatch)
-    late = gevent.spawn(submit, site, 'late')
-    await_lost_write(site, late)
+    assert submit_unfenced(site, monkeypatch) == UNSURE
     ended = site.call('DELETE', '/-/lots/late', entry=1)
     assert ended.status == NOT_FOUND
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert not count_runs(site, 'late')
+    assert not count_late_runs(site)
 
 
 def test_an_entry_that_lost_the_store_fences_through_a_worker(
@@ -138,16 +122,9 @@
 ) -> None:
     """Nothing that it sends to the store itself is answered after the write."""
     start(site)
-    calls = site.entries[0]._context.store.calls
-    delay_write(site, f'{storekeys.OPEN_JOBS}late')
-    late = gevent.spawn(submit, site, 'late')
-    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
-    monkeypatch.setattr(calls, 'send_directly', make_lost_path(calls))
-    assert submit(site, 'other', entry=1) == 202
-    assert late.get() == REFUSED
+    assert submit_late(site, lambda: lose_path(site, monkeypatch)) == REFUSED
     assert submit(site, 'late', entry=1) == REFUSED
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert not count_runs(site, 'late')
+    assert not count_late_runs(site)
 
 
 def test_a_write_that_is_lost_behind_a_worker_is_fenced(
@@ -155,18 +132,20 @@
 ) -> None:
     """The worker waits for its answer; the entry must not take it for undone."""
     start(site)
+    lose_path(site, monkeypatch)
     store = site.entries[0]._context.store_health
-    calls = site.entries[0]._context.store.calls
-    monkeypatch.setattr(calls, 'send_directly', make_lost_path(calls))
     store.record_call(time.monotonic(), is_answered=False)
     wait_for(store.find_relay_path, 'a worker carries the calls')
-    delay_write(site, f'{storekeys.OPEN_JOBS}late')
-    late = gevent.spawn(submit, site, 'late')
-    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
-    assert submit(site, 'other', entry=1) == 202
-    assert late.get() == REFUSED
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert not count_runs(site, 'late')
+    assert submit_late(site) == REFUSED
+    assert not count_late_runs(site)
+
+
+def lose_path(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch, entry: int = 0
+) -> None:
+    """Let the store answer no call that an entry sends to it itself."""
+    calls = site.entries[entry]._context.store.calls
+    monkeypatch.setattr(calls, 'send_directly', make_lost_path(calls))
 
 
 def make_lost_path(
--- a/tests/hosted/test_refused_at_every_attempt.py
+++ b/tests/hosted/test_refused_at_every_attempt.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-import gevent
 import pytest
 
 from tests.hosted.builders import wait_for
@@ -17,18 +16,16 @@
 from tests.hosted.test_refusals_elsewhere import (
     GIVEN_UP_SECONDS,
     UNSURE,
-    await_lost_write,
-    lose_entry,
-    make_lost_path,
+    lose_path,
+    submit_unfenced,
 )
 from tests.hosted.test_refused_jobs import (
-    LATE_SECONDS,
     REFUSED,
-    RUN_SECONDS,
-    count_runs,
+    count_late_runs,
     delay_write,
     start,
     submit,
+    submit_late,
 )
 from wigeonpier.hosted import acceptance
 from wigeonpier.platform import storekeys
@@ -40,29 +37,16 @@
 
 UNREACHABLE = 503
 NO_ANSWER = 0
-OPEN_JOB = f'{storekeys.OPEN_JOBS}late'
-
-
-def submit_unfenced(site: HostedSite, monkeypatch: pytest.MonkeyPatch) -> int:
-    """Submit a job at an entry that loses its write and cannot fence it."""
-    lose_entry(site, monkeypatch)
-    late = gevent.spawn(submit, site, 'late')
-    await_lost_write(site, late)
-    return late.get()
 
 
 def submit_fenced(site: HostedSite, _monkeypatch: pytest.MonkeyPatch) -> int:
     """Submit a job at an entry that loses its write and fences it off."""
-    delay_write(site, OPEN_JOB)
-    late = gevent.spawn(submit, site, 'late')
-    wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
-    assert submit(site, 'other', entry=1) == 202
-    return late.get()
+    return submit_late(site)
 
 
 def submit_and_leave(site: HostedSite, _monkeypatch: pytest.MonkeyPatch) -> int:
     """Submit a job, and leave before its write is answered."""
-    delay_write(site, OPEN_JOB)
+    delay_write(site, f'{storekeys.OPEN_JOBS}late')
     caller = send(site, 'late')
     wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
     caller.close()
@@ -72,10 +56,9 @@
 
 def cut_off(site: HostedSite, monkeypatch: pytest.MonkeyPatch) -> None:
     """Cut the second entry off from the store, also by way of workers."""
-    context = site.entries[1]._context
-    calls = context.store.calls
-    monkeypatch.setattr(context.store_health, 'find_relay', lambda: None)
-    monkeypatch.setattr(calls, 'send_directly', make_lost_path(calls))
+    health = site.entries[1]._context.store_health
+    monkeypatch.setattr(health, 'find_relay', lambda: None)
+    lose_path(site, monkeypatch, entry=1)
     monkeypatch.setattr(acceptance, 'ACCEPT_TIMEOUT_SECONDS', GIVEN_UP_SECONDS)
 
 
@@ -99,6 +82,5 @@
     cut_off(site, monkeypatch)
     second = submit(site, 'late', entry=1)
     assert (first, second) == (answer, UNREACHABLE)
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert count_runs(site, 'late') == runs
+    assert count_late_runs(site) == runs
     assert not (runs and {first, second} <= set(PROMISES))
--- a/tests/hosted/test_refused_jobs.py
+++ b/tests/hosted/test_refused_jobs.py
@@ -20,6 +20,8 @@
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tests.hosted.builders import HostedSite
 
 MOST_TOKENS = 100
@@ -69,11 +71,18 @@
     faults.late_writes = count
 
 
-def submit_late(site: HostedSite) -> int:
-    """Submit a job whose write is late while another one takes the room."""
+def submit_late(
+    site: HostedSite, after_write: Callable[[], object] = lambda: None
+) -> int:
+    """Submit a job whose write is late while another one takes the room.
+
+    :param after_write: called once the write was sent.
+    :returns: the answer.
+    """
     delay_write(site, f'{storekeys.OPEN_JOBS}late')
     late = gevent.spawn(submit, site, 'late')
     wait_for(lambda: not site.store.faults.late_writes, 'the write was sent')
+    after_write()
     assert submit(site, 'other', entry=1) == 202
     return late.get()
 
@@ -83,6 +92,12 @@
     return sum(replica.runs[f'{job}0'] for replica in site.replicas)
 
 
+def count_late_runs(site: HostedSite) -> int:
+    """Count the runs of the late job once its write has taken effect."""
+    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
+    return count_runs(site, 'late')
+
+
 def test_a_refused_job_does_not_run_after_a_late_write(
     site: HostedSite,
 ) -> None:
@@ -90,8 +105,7 @@
     start(site)
     assert submit_late(site) == REFUSED
     assert submit(site, 'late', entry=1) == REFUSED
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert not count_runs(site, 'late')
+    assert not count_late_runs(site)
     assert site.call('GET', '/-/lots/late?after=0').status == 404
 
 
@@ -119,8 +133,7 @@
     assert submit(site, 'other', entry=1) == 202
     assert late.get() == REFUSED
     assert not site.store.faults.late_writes
-    gevent.sleep(LATE_SECONDS + RUN_SECONDS)
-    assert not count_runs(site, 'late')
+    assert not count_late_runs(site)
 
 
 def test_a_job_whose_late_write_took_effect_is_not_refused(
