Take no comments or blank lines of a stream as output of a run

Cause: each event that was read from an upstream counted as output, also one without id and data, which only keeps the connection open. A run whose upstream sent such events for 0.15 s proved the parts of its prompt sound. Such events also gave the crash half the weight, against the request as well as against its parts.

Change: an event without id and data is neither output nor progress of the run. The reader of events made this distinction before, and items did.

--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -27,6 +27,14 @@
     raw: bytes
     identity: str
 
+    @property
+    def is_output(self) -> bool:
+        """Check whether the upstream has produced anything with the event.
+
+        One without id and data only keeps the connection open.
+        """
+        return bool(self.identity) or DATA in self.raw
+
     @property
     def text(self) -> str:
         """Data of the event, lines separated by line feeds.
@@ -112,7 +120,7 @@
         return self._answer.read_line(seconds, left)
 
     def _record(self, event: StreamEvent, deadline: float) -> None:
-        if event.identity or DATA in event.raw:
+        if event.is_output:
             self._has_events = True
             self._empty_bytes = 0
             self._empty_deadline = 0
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -195,15 +195,21 @@
             if not request.first_event_at:
                 self._origins.record(request)
             has_events = True
-            self._record_output(request, upstream)
+            self._record_event(request, upstream, is_output=event.is_output)
             request.first_event_at = request.first_event_at or time.monotonic()
             if tracked is not None:
                 tracked.waits_since = 0
             yield event.raw
 
-    def _record_output(
-        self, request: OnlineRequest, upstream: UpstreamState
+    def _record_event(
+        self,
+        request: OnlineRequest,
+        upstream: UpstreamState,
+        *,
+        is_output: bool,
     ) -> None:
+        if not is_output:
+            return
         request.last_send.had_output = True
         if not request.last_send.is_proven:
             self._sender.binder.suspects.record_progress(request, upstream)
--- a/tests/hosted/test_crashing_parts.py
+++ b/tests/hosted/test_crashing_parts.py
@@ -16,6 +16,7 @@
 
 from tests.hosted.builders import wait_for
 from tests.hosted.callers import PromptCallers
+from wigeonpier.bench.endless import Endless
 from wigeonpier.cli.main import main
 
 if TYPE_CHECKING:
@@ -37,6 +38,8 @@
 SOUND_PAUSE = 0.06
 BAD_PAUSE = 0.25
 OTHER_CRASH_SECONDS = 10.0
+# Two blank lines arrive in it.
+BLANK_SECONDS = 1.5
 REFUSED = 400
 STORED_PREFIX = 'wigeonpier/hosted/board/refused/'
 # Of the rules: runs later than this after the fifth crash, and the share of
@@ -277,6 +280,24 @@
     assert proofs.find(key, 'v1')
 
 
+def test_blank_lines_before_a_crash_prove_no_part(site: HostedSite) -> None:
+    """They counted as output, and a crashing part as sound after 0.15 s."""
+    site.start(replicas=1)
+    replica = site.replicas[0]
+    replica.faults.endless.kind = Endless.blank_events
+    replica.faults.endless.is_trickle = True
+    prompt = {'X-Prompt-Prefix': f'{FIRST}:1,own:1', 'X-Deadline-Ms': '4000'}
+    asking = gevent.spawn(site.try_call, 'POST', '/ask/1', 'q', b'{}', **prompt)
+    gevent.sleep(BLANK_SECONDS)
+    replica.end()
+    suspicions = site.entries[0]._suspicions.parts
+    wait_for(lambda: suspicions.evidence, 'the crash is known')
+    asking.kill()
+    key = f'{replica.service}/{FIRST}'
+    assert suspicions._proofs.find(key, 'v1') is None
+    assert suspicions.evidence[key].early
+
+
 def refuse_part(site: HostedSite) -> None:
     """Start a site and send requests until the store has the part."""
     start(site, BAD)
