Send proofs of parts with each report of a lost run

What callers saw: nothing by itself; a worker blamed a sound part ("third") for six crashes of two other parts, for 6.4 s, and processes that know no better accept that.

Cause: an entry sent the proof that a part is sound once, when it learned of the first lost run with the part, to one worker. What that message did not reach had the lost runs, which are sent at each crash to several workers, and never the proof.

No message is added: what is new is sent or forwarded in any case.

Evidence: the new test, in which the first message is not received, failed on the code before (the worker refuses the first part of all prompts, "assert <RunMode.refused> is <RunMode.free>") and passes. The existing test that a proof is reported once for lost runs in one moment is unchanged.

--- a/src/wigeonpier/membership/partproofs.py
+++ b/src/wigeonpier/membership/partproofs.py
@@ -46,6 +46,8 @@
         self._noted: OrderedDict[ProofKey, float] = OrderedDict()
         # Proofs that were sent or received.
         self._reported: OrderedDict[ProofKey, float] = OrderedDict()
+        # When proofs were last sent with lost runs.
+        self._sent: dict[ProofKey, float] = {}
         # When proofs were reported since another process blamed their part.
         self._objected: dict[ProofKey, float] = {}
 
@@ -70,6 +72,7 @@
         self._noted.move_to_end(key)
         while len(self._noted) > MAX_PROOFS:
             dropped, _at = self._noted.popitem(last=False)
+            self._sent.pop(dropped, None)
             self._objected.pop(dropped, None)
 
     def note_all(self, parts: Iterable[str], version: str, at: float) -> None:
@@ -95,24 +98,30 @@
         if known_at is not None and at < known_at + REPORT_INTERVAL_SECONDS:
             return False
         self.note(proof.part, proof.version, at)
+        self._sent[key] = now
         self._record_report(key, at)
         return True
 
-    def list_unreported(
+    def list_for_runs(
         self, lost: Iterable[LostRunReport], now: float
     ) -> Iterator[PartProof]:
-        """List the proofs of this process that no other one has reported.
+        """List the proofs of this process that reports of lost runs carry.
+
+        A message may be lost, so later runs carry them as well.
 
         :param lost: runs with parts that may be sound.
         :param now: seconds of the monotonic clock.
-        :yields: proofs of these parts.
+        :yields: proofs of these parts, unless they were sent just now.
         """
         keys = {(part, run.version) for run in lost for part in run.parts}
-        for key in sorted(keys - set(self._reported)):
+        for key in sorted(keys):
             at = self._noted.get(key)
-            if at is not None:
-                self._record_report(key, at)
-                yield PartProof(*key, round(now - at, AGE_DIGITS))
+            sent_at = self._sent.get(key, -math.inf)
+            if at is None or now - sent_at < REPORT_INTERVAL_SECONDS:
+                continue
+            self._sent[key] = now
+            self._record_report(key, at)
+            yield PartProof(*key, round(now - at, AGE_DIGITS))
 
     def refutes(self, culprit: CulpritReport) -> bool:
         """Check whether all parts of a culprit are known to be sound.
--- a/src/wigeonpier/membership/partsuspicions.py
+++ b/src/wigeonpier/membership/partsuspicions.py
@@ -147,7 +147,7 @@
         lost = tuple(run for run in update.lost if self._add_run(run, now))
         self.culprits.record_cures(update.proofs)
         proofs += [one for one in update.proofs if self._proofs.add(one, now)]
-        proofs += self._proofs.list_unreported(lost, now)
+        proofs += self._proofs.list_for_runs(lost, now)
         kept = tuple(
             name for name in update.kept if self.culprits.keep(name, now)
         )
--- a/tests/membership/test_partsuspicions.py
+++ b/tests/membership/test_partsuspicions.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wigeonpier.membership import lostruns
+from wigeonpier.membership import lostruns, partproofs
 from wigeonpier.membership.suspicions import Suspicions
 from wigeonpier.membership.updates import (
     CulpritReport,
@@ -88,6 +88,21 @@
     assert not again.parts.proofs
 
 
+def test_proof_is_sent_again_after_a_lost_message(proven, monkeypatch) -> None:
+    """An entry that started got a state without it from a worker."""
+    monkeypatch.setattr(partproofs, 'REPORT_INTERVAL_SECONDS', 0)
+    unreceived = proven.merge(lose(Suspicions(), 1, 'a', 'bad0'))
+    assert unreceived.parts.proofs
+    worker = Suspicions()
+    for number in range(2, 9):
+        bad = f'bad{number % 2}'
+        worker.merge(lose(proven, 16**20 * number, 'a', bad, alone=number > 6))
+    late = Suspicions()
+    late.merge(worker.describe())
+    for suspicions in (worker, late):
+        assert get_mode(suspicions, 'a', 'c') is RunMode.free
+
+
 def test_process_that_starts_gets_the_proofs_that_others_have(proven) -> None:
     """It refused the first part of all prompts, whose proofs were not sent."""
     confirm(proven)
