Store the proofs of parts with the lost runs on the disks

Cause: the disks send an entry that starts the lost runs of parts with two crashes, before it hears from any other process. The runs came without the proofs that the other parts of their prompts are sound. With two crashing parts behind the same first part, the first one is at the crashes of both, has more evidence than either, and two crashes of lone runs. In the log of the failing run the entry started at 49.561 s, read seven lost runs with "deadly0" and "deadly1" at 49.577 s, blamed "first" for all seven at 49.580 s, refused a request at 49.647 s, and followed the first worker, which would have known better, at 49.672 s; the proof ended the culprit at 49.667 s.

Change: what is stored of a suspected part includes the proofs of the parts of its lost runs. Their ages grow with the time in the file, as those of the runs.

Evidence: the new test reads both entries as the restarted one did. It failed on the code before ("assert <RunMode.refused> is <RunMode.free>") and passes.

--- a/src/wigeonpier/membership/partsuspicions.py
+++ b/src/wigeonpier/membership/partsuspicions.py
@@ -203,11 +203,16 @@
         """Describe what counts against one part, for storage.
 
         :param part: key of the part.
-        :returns: its latest lost runs.
+        :returns: its latest lost runs, and the proofs of their other parts.
         """
         found = self.evidence.get(part)
         runs = list(found.unproven.values()) if found else []
-        return PartUpdate(report_runs(runs[-MAX_STORED:]))
+        stored = runs[-MAX_STORED:]
+        now = time.monotonic()
+        return PartUpdate(
+            report_runs(stored),
+            tuple(self._proofs.list_known(stored, now, MAX_SUMMARIZED)),
+        )
 
     def _is_suspected(self, part: str) -> bool:
         return part in self.evidence or self.culprits.has(part)
--- a/tests/membership/test_partsuspicions.py
+++ b/tests/membership/test_partsuspicions.py
@@ -113,6 +113,20 @@
     assert get_mode(late, 'a', 'c') is RunMode.apart
 
 
+def test_stored_runs_keep_the_proofs_of_their_parts(proven) -> None:
+    """An entry that started read the runs only, and refused the first part."""
+    for number in range(1, 8):
+        bad = f'bad{number % 2}'
+        lose(proven, 16**20 * number, 'a', bad, alone=number > 5)
+    late = Suspicions()
+    late.record_crash('other', 'i-0', 'v1', was_alone=False)
+    for part in ('bad0', 'bad1'):
+        found = proven.parts.describe_suspect(part)
+        late.merge(SuspicionUpdate(parts=found))
+    assert get_mode(late, 'a', 'c') is RunMode.free
+    assert get_mode(late, 'bad0') is RunMode.alone
+
+
 def test_nothing_is_reported_while_no_upstream_crashes(proven) -> None:
     assert complete(proven, 'a', 'c') == SuspicionUpdate()
     assert proven.is_empty
