Weigh outcomes in the order of the sends

What callers saw: at an upstream that breaks off its answers, 7 to 9 requests failed before it was ejected, where 6 may (test_an_upstream_that_breaks_off_its_answers_is_left, beside load).

Cause: a slot that was granted stands for a success until a failure of its request is reported. A broken answer is known some 80 ms after its send, and later beside load. Requests that were sent to the upstream meanwhile, and were going to fail as well, counted as successes after the last failure. In a trace of that test, six failures of three entries were needed, with slots granted at 0.191, 0.212, 0.232 and 0.254 s and the fourth failure at 0.259 s. The opposite happened too: failures that are known in a row, but were sent among successes, ejected an upstream.

Change: an entry reports how long after its send a request failed, outcomes are weighed in the order of the sends, and slots that were granted after the send of the last known failure stand for nothing. A report of an earlier build, or of silence, keeps its place by the time of the outcome.

Evidence: before, test_requests_that_may_still_fail_do_not_prevent_an_ejection failed with healthy where ejected is expected, and test_late_failures_among_successes_eject_no_upstream with ejected where healthy is expected.

--- a/src/wigeonpier/hosted/healthkeeper.py
+++ b/src/wigeonpier/hosted/healthkeeper.py
@@ -245,6 +245,7 @@
             has_failed=report.outcome is not SendOutcome.succeeded,
             is_silent=report.outcome is SendOutcome.silent,
             is_trial=report.is_trial,
+            took=max(0, report.took),
         )
 
     def _count_ejected(self) -> float:
--- a/src/wigeonpier/hosted/news.py
+++ b/src/wigeonpier/hosted/news.py
@@ -106,12 +106,15 @@
     :param age: seconds since the outcome, for reports that were delayed.
     :param is_trial: whether it was sent while the entry knew the upstream as
         on trial.
+    :param took: seconds from the send to a failure; 0 for other outcomes, and
+        from an entry of an earlier build.
     """
 
     fingerprint: str
     outcome: SendOutcome = SendOutcome.succeeded
     age: float = 0
     is_trial: bool = False
+    took: float = 0
 
 
 class SendReports(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -13,7 +13,7 @@
 import time
 from collections import deque
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -75,6 +75,7 @@
     :param address: ``host:port`` of its worker.
     :param is_trial: whether the upstream was on trial.
     :param idle_seconds: how long the connection had been idle.
+    :param sent_at: when it was sent, seconds of the monotonic clock.
     :param is_silent: whether it was reported as silent.
     :param timer: reports it as silent later.
     :param waits_since: when the entry began to wait for the next event of its
@@ -86,6 +87,7 @@
     address: str
     is_trial: bool
     idle_seconds: float
+    sent_at: float = field(default_factory=time.monotonic)
     is_silent: bool = False
     timer: gevent.Greenlet[..., None] | None = None
     waits_since: float = 0
@@ -270,10 +272,13 @@
             return
         if outcome is not SendOutcome.silent:
             tracked.stop_timer()
+        now = time.monotonic()
+        has_failed = outcome is SendOutcome.failed
         report = SendReport(
             request.fingerprint[:FINGERPRINT_DIGITS],
             outcome,
             is_trial=tracked.is_trial,
+            took=round(now - tracked.sent_at, AGE_DIGITS) if has_failed else 0,
         )
         is_urgent = tracked.is_trial or tracked.is_silent
         if outcome is SendOutcome.succeeded and not is_urgent:
@@ -281,8 +286,8 @@
             if tracked.incarnation == tracked.upstream.incarnation:
                 tracked.upstream.unreported_successes += 1
             return
-        timed = (time.monotonic(), report)
-        if timed[0] < self._muted_until.get(tracked.address, 0):
+        timed = (now, report)
+        if now < self._muted_until.get(tracked.address, 0):
             self._keep(tracked.start, timed)
             return
         is_sending = tracked.start in self._urgent
--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -57,6 +57,8 @@
         of the same request takes this back.
     :param count: number of requests, 1 unless all of them succeeded.
     :param is_trial: whether it was sent as a trial of an ejected upstream.
+    :param took: time from the send to a failure, 0 where it is not known,
+        seconds.
     """
 
     at: float
@@ -66,6 +68,12 @@
     is_silent: bool = False
     count: int = 1
     is_trial: bool = False
+    took: float = 0
+
+    @property
+    def sent_at(self) -> float:
+        """Tell when the request was sent, seconds."""
+        return self.at - self.took
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +114,7 @@
 
 
 def shows_failing(
-    evidence: Collection[Evidence], grants: Iterable[float]
+    evidence: Collection[Evidence], grants: Collection[float]
 ) -> bool:
     """Weigh outcomes for and against a failing upstream.
 
@@ -209,21 +217,22 @@
 
 
 def _list_outcomes(
-    evidence: Collection[Evidence], grants: Iterable[float]
+    evidence: Collection[Evidence], grants: Collection[float]
 ) -> list[Evidence]:
     """List outcomes, oldest first, with slots that stand for successes.
 
     The slots of failed requests are left out: for each failure that which was
-    granted last before it.  Reported successes then only show which entries
-    succeed.
+    granted last before it was sent.  The order is that of the sends, since
+    requests that were sent after the last failed one may still fail, and show
+    nothing yet.  Reported successes then only show which entries succeed.
     """
-    outcomes = sorted(evidence, key=_get_time)
+    if not grants:
+        return sorted(evidence, key=_get_time)
     remaining = deque(grants)
-    if not remaining:
-        return outcomes
     listed: list[Evidence] = []
-    for outcome in outcomes:
-        while remaining and remaining[0] <= outcome.at:
+    size = 0
+    for outcome in sorted(evidence, key=_get_send_time):
+        while remaining and remaining[0] <= outcome.sent_at:
             remaining.popleft()
             listed.append(_GRANTED)
         if not outcome.has_failed:
@@ -231,9 +240,8 @@
             continue
         _drop_last_grant(listed)
         listed.append(outcome)
-    # Failures may be reported late.
-    listed.extend(_GRANTED for _at in remaining)
-    return listed
+        size = len(listed)
+    return listed[:size]
 
 
 def _drop_last_grant(listed: list[Evidence]) -> None:
@@ -245,3 +253,7 @@
 
 def _get_time(outcome: Evidence) -> float:
     return outcome.at
+
+
+def _get_send_time(outcome: Evidence) -> float:
+    return outcome.sent_at
--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -368,6 +368,25 @@
     assert [report.outcome for report in taken.reports] == [SendOutcome.failed]
 
 
+def test_a_failure_is_reported_with_the_time_since_its_send() -> None:
+    """Requests that were sent after it may still fail."""
+    pool = _RecordingPool(*[Ok(Reply(200, b'{}'))] * 2)
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    keeper = _make_keeper(UpstreamReport(0, 0))
+    state = build_upstream('vm-1', service=SERVICE)
+    request = make_online_request()
+    request.record_send(state)
+    reporter.track(request, state, 0)
+    gevent.sleep(0.1)
+    reporter._record(request, SendOutcome.failed)
+    gevent.sleep(0)
+    keeper.receive(pool.bodies[0])
+    assert 0.1 <= keeper._record.evidence[0].took < 1
+    reporter._record(request, SendOutcome.silent)
+    gevent.sleep(0)
+    assert pool.bodies[1].reports[0].took == 0
+
+
 def test_a_report_says_whether_it_was_a_trial() -> None:
     pool = _RecordingPool(*[Ok(Reply(200, b'{}'))] * 2)
     reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -186,6 +186,39 @@
     assert record.state is HealthState.healthy
 
 
+def _fail_later(record: HealthRecord, entry: str, sent: float) -> None:
+    """Report a failure 0.3 s after its request was sent."""
+    at = sent + 0.3
+    record_evidence(record, Evidence(at, entry, f'{sent}', True, took=0.3))
+
+
+def test_requests_that_may_still_fail_do_not_prevent_an_ejection() -> None:
+    """Slots that were granted since the send stood for successes."""
+    record = HealthRecord()
+    sends = {'a': 0.1, 'b': 0.2, 'c': 0.25, 'd': 0.3}
+    for sent in sends.values():
+        record_grant(record, sent)
+    for entry in 'abc':
+        _fail_later(record, entry, sends[entry])
+    for sent in (0.56, 0.57, 0.58):
+        record_grant(record, sent)
+    assert record.state is HealthState.healthy
+    _fail_later(record, 'd', sends['d'])
+    assert record.state is HealthState.ejected
+
+
+def test_late_failures_among_successes_eject_no_upstream() -> None:
+    """They are reported in a row, but were not sent in a row."""
+    record = HealthRecord()
+    for number in range(12):
+        record_grant(record, number / 10)
+    for number, entry in enumerate('abca'):
+        sent = number * 0.3
+        late = Evidence(2 + sent / 9, entry, f'{sent}', True, took=2 - sent)
+        record_evidence(record, late)
+    assert record.state is HealthState.healthy
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_an_entry_with_a_bad_link_ejects_no_upstream(seed: int) -> None:
     fleet = FaultyFleet(seed, bad_entries={0}, seconds=30)
