Do not place the send of a failed request before the grant of its slot

What callers saw: beside load, an upstream that breaks off its answers was still ejected one or two failures late at times.

Cause: the time from the send to a failure, and the age of a report, were rounded to the next millisecond. Rounded up, the send came before the grant of its slot, which then stood for a success between two failures. In a trace, a slot was granted at 0.313 s, its request counted as sent before, and the sixth failure ejected where the fifth should have.

Change: both times are rounded down.

--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
 from contextlib import ExitStack
@@ -63,7 +64,7 @@
 STALL_SECONDS = silence.BETWEEN_EVENTS_SECONDS + STALL_MARGIN_SECONDS
 CHECK_SECONDS = 0.25
 FINGERPRINT_DIGITS = 16
-AGE_DIGITS = 3
+MILLISECONDS = 1000
 
 
 @dataclass(slots=True)
@@ -278,7 +279,7 @@
             request.fingerprint[:FINGERPRINT_DIGITS],
             outcome,
             is_trial=tracked.is_trial,
-            took=round(now - tracked.sent_at, AGE_DIGITS) if has_failed else 0,
+            took=_round_down(now - tracked.sent_at) if has_failed else 0,
         )
         is_urgent = tracked.is_trial or tracked.is_silent
         if outcome is SendOutcome.succeeded and not is_urgent:
@@ -371,12 +372,17 @@
     """Set the ages of reports, and leave out those that are too old."""
     now = time.monotonic()
     return tuple(
-        msgspec.structs.replace(report, age=round(now - at, AGE_DIGITS))
+        msgspec.structs.replace(report, age=_round_down(now - at))
         for at, report in kept
         if now - at < KEEP_SECONDS
     )
 
 
+def _round_down(seconds: float) -> float:
+    """Round to milliseconds, so that no send precedes the grant of its slot."""
+    return math.floor(seconds * MILLISECONDS) / MILLISECONDS
+
+
 def _is_stalled(tracked: TrackedSend) -> bool:
     # While the caller reads slowly, events are not waited for.
     waited = time.monotonic() - tracked.waits_since
--- a/tests/hosted/test_unreliable_upstreams.py
+++ b/tests/hosted/test_unreliable_upstreams.py
@@ -387,6 +387,21 @@
     assert pool.bodies[1].reports[0].took == 0
 
 
+def test_a_send_is_not_reported_before_the_grant_of_its_slot() -> None:
+    """Rounded up, a failure left its own slot to stand for a success."""
+    pool = _RecordingPool(Ok(Reply(200, b'{}')))
+    reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
+    state = build_upstream('vm-1', service=SERVICE)
+    request = make_online_request()
+    request.record_send(state)
+    reporter.track(request, state, 0)
+    request.tracked.sent_at = time.monotonic() - 0.1006
+    reporter._record(request, SendOutcome.failed)
+    passed = time.monotonic() - request.tracked.sent_at
+    gevent.sleep(0)
+    assert 0.1 <= pool.bodies[0].reports[0].took <= passed
+
+
 def test_a_report_says_whether_it_was_a_trial() -> None:
     pool = _RecordingPool(*[Ok(Reply(200, b'{}'))] * 2)
     reporter = OutcomeReporter(_make_settings('edge-0'), pool, Metrics())
