Store culprits that another process confirms by items lost here

What callers saw: items with a part that crashes upstreams crashed 6 of them where 5 may be (test_items_with_a_crashing_part_do_not_run_on, beside load).

Cause: a worker that knows of a crash that nothing explains waits for a second lone run before it blames a part. The crash of another upstream can look so for a moment, if the loss of a sound item there is reported without that of the item with the part. An entry that knows all runs then confirms the part, and sends it to the workers that follow, but only the process that reports a lost run writes culprits to the store. The worker that got the lease next found none and tried one more item alone. In a trace of that test: lone run lost at 1.463 s, part condemned by an entry at 1.469 s and known to the worker at 1.470 s, lease of another worker at 5.087 s without the culprit, its upstream crashed at 5.180 s. With the two runs of each of two workers before, that is a sixth crash.

Change: a worker writes a culprit that it learns of if one of the runs that it explains was lost there.

Evidence: without the write, test_a_culprit_that_an_entry_confirms_is_stored fails with 'timed out waiting until the store has it'; now it passes.

--- a/src/wigeonpier/hosted/itemtrials.py
+++ b/src/wigeonpier/hosted/itemtrials.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
@@ -47,6 +48,8 @@
 # all.  Items run for 5 s: if each complete run were awaited, the last of eight
 # items that were lost in one crash would be 40 s late.
 CRASH_WINDOW_SECONDS = 0.5
+# More crashes than any decision about a part needs.
+MAX_LOST_STARTS = 64
 # Unlike online requests, which have precedence, an item always waits until no
 # other suspected request runs at the upstream.
 ISOLATION_BY_RUN_MODE = MappingProxyType(
@@ -70,6 +73,7 @@
         it is ejected, and are the first to try it.
     :param spacing: times at which items are tried again.
     :param leases: admit one run at a time in the fleet.
+    :param lost_starts: starts of the upstream that crashed under items.
     """
 
     upstream: LocalUpstream
@@ -80,6 +84,9 @@
     health: HealthKeeper
     spacing: ItemSpacing
     leases: TrialLeases
+    lost_starts: deque[str] = field(
+        default_factory=lambda: deque(maxlen=MAX_LOST_STARTS),
+    )
 
     def is_runnable(self, work: ItemWork) -> bool:
         """Check whether an item may run now.
@@ -187,6 +194,19 @@
         if not self.suspicions.is_empty:
             self.suspicions.clear(work.fingerprint)
 
+    def record_culprits(self, update: PartUpdate) -> None:
+        """Store culprits that another process has confirmed by runs lost here.
+
+        The next worker that gets the lease for them reads the store.
+
+        :param update: what is new here about parts of prompts.
+        """
+        by_name = self.suspicions.parts.culprits.by_name
+        for report in update.culprits:
+            culprit = by_name.get(report.name)
+            if culprit and not culprit.runs.keys().isdisjoint(self.lost_starts):
+                self.quarantine.record_culprit(report.name)
+
     def _get_run_mode(self, work: ItemWork) -> RunMode:
         """Find out how an item runs; one that would be refused runs alone."""
         if self.suspicions.is_empty or self.upstream.replica is None:
@@ -223,6 +243,7 @@
         update = self.suspicions.merge(
             SuspicionUpdate(ends=(crash,), parts=parts)
         )
+        self.lost_starts.append(start)
         self.quarantine.record(work.fingerprint)
         self.quarantine.record_parts(update.parts)
         # The pause before the next try has to outlast this process.
--- a/src/wigeonpier/hosted/suspicionhandler.py
+++ b/src/wigeonpier/hosted/suspicionhandler.py
@@ -5,11 +5,13 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from wigeonpier.membership.updates import SuspicionUpdate
+from wigeonpier.membership.updates import PartUpdate, SuspicionUpdate
 from wigeonpier.web.messages import Request, Response, decode_body
 from wigeonpier.web.server import Route, make_route
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wigeonpier.membership.suspicions import Suspicions
     from wigeonpier.policy.trial import TrialTable
 
@@ -24,12 +26,19 @@
     Entries that follow the load feed receive them at once.
     """
 
-    def __init__(self, suspicions: Suspicions, trials: TrialTable) -> None:
+    def __init__(
+        self,
+        suspicions: Suspicions,
+        trials: TrialTable,
+        on_parts: Callable[[PartUpdate], None],
+    ) -> None:
         """Create the handler.
 
         :param suspicions: suspected requests that this worker knows.
         :param trials: suspected requests at the upstream.
+        :param on_parts: called with what is new here about parts of prompts.
         """
+        self._on_parts = on_parts
         self._suspicions = suspicions
         self._trials = trials
 
@@ -49,5 +58,5 @@
             self._trials.remove(fingerprint)
         for crash in update.ends:
             self._trials.remove(crash.fingerprint)
-        self._suspicions.merge(update)
+        self._on_parts(self._suspicions.merge(update).parts)
         return Response(HTTPStatus.OK, b'{}')
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -139,7 +139,9 @@
                 + handover.offers.make_routes()
                 + health.make_routes()
                 + self._origins.make_routes()
-                + SuspicionHandler(suspicions, trials).make_routes(),
+                + SuspicionHandler(
+                    suspicions, trials, self._trials.record_culprits
+                ).make_routes(),
             ),
         )
         self._assignments = AssignmentFollower(
--- a/tests/hosted/test_crashing_items.py
+++ b/tests/hosted/test_crashing_items.py
@@ -7,12 +7,23 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
 import gevent
+import msgspec
 
 from tests.hosted.builders import wait_for
 from wigeonpier.bench.replica import DEADLY_MARK
+from wigeonpier.hosted.suspicionhandler import NEWS_PATH
+from wigeonpier.membership.updates import (
+    CrashReport,
+    CulpritReport,
+    PartUpdate,
+    SuspicionUpdate,
+)
+from wigeonpier.policy.trial import IsolationLevel
+from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
     from tests.hosted.builders import HostedSite
@@ -22,6 +33,8 @@
 MAX_PART_CRASHES = 5
 ITEMS = 6
 CRASHING_ITEM = 2
+PARTS = ('assistant/a', 'assistant/bad')
+STORED_PREFIX = 'wigeonpier/hosted/board/refused/'
 
 
 def count_crashes(site: HostedSite) -> int:
@@ -87,3 +100,30 @@
     gevent.sleep(6)
     assert count_crashes(site) <= MAX_PART_CRASHES
     assert len(site.read_results('sound')['results']) == ITEMS
+
+
+def test_a_culprit_that_an_entry_confirms_is_stored(site: HostedSite) -> None:
+    """The next worker found nothing in the store, and tried an item alone."""
+    site.start(replicas=1)
+    trials = site.workers[0]._trials
+    elsewhere = CrashReport('9' * 32, 'i-9', 'v1', 0, was_alone=False)
+    trials.suspicions.merge(SuspicionUpdate(ends=(elsewhere,)))
+    for number in range(MAX_CRASHES):
+        is_last = number == MAX_CRASHES - 1
+        work = SimpleNamespace(
+            fingerprint=f'{number}' * 32,
+            part_keys=PARTS,
+            isolation=IsolationLevel.exclusive.value if is_last else '',
+            has_new_events=False,
+        )
+        trials._record_crash(work, f'i-0.{number}', 'v1')
+    # It knows of a crash that nothing explains.
+    assert not trials.suspicions.parts.culprits.by_name
+    culprit = CulpritReport('c' * 32, PARTS, ('v1',))
+    update = SuspicionUpdate(parts=PartUpdate(culprits=(culprit,)))
+    address = f'127.0.0.2:{site.peer_port}'
+    raw = make_request(
+        'POST', NEWS_PATH, [('Host', address)], msgspec.json.encode(update)
+    )
+    assert site.pool.call(address, raw, 1).unwrap().status == 200
+    wait_for(lambda: site.store.list_keys(STORED_PREFIX), 'the store has it')
