--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -10,10 +10,11 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import deque
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -63,7 +64,7 @@
 STALL_SECONDS = silence.BETWEEN_EVENTS_SECONDS + STALL_MARGIN_SECONDS
 CHECK_SECONDS = 0.25
 FINGERPRINT_DIGITS = 16
-AGE_DIGITS = 3
+MILLISECONDS = 1000
 
 
 @dataclass(slots=True)
@@ -75,6 +76,7 @@
     :param address: ``host:port`` of its worker.
     :param is_trial: whether the upstream was on trial.
     :param idle_seconds: how long the connection had been idle.
+    :param sent_at: when it was sent, seconds of the monotonic clock.
     :param is_silent: whether it was reported as silent.
     :param timer: reports it as silent later.
     :param waits_since: when the entry began to wait for the next event of its
@@ -86,6 +88,7 @@
     address: str
     is_trial: bool
     idle_seconds: float
+    sent_at: float = field(default_factory=time.monotonic)
     is_silent: bool = False
     timer: gevent.Greenlet[..., None] | None = None
     waits_since: float = 0
@@ -270,10 +273,13 @@
             return
         if outcome is not SendOutcome.silent:
             tracked.stop_timer()
+        now = time.monotonic()
+        has_failed = outcome is SendOutcome.failed
         report = SendReport(
             request.fingerprint[:FINGERPRINT_DIGITS],
             outcome,
             is_trial=tracked.is_trial,
+            took=_round_down(now - tracked.sent_at) if has_failed else 0,
         )
         is_urgent = tracked.is_trial or tracked.is_silent
         if outcome is SendOutcome.succeeded and not is_urgent:
@@ -281,8 +287,8 @@
             if tracked.incarnation == tracked.upstream.incarnation:
                 tracked.upstream.unreported_successes += 1
             return
-        timed = (time.monotonic(), report)
-        if timed[0] < self._muted_until.get(tracked.address, 0):
+        timed = (now, report)
+        if now < self._muted_until.get(tracked.address, 0):
             self._keep(tracked.start, timed)
             return
         is_sending = tracked.start in self._urgent
@@ -366,12 +372,17 @@
     """Set the ages of reports, and leave out those that are too old."""
     now = time.monotonic()
     return tuple(
-        msgspec.structs.replace(report, age=round(now - at, AGE_DIGITS))
+        msgspec.structs.replace(report, age=_round_down(now - at))
         for at, report in kept
         if now - at < KEEP_SECONDS
     )
 
 
+def _round_down(seconds: float) -> float:
+    """Round to milliseconds, so that no send precedes the grant of its slot."""
+    return math.floor(seconds * MILLISECONDS) / MILLISECONDS
+
+
 def _is_stalled(tracked: TrackedSend) -> bool:
     # While the caller reads slowly, events are not waited for.
     waited = time.monotonic() - tracked.waits_since
