Pass on long bodies of the own interface as they arrive

What callers saw: an online answer that is no stream and longer than 64 MiB was answered 502, after the entry and the local process had both held up to 64 MiB of it.

Cause: both read the whole body before they passed it on.

Evidence: tests/entry/test_long_bodies.py, an 80 MB answer through a local process and an entry on real sockets, with and without a length, read at once or with pauses: all four cases failed before with 'HTTP/1.1 502 Bad Gateway', as did the count of tokens and both cases that break off midway.

Change: 256 KiB are held, so that a broken answer can still be refused or requested elsewhere; the rest is read as the caller takes it. Only waiting for the peer counts towards the deadline. A body without a declared length gains at most 10 s by its bytes, and none is longer than 1 GiB. An answer that breaks off ends without its last chunk or short of its length. The refusal of a local process is limited to 1 MiB and to the time of its request. A connection that always has data lets other greenlets run.

Tokens of an answer that is not held are read from its end.

Result: the 14 cases pass; the peak of traced memory of both processes stays under 8 MB. tests/entry, tests/local, tests/web and tests/test_layers.py pass.

--- a/src/wigeonpier/entry/failedattempts.py
+++ b/src/wigeonpier/entry/failedattempts.py
@@ -13,6 +13,7 @@
 from wigeonpier.policy.retry import ExecutionState
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.messages import ErrorPage
+from wigeonpier.web.readlimits import MAX_SMALL_BODY_BYTES
 
 if TYPE_CHECKING:
     from wigeonpier.entry.pending import PendingRequest
@@ -48,14 +49,16 @@
     )
 
 
-def classify_refusal(reply: StreamReply) -> RefusedAttempt:
+def classify_refusal(reply: StreamReply, seconds: float) -> RefusedAttempt:
     """Read the refusal of an upstream, and release its connection.
 
     :param reply: the answer.
+    :param seconds: time to wait for its body.
     :returns: the failed attempt.
     """
     try:
-        page = msgspec.json.decode(reply.read(), type=ErrorPage)
+        raw = reply.read(seconds, MAX_SMALL_BODY_BYTES)
+        page = msgspec.json.decode(raw, type=ErrorPage)
         refusal = Refusal(
             ErrorKind(page.error.type),
             page.error.message,
--- a/src/wigeonpier/entry/forward.py
+++ b/src/wigeonpier/entry/forward.py
@@ -8,10 +8,10 @@
 from itertools import chain
 from typing import TYPE_CHECKING
 
-import msgspec
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
+from wigeonpier.entry.bodies import read_response
 from wigeonpier.entry.failedattempts import (
     RefusedAttempt,
     classify_failure,
@@ -40,7 +40,6 @@
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
 from wigeonpier.web.sse import (
-    Completion,
     continue_body,
     is_text_line,
     join_chunks,
@@ -188,10 +187,7 @@
         reply = opened.ok_value
         if reply.get_header('content-type').startswith(EVENT_STREAM_TYPE):
             return Ok(self._start_stream(pending, state, reply))
-        response = self._read_response(pending, state, reply)
-        state.in_flight -= 1
-        reply.close()
-        return response
+        return self._read_response(pending, state, reply)
 
     def _record_added_latency(self, pending: PendingRequest) -> None:
         if pending.attempts == 1:
@@ -231,7 +227,7 @@
             reply.close()
             return Err(classify_failure(CallFailure.lost))
         if reply.status >= SERVER_ERROR or reply.status == OVERLOAD_STATUS:
-            failure = classify_refusal(reply)
+            failure = classify_refusal(reply, _get_answer_seconds(pending))
             record_outcome(
                 state, failure.execution_state is ExecutionState.not_run, now
             )
@@ -245,14 +241,24 @@
         state: UpstreamState,
         reply: StreamReply,
     ) -> Result[Response, RefusedAttempt]:
+        connection = _StreamConnection(state, reply, iter(()))
+
+        def record_break() -> None:
+            record_outcome(state, went_well=False, now=self.directory.clock())
+
         try:
-            body = reply.read(_get_answer_seconds(pending))
+            response = read_response(
+                pending, reply, _get_answer_seconds(pending), record_break
+            )
         except (OSError, HTTPParseError):
-            record_outcome(state, went_well=False, now=self.directory.clock())
+            connection.release()
+            record_break()
             return Err(classify_failure(CallFailure.lost))
-        pending.tokens = _count_tokens(pending, body)
-        content_type = reply.get_header('content-type')
-        return Ok(Response(reply.status, body, content_type))
+        if isinstance(response.body, bytes):
+            connection.release()
+        else:
+            response.on_close.append(connection.release)
+        return Ok(response)
 
     def _start_stream(
         self,
@@ -442,16 +448,6 @@
     return chain(first, lines)
 
 
-def _count_tokens(pending: PendingRequest, body: bytes) -> int:
-    if not pending.criteria.model:
-        return 0
-    try:
-        answer = msgspec.json.decode(body, type=Completion)
-    except msgspec.DecodeError:
-        return 0
-    return answer.usage.completion_tokens
-
-
 def _get_answer_seconds(pending: PendingRequest) -> float:
     return max(0, pending.seconds_left) + ANSWER_GRACE_SECONDS
 
--- a/src/wigeonpier/local/online.py
+++ b/src/wigeonpier/local/online.py
@@ -13,7 +13,8 @@
 from wigeonpier.errors import ErrorKind, Ran, Refusal
 from wigeonpier.web import headers
 from wigeonpier.web.client import CallFailure
-from wigeonpier.web.messages import EVENT_STREAM_TYPE, Response
+from wigeonpier.web.longbodies import make_response
+from wigeonpier.web.messages import EVENT_STREAM_TYPE
 from wigeonpier.web.sse import is_text_line
 
 if TYPE_CHECKING:
@@ -23,7 +24,7 @@
     from wigeonpier.local.suspects import LocalSuspects, SuspectRun
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import HttpClient, StreamReply
-    from wigeonpier.web.messages import Request
+    from wigeonpier.web.messages import Request, Response
 
 DEFAULT_DEADLINE_MS = 120_000
 MILLISECONDS = 1000
@@ -80,14 +81,13 @@
         reply = _open_upstream(path, run, target, deadline)
         resources.callback(reply.close)
         if _is_stream(reply):
-            return Response(
-                reply.status,
-                _relay(path, reply, run, deadline),
-                reply.get_header('content-type'),
-                # The slot is held until the stream is sent or aborted.
-                on_close=[resources.pop_all().close],
-            )
-        return _make_response(reply, run, deadline)
+            response = make_response(reply, _relay(path, reply, run, deadline))
+        else:
+            response = make_response(reply, _read_body(reply, run, deadline))
+        if not isinstance(response.body, bytes):
+            # The slot is held until the body is sent or aborted.
+            response.on_close.append(resources.pop_all().close)
+        return response
 
 
 def _open_upstream(
@@ -125,26 +125,44 @@
     return reply.get_header('content-type').startswith(EVENT_STREAM_TYPE)
 
 
-def _make_response(
+def _read_body(
     reply: StreamReply,
     run: SuspectRun,
     deadline: float,
-) -> Response:
+) -> bytes | Iterator[bytes]:
     try:
-        body = reply.read(_get_seconds_left(deadline))
+        start = reply.read_start(_get_seconds_left(deadline))
     except (OSError, HTTPParseError) as error:
         run.record_loss()
         raise Refusal(ErrorKind.upstream_lost, 'the answer broke off') from (
             error
         )
-    run.record_completion()
+    if reply.is_whole:
+        run.record_completion()
     if reply.status >= SERVER_ERROR:
         raise Refusal(
             ErrorKind.upstream_failed,
             f'the upstream answered {reply.status}',
             ran=Ran.unknown,
         )
-    return Response(reply.status, body, reply.get_header('content-type'))
+    return start if reply.is_whole else _pass_on(reply, run, [start])
+
+
+def _pass_on(
+    reply: StreamReply, run: SuspectRun, held: list[bytes]
+) -> Iterator[bytes]:
+    """Pass on a long body.
+
+    :param held: its start, which is dropped once the caller has it.
+    :raises OSError: if it breaks off, so that it does not look complete.
+    """
+    yield held.pop()
+    try:
+        yield from reply.iterate_parts()
+    except (OSError, HTTPParseError):
+        run.record_loss()
+        raise
+    run.record_completion()
 
 
 def _get_seconds_left(deadline: float) -> float:
--- a/src/wigeonpier/web/client.py
+++ b/src/wigeonpier/web/client.py
@@ -13,10 +13,12 @@
 
 from wigeonpier.web.connections import (
     MAX_HEAD_BYTES,
+    NO_LIMIT,
     BoundedPool,
     BoundedResponse,
 )
 from wigeonpier.web.exchange import make_request
+from wigeonpier.web.readlimits import MAX_DECLARED_BYTES, MAX_HELD_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -25,6 +27,9 @@
 BODY_SECONDS = 30.0
 MAX_LINE_BYTES = 1_048_576
 MAX_BODY_BYTES = 67_108_864
+# An endless body without a declared length may send at the minimum rate, and
+# is cut so long after its time.
+MAX_EXTRA_SECONDS = 10.0
 COMMENT_PREFIX = b':'
 FIRST_ERROR_STATUS = 300
 # No blanks and control characters in a path, no line breaks in a header.
@@ -87,6 +92,11 @@
         ]
         return self._sent_bytes + sum(header_sizes)
 
+    @property
+    def is_whole(self) -> bool:
+        """Check whether all of the response was read."""
+        return bool(self._response.message_complete)
+
     def get_header(self, name: str) -> str:
         """Read one header.
 
@@ -142,6 +152,40 @@
             raise ConnectionResetError('response body is truncated')
         return body
 
+    def read_start(self, seconds: float) -> bytes:
+        """Read the body, or only the start of a long one.
+
+        :param seconds: time to wait for the whole body, for a small one.
+        :returns: the whole body if :attr:`is_whole` is true afterwards; else
+            :meth:`iterate_parts` reads the rest.
+        :raises OSError: if the connection is lost before the end, or the body
+            is too long or takes too long.
+        """
+        declared = self._response.content_length
+        is_too_long = (declared or 0) > MAX_DECLARED_BYTES
+        self._response.set_limits(
+            seconds,
+            0 if is_too_long else MAX_DECLARED_BYTES,
+            MAX_EXTRA_SECONDS if declared is None else NO_LIMIT,
+        )
+        start = bytearray()
+        while len(start) <= MAX_HELD_BYTES:
+            part = self._response.read_part()
+            start += part
+            if not part:
+                break
+        return bytes(start)
+
+    def iterate_parts(self) -> Iterator[bytes]:
+        """Read the rest of a body within the limits of its start.
+
+        :yields: its parts as they arrive.
+        :raises OSError: if the connection is lost before the end, or the body
+            is too long or takes too long.
+        """
+        while part := self._response.read_part():
+            yield part
+
     def close(self) -> None:
         """Release the connection; it is reused only after a complete response."""
         if self._response.message_complete:
--- a/src/wigeonpier/web/connections.py
+++ b/src/wigeonpier/web/connections.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any
 
+import gevent
 from gevent import socket as green
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import (
@@ -19,6 +20,7 @@
 
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.readlimits import MAX_BYTES_IN_A_ROW
 from wigeonpier.web.responseparser import FIRST_FINAL_STATUS
 
 CONNECT_SECONDS = 1.0
@@ -27,6 +29,8 @@
 MAX_IDLE_SECONDS = 10.0
 MIN_TIMEOUT_SECONDS = 0.001
 MAX_HEAD_BYTES = 65_536
+NO_LIMIT = float('inf')
+PART_BYTES = 65_536
 # A body that arrives at this rate is not cut.
 MIN_BYTES_PER_SECOND = 1_000_000
 
@@ -45,19 +49,25 @@
         """Create a connection without limits."""
         super().__init__(*details)
         self.idle_since = time.monotonic()
-        self._seconds_left = float('inf')
-        self._bytes_left = float('inf')
+        self._seconds_left = NO_LIMIT
+        self._bytes_left = NO_LIMIT
         self._has_received = False
+        self._extra_seconds = NO_LIMIT
+        self._bytes_in_a_row = 0
 
-    def set_limits(self, seconds: float, size: int) -> None:
+    def set_limits(
+        self, seconds: float, size: int, extra: float = NO_LIMIT
+    ) -> None:
         """Limit what the peer may take and send from now on.
 
         :param seconds: time to wait for it in total, without the time that
             the bytes need at the minimum rate.
         :param size: bytes.
+        :param extra: most that the bytes may add to the time, seconds.
         """
         self._seconds_left = seconds
         self._bytes_left = size
+        self._extra_seconds = extra
         self._has_received = False
 
     def recv(self, *details: Any) -> bytes:
@@ -70,6 +80,7 @@
         if self._bytes_left <= 0:
             self._log_cut('too many bytes')
             raise AnswerLimitError('the peer sends too many bytes')
+        self._let_others_run()
         self._apply_timeout()
         started = time.monotonic()
         try:
@@ -82,7 +93,10 @@
         self._has_received = True
         self._bytes_left -= size
         self._seconds_left -= time.monotonic() - started
-        self._seconds_left += size / MIN_BYTES_PER_SECOND
+        extra = min(self._extra_seconds, size / MIN_BYTES_PER_SECOND)
+        self._extra_seconds -= extra
+        self._seconds_left += extra
+        self._bytes_in_a_row += size
         return received
 
     def sendall(self, *details: Any) -> None:
@@ -95,11 +109,17 @@
         super().sendall(*details)
         self._seconds_left -= time.monotonic() - started
 
+    def _let_others_run(self) -> None:
+        # A socket that has data does not wait.
+        if self._bytes_in_a_row > MAX_BYTES_IN_A_ROW:
+            self._bytes_in_a_row = 0
+            gevent.sleep(0)
+
     def _apply_timeout(self) -> None:
         if self._seconds_left <= 0:
             self._log_cut('too slow')
             raise TimeoutError('the peer takes too long')
-        if self._seconds_left != float('inf'):
+        if self._seconds_left != NO_LIMIT:
             self.settimeout(max(self._seconds_left, MIN_TIMEOUT_SECONDS))
 
     def _log_cut(self, problem: str) -> None:
@@ -169,14 +189,32 @@
         self.is_unusable = False
         super().__init__(sock, pool, method=method)
 
-    def set_limits(self, seconds: float, size: int) -> None:
+    def set_limits(
+        self, seconds: float, size: int, extra: float = NO_LIMIT
+    ) -> None:
         """Limit the rest of the response, or the next part of it.
 
         :param seconds: time to wait for it in total.
         :param size: bytes, including the framing.
+        :param extra: most that the bytes may add to the time, seconds.
         """
         if isinstance(self._sock, BoundedSocket):
-            self._sock.set_limits(seconds, size)
+            self._sock.set_limits(seconds, size, extra)
+
+    def read_part(self) -> bytes:
+        """Read the next part of the body.
+
+        :returns: the bytes that have arrived; empty after the end of the body.
+        :raises OSError: if the connection is lost before the end, or a limit
+            is exceeded.
+        """
+        while not (self._body_buffer or self.message_complete):
+            if self._sock is None:
+                raise ConnectionResetError('the response is closed')
+            self.feed(self._sock.recv(PART_BYTES))
+        part = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return part
 
     def should_close(self) -> bool:
         """Check whether the connection must not be used again."""
