Limit health answers of upstreams at the own interface

What was seen: an upstream that sends an answer to a health check without end made its local process hold 64 MiB of it, twice a second; one that answered an invalid list of models stayed healthy, since the loop of probes ended with the error before it stored the result.

Cause: probes had the limit of bodies of all calls, and no handling of DecodeError.

Evidence: tests/local/test_upstream.py on the code before: 'assert < 8000000' for a body, 74 to 77 MB for the others that have no length or a long one and for trailers; 'msgspec.DecodeError' for three lists. Heads and trickles were bounded before.

Change: the client of the upstream reads 256 KiB of an answer to a call; an answer that cannot be decoded is no health.

The hosted interface has no health checks of upstreams; its reports of load are covered by tests/hosted/test_endless_bytes.py.

--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -57,6 +57,8 @@
 PROGRAM = 'wigeonpier-local'
 FAN_OUT = 4
 BODY_LIMIT = 16_000_000
+# Of the answer to a probe of the upstream's health or models.
+MAX_PROBE_BYTES = 262_144
 PROTECTED_PATHS = ('/v1/', '/services/', '/disk/', '/peer/')
 MILLISECONDS = 1000
 
@@ -208,7 +210,11 @@
 
     :returns: the client.
     """
-    return HttpClient({'connection': 'close'}, reuses_connections=False)
+    return HttpClient(
+        {'connection': 'close'},
+        reuses_connections=False,
+        max_call_bytes=MAX_PROBE_BYTES,
+    )
 
 
 def _build_server(components: Components, path: OnlinePath) -> Server:
--- a/src/wigeonpier/local/upstream.py
+++ b/src/wigeonpier/local/upstream.py
@@ -91,6 +91,9 @@
         )
         if isinstance(called, Err) or not called.ok_value.is_good:
             return False
-        listed = called.ok_value.decode(_ModelList)
+        try:
+            listed = called.ok_value.decode(_ModelList)
+        except msgspec.DecodeError:
+            return False
         self.models = tuple(sorted(entry.id for entry in listed.data))
         return True
--- a/src/wigeonpier/web/client.py
+++ b/src/wigeonpier/web/client.py
@@ -202,6 +202,7 @@
         headers: dict[str, str] | None = None,
         *,
         reuses_connections: bool = True,
+        max_call_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Create a client that sends the headers with each call.
 
@@ -209,10 +210,13 @@
         :param reuses_connections: whether a connection carries several
             requests; false for peers that may send the response to an earlier
             request once more.
+        :param max_call_bytes: longest body of the answer to a call, with its
+            framing.
         """
         self.bytes_moved = 0
         self._headers = headers or {}
         self._reuses_connections = reuses_connections
+        self._max_call_bytes = max_call_bytes
         self._pools: dict[str, BoundedPool] = {}
 
     def open(
@@ -302,7 +306,7 @@
             pool.close()
 
     def _read_reply(self, stream: StreamReply, seconds: float) -> Reply:
-        reply = Reply(stream.status, stream.read(seconds))
+        reply = Reply(stream.status, stream.read(seconds, self._max_call_bytes))
         self.bytes_moved += stream.moved_bytes + len(reply.body)
         return reply
 
