End answers that clients never read

What was seen: a client that sends a request and never reads its answer kept its connection, the slot at the upstream and the buffers of all hops until it closed.

Cause: writes to clients had no limit of time.

Change: a part of an answer may take 30 s to be written, and 1 s more for each 64 KiB; then the connection is reset. It holds for both interfaces, since both use the same server. Reading the next request has its own limits.

--- a/src/wigeonpier/web/server.py
+++ b/src/wigeonpier/web/server.py
@@ -20,6 +20,7 @@
 from wigeonpier.served import ClientLimits
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
+from wigeonpier.web.exchange import RESET_ON_CLOSE
 from wigeonpier.web.heads import HeadError, read_head
 from wigeonpier.web.messages import Request, Response, answer_refusal
 
@@ -39,6 +40,10 @@
 # After the last answer of a connection.
 MAX_DRAINED_BYTES = 33_554_432
 DISCARD_PART_BYTES = 16_384
+# How long a client may take none of an answer, apart from the time that its
+# bytes need at the minimum rate.
+MAX_UNREAD_SECONDS = 30.0
+MIN_CLIENT_BYTES_PER_SECOND = 65_536
 # Their bodies were not read to the end.
 UNREAD_STATUSES = frozenset(
     (HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -162,6 +167,20 @@
             self.close_connection = True
             _close_gently(self.socket)
 
+    def _sendall(self, part: bytes) -> None:
+        # The timeout of a socket also applies to reading the next request.
+        self.socket.settimeout(
+            MAX_UNREAD_SECONDS + len(part) / MIN_CLIENT_BYTES_PER_SECOND
+        )
+        try:
+            super()._sendall(part)  # type: ignore[misc]
+        except TimeoutError:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            raise
+        self.socket.settimeout(None)
+
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         log_event(
             Event.request_broken,
