End streams whose events never end at the time of the request

What callers saw: a replica that sends valid events without end kept its request, its slot and its caller without a final answer for as long as the caller read, past the deadline and the timeout of the route.

Cause: each event had a limit of time, the stream had none.

Time in which a caller keeps a write waiting for over 50 ms does not count, so that a slow reader of a long stream is not cut. The stand-in sends such events; the soak does not, since its callers compare the events that they receive.

--- a/src/wigeonpier/bench/endless.py
+++ b/src/wigeonpier/bench/endless.py
@@ -43,6 +43,7 @@
     unframed_body = 'a body that ends with its connection'
     event = 'an event'
     event_lines = 'lines of an event'
+    events = 'events'
     blank_events = 'blank lines'
     extension = 'a chunk extension'
     trailers = 'trailers'
@@ -106,6 +107,7 @@
         Endless.unframed_body: (b'%b\r\n' % head, FILLER),
         Endless.event: (b'%b6\r\ndata: \r\n' % stream, CHUNK),
         Endless.event_lines: (stream, b'a\r\ndata: xyz\n\r\n'),
+        Endless.events: (stream, b'f\r\nid: 1\ndata: x\n\n\r\n'),
         Endless.blank_events: (stream, b'2\r\n:\n\r\n1\r\n\n\r\n'),
         Endless.extension: (b'%b5\r\nid: 1\r\n5;' % stream, FILLER),
         Endless.trailers: (b'%b5\r\nid: 1\r\n0\r\n' % stream, MORE),
--- a/src/wigeonpier/bench/soakendless.py
+++ b/src/wigeonpier/bench/soakendless.py
@@ -23,6 +23,8 @@
 REPORT_SHARE = 0.25
 TRICKLE_SHARE = 0.5
 SAMPLE_SECONDS = 0.05
+# Callers can't tell endless events from those that they expect.
+KINDS = tuple(kind for kind in Endless if kind is not Endless.events)
 # Of the smallest machines.
 MAX_MEMORY_BYTES = 232_000_000
 
@@ -69,7 +71,7 @@
         faults = self.rng.choice(self.site.replicas).faults
         is_report = self.rng.random() < REPORT_SHARE
         sender = faults.endless_report if is_report else faults.endless
-        self._send(sender, self.rng.choice(list(Endless)))
+        self._send(sender, self.rng.choice(KINDS))
 
     def _send(self, sender: EndlessBytes, kind: Endless) -> None:
         sender.is_trickle = self.rng.random() < TRICKLE_SHARE
--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -27,6 +27,9 @@
     from wigeonpier.web.exchange import Exchange
     from wigeonpier.web.messages import Request
 
+# A caller that reads as fast as events arrive makes each wait shorter.
+MIN_CALLER_WAIT_SECONDS = 0.05
+
 
 @dataclass(slots=True)
 class SendRecord:
@@ -109,6 +112,7 @@
     :param slot_wait: time that such calls have taken, seconds.
     :param origin: what wrote the first event that the caller has, ``None`` if
         it has none.
+    :param caller_seconds: time that the caller took to read events.
     """
 
     http_request: Request
@@ -139,6 +143,7 @@
     slot_call: Exchange | None = None
     slot_wait: float = 0
     origin: StreamOrigin | None = None
+    caller_seconds: float = 0
     _fingerprint: str = ''
     _part_keys: tuple[str, ...] | None = None
 
@@ -220,6 +225,14 @@
             has_events=has_events,
         )
 
+    def record_caller_wait(self, seconds: float) -> None:
+        """Record how long the caller took to read an event.
+
+        :param seconds: time of the write.
+        """
+        if seconds > MIN_CALLER_WAIT_SECONDS:
+            self.caller_seconds += seconds
+
     def measure_wait(self, now: float) -> QueueTime:
         """Measure how long the request has waited.
 
--- a/src/wigeonpier/hosted/questions.py
+++ b/src/wigeonpier/hosted/questions.py
@@ -48,6 +48,8 @@
 RETRY_AFTER_SECONDS = 0.3
 # For callers that state no deadline.
 DEFAULT_TIMEOUT_SECONDS = 60.0
+# The end of a stream that upstreams end at the deadline takes a moment.
+STREAM_GRACE_SECONDS = 0.25
 # One in so many ordinary requests is logged; failures, late responses and
 # retries always are.
 LOG_ONE_IN = 16
@@ -183,6 +185,7 @@
             if tracked is not None:
                 tracked.waits_since = time.monotonic()
             try:
+                _check_time(request)
                 event = reader.read(
                     request.choose_read_timeout(has_events=has_events),
                 )
@@ -192,18 +195,20 @@
             if event is None:
                 return self._end_stream(request, upstream, reader)
             request.resume_after = event.identity or request.resume_after
-            if not request.first_event_at:
-                self._origins.record(request)
             has_events = True
             self._record_output(request, upstream)
             request.first_event_at = request.first_event_at or time.monotonic()
             if tracked is not None:
                 tracked.waits_since = 0
+            began = time.monotonic()
             yield event.raw
+            request.record_caller_wait(time.monotonic() - began)
 
     def _record_output(
         self, request: OnlineRequest, upstream: UpstreamState
     ) -> None:
+        if not request.first_event_at:
+            self._origins.record(request)
         request.last_send.had_output = True
         if not request.last_send.is_proven:
             self._sender.binder.suspects.record_progress(request, upstream)
@@ -326,6 +331,18 @@
     return digest % LOG_ONE_IN == 0
 
 
+def _check_time(request: OnlineRequest) -> None:
+    """Check that an answer goes on in the time of its request.
+
+    Each event by itself may arrive in time, and no event be the last one.
+
+    :raises TimeoutError: when it is over, without the time that the caller
+        took to read.
+    """
+    if request.seconds_left + request.caller_seconds < -STREAM_GRACE_SECONDS:
+        raise TimeoutError('the time of the request is over')
+
+
 def _get_current(request: OnlineRequest) -> tuple[UpstreamState, Exchange]:
     if request.upstream is None or request.exchange is None:
         raise BrokenStreamError('no upstream is processing the request')
