Check in the fault soak that callers have final answers in time

The soak injects bytes without end by default, but checked only the memory of the daemons and the content of answers. Each call with a deadline of 5 s must now end within it and half a second, the time that the rule on the timeout of routes allows. Time in which its entry was stopped by a signal does not count.

--- a/src/wigeonpier/bench/processes.py
+++ b/src/wigeonpier/bench/processes.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from contextlib import suppress
 from dataclasses import dataclass, field
 from itertools import count
@@ -48,6 +49,8 @@
 address = "{store}"
 historyS = 20
 """
+# Signals that a stopped process handles at once.
+RESUMING = frozenset((signal.SIGCONT, signal.SIGKILL))
 FIRST_PORT = 12_000
 BLOCK_COUNT = 20
 BLOCK_PORTS = 1000
@@ -84,6 +87,8 @@
     callers: str = ''
     _child: subprocess.Popen[bytes] | None = None
     _ports: dict[str, int] = field(default_factory=dict)
+    _pauses: list[tuple[float, float]] = field(default_factory=list)
+    _paused_at: float = 0
 
     def prepare(self) -> None:
         """Write the settings file."""
@@ -150,6 +155,16 @@
         """
         if self._child is not None and self.is_running:
             os.kill(self._child.pid, number)
+            self._record_pause(number)
+
+    def list_pauses(self) -> list[tuple[float, float]]:
+        """List when the process was stopped by a signal.
+
+        :returns: begin and end of each pause, monotonic seconds.
+        """
+        if self._paused_at:
+            return [*self._pauses, (self._paused_at, time.monotonic())]
+        return list(self._pauses)
 
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
@@ -158,6 +173,14 @@
             self._child.kill()
             self._child.wait()
 
+    def _record_pause(self, number: signal.Signals) -> None:
+        now = time.monotonic()
+        if number is signal.SIGSTOP:
+            self._paused_at = self._paused_at or now
+        elif self._paused_at and number in RESUMING:
+            self._pauses.append((self._paused_at, now))
+            self._paused_at = 0
+
     @property
     def _settings(self) -> Path:
         return self.folder / f'{self.name}.toml'
--- a/src/wigeonpier/bench/soakcallers.py
+++ b/src/wigeonpier/bench/soakcallers.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err
 
+from wigeonpier.bench.soakwaits import DEADLINE_SECONDS, SoakWaits
 from wigeonpier.errors import ErrorKind
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform import wire
@@ -30,6 +31,8 @@
 HOST = 'soak.example'
 SERVICE = 'assistant'
 DATA_CENTRE = 'a'
+DEADLINE_MS = str(int(DEADLINE_SECONDS * 1000))
+# Longer than a caller may have to wait.
 CALL_TIMEOUT_SECONDS = 6.0
 REQUEST_GAP_SECONDS = (0.01, 0.12)
 JOB_GAP_SECONDS = (0.3, 1.2)
@@ -101,6 +104,7 @@
         self._pool = ConnectionPool()
         self._outcomes: dict[str, SoakAnswer] = {}
         self._violations: list[str] = []
+        self._waits = SoakWaits()
         self._crashing_count = 0
         self._is_stopped = False
         self._greenlets: list[gevent.Greenlet[..., None]] = []
@@ -151,8 +155,16 @@
             for name, answer in self._outcomes.items()
         ]
         found += [check_job(job, replicas[0], runs) for job in self.jobs]
+        found.append(self.find_late_answers())
         return self._violations + list(chain.from_iterable(found))
 
+    def find_late_answers(self) -> list[str]:
+        """Check how long callers waited for final answers.
+
+        :returns: description of each wait that was too long.
+        """
+        return self._waits.violations
+
     def count_outcomes(self) -> dict[str, int]:
         """Count answers to online requests by status, 0 for no answer."""
         statuses = (answer.status for answer in self._outcomes.values())
@@ -281,13 +293,19 @@
         if key:
             headers.append((wire.KEY_HEADER, key))
         if name:
-            headers += [(wire.REQUEST_ID, name), (wire.DEADLINE_MS, '5000')]
+            headers += [
+                (wire.REQUEST_ID, name),
+                (wire.DEADLINE_MS, DEADLINE_MS),
+            ]
         prompt = options.get('prompt')
         if prompt:
             listed = ','.join(f'{part}:1' for part in (*prompt, name))
             headers.append((wire.PROMPT_PARTS, listed))
         raw = make_request(method, target, headers, body)
-        called: Any = self._pool.call(entry.callers, raw, CALL_TIMEOUT_SECONDS)
+        with self._waits.measure(name or target, entry):
+            called: Any = self._pool.call(
+                entry.callers, raw, CALL_TIMEOUT_SECONDS
+            )
         return None if isinstance(called, Err) else called.ok_value
 
 
