Give lone items their turn at a busy upstream (own interface)

An item that had been running at a crash runs alone, and was started only once no other batch item ran at its upstream. Where other items are always ready, as under a steady queue, that is never: the item is owed, the upstream calm, and it is not placed. Other chunks also started items beside one that ran alone, so that it was blamed for their crashes.

Change: items that run alone and the others take turns of bounded length (policy/loneturn). Items that cannot be paused end first, and no more of them start meanwhile.

Before: test_a_due_item_gets_its_turn_at_a_busy_upstream, on the sources before (without the import of a constant that they lack), started no item alone in 100 steps: "assert 0 == 1".

Now: 78 tests of tests/local, tests/batch, test_loneturn and test_layers pass.

--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import secrets
+import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from itertools import chain
@@ -86,11 +88,13 @@
     :param index: position in the chunk.
     :param line: line of the input file.
     :param is_idempotent: whether it may run more than once.
+    :param not_before: earliest start, seconds of the monotonic clock.
     """
 
     index: int
     line: Line
     is_idempotent: bool
+    not_before: float = 0
 
 
 @dataclass(slots=True)
@@ -174,6 +178,29 @@
                     apply_record(self.ledgers[record.item], record)
                 return
 
+    def find_due(self, now: float) -> float:
+        """Find when the first item became due to run alone.
+
+        :param now: seconds of the monotonic clock.
+        :returns: seconds of that clock, infinite if none is due yet.
+        """
+        starts = [item.not_before for item in self.suspects]
+        return min(
+            (start for start in starts if start <= now), default=math.inf
+        )
+
+    def take_due(self, now: float) -> Item | None:
+        """Take the first item that is due to run alone.
+
+        :param now: seconds of the monotonic clock.
+        :returns: the item, ``None`` if none is due.
+        """
+        for item in self.suspects:
+            if item.not_before <= now:
+                self.suspects.remove(item)
+                return item
+        return None
+
     def plan(self, *items: Item) -> None:
         """Queue items that do not run, or settle them, by their ledgers.
 
@@ -280,6 +307,7 @@
                 self.ready.append(item)
             case Step.run_alone:
                 log_event(Event.item_suspect, chunk=self.name, item=item.index)
+                item.not_before = item.not_before or time.monotonic()
                 self.suspects.append(item)
             case Step.fail:
                 reason = ledger.last_reason or 'its worker was lost each time'
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -21,8 +21,10 @@
 )
 from wigeonpier.local.engine import Engine, Run, RunEnd, prepare_body
 from wigeonpier.local.gate import BatchStream, Gate
+from wigeonpier.local.loneitems import LoneItems
 from wigeonpier.loops import spawn_loop
 from wigeonpier.policy.attempts import record_loss
+from wigeonpier.policy.loneturn import Turn
 from wigeonpier.records import Failure, Outcome, Release, Status
 
 if TYPE_CHECKING:
@@ -40,6 +42,7 @@
 RATE_SMOOTHING = 0.9
 FIRST_ERROR_STATUS = 400
 SERVICES = '/services/'
+HOLDING_TURNS = frozenset((Turn.nobody, Turn.pause_others))
 
 
 @dataclass(slots=True, eq=False)
@@ -49,12 +52,16 @@
     :param chunk: its chunk.
     :param item: the item.
     :param stream: its stream as the gate counts it.
+    :param is_alone: whether no other batch item has run beside it.
+    :param started_at: seconds of the monotonic clock.
     :param resumed: set when it holds a slot again or is abandoned.
     """
 
     chunk: Chunk
     item: Item
     stream: BatchStream
+    is_alone: bool = False
+    started_at: float = field(default_factory=time.monotonic)
     resumed: Signal = field(default_factory=Signal)
 
     def stop(self) -> None:
@@ -63,8 +70,13 @@
             self.stream.is_stopped = True
             self.stream.stop()
 
+    def pause(self) -> None:
+        """Stop the run for others if it can be resumed."""
+        if not self.stream.is_run_once:
+            self.stop()
 
-def _ignore_queue_low() -> None:
+
+def _ignore() -> None:
     """Do nothing until a handler is set."""
 
 
@@ -77,6 +89,7 @@
     :param watch: monitors the health of the upstream.
     :param owned_chunks: chunks that this process owns.
     :param metrics: metrics of this process.
+    :param lone_items: items that run alone.
     :param on_queue_low: called when the last ready item of a chunk starts.
     """
 
@@ -85,7 +98,8 @@
     watch: UpstreamWatch
     owned_chunks: OwnedChunks
     metrics: Metrics
-    on_queue_low: Callable[[], None] = _ignore_queue_low
+    lone_items: LoneItems = field(default_factory=LoneItems)
+    on_queue_low: Callable[[], None] = _ignore
     _paused: deque[ActiveItem] = field(default_factory=deque)
     _running: set[ActiveItem] = field(default_factory=set)
     _items_per_second: float = 0
@@ -162,29 +176,52 @@
         self.gate.room_event.wait(START_INTERVAL_SECONDS)
 
     def _start_one(self) -> bool:
-        if not self.gate.may_start_batch():
+        if not self.gate.is_open:
+            return False
+        chunks = sorted(self.owned_chunks.chunks.values(), key=_rank_chunk)
+        turn = self.lone_items.choose_turn(
+            chunks, self.gate.batch, has_paused=bool(self._paused)
+        )
+        if turn is Turn.pause_others:
+            for active in self._running.difference(self._paused):
+                active.pause()
+        if turn in HOLDING_TURNS or not self.gate.may_start_batch():
             return False
+        if turn is Turn.alone:
+            return self._start_alone(chunks)
+        return self._start_other(chunks, turn is Turn.others)
+
+    def _start_other(self, chunks: list[Chunk], may_run_once: bool) -> bool:
         if self._paused:
             active = self._paused.popleft()
+            self.lone_items.admit_other()
             self.gate.add_batch(active.stream)
             active.resumed.set()
             return True
-        chunks = sorted(self.owned_chunks.chunks.values(), key=_rank_chunk)
-        return any(self._start_from_chunk(chunk) for chunk in chunks)
-
-    def _start_from_chunk(self, chunk: Chunk) -> bool:
-        if chunk.ready:
-            is_run_once = _is_run_once(chunk, chunk.ready[0])
-            if not self.gate.may_start_batch(is_run_once=is_run_once):
-                return False
-            self._spawn(chunk, chunk.ready.popleft(), alone=False)
-            if not chunk.ready:
-                self.on_queue_low()
-            return True
-        if chunk.suspects and not self.gate.batch and not self._paused:
-            self._spawn(chunk, chunk.suspects.popleft(), alone=True)
-            return True
-        return False
+        return any(
+            self._start_from_chunk(chunk, may_run_once) for chunk in chunks
+        )
+
+    def _start_from_chunk(self, chunk: Chunk, may_run_once: bool) -> bool:
+        if not chunk.ready:
+            return False
+        is_run_once = _is_run_once(chunk, chunk.ready[0])
+        if is_run_once and not may_run_once:
+            return False
+        if not self.gate.may_start_batch(is_run_once=is_run_once):
+            return False
+        self.lone_items.admit_other()
+        self._spawn(chunk, chunk.ready.popleft(), alone=False)
+        if not chunk.ready:
+            self.on_queue_low()
+        return True
+
+    def _start_alone(self, chunks: list[Chunk]) -> bool:
+        taken = self.lone_items.take_next(chunks)
+        if taken is None:
+            return False
+        self._spawn(*taken, alone=True)
+        return True
 
     def _spawn(self, chunk: Chunk, item: Item, *, alone: bool) -> None:
         stream = BatchStream(
@@ -194,29 +231,46 @@
         active = ActiveItem(chunk, item, stream)
         self._running.add(active)
         self.gate.add_batch(stream)
-        gevent.spawn(self._run, active, alone)
+        if alone:
+            self.lone_items.start_solitude(active)
+        gevent.spawn(self._run, active)
+
+    def _run(self, active: ActiveItem) -> None:
+        self._guard(
+            active.chunk,
+            lambda: self._run_item(active),
+            lambda: self._remove(active),
+        )
 
-    def _run(self, active: ActiveItem, alone: bool) -> None:
+    def _remove(self, active: ActiveItem) -> None:
+        self.lone_items.end_solitude(active)
+        self.gate.remove_batch(active.stream)
+        self._running.discard(active)
+
+    def _guard(
+        self,
+        chunk: Chunk,
+        work: Callable[[], None],
+        clean_up: Callable[[], None] = _ignore,
+    ) -> None:
+        """Do work on a chunk, and finish or release the chunk after it."""
         try:
-            self._run_item(active, alone)
+            work()
         except JournalEndedError:
             # The chunk may have a newer owner, so nothing more is written.
-            active.chunk.is_lost = True
+            chunk.is_lost = True
         except InvariantError:
             raise
         except Exception:
             # The chunk would wait for this item forever, so another owner
             # has to take it over.
-            self.owned_chunks.release_after_fault(
-                active.chunk, traceback.format_exc()
-            )
+            self.owned_chunks.release_after_fault(chunk, traceback.format_exc())
         finally:
-            self.gate.remove_batch(active.stream)
-            self._running.discard(active)
-        if not active.chunk.is_lost:
-            self.owned_chunks.finish_if_settled(active.chunk)
+            clean_up()
+        if not chunk.is_lost:
+            self.owned_chunks.finish_if_settled(chunk)
 
-    def _run_item(self, active: ActiveItem, alone: bool) -> None:
+    def _run_item(self, active: ActiveItem) -> None:
         chunk = active.chunk
         if chunk.is_lost:
             # The job was cancelled between the spawn and the start of this
@@ -228,7 +282,7 @@
             f'{chunk.name} starts an item of a cancelled job',
         )
         started_at = time.monotonic()
-        chunk.record_start(active.item, alone=alone)
+        chunk.record_start(active.item, alone=active.is_alone)
         self.metrics.observe(
             'added_latency',
             time.monotonic() - started_at,
@@ -241,7 +295,7 @@
         end = self._advance(active, run)
         if not chunk.is_lost:
             self.metrics.count('batch_runs_total', end=end.value)
-            self._record_end(chunk, active.item, end, run)
+            self._record_end(active, end, run)
 
     def _advance(self, active: ActiveItem, run: Run) -> RunEnd:
         """Run an item to its end; it is paused while online work preempts it."""
@@ -251,6 +305,7 @@
                 end = self.engine.advance(run)
             if end is not RunEnd.stopped or self._is_abandoned(active):
                 return end
+            self.lone_items.end_solitude(active)
             self.gate.remove_batch(active.stream)
             active.resumed.clear()
             paused_at = time.monotonic()
@@ -268,13 +323,10 @@
     def _is_abandoned(self, active: ActiveItem) -> bool:
         return active.chunk.is_lost or not self.owned_chunks.is_open
 
-    def _record_end(
-        self,
-        chunk: Chunk,
-        item: Item,
-        end: RunEnd,
-        run: Run,
-    ) -> None:
+    def _record_end(self, active: ActiveItem, end: RunEnd, run: Run) -> None:
+        chunk, item = active.chunk, active.item
+        if end in {RunEnd.lost, RunEnd.not_run}:
+            self.watch.is_healthy = False
         match end:
             case RunEnd.answered:
                 chunk.write(_make_outcome(item, run))
@@ -286,8 +338,6 @@
                 chunk.write(self._make_failure_record(item, run))
             case RunEnd.lost:
                 record_loss(chunk.ledgers[item.index])
-        if end in {RunEnd.lost, RunEnd.not_run}:
-            self.watch.is_healthy = False
         if self.owned_chunks.is_open:
             chunk.plan(item)
 
