Count only calm lone losses against items (own interface)

Cause: a verdict from crashes alone, whatever else crashed.

Change: a loss counts only if the item ran alone and no other crash is known from 4 s before its start until 4 s after the loss (policy/itemloss). All other losses leave it owed until its completion window ends; two that count still end it, so that an item that crashes each engine does not keep its job open. Crashes of upstreams travel with heartbeats under an id of their own (membership/upstreamlosses). The loss of an owner does not count, since nobody knows what else crashed.

--- a/src/wigeonpier/batch/chunk.py
+++ b/src/wigeonpier/batch/chunk.py
@@ -30,11 +30,16 @@
     Ledger,
     Step,
     apply_record,
+    compute_item_pause,
+    compute_item_start,
     decide_item,
+    describe_judged_loss,
+    describe_lone_loss,
+    record_loss,
     write_snapshot,
 )
 from wigeonpier.policy.copies import Disk, choose_copies
-from wigeonpier.records import Begin, Failure, Outcome, Ready, Release, Status
+from wigeonpier.records import Begin, Outcome, Ready, Status
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
@@ -44,13 +49,13 @@
     from wigeonpier.batch.models import Job, Line
     from wigeonpier.disk.client import DiskClient
     from wigeonpier.platform.port import Platform
+    from wigeonpier.policy.itemloss import LoneLoss
+    from wigeonpier.records import ItemRecord
 
 TOKEN_BYTES = 8
 CLAIM_TIMEOUT_SECONDS = 5.0
 MOVE_RETRY_SECONDS = 0.5
-
-
-ItemRecord = Begin | Release | Failure | Outcome
+LOST_EACH_TIME = 'its worker was lost each time'
 
 
 class ChunkError(Exception):
@@ -89,12 +94,14 @@
     :param line: line of the input file.
     :param is_idempotent: whether it may run more than once.
     :param not_before: earliest start, seconds of the monotonic clock.
+    :param lone_loss: loss of its last run, to be judged before the next one.
     """
 
     index: int
     line: Line
     is_idempotent: bool
     not_before: float = 0
+    lone_loss: LoneLoss | None = None
 
 
 @dataclass(slots=True)
@@ -178,28 +185,85 @@
                     apply_record(self.ledgers[record.item], record)
                 return
 
-    def find_due(self, now: float) -> float:
+    def find_due(self, crashed_at: float, now: float) -> float:
         """Find when the first item became due to run alone.
 
-        :param now: seconds of the monotonic clock.
+        :param crashed_at: last crash of any upstream, seconds of the
+            monotonic clock.
+        :param now: seconds of that clock.
         :returns: seconds of that clock, infinite if none is due yet.
         """
-        starts = [item.not_before for item in self.suspects]
-        return min(
-            (start for start in starts if start <= now), default=math.inf
-        )
+        due = self._list_due(crashed_at, now)
+        return min((start for start, _item in due), default=math.inf)
 
-    def take_due(self, now: float) -> Item | None:
+    def take_due(self, crashed_at: float, now: float) -> Item | None:
         """Take the first item that is due to run alone.
 
-        :param now: seconds of the monotonic clock.
+        :param crashed_at: last crash of any upstream, seconds of the
+            monotonic clock.
+        :param now: seconds of that clock.
         :returns: the item, ``None`` if none is due.
         """
+        due = self._list_due(crashed_at, now)
+        if not due:
+            return None
+        _start, item = due[0]
+        self.suspects.remove(item)
+        return item
+
+    def take_unjudged(self, now: float) -> list[Item]:
+        """Take the items whose last loss has to be judged now.
+
+        :param now: seconds of the monotonic clock.
+        :returns: the items.
+        """
+        taken = [
+            item
+            for item in self.suspects
+            if item.lone_loss is not None and item.not_before <= now
+        ]
+        for item in taken:
+            self.suspects.remove(item)
+        return taken
+
+    def record_loss(self, item: Item, lone_loss: LoneLoss | None) -> None:
+        """Record that the upstream was lost while an item ran there.
+
+        :param item: the item.
+        :param lone_loss: the loss if it ran alone, ``None`` otherwise.
+        """
+        ledger = self.ledgers[item.index]
+        losses = ledger.losses
+        if ledger.was_alone:
+            self.write(*describe_lone_loss(item.index))
+        if lone_loss is None or not item.is_idempotent:
+            record_loss(ledger)
+        else:
+            item.lone_loss = lone_loss
+        if item.is_idempotent:
+            self._hold(item, losses)
+
+    def judge_loss(self, item: Item, *, counts: bool) -> None:
+        """Record whether the lone loss of an item counts, and plan the item.
+
+        Once its job is over, a lost item ends with an error.
+
+        :param item: the item.
+        :param counts: whether the loss counts against it.
+        """
+        item.lone_loss = None
+        if time.time() >= self.job.deadline:
+            self.write(make_error(item, Status.failed, LOST_EACH_TIME))
+            return
+        self.write(*describe_judged_loss(item.index, counts=counts))
+        self.plan(item)
+
+    def hold_lost(self) -> None:
+        """Hold items that earlier owners lost more than once."""
         for item in self.suspects:
-            if item.not_before <= now:
-                self.suspects.remove(item)
-                return item
-        return None
+            losses = self.ledgers[item.index].losses
+            if losses > 1:
+                self._hold(item, losses - 1)
 
     def plan(self, *items: Item) -> None:
         """Queue items that do not run, or settle them, by their ledgers.
@@ -299,6 +363,27 @@
             gevent.sleep(MOVE_RETRY_SECONDS)
         return frozenset()
 
+    def _list_due(
+        self, crashed_at: float, now: float
+    ) -> list[tuple[float, Item]]:
+        starts = [
+            (compute_item_start(item.not_before, crashed_at, now), item)
+            for item in self.suspects
+            if item.lone_loss is None
+        ]
+        return [(start, item) for start, item in starts if start <= now]
+
+    def _hold(self, item: Item, losses: int) -> None:
+        pause = compute_item_pause(losses)
+        item.not_before = time.monotonic() + pause
+        log_event(
+            Event.item_held,
+            chunk=self.name,
+            item=item.index,
+            ends=losses + 1,
+            held_seconds=pause,
+        )
+
     def _plan_item(self, item: Item) -> Outcome | None:
         ledger = self.ledgers[item.index]
         step = decide_item(ledger, item.is_idempotent, self.context.bounds)
@@ -310,7 +395,7 @@
                 item.not_before = item.not_before or time.monotonic()
                 self.suspects.append(item)
             case Step.fail:
-                reason = ledger.last_reason or 'its worker was lost each time'
+                reason = ledger.last_reason or LOST_EACH_TIME
                 return make_error(item, Status.failed, reason)
             case Step.settle_unknown:
                 return make_error(
--- a/src/wigeonpier/batch/takeover.py
+++ b/src/wigeonpier/batch/takeover.py
@@ -23,7 +23,7 @@
 from wigeonpier.policy.attempts import (
     Ledger,
     SegmentState,
-    record_loss,
+    record_owner_loss,
     replay_segment,
 )
 from wigeonpier.telemetry.events import Event
@@ -109,6 +109,7 @@
     except JournalEndedError as error:
         chunk.recover(journal, error)
     chunk.plan(*items)
+    chunk.hold_lost()
     return chunk
 
 
@@ -151,7 +152,7 @@
             ledgers = journal.ledgers
             break
     for ledger in ledgers:
-        record_loss(ledger)
+        record_owner_loss(ledger)
         if ledger.outcome is None:
             # A lost segment may have recorded a start of this item.
             ledger.losses += lost_segments
--- a/src/wigeonpier/entry/app.py
+++ b/src/wigeonpier/entry/app.py
@@ -153,6 +153,7 @@
     def _handle_reply(self, reply: HeartbeatReply) -> None:
         self.directory.add_lost_folders(reply.gone)
         self.components.suspicions.merge(reply.suspicions)
+        self.components.losses.merge(reply.losses)
         self.limits.record_peer_usage(reply.address, reply.usage)
 
 
@@ -220,6 +221,7 @@
         limits,
         components.client,
         components.suspicions,
+        components.losses,
     )
     server = _build_server(components, key_ring, online, files, peers)
     configuration = ConfigurationHandler(components.platform, components.holder)
@@ -356,6 +358,7 @@
         disk=components.report_disk(),
         usage=limits.report(),
         suspicions=components.suspicions.summarize(),
+        losses=components.losses.describe(),
     )
 
 
--- a/src/wigeonpier/entry/peers.py
+++ b/src/wigeonpier/entry/peers.py
@@ -25,6 +25,7 @@
     from wigeonpier.entry.limits import CustomerLimits
     from wigeonpier.membership.directory import Directory
     from wigeonpier.membership.suspicions import Suspicions
+    from wigeonpier.membership.upstreamlosses import UpstreamLosses
     from wigeonpier.settings.holder import ConfigurationHolder
     from wigeonpier.web.client import HttpClient
     from wigeonpier.web.messages import Request
@@ -40,6 +41,7 @@
     :param limits: limits of customers.
     :param client: connections to peers.
     :param suspicions: requests that are suspected of crashing upstreams.
+    :param losses: recent crashes of upstreams.
     """
 
     holder: ConfigurationHolder
@@ -48,6 +50,7 @@
     limits: CustomerLimits
     client: HttpClient
     suspicions: Suspicions
+    losses: UpstreamLosses
 
     def handle_heartbeat(self, request: Request) -> Response:
         """Record a heartbeat and answer with updates and offers.
@@ -56,7 +59,11 @@
         :returns: the reply.
         """
         heartbeat = decode_body(request.read_body(), Heartbeat)
+        if self.directory.is_restart(heartbeat):
+            identity = f'{heartbeat.name}/{heartbeat.boot}'
+            self.losses.record(identity, heartbeat.name)
         self.directory.record_heartbeat(heartbeat)
+        self.losses.merge(heartbeat.losses)
         self.suspicions.merge(heartbeat.suspicions)
         if heartbeat.role is Role.entry:
             self.limits.record_peer_usage(heartbeat.address, heartbeat.usage)
@@ -74,6 +81,7 @@
                 suspicions=self.suspicions.summarize(),
                 address=self.board.address,
                 usage=self._list_usage(heartbeat),
+                losses=self.losses.describe(),
             ),
         )
 
--- a/src/wigeonpier/local/app.py
+++ b/src/wigeonpier/local/app.py
@@ -8,13 +8,14 @@
 
 from wigeonpier.batch.chunk import ChunkContext
 from wigeonpier.local.chunks import OwnedChunks
+from wigeonpier.local.crashes import CrashObserver, make_crash_detector
 from wigeonpier.local.engine import Engine
 from wigeonpier.local.gate import Gate
+from wigeonpier.local.loneitems import LoneItems
 from wigeonpier.local.online import OnlinePath, answer_online
 from wigeonpier.local.suspects import LocalSuspects
 from wigeonpier.local.upstream import UpstreamWatch
 from wigeonpier.local.work import Worker
-from wigeonpier.membership.ends import CrashDetector
 from wigeonpier.membership.exchange import make_exchange_route
 from wigeonpier.membership.messages import (
     Heartbeat,
@@ -40,7 +41,6 @@
     require_peer_key,
     trace_requests,
 )
-from wigeonpier.web.pool import ConnectionPool
 from wigeonpier.web.server import (
     Server,
     chain_filters,
@@ -69,6 +69,7 @@
     :param gate: admission control for the upstream.
     :param watch: monitors the health of the upstream.
     :param worker: owns chunks and runs their items.
+    :param crash_observer: reports crashes of the upstream.
     :param heartbeat_sender: sends heartbeats to entry processes.
     :param server: server for requests of peers.
     """
@@ -77,6 +78,7 @@
     gate: Gate
     watch: UpstreamWatch
     worker: Worker
+    crash_observer: CrashObserver
     heartbeat_sender: HeartbeatSender
     server: Server
 
@@ -88,7 +90,7 @@
         self.components.address = self.server.address
         self.components.holder.add_listener(self._apply_deployment)
         self.watch.start()
-        self.watch.on_change = self.heartbeat_sender.send_soon
+        self.watch.on_change = self._handle_health
         self.worker.on_queue_low = self.heartbeat_sender.send_soon
         self.worker.start()
         self.heartbeat_sender.on_reply = self._handle_reply
@@ -130,10 +132,16 @@
             bounds=Bounds(batch.attempts, batch.lone_losses),
         )
 
+    def _handle_health(self) -> None:
+        if not self.watch.is_healthy:
+            self.crash_observer.check()
+        self.heartbeat_sender.send_soon()
+
     def _handle_reply(self, reply: HeartbeatReply) -> None:
         self.worker.owned_chunks.claim_offers(reply.offers)
         self.worker.owned_chunks.stop_jobs(reply.stopped)
         self.components.suspicions.merge(reply.suspicions)
+        self.components.losses.merge(reply.losses)
 
 
 def build_local(
@@ -162,6 +170,15 @@
         lambda: _make_heartbeat(components, gate, watch, worker),
         components.platform.list_vms,
     )
+    crash_detector = make_crash_detector()
+    crash_observer = CrashObserver(
+        settings.name,
+        components.start_id,
+        settings.upstream,
+        crash_detector,
+        components.losses,
+        heartbeat_sender.send_soon,
+    )
     worker = Worker(
         gate,
         Engine(
@@ -172,8 +189,12 @@
             settings.service,
         ),
         watch,
-        OwnedChunks(_make_chunk_context(components, heartbeat_sender)),
+        OwnedChunks(
+            _make_chunk_context(components, heartbeat_sender),
+            components.losses,
+        ),
         components.metrics,
+        LoneItems(settings.name, components.losses, crash_observer.check),
     )
     path = OnlinePath(
         gate,
@@ -185,8 +206,8 @@
             f'{settings.name}/{components.start_id}',
             settings.upstream,
             components.suspicions,
-            CrashDetector(ConnectionPool()),
-            heartbeat_sender.send_soon,
+            crash_detector,
+            crash_observer.record,
         ),
     )
     return LocalApp(
@@ -194,6 +215,7 @@
         gate,
         watch,
         worker,
+        crash_observer,
         heartbeat_sender,
         _build_server(components, path),
     )
@@ -296,6 +318,7 @@
         wants=worker.count_wanted(),
         held=worker.owned_chunks.list_owned_jobs(),
         suspicions=components.suspicions.summarize(),
+        losses=components.losses.describe(),
     )
 
 
--- a/src/wigeonpier/local/chunks.py
+++ b/src/wigeonpier/local/chunks.py
@@ -13,6 +13,7 @@
 from wigeonpier.batch.journal import JournalEnd, JournalEndedError
 from wigeonpier.batch.models import FINISHED_STATUSES, Job, JobStatus
 from wigeonpier.batch.takeover import claim_chunk, open_chunk
+from wigeonpier.membership.upstreamlosses import UpstreamLosses
 from wigeonpier.platform.keys import name_chunk, name_job
 from wigeonpier.platform.port import Failure as PlatformFailure
 from wigeonpier.telemetry.events import Event
@@ -44,6 +45,7 @@
 
     :param context: services and limits that owners of chunks share; replaced
         when the configuration changes.
+    :param losses: recent crashes of upstreams.
     :param chunks: owned chunks by job and index.
     :param claiming: chunks that are being claimed.
     :param cancelled_jobs: ids of jobs that are known to be cancelled.
@@ -53,6 +55,7 @@
     """
 
     context: ChunkContext
+    losses: UpstreamLosses = field(default_factory=UpstreamLosses)
     chunks: dict[ChunkKey, Chunk] = field(default_factory=dict)
     claiming: set[ChunkKey] = field(default_factory=set)
     cancelled_jobs: set[str] = field(default_factory=set)
@@ -165,6 +168,9 @@
             offer.claim,
             offer.revision,
         )
+        if offer.claim and offer.claim.owner:
+            lost = offer.claim
+            self.losses.record(f'{lost.owner}/{lost.token}', lost.owner)
         self._check_job(job, offer.chunk, revision)
         chunk = open_chunk(self.context, job, offer.chunk, claim, revision)
         self.chunks[_get_key(chunk)] = chunk
--- a/src/wigeonpier/local/loneitems.py
+++ b/src/wigeonpier/local/loneitems.py
@@ -5,22 +5,40 @@
 import math
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
+import gevent
+
+from wigeonpier.membership.upstreamlosses import UpstreamLosses
+from wigeonpier.policy.itemloss import LoneLoss, is_evidence
 from wigeonpier.policy.loneturn import Occupants, Turn, TurnClock, choose_turn
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from wigeonpier.batch.chunk import Chunk, Item
+    from wigeonpier.local.chunks import OwnedChunks
     from wigeonpier.local.gate import BatchStream
     from wigeonpier.local.work import ActiveItem
 
 
+def _ignore_loss() -> None:
+    """Do nothing until a handler is set."""
+
+
 @dataclass(slots=True)
 class LoneItems:
-    """Items that run alone, since upstreams were lost under them."""
+    """Items that run alone, since upstreams were lost under them.
+
+    :param name: name of the VM of the upstream.
+    :param losses: recent crashes of all upstreams.
+    :param on_loss: called when the upstream may have crashed.
+    """
 
+    name: str = ''
+    losses: UpstreamLosses = field(default_factory=UpstreamLosses)
+    on_loss: Callable[[], None] = _ignore_loss
     _active: ActiveItem | None = None
     _turns: TurnClock = field(default_factory=TurnClock)
 
@@ -39,7 +57,8 @@
         :returns: what may start.
         """
         now = time.monotonic()
-        due = (chunk.find_due(now) for chunk in chunks)
+        crashed_at = self.losses.last_at
+        due = (chunk.find_due(crashed_at, now) for chunk in chunks)
         occupants = Occupants(
             due_at=min(due, default=math.inf),
             running=len(streams),
@@ -57,7 +76,7 @@
         """
         now = time.monotonic()
         for chunk in chunks:
-            item = chunk.take_due(now)
+            item = chunk.take_due(self.losses.last_at, now)
             if item is not None:
                 return chunk, item
         return None
@@ -84,3 +103,38 @@
         active.is_alone = False
         if self._active is active:
             self._active = None
+
+    def record_loss(self, active: ActiveItem) -> None:
+        """Record that the upstream was lost while an item ran there.
+
+        :param active: the item.
+        """
+        lone_loss = None
+        if active.is_alone:
+            lone_loss = LoneLoss(self.name, active.started_at, time.monotonic())
+        active.chunk.record_loss(active.item, lone_loss)
+
+    def judge_losses(
+        self,
+        owned_chunks: OwnedChunks,
+        guard: Callable[[Chunk, Callable[[], None]], None],
+    ) -> None:
+        """Judge the last losses of items whose pause is over.
+
+        :param owned_chunks: chunks of the items.
+        :param guard: does work on a chunk and handles its errors.
+        """
+        for chunk in list(owned_chunks.chunks.values()):
+            for item in chunk.take_unjudged(time.monotonic()):
+                judge = partial(self._judge_loss, chunk, item)
+                gevent.spawn(guard, chunk, judge)
+
+    def _judge_loss(self, chunk: Chunk, item: Item) -> None:
+        if item.lone_loss is None or chunk.is_lost:
+            return
+        counts = is_evidence(
+            item.lone_loss,
+            self.losses.losses.values(),
+            self.losses.informed_at,
+        )
+        chunk.judge_loss(item, counts=counts)
--- a/src/wigeonpier/local/work.py
+++ b/src/wigeonpier/local/work.py
@@ -23,7 +23,6 @@
 from wigeonpier.local.gate import BatchStream, Gate
 from wigeonpier.local.loneitems import LoneItems
 from wigeonpier.loops import spawn_loop
-from wigeonpier.policy.attempts import record_loss
 from wigeonpier.policy.loneturn import Turn
 from wigeonpier.records import Failure, Outcome, Release, Status
 
@@ -170,6 +169,7 @@
                 active.stop()
 
     def _start_items(self) -> None:
+        self.lone_items.judge_losses(self.owned_chunks, self._guard)
         while self.watch.is_healthy and self._start_one():
             gevent.sleep(0)
         self.gate.room_event.clear()
@@ -337,7 +337,9 @@
             case RunEnd.failed:
                 chunk.write(self._make_failure_record(item, run))
             case RunEnd.lost:
-                record_loss(chunk.ledgers[item.index])
+                self.lone_items.record_loss(active)
+        if end in {RunEnd.lost, RunEnd.not_run}:
+            self.lone_items.on_loss()
         if self.owned_chunks.is_open:
             chunk.plan(item)
 
--- a/src/wigeonpier/membership/directory.py
+++ b/src/wigeonpier/membership/directory.py
@@ -102,6 +102,20 @@
         if heartbeat.upstream is not None:
             self._record_upstream(heartbeat, now, is_new)
 
+    def is_restart(self, heartbeat: Heartbeat) -> bool:
+        """Check whether the process of an upstream was lost and started again.
+
+        :param heartbeat: its heartbeat, not recorded yet.
+        :returns: false for one that is not known, or was leaving.
+        """
+        known = self.members.get(heartbeat.name)
+        return (
+            known is not None
+            and heartbeat.upstream is not None
+            and not known.heartbeat.is_leaving
+            and not self._is_known_start(heartbeat)
+        )
+
     def update_vms(self, vms: tuple[Vm, ...]) -> None:
         """Replace the VM list.
 
--- a/src/wigeonpier/membership/messages.py
+++ b/src/wigeonpier/membership/messages.py
@@ -9,6 +9,7 @@
 from wigeonpier.batch.claims import Claim
 from wigeonpier.batch.models import Job
 from wigeonpier.membership.updates import SuspicionUpdate
+from wigeonpier.membership.upstreamlosses import LossReport
 
 
 class Role(StrEnum):
@@ -125,6 +126,7 @@
     :param held: jobs of which it owns chunks.
     :param usage: active customers, from an entry.
     :param suspicions: requests that it suspects of crashing upstreams.
+    :param losses: recent crashes of upstreams.
     """
 
     name: str
@@ -140,6 +142,7 @@
     held: tuple[str, ...] = ()
     usage: tuple[Usage, ...] = ()
     suspicions: SuspicionUpdate = SuspicionUpdate()
+    losses: tuple[LossReport, ...] = ()
 
 
 class Offer(msgspec.Struct, kw_only=True):
@@ -169,6 +172,7 @@
     :param suspicions: requests that the entry suspects of crashing upstreams.
     :param address: ``host:port`` of the entry.
     :param usage: active customers.
+    :param losses: recent crashes of upstreams.
     """
 
     version: int
@@ -180,3 +184,4 @@
     suspicions: SuspicionUpdate = SuspicionUpdate()
     address: str = ''
     usage: tuple[Usage, ...] = ()
+    losses: tuple[LossReport, ...] = ()
--- a/src/wigeonpier/policy/attempts.py
+++ b/src/wigeonpier/policy/attempts.py
@@ -6,12 +6,18 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from wigeonpier.policy.itemretry import (
+    OWN_CONTENT_PACE,
+    Surroundings,
+    compute_pause,
+    compute_start,
+)
 from wigeonpier.records import Begin, Failure, Outcome, Ready, Release
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wigeonpier.records import Record
+    from wigeonpier.records import ItemRecord, Record
 
 
 class Step(StrEnum):
@@ -31,7 +37,8 @@
     :param is_open: begun and neither released, failed nor completed.
     :param was_alone: the open attempt runs alone.
     :param losses: attempts during which the owner or upstream was lost.
-    :param lone_losses: those of them in which the item ran alone.
+    :param lone_losses: those of them that count against the item: it ran
+        alone, and nothing else crashed.
     :param failures: attempts that the upstream answered with a failure.
     :param last_reason: reason that the upstream gave for the last failure.
     :param outcome: the item's only result.
@@ -51,7 +58,7 @@
     """How often an item is attempted.
 
     :param failures: most failed attempts.
-    :param lone_losses: most losses while it ran alone.
+    :param lone_losses: most losses while it ran alone in a calm service.
     """
 
     failures: int
@@ -120,6 +127,62 @@
         ledger.is_open = False
 
 
+def record_owner_loss(ledger: Ledger) -> None:
+    """Record that an item has lost its owner, if it was open.
+
+    Nobody knows what else crashed, so the loss does not count as a lone one.
+
+    :param ledger: its ledger, changed in place.
+    """
+    ledger.was_alone = False
+    record_loss(ledger)
+
+
+def describe_lone_loss(index: int) -> list[ItemRecord]:
+    """Express that an item was lost while it ran alone, until that is judged.
+
+    :param index: position of the item.
+    :returns: records that leave its attempt open, as one beside others.
+    """
+    return [Release(index), Begin(index, alone=False)]
+
+
+def describe_judged_loss(index: int, *, counts: bool) -> list[ItemRecord]:
+    """Express whether the open attempt of an item counts as a lone loss.
+
+    :param index: position of the item.
+    :param counts: whether it does.
+    :returns: records that end the attempt as one loss.
+    """
+    # A begin while an attempt is open counts that attempt as lost.
+    ended: list[ItemRecord] = [Begin(index, alone=False), Release(index)]
+    if not counts:
+        return ended
+    return [Release(index), Begin(index, alone=True), *ended]
+
+
+def compute_item_pause(losses: int) -> float:
+    """Compute how long an item is held after a loss.
+
+    :param losses: earlier losses.
+    :returns: seconds.
+    """
+    return compute_pause(losses, OWN_CONTENT_PACE)
+
+
+def compute_item_start(
+    not_before: float, crashed_at: float, now: float
+) -> float:
+    """Compute when a held item may run alone.
+
+    :param not_before: end of its pause, seconds of the monotonic clock.
+    :param crashed_at: last crash of any upstream, seconds of that clock.
+    :param now: seconds of that clock.
+    :returns: the earliest start, at most some seconds after the pause.
+    """
+    return compute_start(not_before, Surroundings(crashed_at, 0), now)
+
+
 def decide_item(ledger: Ledger, idempotent: bool, bounds: Bounds) -> Step:
     """Decide what to do with an item that is not running.
 
--- a/src/wigeonpier/process.py
+++ b/src/wigeonpier/process.py
@@ -21,6 +21,7 @@
 from wigeonpier.invariants import Invariant, check_invariant, violations
 from wigeonpier.membership.messages import DiskReport
 from wigeonpier.membership.suspicions import Suspicions
+from wigeonpier.membership.upstreamlosses import UpstreamLosses
 from wigeonpier.platform.gateway import GatewayPlatform
 from wigeonpier.settings.document import DocumentError, load_document
 from wigeonpier.settings.holder import ConfigurationHolder
@@ -76,6 +77,7 @@
     :param is_leaving: whether the process accepts no new work.
     :param address: ``host:port`` for callers and peers, empty before start.
     :param suspicions: requests that are suspected of crashing upstreams.
+    :param losses: recent crashes of upstreams.
     """
 
     settings: ProcessSettings
@@ -90,6 +92,7 @@
     is_leaving: bool = False
     address: str = ''
     suspicions: Suspicions = field(default_factory=Suspicions)
+    losses: UpstreamLosses = field(default_factory=UpstreamLosses)
 
     def report_disk(self) -> DiskReport | None:
         """Describe the data folder.
--- a/src/wigeonpier/records.py
+++ b/src/wigeonpier/records.py
@@ -77,4 +77,5 @@
     items: int
 
 
-Record = Begin | Release | Failure | Outcome | Ready
+ItemRecord = Begin | Release | Failure | Outcome
+Record = ItemRecord | Ready
--- a/src/wigeonpier/settings/deployment.py
+++ b/src/wigeonpier/settings/deployment.py
@@ -106,7 +106,8 @@
     :param least_copies: minimum number of copies; with fewer nothing is
         accepted.
     :param attempts: maximum of failed attempts of an item.
-    :param lone_losses: maximum of lost upstreams while an item ran alone.
+    :param lone_losses: maximum of lost upstreams while an item ran alone and
+        no other upstream crashed.
     :param resend_hours: time in which a repeated request is the same job.
     :param retain_days: how long files and results are stored.
     """
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -54,6 +54,20 @@
     return Heartbeat(**(fields | changes))
 
 
+def test_a_new_start_of_a_process_that_was_not_leaving_is_a_restart(
+    directory: Directory,
+) -> None:
+    first = _make_upstream_heartbeat('vm-1')
+    second = _make_upstream_heartbeat('vm-1', boot='b2', is_leaving=True)
+    assert not directory.is_restart(first)
+    directory.record_heartbeat(first)
+    assert not directory.is_restart(first)
+    assert directory.is_restart(second)
+    directory.record_heartbeat(second)
+    assert not directory.is_restart(_make_upstream_heartbeat('vm-1'))
+    assert not directory.is_restart(_make_heartbeat('entry-1', boot='b2'))
+
+
 def _make_upstream_heartbeat(name: str, **changes) -> Heartbeat:
     report = UpstreamReport('s', ('m',), 8, 0, 0, is_well=True)
     return _make_heartbeat(name, role=Role.local, upstream=report, **changes)
