Let others run while many small events are read

Cause: events that were received already are read without waiting, so no other greenlet ran until the flood was over; 1 MB of blank lines took 4.6 s of processor time. The limit of 128 KB shortens this to some 0.7 s, still in one piece.

Change: after 256 lines that were read without waiting others run.

Evidence: test_others_run_while_many_small_events_are_read failed before ("assert 3 > 100").

--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import gevent
+
 from wigeonpier.web.readlimits import (
     MAX_EVENT_BYTES,
     MAX_FRAMING_BYTES,
@@ -18,6 +20,8 @@
 IDENTITY = b'id:'
 DATA = b'data:'
 BLANK = frozenset((b'\n', b'\r\n'))
+# Some ms of processor time.
+MAX_LINES_IN_A_ROW = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +70,7 @@
         # Of events without id and data, since the last other one.
         self._empty_bytes = 0
         self._empty_deadline: float = 0
+        self._lines_in_a_row = 0
 
     @property
     def is_cut_off(self) -> bool:
@@ -115,6 +120,7 @@
         """
         line = self._answer.take_line()
         if line:
+            self._let_others_run()
             return line
         if left < 0:
             raise self._answer.cut(ReadLimit.event)
@@ -124,6 +130,13 @@
             raise TimeoutError('timed out within an event')
         return self._answer.read_line(seconds, left)
 
+    def _let_others_run(self) -> None:
+        # Lines that were received already are read without waiting.
+        self._lines_in_a_row += 1
+        if self._lines_in_a_row >= MAX_LINES_IN_A_ROW:
+            self._lines_in_a_row = 0
+            gevent.sleep(0)
+
     def _record(self, event: StreamEvent, deadline: float) -> None:
         if event.is_output:
             self._has_events = True
--- a/tests/web/test_readlimits.py
+++ b/tests/web/test_readlimits.py
@@ -31,6 +31,7 @@
 MAX_HELD_BYTES = 8_000_000
 # A comment each 0.1 s of a long stream fits several times.
 MAX_BLANK_BYTES = 131_072
+MIN_TURNS = 100
 # The calls read bodies of 32 MB at most.
 MAX_CALL_HELD_BYTES = 100_000_000
 STREAMS = (
@@ -126,6 +127,28 @@
     check_reset(peer)
 
 
+def test_others_run_while_many_small_events_are_read() -> None:
+    """An entry was unresponsive for seconds while it read blank lines."""
+    peer = EndlessPeer(Endless.blank_events)
+    opened = ConnectionPool().begin(peer.address, 1).unwrap()
+    opened.send(REQUEST, TIMEOUT_SECONDS)
+    # Fills the receive buffer, so that reads do not wait.
+    gevent.sleep(SLACK_SECONDS)
+    turns = 0
+
+    def count_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            gevent.sleep(0)
+
+    counter = gevent.spawn(count_turns)
+    read_events(opened)
+    counter.kill()
+    assert turns > MIN_TURNS
+    opened.close()
+
+
 def test_a_call_that_may_wait_for_long_ends_within_its_response(
     monkeypatch,
 ) -> None:
