Limit how far a failure precedes the time at which it was known

Upstreams whose requests take 12 s and more were ejected although nine of ten requests succeeded.

Cause: orders failures by their sends, while the slots granted at that time had left the window of 10 s; the failures stood first, in a row, and the slots granted since stood for nothing. Failures of sends from before a return counted in the same way.

Change: a failure is placed at most 2 s before it was known, and a healthy upstream is not judged by requests that were sent before it returned.

Evidence: two tests failed before (three cases, ejected where healthy is expected). Found by review.

--- a/src/wigeonpier/policy/ejection.py
+++ b/src/wigeonpier/policy/ejection.py
@@ -100,13 +100,15 @@
 
     :param record: changed in place.
     :param outcome: the outcome; ignored if it is from before the last change
-        of the state, and during a trial unless it is one.
+        of the state, and during a trial unless it is one.  A healthy upstream
+        is not judged by requests that were sent before it returned.
     """
     if outcome.at < record.changed_at:
         return
     is_taken_back = _take_back(record, outcome)
     if record.state is HealthState.healthy:
-        _judge(record, outcome)
+        if outcome.sent_at >= record.changed_at:
+            _judge(record, outcome)
     elif record.state is HealthState.on_trial:
         _judge_trial(record, outcome)
     elif is_taken_back:
--- a/src/wigeonpier/policy/failuretest.py
+++ b/src/wigeonpier/policy/failuretest.py
@@ -43,6 +43,9 @@
 TOTAL_SHARE = 0.9
 PARTIAL_SHARE = 0.45
 PARTIAL_ROW = 6
+# A failure is placed at most this long before it was known.  Slots that were
+# granted earlier may be forgotten by then, and all others would follow it.
+MAX_ORDER_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +78,11 @@
         """Tell when the request was sent, seconds."""
         return self.at - self.took
 
+    @property
+    def placed_at(self) -> float:
+        """Tell where the outcome is placed among granted slots, seconds."""
+        return self.at - min(self.took, MAX_ORDER_SECONDS)
+
 
 @dataclass(frozen=True, slots=True)
 class _Test:
@@ -230,9 +238,9 @@
         return sorted(evidence, key=_get_time)
     remaining = deque(grants)
     listed: list[Evidence] = []
-    size = 0
-    for outcome in sorted(evidence, key=_get_send_time):
-        while remaining and remaining[0] <= outcome.sent_at:
+    end = 0
+    for outcome in sorted(evidence, key=_get_place):
+        while remaining and remaining[0] <= outcome.placed_at:
             remaining.popleft()
             listed.append(_GRANTED)
         if not outcome.has_failed:
@@ -240,8 +248,8 @@
             continue
         _drop_last_grant(listed)
         listed.append(outcome)
-        size = len(listed)
-    return listed[:size]
+        end = len(listed)
+    return listed[:end]
 
 
 def _drop_last_grant(listed: list[Evidence]) -> None:
@@ -255,5 +263,5 @@
     return outcome.at
 
 
-def _get_send_time(outcome: Evidence) -> float:
-    return outcome.sent_at
+def _get_place(outcome: Evidence) -> float:
+    return outcome.placed_at
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -219,6 +219,34 @@
     assert record.state is HealthState.healthy
 
 
+@pytest.mark.parametrize('seconds', [4.0, 12.0, 30.0])
+def test_late_failures_eject_no_upstream_that_mostly_succeeds(
+    seconds: float,
+) -> None:
+    """Slots that were granted since their sends stood for nothing."""
+    record = HealthRecord()
+    for number in range(1200):
+        now = number / 10
+        record_grant(record, now)
+        sent = now - seconds
+        if sent >= 0 and number % 12 == 0:
+            entry = 'abcde'[number // 12 % 5]
+            late = Evidence(now, entry, f'{sent}', True, took=seconds)
+            record_evidence(record, late)
+        assert record.state is HealthState.healthy
+
+
+def test_failures_of_sends_before_a_return_eject_no_upstream() -> None:
+    """Their slots were forgotten, and they counted as failures in a row."""
+    record = HealthRecord(changed_at=5.0)
+    for number in range(20):
+        record_grant(record, 5 + number / 10)
+    for number, entry in enumerate('abcabc'):
+        late = Evidence(7 + number / 10, entry, f'q{number}', True, took=6.0)
+        record_evidence(record, late)
+    assert record.state is HealthState.healthy
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_an_entry_with_a_bad_link_ejects_no_upstream(seed: int) -> None:
     fleet = FaultyFleet(seed, bad_entries={0}, seconds=30)
