Keep proofs of parts in files from becoming new at a restart

A part that crashes upstreams could be run again, in as many crashes as at first, after a process with a disk had restarted.

Cause: since files hold proofs with ages as of their writing; a process that reads them at its start counts their ages from then, so a proof from before the crashes looked newer than these.

Change: proofs in files that are read at the start are dropped.

Evidence: test_a_restart_makes_no_proof_of_a_part_new failed before.

--- a/src/wigeonpier/hosted/quarantine/replica.py
+++ b/src/wigeonpier/hosted/quarantine/replica.py
@@ -188,10 +188,19 @@
                 )
                 path.unlink(missing_ok=True)
             else:
-                entries.append((path.name, entry))
+                entries.append((path.name, _drop_proofs(entry)))
         return entries
 
 
+def _drop_proofs(entry: QuarantineEntry) -> QuarantineEntry:
+    """Drop the proofs of an entry of unknown age.
+
+    As new ones they would end the refusal of parts that crash upstreams since.
+    """
+    parts = msgspec.structs.replace(entry.parts, proofs=())
+    return msgspec.structs.replace(entry, parts=parts)
+
+
 def _update_ages(entry: QuarantineEntry, seconds: float) -> QuarantineEntry:
     """Add the time since an entry was received to the ages of its crashes."""
     return QuarantineEntry(
--- a/tests/hosted/quarantine/test_replica.py
+++ b/tests/hosted/quarantine/test_replica.py
@@ -20,7 +20,12 @@
 from wigeonpier.hosted.quarantine.store import QuarantineStore
 from wigeonpier.membership import suspicions as suspicions_module
 from wigeonpier.membership.suspicions import Suspicions
-from wigeonpier.membership.updates import CrashReport
+from wigeonpier.membership.updates import (
+    NO_PARTS,
+    CrashReport,
+    PartProof,
+    PartUpdate,
+)
 from wigeonpier.platform.port import Failure
 from wigeonpier.web.messages import Request
 
@@ -53,11 +58,13 @@
     *,
     age: float = 0,
     is_proved: bool = True,
+    parts: PartUpdate = NO_PARTS,
 ) -> None:
     entry = QuarantineEntry(
         (CrashReport(fingerprint, 'i-1', 'v1', 0.5, was_alone=True),),
         time.time() - age,
         is_proved,
+        parts,
     )
     raw = msgspec.json.encode(entry)
     request = Request('PUT', '/', '', {}, BytesIO(raw))
@@ -81,6 +88,21 @@
     assert not list((tmp_path / FOLDER).iterdir())
 
 
+def test_a_restart_makes_no_proof_of_a_part_new(tmp_path) -> None:
+    """It ended the refusal of a part that crashed upstreams since."""
+    proof = PartProof('assistant/a', 'v1', 5.0)
+    replica = make_replica(tmp_path, FakeStore())
+    put(replica, is_proved=False, parts=PartUpdate(proofs=(proof,)))
+    again = make_replica(tmp_path, FakeStore())
+    lists = [
+        msgspec.json.decode(one._list(None).body) for one in (replica, again)
+    ]
+    proofs = [
+        one[FINGERPRINT].get('parts', {}).get('proofs', []) for one in lists
+    ]
+    assert [len(kept) for kept in proofs] == [1, 0]
+
+
 def test_a_truncated_file_is_ignored(tmp_path) -> None:
     store = FakeStore()
     put(make_replica(tmp_path, store))
