Hold no answer that its caller cannot use for a repeat

A request that was lost while it ran alone was answered up to 0.5 s later also where its route lets no caller repeat it, and just before its deadline.

Cause: waits for the news of the crash in all cases.

Change: it waits only on routes that may be repeated, and with more than 1 s left. Such a caller comes again at once, and crashes one more upstream if the cause is not known by then.

Evidence: test_only_callers_that_may_repeat_wait_for_the_cause (new function). Found by review.

--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -79,7 +79,7 @@
             self._handle_failure(request, chosen.ok_value, outcome.err_value)
         if isinstance(outcome, Ok):
             return outcome
-        if request.is_retry_blocked:
+        if _may_be_repeated_elsewhere(request):
             self._await_cause(request)
         if self.binder.is_refused(request):
             return Err(SendFailure.crashes_upstreams)
@@ -311,15 +311,14 @@
             raise QueueLeftError(SendFailure.silent)
 
     def _await_cause(self, request: OnlineRequest) -> None:
-        """Wait for the news that the upstream of a lost lone run has crashed.
+        """Wait for confirmation that the upstream of a lost lone run crashed.
 
         A caller that is answered before retries at an entry that does not know
         the cause either, and crashes one more upstream.
 
         :raises CallerGoneError: when the caller has disconnected.
         """
-        limit = min(MAX_CAUSE_WAIT_SECONDS, request.seconds_left)
-        deadline = time.monotonic() + limit
+        deadline = time.monotonic() + MAX_CAUSE_WAIT_SECONDS
         while time.monotonic() < deadline:
             if self.binder.is_refused(request):
                 break
@@ -353,6 +352,18 @@
         _check_caller(request)
 
 
+def _may_be_repeated_elsewhere(request: OnlineRequest) -> bool:
+    """Check whether a caller may repeat a request that was lost alone.
+
+    Callers repeat no other requests after a failure, nor near their deadline.
+    """
+    return (
+        request.is_retry_blocked
+        and request.route.is_idempotent
+        and request.seconds_left > 2 * MAX_CAUSE_WAIT_SECONDS
+    )
+
+
 def _check_caller(request: OnlineRequest) -> None:
     """Check that the caller still waits for the request.
 
--- a/tests/hosted/test_sender.py
+++ b/tests/hosted/test_sender.py
@@ -188,3 +188,19 @@
     server.stop()
     assert request.runs == 0
     assert received == [b'']
+
+
+@pytest.mark.parametrize(
+    ('is_idempotent', 'seconds_left', 'waits'),
+    [(True, 2.0, True), (False, 2.0, False), (True, 0.4, False)],
+)
+def test_only_callers_that_may_repeat_wait_for_the_cause(
+    is_idempotent: bool, seconds_left: float, waits: bool
+) -> None:
+    """Others were kept waiting for an answer that could not change."""
+    request = SimpleNamespace(
+        is_retry_blocked=True,
+        route=SimpleNamespace(is_idempotent=is_idempotent),
+        seconds_left=seconds_left,
+    )
+    assert sending._may_be_repeated_elsewhere(request) is waits
