Blame an upstream that breaks off after the head of its answer

An upstream that sends a head and comments on a reused connection, and breaks off, was not blamed since.

Cause: only output showed that the connection had not been closed while it was idle. Change: an answer's status shows it as well. Found by review.

--- a/src/wigeonpier/hosted/outcomes.py
+++ b/src/wigeonpier/hosted/outcomes.py
@@ -412,7 +412,9 @@
         return SendOutcome.failed
     had_output = request.sends[-1].had_output
     if failure is SendFailure.lost:
-        is_fault = had_output or tracked.idle_seconds < MAX_SAFE_IDLE_SECONDS
+        # An idle connection may have been closed before any answer.
+        has_answered = bool(request.sends[-1].status)
+        is_fault = has_answered or tracked.idle_seconds < MAX_SAFE_IDLE_SECONDS
         return SendOutcome.failed if is_fault else None
     # An answer that pauses until the request's time is up may only be slow.
     if failure is not SendFailure.silent or request.seconds_left <= 0:
