End an attempt to accept a job in time

The last pause between two fences could end after the time of the attempt, and the caller of a job left without an answer; an attempt that was too old still wrote a fence, against one of the same caller elsewhere.

Change: pauses end with the attempt's time, and grow only where the store rejects calls; an attempt that is too old counts as left by its caller.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -204,8 +204,10 @@
             if isinstance(accepted, Ok) or is_over:
                 break
             timeout = SLOW_STORE_TIMEOUT_SECONDS
-            gevent.sleep(max(0, tried_at + pause - time.monotonic()))
-            pause = min(2 * pause, MAX_FENCE_PAUSE_SECONDS)
+            next_at = min(tried_at + pause, deadline)
+            gevent.sleep(max(0, next_at - time.monotonic()))
+            if accepted != Err(Failure.conflict):
+                pause = min(2 * pause, MAX_FENCE_PAUSE_SECONDS)
         refused = {attempt.name, *attempt.fence.attempts}
         is_fenced = isinstance(accepted, Ok) and held <= refused
         final = refusal if is_fenced else make_unsure_refusal()
--- a/src/wigeonpier/hosted/acceptattempt.py
+++ b/src/wigeonpier/hosted/acceptattempt.py
@@ -55,7 +55,9 @@
         :raises Refusal: if it has disconnected, or the attempt is too old.
         """
         age = time.monotonic() - self.started_at
-        if self.is_abandoned or age > MAX_ATTEMPT_SECONDS:
+        if age > MAX_ATTEMPT_SECONDS:
+            self.abandon()
+        if self.is_abandoned:
             raise make_unsure_refusal()
 
     def record_fence(self, fence: JobFence) -> None:
