--- a/src/wigeonpier/hosted/views.py
+++ b/src/wigeonpier/hosted/views.py
@@ -230,8 +230,12 @@
         return self._views.setdefault(name, view)
 
     def _close(self, view: JobView) -> None:
-        if isinstance(self._ledger.close(view.name), Ok):
-            view.is_closed = True
+        closed = self._ledger.close(view.name)
+        if isinstance(closed, Err):
+            return
+        view.is_closed = True
+        # Another process may have removed it.
+        if closed.ok_value:
             log_event(Event.job_finished, job=view.name)
 
     def _refresh_locked(self, view: JobView, known: int, wait: float) -> None:
