--- a/src/wigeonpier/hosted/events.py
+++ b/src/wigeonpier/hosted/events.py
@@ -41,7 +41,8 @@
 
         One without id and data only keeps the connection open.
         """
-        return bool(self.identity) or DATA in self.raw
+        has_data = self.raw.startswith(DATA) or b'\n%b' % DATA in self.raw
+        return bool(self.identity) or has_data
 
     @property
     def text(self) -> str:
