--- a/src/wigeonpier/hosted/question.py
+++ b/src/wigeonpier/hosted/question.py
@@ -29,6 +29,8 @@
 
 # A caller that reads as fast as events arrive makes each wait shorter.
 MIN_CALLER_WAIT_SECONDS = 0.05
+# A caller that reads slowly keeps a stream at most this long after its time.
+MAX_CALLER_SECONDS = 30.0
 
 
 @dataclass(slots=True)
@@ -47,7 +49,7 @@
     :param claims_not_run: whether the answer states that it has not run.
     :param problem: error of its connection, empty for none.
     :param instance: id of the instance that responded instead of the upstream.
-    :param had_output: whether any event of its response arrived.
+    :param had_output: whether an event with id or data has arrived.
     :param version: software version of the upstream.
     :param trial: what excludes other runs of the same cause at the upstream,
         empty if the request was not suspected itself.
@@ -231,7 +233,9 @@
         :param seconds: time of the write.
         """
         if seconds > MIN_CALLER_WAIT_SECONDS:
-            self.caller_seconds += seconds
+            self.caller_seconds = min(
+                MAX_CALLER_SECONDS, self.caller_seconds + seconds
+            )
 
     def measure_wait(self, now: float) -> QueueTime:
         """Measure how long the request has waited.
