--- a/tests/hosted/test_acceptance.py
+++ b/tests/hosted/test_acceptance.py
@@ -214,7 +214,7 @@
 
 
 def test_fences_do_not_press_a_store_that_rejects_them_for_its_rate() -> None:
-    """Each refused job made 14 priced calls within 2 s."""
+    """A refused job was fenced each 0.15 s until its time was over."""
     ledger = FullLedger(*[Err(Failure.unavailable)] * 99)
     assert refuse(ledger, [], copies=0).ran is Ran.unknown
     assert len(ledger.refused) <= 6
