--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -206,8 +206,7 @@
             timeout = SLOW_STORE_TIMEOUT_SECONDS
             next_at = min(tried_at + pause, deadline)
             gevent.sleep(max(0, next_at - time.monotonic()))
-            if accepted != Err(Failure.conflict):
-                pause = min(2 * pause, MAX_FENCE_PAUSE_SECONDS)
+            pause = _choose_fence_pause(pause, accepted.err_value)
         refused = {attempt.name, *attempt.fence.attempts}
         is_fenced = isinstance(accepted, Ok) and held <= refused
         final = refusal if is_fenced else make_unsure_refusal()
@@ -347,6 +346,13 @@
         return sum(items[placed.index].tokens for placed in view.results)
 
 
+def _choose_fence_pause(last: float, failure: Failure) -> float:
+    """Choose the pause before the next fence, seconds."""
+    if failure is Failure.conflict:
+        return last
+    return min(2 * last, MAX_FENCE_PAUSE_SECONDS)
+
+
 def _sum_tokens(board: Board, job: SubmittedJob) -> int:
     """Sum the tokens of the customer's open jobs on the route."""
     return sum(
--- a/src/wigeonpier/hosted/sender.py
+++ b/src/wigeonpier/hosted/sender.py
@@ -22,7 +22,7 @@
 from wigeonpier.hosted.reserver import ReservationOutcome
 from wigeonpier.platform import ingress, register
 from wigeonpier.policy import waiting
-from wigeonpier.policy.route import record_departure, record_outcome
+from wigeonpier.policy.route import record_outcome
 from wigeonpier.policy.streamorigin import may_continue
 from wigeonpier.policy.trial import IsolationLevel
 from wigeonpier.telemetry.events import Event
@@ -209,8 +209,7 @@
         try:
             self._await_head(request, upstream, exchange)
         except QueueLeftError as departure:
-            request.release(is_broken=True)
-            record_departure(upstream)
+            _leave_queue(request, upstream)
             return Err(departure.reason)
         except OSError as error:
             request.last_send.problem = repr(error)
@@ -352,6 +351,11 @@
         _check_caller(request)
 
 
+def _leave_queue(request: OnlineRequest, upstream: UpstreamState) -> None:
+    request.release(is_broken=True)
+    waiting.record_departure(upstream)
+
+
 def _may_be_repeated_elsewhere(request: OnlineRequest) -> bool:
     """Check whether a caller may repeat a request that was lost alone.
 
--- a/src/wigeonpier/policy/route.py
+++ b/src/wigeonpier/policy/route.py
@@ -337,19 +337,6 @@
         record_return(state, now)
 
 
-def record_departure(state: UpstreamState) -> None:
-    """Record that a request of this entry has left the queue of an upstream.
-
-    Until the next report the others there count without it.
-
-    :param state: changed in place.
-    """
-    if state.sent_since_report:
-        state.sent_since_report -= 1
-    else:
-        state.reported = max(0, state.reported - 1)
-
-
 def record_crash(state: UpstreamState, now: float) -> None:
     """Record that the process of an upstream has crashed.
 
--- a/src/wigeonpier/policy/waiting.py
+++ b/src/wigeonpier/policy/waiting.py
@@ -107,6 +107,19 @@
     return _estimate_taken(other, now) < other.slots - SLOTS_LEFT_TO_OTHERS
 
 
+def record_departure(state: UpstreamState) -> None:
+    """Record that a request of this entry has left the queue of an upstream.
+
+    Until the next report the others there count without it.
+
+    :param state: changed in place.
+    """
+    if state.sent_since_report:
+        state.sent_since_report -= 1
+    else:
+        state.reported = max(0, state.reported - 1)
+
+
 def limit_back_off(seconds_left: float) -> float:
     """Limit how long a request backs off.
 
--- a/tests/policy/test_waiting.py
+++ b/tests/policy/test_waiting.py
@@ -7,13 +7,14 @@
 from tests.builders import build_upstream
 from tests.policy.crests import PeakModel
 from wigeonpier.models import OnlineLoad
-from wigeonpier.policy.route import record_departure, record_load
+from wigeonpier.policy.route import record_load
 from wigeonpier.policy.waiting import (
     QueueDecision,
     QueueTime,
     decide_queued,
     limit_back_off,
     may_resend,
+    record_departure,
 )
 
 
