Test what a caller and its own connections show

The local process frees a slot beside the entry, not before it, so the test waits up to 2 s for it. A client of an earlier test in the same process, which knows the port, connected to the flooding peer: 4 connections where 2 were expected; only the calls of the test count now.

--- a/tests/entry/test_long_bodies.py
+++ b/tests/entry/test_long_bodies.py
@@ -12,6 +12,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from tests.builders import wait_for
 from tests.entry.chain import start_chain
 from tests.web.endlesspeer import EndlessPeer
 from wigeonpier.bench.endless import Endless
@@ -129,8 +130,9 @@
     assert caller.is_whole
     assert peak < MAX_MEMORY_BYTES
     gevent.sleep(0.1)
-    assert own.state.in_flight == 0
-    assert own.local.gate.online == 0
+    # Both processes end what they do for it beside each other.
+    wait_for(lambda: not own.state.in_flight, SLACK_SECONDS)
+    wait_for(lambda: not own.local.gate.online, SLACK_SECONDS)
 
 
 @pytest.mark.parametrize('is_chunked', [False, True])
--- a/tests/web/test_flooded_idle.py
+++ b/tests/web/test_flooded_idle.py
@@ -42,8 +42,9 @@
         self._server.stop(timeout=0)
 
     def _serve(self, sock, _address) -> None:
-        self.connections += 1
-        sock.recv(65_536)
+        received = sock.recv(65_536)
+        # A client of an earlier test may know the same port.
+        self.connections += received.startswith(b'GET / ')
         sock.sendall(ANSWER)
         # The client has read the answer.
         gevent.sleep(0.1)
