--- a/src/wigeonpier/bench/soakendless.py
+++ b/src/wigeonpier/bench/soakendless.py
@@ -23,7 +23,7 @@
 REPORT_SHARE = 0.25
 TRICKLE_SHARE = 0.5
 SAMPLE_SECONDS = 0.05
-# Callers can't tell endless events from those that they expect.
+# Callers cannot distinguish endless events from those that they expect.
 KINDS = tuple(kind for kind in Endless if kind is not Endless.events)
 # Of the smallest machines.
 MAX_MEMORY_BYTES = 232_000_000
--- a/src/wigeonpier/membership/upstreamlosses.py
+++ b/src/wigeonpier/membership/upstreamlosses.py
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         """Start without crashes."""
-        # By an id that tells whether two reports describe one crash.
+        # By an id, which is the same in all reports of one crash.
         self.losses: dict[str, UpstreamLoss] = {}
         # The last report of another process, seconds of the monotonic clock.
         self.informed_at = -math.inf
--- a/src/wigeonpier/web/longbodies.py
+++ b/src/wigeonpier/web/longbodies.py
@@ -22,7 +22,7 @@
     :param reply: the answer.
     :param body: its complete body, or an iterator of its parts.
     :returns: the response; that of a long body bears its length, by which the
-        next process tells it from one without end.
+        next process distinguishes it from one without end.
     """
     content_type = reply.get_header('content-type')
     response = Response(reply.status, body, content_type)
