Let the second review's harness start workers of another service

A worker can be given a service and its own way to the store; the cases that ran before use neither.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -283,28 +283,37 @@
         configuration = ServedConfiguration(1, (route,), BODY_BYTES, None)
         self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
 
-    def add_replica(self) -> Daemon:
+    def add_replica(self, service: str = SERVICE) -> Daemon:
         number = len(self.replicas)
         ip = f'127.0.0.{2 + number}'
         replica = StandInReplica(
             f'i-{number}',
-            SERVICE,
+            service,
             self.store,
             events=10,
             event_seconds=self._event_seconds,
         )
         replica.start('makati', ip)
         self.replicas.append(replica)
-        return self._add('worker', f'side-{number}', replica.address, ip)
+        return self._add(
+            'worker', f'side-{number}', replica.address, ip, service=service
+        )
 
     def _add(
-        self, role: str, name: str, upstream: str = '', ip: str = '127.0.0.1'
+        self,
+        role: str,
+        name: str,
+        upstream: str = '',
+        ip: str = '127.0.0.1',
+        service: str = '',
+        store: HarmingProxy | None = None,
     ) -> Daemon:
         ports = {one: take_port() for one in ('metrics', 'callers', 'readiness')}
         # The daemons with a disk share their address with the entries here.
         peers = take_port() if role == 'storage' else self.peers
         disk = self.folder / f'{name}.disk'
-        store = HarmingProxy(self.address) if role == 'storage' else None
+        if role == 'storage':
+            store = HarmingProxy(self.address)
         settings = self.folder / f'{name}.toml'
         settings.write_text(
             SETTINGS.format(
@@ -316,7 +325,7 @@
                 counted='true' if role == 'storage' else 'false',
                 disk=disk if role == 'storage' else '',
                 upstream=upstream,
-                service=SERVICE if upstream else '',
+                service=service,
                 store=store.address if store else self.address,
                 **ports,
             ),
