Bound the age of views by the wait of their watches

Callers saw items of an ended job run for 13 s after its confirmed end, and requests routed by an outdated configuration. A watch waited 15 s and 2 s more; if its answer was lost, nothing else of the process failed, and the view stayed as it was. After an outage only the watches that began after the last answer were aborted.

A watch by which something is started now waits 0.6 of contactMs, 0.2 more for its answer, and then all keys are read again; others wait 5 s. All watches are aborted after an outage of half a second or more. An answer to a call that was made before the store was lost does not end the outage.

--- a/src/wigeonpier/bench/store.py
+++ b/src/wigeonpier/bench/store.py
@@ -53,6 +53,7 @@
         executed later if their conditions still hold.
     :param late_prefix: they write a key with this prefix.
     :param late_seconds: how much later they are executed.
+    :param watch_round: watches that began in an earlier round are not answered.
     """
 
     is_down: bool = False
@@ -62,6 +63,14 @@
     late_writes: int = 0
     late_prefix: str = ''
     late_seconds: float = 1.0
+    watch_round: int = 0
+
+    def lose_watches(self) -> None:
+        """Lose the answers of all watches that wait now.
+
+        Nothing further arrives on their connections; new calls are answered.
+        """
+        self.watch_round += 1
 
     def takes_late(self, body: CommitBody) -> bool:
         """Decide whether a transaction is executed later, and count it.
@@ -221,7 +230,10 @@
         deadline = (
             time.monotonic() + int(query[wire.WATCH_WAIT_MS]) / MILLISECONDS
         )
+        begun_in = self.faults.watch_round
         while True:
+            if begun_in != self.faults.watch_round:
+                Signal().wait()
             if after < self._compacted:
                 return answer_json({}, HTTPStatus.GONE)
             events = [
--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -87,6 +87,11 @@
         """Start following the assignments."""
         self.view.start()
 
+    @property
+    def has_work(self) -> bool:
+        """Check whether items are assigned to this process."""
+        return bool(self._assigned)
+
     def find_board(self, job: str) -> tuple[OpenJob, int] | None:
         """Look up what is known of the key of a job on the board.
 
--- a/src/wigeonpier/hosted/common.py
+++ b/src/wigeonpier/hosted/common.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.hosted.contact import StoreHealth
-from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.platform.store import KeyValueStore, TimedStore
 from wigeonpier.platform.view import PrefixWatcher
 from wigeonpier.policy.outage import plan_outage
+from wigeonpier.policy.watchplan import plan_watches
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.messages import Response
@@ -31,6 +32,11 @@
 APPLIED_AT_ONCE = frozenset(('store',))
 
 
+def _is_always() -> bool:
+    """Return true; the default of :meth:`DaemonContext.view`."""
+    return True
+
+
 @dataclass(slots=True)
 class DaemonContext:
     """Components that all hosted daemons share.
@@ -57,7 +63,9 @@
             self.pool,
             self.settings.store,
             self.metrics,
-            self.settings.store_history,
+            plan_watches(
+                self.settings.bounds.contact, self.settings.store_history
+            ),
         )
         self.store_health = StoreHealth(
             self.store,
@@ -70,16 +78,24 @@
         self,
         prefix: str,
         on_change: Callable[[Change], None],
+        is_decisive: Callable[[], bool] = _is_always,
     ) -> PrefixWatcher:
         """Make a watcher of the keys with a prefix; the caller starts it.
 
         :param prefix: prefix of the keys.
         :param on_change: called with each change, in order.
+        :param is_decisive: checks whether requests or items are started by
+            these keys now, so that their age has to be bounded.
         :returns: the watcher; after an outage it resumes as soon as the store
             answers any call of this process.
         """
-        return PrefixWatcher(
+        plan = self.store.plan
+        timed_store = TimedStore(
             self.store,
+            lambda: plan.decisive if is_decisive() else plan.background,
+        )
+        return PrefixWatcher(
+            timed_store,
             prefix,
             on_change,
             self.rng,
--- a/src/wigeonpier/hosted/contact.py
+++ b/src/wigeonpier/hosted/contact.py
@@ -48,7 +48,9 @@
         self.regained_at = -math.inf
         self._answered_at = time.monotonic()
         self._failed_at: float = 0
-        # When the last answer before the outage arrived.
+        # When the last answered call was made, and the last one before the
+        # outage.
+        self._asked_at = self._answered_at
         self._answered_until = self._answered_at
         self._lost_at: float = 0
         self._store = store
@@ -90,16 +92,21 @@
         """Record the outcome of a call.
 
         :param started_at: when the call was made; a failure is ignored if the
-            store has answered since, as with a watch that was aborted.
+            store has answered since, as with a watch that was aborted, and an
+            answer to a call that was made before the store was lost, as with a
+            watch that waited, does not end the outage.
         :param is_answered: whether the store answered it.
         """
         if is_answered:
+            if self.is_unreachable and started_at < self._failed_at:
+                return
             self._answered_at = time.monotonic()
+            self._asked_at = max(self._asked_at, started_at)
             if self.is_unreachable:
                 self._record_return(self._answered_at)
         elif started_at >= self._answered_at and not self.is_unreachable:
             self._failed_at = started_at
-            self._answered_until = self._answered_at
+            self._answered_until = self._asked_at
             self._lost_at = time.monotonic()
             self._reachable.clear()
             self._unreachable.set()
@@ -130,12 +137,15 @@
 
     def _record_return(self, now: float) -> None:
         lost_seconds = now - self._failed_at
+        aborted_since = self._answered_until
         if may_have_expired(lost_seconds):
             self.regained_at = now
+            aborted_since = -math.inf
         self._unreachable.clear()
-        # A watch that was requested during the outage may never be answered:
-        # items of a cancelled job were run for 4.8 s after its end.
-        self._store.calls.abort_watches(self._answered_until)
+        # A watch that was requested during the outage, or whose answer was due
+        # then, may never be answered: items of a cancelled job were run for
+        # 4.8 and 13 s after its end.
+        self._store.calls.abort_watches(aborted_since)
         self._reachable.set()
         log_event(Event.platform_found, after=round(lost_seconds, 3))
 
--- a/src/wigeonpier/hosted/following.py
+++ b/src/wigeonpier/hosted/following.py
@@ -19,8 +19,6 @@
 # Callers read about twice a second; a job that is not read for so long is no
 # longer followed.
 IDLE_SECONDS = 4.0
-# Longest wait of one call for the next result, well within the store's history.
-WATCH_SECONDS = 8.0
 # The store answers the initial call in 4 ms, and within 0.3 s when it is slow.
 INITIAL_READ_SECONDS = 0.4
 # Batches results that finish within a short time.
@@ -50,8 +48,16 @@
 class FollowedJobs:
     """Keeps the views of jobs up to date as long as they are read."""
 
-    def __init__(self, views: JobViews, store_health: StoreHealth) -> None:
-        """Start without followed jobs."""
+    def __init__(
+        self, views: JobViews, store_health: StoreHealth, wait: float
+    ) -> None:
+        """Start without followed jobs.
+
+        :param views: reads the jobs.
+        :param store_health: tracks whether the store answers.
+        :param wait: longest wait of one call for the next result, seconds.
+        """
+        self._wait = wait
         self._views = views
         self._store_health = store_health
         self._follows: dict[str, _FollowedJob] = {}
@@ -118,7 +124,7 @@
             while is_certain and self._is_wanted(follow):
                 follow.called_at = time.monotonic()
                 is_certain = self._views.read_new_results(follow.view, wait)
-                wait = WATCH_SECONDS
+                wait = self._wait
                 if is_certain:
                     follow.is_current.set()
                     follow.updated.set()
--- a/src/wigeonpier/hosted/storage.py
+++ b/src/wigeonpier/hosted/storage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from wigeonpier.hosted.dealer import ItemReassigner
@@ -36,6 +37,7 @@
         settings = context.settings
         ledger = JobLedger(context.store)
         self._context = context
+        view = partial(context.view, is_decisive=_is_never)
         self._intake = Intake(settings.data_folder, ledger, context.rng)
         self._quarantine = QuarantineReplica(
             settings.data_folder,
@@ -44,7 +46,7 @@
         )
         self._reassigner = ItemReassigner(
             ledger,
-            context.view,
+            view,
             context.store_health,
             context.rng,
         )
@@ -64,11 +66,13 @@
             ledger,
             self._intake,
             self._disk,
-            context.view,
+            view,
         )
         readings = ReadingHandler(
             FollowedJobs(
-                JobViews(ledger, _is_never_on_disk), context.store_health
+                JobViews(ledger, _is_never_on_disk),
+                context.store_health,
+                context.store.plan.decisive,
             ),
             context.store_health,
         )
@@ -111,3 +115,8 @@
 def _is_never_on_disk(_job: str) -> bool:
     """Return false: the entry checks which jobs disks may hold."""
     return False
+
+
+def _is_never() -> bool:
+    """Return false: nothing is started by orders and members directly."""
+    return False
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -148,7 +148,7 @@
             settings.name,
             ledger,
             self._runner,
-            context.view,
+            partial(context.view, is_decisive=self._has_assignments),
             quarantine.read,
             context.store_health.wait,
         )
@@ -195,6 +195,9 @@
         self._membership.leave()
         return int(not self._writer.is_idle)
 
+    def _has_assignments(self) -> bool:
+        return self._assignments.has_work
+
     def _update_membership(self) -> None:
         is_open = self._runner.breaker.is_open(time.monotonic())
         self._membership.is_wanted = self._upstream.is_usable and not is_open
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import gevent
@@ -34,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from wigeonpier.policy.watchplan import WatchPlan
     from wigeonpier.telemetry.metrics import Metrics
     from wigeonpier.web.client import Reply
     from wigeonpier.web.pool import ConnectionPool
@@ -41,12 +43,8 @@
 # A slow service still answers within 0.3 s; one that exceeds this time is
 # treated as unreachable.
 CALL_TIMEOUT_SECONDS = 1.2
-# A watch that waits longer than the service keeps its history has to start
-# over with a full read.
-HISTORY_SHARE = 0.75
+# The service keeps no call waiting for longer.
 MAX_WATCH_SECONDS = 30.0
-WATCH_SLACK_SECONDS = 2.0
-MAX_CALL_SECONDS = MAX_WATCH_SECONDS + WATCH_SLACK_SECONDS
 # Pause before the next call of a watch, so that changes in quick succession
 # arrive in one answer: when 28 replicas start, an entry makes 8 calls instead
 # of 31.  All limits on the delay of updates are 2 s or more.
@@ -65,19 +63,16 @@
         pool: ConnectionPool,
         address: str,
         metrics: Metrics,
-        history_seconds: float,
+        plan: WatchPlan,
     ) -> None:
         """Create a client of the service.
 
         :param pool: connections to other processes.
         :param address: ``host:port`` of the service.
         :param metrics: counts and measures calls.
-        :param history_seconds: how long the service keeps old changes.
+        :param plan: how long watches wait.
         """
-        self._watch_seconds = min(
-            MAX_WATCH_SECONDS,
-            history_seconds * HISTORY_SHARE,
-        )
+        self.plan = plan
         self.calls = StoreCalls(pool, address, metrics)
 
     def get(
@@ -242,21 +237,23 @@
         prefix: str,
         revision: int,
         pause: Callable[[float], object] = gevent.sleep,
+        choose_wait: Callable[[], float] | None = None,
     ) -> Iterator[Change]:
         """Yield changes after a revision until a call fails.
 
+        A call fails too if its answer is lost, which the end of its wait shows.
+
         :param prefix: start of the keys.
         :param revision: last revision that the caller has seen.
         :param pause: waits for a number of seconds between changes and the
             next call, or less where the next changes are needed earlier.
+        :param choose_wait: chooses the wait of the next call, seconds; by
+            default that of a view by which nothing is decided.
         :yields: changes in order.
         """
         while True:
-            received = self.await_changes(
-                prefix,
-                revision,
-                self._watch_seconds,
-            )
+            seconds = choose_wait() if choose_wait else self.plan.background
+            received = self.await_changes(prefix, revision, seconds)
             if isinstance(received, Err):
                 return
             changes, revision = received.ok_value
@@ -288,7 +285,7 @@
             'GET',
             wire.WATCH_PATH,
             query,
-            timeout=seconds + WATCH_SLACK_SECONDS,
+            timeout=seconds + self.plan.answer,
         )
         if isinstance(replied, Err) or not replied.ok_value.is_good:
             return Err(Failure.unavailable)
@@ -308,6 +305,31 @@
         return self.calls.send(make_call(method, path, query, body), timeout)
 
 
+@dataclass(frozen=True, slots=True)
+class TimedStore:
+    """The calls of one view, whose watch waits as long as the view chooses.
+
+    :param store: client of the service.
+    :param choose_wait: chooses the wait of the next call of the watch, seconds.
+    """
+
+    store: KeyValueStore
+    choose_wait: Callable[[], float]
+
+    def list_prefix(self, prefix: str) -> Result[Snapshot, Failure]:
+        """Read all keys under a prefix."""
+        return self.store.list_prefix(prefix)
+
+    def watch(
+        self,
+        prefix: str,
+        revision: int,
+        pause: Callable[[float], object] = gevent.sleep,
+    ) -> Iterator[Change]:
+        """Yield changes after a revision until a call fails."""
+        return self.store.watch(prefix, revision, pause, self.choose_wait)
+
+
 def find_call_seconds(method: str, target: str) -> float:
     """Find how long the caller of the service may wait for an answer.
 
@@ -319,7 +341,7 @@
     :returns: longest time without any data, seconds.
     """
     is_watch = method == 'GET' and target.partition('?')[0] == wire.WATCH_PATH
-    return MAX_CALL_SECONDS if is_watch else CALL_TIMEOUT_SECONDS
+    return MAX_WATCH_SECONDS if is_watch else CALL_TIMEOUT_SECONDS
 
 
 def _make_stale_query(*, allow_stale: bool) -> dict[str, int]:
--- a/tests/hosted/quarantine/test_store.py
+++ b/tests/hosted/quarantine/test_store.py
@@ -16,6 +16,7 @@
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.policy.itemretry import OWN_CONTENT_PACE, compute_next_try
 from wigeonpier.policy.suspicion import needs_pauses
+from wigeonpier.policy.watchplan import plan_watches
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -46,7 +47,9 @@
     store: StandInStore,
 ) -> None:
     """It tried the item at once, and the upstream crashed."""
-    client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
+    client = KeyValueStore(
+        ConnectionPool(), store.start(), Metrics(), plan_watches(3, 20)
+    )
     known = Suspicions()
     known.merge(
         SuspicionUpdate(
--- a/tests/hosted/test_contact.py
+++ b/tests/hosted/test_contact.py
@@ -221,7 +221,7 @@
     site.start()
     context = site.entries[0]._context
     _cut_store_from_entry(site)
-    context.store_health.record_call(0, is_answered=True)
+    context.store_health.record_call(time.monotonic(), is_answered=True)
     calls = site.store.calls.copy()
     result = context.store.await_changes('op/', 1, 0.1)
     assert isinstance(result, Err)
--- a/tests/hosted/test_membership.py
+++ b/tests/hosted/test_membership.py
@@ -11,6 +11,7 @@
 from wigeonpier.models import DiskMember
 from wigeonpier.platform.port import Failure
 from wigeonpier.platform.store import KeyValueStore
+from wigeonpier.policy.watchplan import plan_watches
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -82,7 +83,9 @@
     if has_key:
         # That of an earlier start, whose lease has not ended yet.
         store.put(KEY, b'earlier')
-    client = KeyValueStore(ConnectionPool(), address, Metrics(), 20)
+    client = KeyValueStore(
+        ConnectionPool(), address, Metrics(), plan_watches(3, 20)
+    )
     membership = Membership(client, KEY, DiskMember('d', '127.0.0.1:1'))
     store.faults.late_writes = 1
     store.faults.late_seconds = LATE_SECONDS
--- a/tests/hosted/test_reader.py
+++ b/tests/hosted/test_reader.py
@@ -18,6 +18,7 @@
 from wigeonpier.platform import storekeys
 from wigeonpier.web.messages import Request
 
+WATCH_SECONDS = 8.0
 RANGE_METRIC_PREFIX = 'store_calls_total{call="/-/kv-range"'
 
 
@@ -110,7 +111,9 @@
     store_health = SimpleNamespace(
         has_been_reachable_since=lambda _moment: was_reachable
     )
-    return FollowedJobs(JobViews(ledger, lambda _name: False), store_health)
+    return FollowedJobs(
+        JobViews(ledger, lambda _name: False), store_health, WATCH_SECONDS
+    )
 
 
 def test_a_job_that_was_not_read_for_a_while_is_refreshed() -> None:
--- a/tests/hosted/test_trialleases.py
+++ b/tests/hosted/test_trialleases.py
@@ -24,6 +24,7 @@
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.store import KeyValueStore
 from wigeonpier.policy.suspicion import needs_pauses
+from wigeonpier.policy.watchplan import plan_watches
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -47,7 +48,9 @@
 
 def make_workers(store: StandInStore, count: int) -> list[TrialLeases]:
     """Make the leases of some workers."""
-    client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
+    client = KeyValueStore(
+        ConnectionPool(), store.start(), Metrics(), plan_watches(3, 20)
+    )
     return [
         TrialLeases(client, f'vm-{number}', lambda: True, random.Random(number))
         for number in range(count)
@@ -115,7 +118,9 @@
     store: StandInStore,
 ) -> None:
     """It had read the store just before, and reads were out of date."""
-    client = KeyValueStore(ConnectionPool(), store.start(), Metrics(), 20)
+    client = KeyValueStore(
+        ConnectionPool(), store.start(), Metrics(), plan_watches(3, 20)
+    )
     known, later = Suspicions(), Suspicions()
     reader = QuarantineStore(client, later, gevent.sleep)
     reader.read()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.platform.store import GATHER_SECONDS, KeyValueStore
 from wigeonpier.platform.view import PrefixWatcher
+from wigeonpier.policy.watchplan import plan_watches
 from wigeonpier.telemetry.metrics import Metrics
 from wigeonpier.web.pool import ConnectionPool
 
@@ -28,7 +29,9 @@
 def store(stand_in: StandInStore) -> KeyValueStore:
     """Make a client of the stand-in."""
     address = stand_in.start()
-    return KeyValueStore(ConnectionPool(), address, Metrics(), 20)
+    return KeyValueStore(
+        ConnectionPool(), address, Metrics(), plan_watches(3, 20)
+    )
 
 
 def test_written_keys_are_read_back(store: KeyValueStore) -> None:
