Tell what the store never accepts from an outage, and cut large jobs

Callers had 202 for jobs that were never kept, and one such job kept all accepted jobs behind it on the disks for good. An item beyond a value of the store made a write that the store answers with 400, which counted as "not now"; a disk wrote its jobs in order and stopped at the first failure. The file of an interrupted write was taken for a job and did the same.

The store's client checks each commit against the limits of the pages, and what is never accepted is a failure of its own, with what each caller does about it. Items and outputs are cut into several values; a job beyond them is refused with 413 before anything is kept. A disk tries all jobs in each round, and keeps, logs and counts those that the store rejects.

--- a/src/wigeonpier/bench/store.py
+++ b/src/wigeonpier/bench/store.py
@@ -33,8 +33,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-MAX_BODY_BYTES = 4_000_000
+# 32 values in base64.
+MAX_BODY_BYTES = 48_000_000
+MAX_ENTRIES = 32
+MAX_KEY_BYTES = 200
+MAX_VALUE_BYTES = 1_048_576
 PAGE_KEYS = 500
+PAGE_BYTES = 1_000_000
 CHECK_INTERVAL_SECONDS = 0.05
 MILLISECONDS = 1000
 NUMBER = '([0-9]+)'
@@ -220,8 +225,8 @@
             if key.startswith(query.get(wire.PREFIX, ''))
             and key > query.get(wire.AFTER, '')
         ]
-        page = [cells[key] for key in found[:PAGE_KEYS]]
-        has_more = len(found) > PAGE_KEYS
+        page = _limit_page([cells[key] for key in found])
+        has_more = len(found) > len(page)
         return answer_json(ItemPage(page, has_more, self._revision))
 
     def _watch(self, request: Request) -> Response:
@@ -249,6 +254,8 @@
 
     def _commit(self, request: Request) -> Response:
         body = msgspec.json.decode(request.read_body(), type=CommitBody)
+        if not _is_within_limits(body):
+            return answer_json({}, HTTPStatus.BAD_REQUEST)
         if self.faults.takes_late(body):
             gevent.spawn_later(self.faults.late_seconds, self._perform, body)
             Signal().wait()
@@ -328,6 +335,30 @@
     return {name: found[0] for name, found in parse_qs(request.query).items()}
 
 
+def _is_within_limits(body: CommitBody) -> bool:
+    """Check the limits that the service sets to a transaction."""
+    written = [write.key for write in body.writes]
+    keys = [guard.key for guard in body.guards] + written + body.deletes
+    return (
+        len(keys) <= MAX_ENTRIES
+        and all(len(key.encode()) <= MAX_KEY_BYTES for key in keys)
+        and all(
+            len(base64.b64decode(write.value)) <= MAX_VALUE_BYTES
+            for write in body.writes
+        )
+    )
+
+
+def _limit_page(cells: list[StoredItem]) -> list[StoredItem]:
+    """Choose the keys of one page: at least one, if there is any."""
+    size = 0
+    for number, cell in enumerate(cells[:PAGE_KEYS]):
+        size += len(cell.value)
+        if number and size > PAGE_BYTES:
+            return cells[:number]
+    return cells[:PAGE_KEYS]
+
+
 def _choose_cells(
     query: dict[str, str],
     current: dict[str, StoredItem],
--- a/src/wigeonpier/disk/storage.py
+++ b/src/wigeonpier/disk/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import secrets
 from contextlib import ExitStack, suppress
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 
 FILE_MODE = 0o644
 NAME_BYTES = 4
+TEMPORARY_PATTERN = re.compile(r'.+\.[0-9a-f]{8}\.new')
 
 
 def call_in_thread(function: Callable[..., None], *arguments: object) -> None:
@@ -38,6 +40,25 @@
         return None
 
 
+def open_folder(path: Path) -> list[str]:
+    """Create a folder, and remove what interrupted writes have left there.
+
+    :param path: the folder; its own name is forced to disk.
+    :returns: names of the files in it.
+    """
+    if not path.is_dir():
+        path.mkdir(parents=True, exist_ok=True)
+        _sync_folder(path.parent)
+    names = []
+    for found in path.iterdir():
+        if TEMPORARY_PATTERN.fullmatch(found.name):
+            # Its write was never confirmed.
+            found.unlink(missing_ok=True)
+        else:
+            names.append(found.name)
+    return names
+
+
 def append_lines(path: Path, lines: bytes) -> None:
     """Append bytes to a file and force them to disk.
 
--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -272,6 +272,8 @@
         )
         if created == Err(Failure.conflict):
             return self._find_existing(job)
+        if created == Err(Failure.rejected):
+            raise make_too_large_refusal('it exceeds a limit of the store')
         return (
             created.err_value
             if isinstance(created, Err)
@@ -376,3 +378,14 @@
         'too many tokens wait on the route',
         retry_seconds=RETRY_AFTER_SECONDS,
     )
+
+
+def make_too_large_refusal(excess: str) -> Refusal:
+    """Make the refusal of a job that the store can never keep.
+
+    :param excess: what exceeds which limit.
+    :returns: the refusal.
+    """
+    return Refusal(
+        ErrorKind.body_too_large, f'the job cannot be kept: {excess}'
+    )
--- a/src/wigeonpier/hosted/common.py
+++ b/src/wigeonpier/hosted/common.py
@@ -9,6 +9,7 @@
 
 from wigeonpier.hosted.contact import StoreHealth
 from wigeonpier.platform.store import KeyValueStore, TimedStore
+from wigeonpier.platform.storelimits import StoreLimits
 from wigeonpier.platform.view import PrefixWatcher
 from wigeonpier.policy.outage import plan_outage
 from wigeonpier.policy.watchplan import plan_watches
@@ -66,6 +67,7 @@
             plan_watches(
                 self.settings.bounds.contact, self.settings.store_history
             ),
+            StoreLimits(self.settings.store_value_bytes),
         )
         self.store_health = StoreHealth(
             self.store,
--- a/src/wigeonpier/hosted/dealer.py
+++ b/src/wigeonpier/hosted/dealer.py
@@ -15,6 +15,7 @@
 
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform import storekeys
+from wigeonpier.platform.port import Failure
 from wigeonpier.policy.placement import UNASSIGNED, reassign_items
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -138,4 +139,6 @@
                 lost=lost,
                 owners=sorted(set(owners) - set(job.owners)),
             )
-        return isinstance(reassigned, Ok)
+            return True
+        # The next scan tries again what the store has rejected.
+        return reassigned.err_value is Failure.rejected
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -16,6 +16,7 @@
 from wigeonpier.hosted.intake import INTAKE_PATH, DiskCopy
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import DiskJob
+from wigeonpier.platform.store import MIN_BYTES_PER_SECOND
 from wigeonpier.web.client import CallFailure
 from wigeonpier.web.exchange import make_request
 
@@ -153,7 +154,7 @@
         sends = [
             gevent.spawn(self._send, disk, job.name, body) for disk in disks
         ]
-        gevent.joinall(sends, timeout=2 * DISK_TIMEOUT_SECONDS)
+        gevent.joinall(sends, timeout=2 * _choose_timeout(body))
         copies = [send.value or CopyState.unsure for send in sends]
         gevent.killall(sends, block=False)
         disk_write = DiskWrite(
@@ -191,7 +192,7 @@
     def _send(self, disk: DiskMember, name: str, body: bytes) -> CopyState:
         headers = [('Host', disk.address)]
         raw = make_request('PUT', INTAKE_PATH + name, headers, body)
-        replied = self.pool.call(disk.address, raw, DISK_TIMEOUT_SECONDS)
+        replied = self.pool.call(disk.address, raw, _choose_timeout(body))
         if replied == Err(CallFailure.not_sent):
             return CopyState.not_kept
         if isinstance(replied, Err):
@@ -216,3 +217,8 @@
             if isinstance(read, Ok):
                 self.record_board(read.ok_value)
         self.wait(BOARD_CHECK_SECONDS)
+
+
+def _choose_timeout(body: bytes) -> float:
+    """Choose how long a disk may take to store a job, seconds."""
+    return DISK_TIMEOUT_SECONDS + len(body) / MIN_BYTES_PER_SECOND
--- a/src/wigeonpier/hosted/intake.py
+++ b/src/wigeonpier/hosted/intake.py
@@ -10,6 +10,7 @@
 import time
 from collections import defaultdict
 from dataclasses import replace
+from enum import Enum
 from http import HTTPStatus
 from pathlib import Path
 from typing import TYPE_CHECKING, NoReturn
@@ -19,8 +20,9 @@
 from gevent.event import Event as Signal
 from result import Err, Ok
 
-from wigeonpier.disk.storage import call_in_thread, replace_file
+from wigeonpier.disk.storage import call_in_thread, open_folder, replace_file
 from wigeonpier.errors import ErrorKind, Refusal
+from wigeonpier.hosted.jobparts import find_excess
 from wigeonpier.loops import spawn_loop
 from wigeonpier.models import DiskJob
 from wigeonpier.platform.port import Failure
@@ -38,7 +40,8 @@
 
 INTAKE_PATH = '/intake/'
 FOLDER_NAME = 'intake'
-MAX_JOB_BYTES = 8_000_000
+# All values of the largest job that can be written to the store.
+MAX_JOB_BYTES = 12_000_000
 # Several disks hold the same job; the jitter spreads their writes.
 MAX_JITTER_SECONDS = 0.25
 RETRY_PAUSE_SECONDS = 0.3
@@ -46,6 +49,14 @@
 UNNAMED_ATTEMPT = ''
 
 
+class _HandOver(Enum):
+    """Outcome of writing one job to the store."""
+
+    done = 'done'
+    failed = 'failed'
+    store_away = 'store_away'
+
+
 class DiskCopy(msgspec.Struct, frozen=True):
     """A copy of a job that is not in the store yet.
 
@@ -67,10 +78,12 @@
         """Open the folder; jobs found there are written once started."""
         self.is_closed = False
         self._root = Path(folder) / FOLDER_NAME
-        self._root.mkdir(parents=True, exist_ok=True)
         self._ledger = ledger
         self._rng = rng
-        self._job_names = {path.name for path in self._root.iterdir()}
+        self._job_names = set(open_folder(self._root))
+        # Jobs that this process has found to exceed a limit of the store.  They
+        # stay on the disk, since a later build may split them.
+        self._rejected: set[str] = set()
         # Attempts that stored each job since the start; a write to the disk
         # may be in progress.
         self._attempts: defaultdict[str, set[str]] = defaultdict(set)
@@ -82,6 +95,13 @@
         """Check whether all jobs have been written to the store."""
         return not self._job_names
 
+    def count_rejected(self) -> int:
+        """Count the jobs on this disk that the store never accepts.
+
+        :returns: their number.
+        """
+        return len(self._rejected)
+
     def start(self) -> None:
         """Start writing jobs to the store."""
         spawn_loop('intake', self._step)
@@ -161,16 +181,20 @@
         raise Refusal(ErrorKind.storage_down, str(error)) from error
 
     def _step(self) -> None:
+        """Try each job once; one that fails does not delay the others."""
         self._has_work.wait()
         gevent.sleep(self._rng.uniform(0, MAX_JITTER_SECONDS))
-        for name in sorted(self._job_names):
-            if not self._write_to_store(name):
-                gevent.sleep(RETRY_PAUSE_SECONDS)
-                return
-        if not self._job_names:
+        outcomes = []
+        for name in sorted(self._job_names - self._rejected):
+            outcomes.append(self._write_to_store(name))
+            if outcomes[-1] is _HandOver.store_away:
+                break
+        if _HandOver.store_away in outcomes or _HandOver.failed in outcomes:
+            gevent.sleep(RETRY_PAUSE_SECONDS)
+        if not self._job_names - self._rejected:
             self._has_work.clear()
 
-    def _write_to_store(self, name: str) -> bool:
+    def _write_to_store(self, name: str) -> _HandOver:
         path = self._root / name
         try:
             disk_job = self._read_copy(name)
@@ -178,16 +202,16 @@
             # A write interrupted by a power loss was never confirmed.
             log_event(Event.job_unreadable, job=name, why=str(error))
             self._remove_copy(path)
-            return True
+            return _HandOver.done
         read = self._ledger.read_board()
         if isinstance(read, Err):
-            return False
+            return _HandOver.store_away
         board = read.ok_value
         fence = board.get_fence(name)
         if self._is_refused(name, disk_job, fence):
             log_event(Event.job_dropped, job=name, attempts=fence.attempts)
             self._remove_copy(path)
-            return True
+            return _HandOver.done
         owners = assign_items(
             name,
             len(disk_job.items),
@@ -200,19 +224,27 @@
             list(disk_job.items),
             fence=fence,
         )
+        if created == Err(Failure.rejected):
+            self._keep_rejected(name, disk_job)
+            return _HandOver.done
         # After a conflict, either the store has the job or its fence has changed.
         is_stored = isinstance(created, Ok) or (
             created == Err(Failure.conflict)
             and self._ledger.fences.is_accepted(name) == Ok(True)
         )
-        if is_stored:
-            log_event(
-                Event.job_handed_over,
-                job=name,
-                first=isinstance(created, Ok),
-            )
-            self._remove_copy(path)
-        return is_stored
+        if not is_stored:
+            return _HandOver.failed
+        log_event(
+            Event.job_handed_over, job=name, first=isinstance(created, Ok)
+        )
+        self._remove_copy(path)
+        return _HandOver.done
+
+    def _keep_rejected(self, name: str, disk_job: DiskJob) -> None:
+        self._rejected.add(name)
+        limits = self._ledger.store.limits
+        excess = find_excess(name, list(disk_job.items), limits.value_bytes)
+        log_event(Event.job_rejected, job=name, excess=excess)
 
     def _is_refused(
         self, name: str, disk_job: DiskJob, fence: JobFence
@@ -223,6 +255,7 @@
     def _remove_copy(self, path: Path) -> None:
         path.unlink(missing_ok=True)
         self._job_names.discard(path.name)
+        self._rejected.discard(path.name)
         self._attempts.pop(path.name, None)
 
 
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -11,7 +11,11 @@
 from result import Ok
 
 from wigeonpier.errors import ErrorKind, Refusal
-from wigeonpier.hosted.acceptance import SubmittedJob
+from wigeonpier.hosted.acceptance import (
+    SubmittedJob,
+    make_too_large_refusal,
+)
+from wigeonpier.hosted.jobparts import find_excess
 from wigeonpier.hosted.views import make_unreadable_refusal
 from wigeonpier.platform import ingress, jobbodies
 from wigeonpier.policy.ownership import scope_job
@@ -62,6 +66,7 @@
         started_at = time.monotonic()
         job = _parse_job(routed)
         try:
+            self._check_size(job)
             outcome = self._acceptor.accept(job, routed.request.connection)
         except Refusal as refusal:
             self._metrics.count('jobs_total', outcome=refusal.kind.value)
@@ -132,6 +137,16 @@
                 gevent.sleep(RETRY_PAUSE_SECONDS)
         return Response(HTTPStatus.OK, EMPTY_BODY)
 
+    def _check_size(self, job: SubmittedJob) -> None:
+        """Refuse a job that could be accepted but never written.
+
+        :raises Refusal: before anything of it is kept.
+        """
+        limits = self._ledger.store.limits
+        excess = find_excess(job.name, job.items, limits.value_bytes)
+        if excess:
+            raise make_too_large_refusal(excess)
+
     def _find_to_end(self, job: str, deadline: float) -> JobView:
         """Find a job that its caller ends.
 
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -16,6 +16,12 @@
 
 from wigeonpier.hosted.board import Board
 from wigeonpier.hosted.jobfences import NO_FENCE, JobFences, guard_create
+from wigeonpier.hosted.jobparts import join_items, split_items
+from wigeonpier.hosted.resultrecords import (
+    PlacedResult,
+    ResultRecords,
+    read_immutable,
+)
 from wigeonpier.models import (
     Assignment,
     ItemProgress,
@@ -24,24 +30,27 @@
     OpenJob,
 )
 from wigeonpier.platform import storekeys
-from wigeonpier.platform.port import Change, Commit, Entry, Failure
+from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.platform.store import CALL_TIMEOUT_SECONDS
+from wigeonpier.platform.storelimits import MAX_ENTRIES
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from wigeonpier.models import JobFence
-    from wigeonpier.platform.port import Snapshot
+    from wigeonpier.platform.port import Entry, Snapshot
     from wigeonpier.platform.store import KeyValueStore
 
-# Items are stored as base64; a part stays well below the size limit of a
-# value.
-MAX_PART_BYTES = 500_000
 # Items of larger assignments are read from the job by the process that runs
 # them.
 MAX_ASSIGNMENT_BYTES = 100_000
-# Limit of one transaction.
-MAX_KEYS_PER_COMMIT = 32
+# All keys of a job but those on the board, and the time of its acceptance.
+JOB_SPACES = (
+    storekeys.ITEMS,
+    storekeys.RESULTS,
+    storekeys.PROGRESS,
+    storekeys.OUTPUTS,
+)
 
 
 class JobHead(msgspec.Struct):
@@ -55,20 +64,6 @@
     names: list[str]
 
 
-@dataclass(frozen=True, slots=True)
-class PlacedResult:
-    """A result with the data that determines its position.
-
-    :param created: revision of its creation.
-    :param index: position of its item in the job.
-    :param result: the result.
-    """
-
-    created: int
-    index: int
-    result: ItemResult
-
-
 @dataclass(frozen=True, slots=True)
 class StoredJob:
     """A job as read from the store.
@@ -90,6 +85,7 @@
         """Read and write jobs in the given store."""
         self.store = store
         self.fences = JobFences(store)
+        self._records = ResultRecords(store)
 
     def read_board(
         self,
@@ -130,9 +126,10 @@
         :param timeout: longest wait for the store, seconds.
         :param fence: the fence of the job as last read.
         :returns: the revision; ``conflict`` if the job exists already, or if
-            its fence was changed meanwhile.
+            its fence was changed meanwhile; ``rejected`` if it exceeds a limit
+            of the store.
         """
-        parts = list(_split_items(items))
+        parts = split_items(items, self.store.limits.value_bytes)
         job = replace(job, parts=len(parts))
         head = JobHead(job, [item.name for item in items])
         writes = {
@@ -146,11 +143,10 @@
         }
         for number, part in enumerate(parts):
             key = storekeys.name_key(storekeys.ITEMS, job.name, number)
-            writes[key] = msgspec.json.encode(part)
+            writes[key] = part
         for owner in set(job.owners):
             key = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
-            assignment = _make_assignment(job, owner, items)
-            writes[key] = msgspec.json.encode(assignment)
+            writes[key] = _encode_assignment(job, owner, items)
         guards = guard_create(job.name, fence)
         return self.store.commit(Commit(guards, writes), timeout)
 
@@ -175,7 +171,7 @@
         for owner in set(owners) - {lost}:
             name = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
             assignment = replace(
-                _make_assignment(reassigned, owner, []), is_moved=True
+                _make_assignment(reassigned, owner), is_moved=True
             )
             writes[name] = msgspec.json.encode(assignment)
         deletes = (storekeys.name_key(storekeys.ASSIGNMENTS, lost, job.name),)
@@ -203,9 +199,7 @@
         deletes: tuple[str, ...] = ()
         for owner in (source, target):
             name = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
-            assignment = replace(
-                _make_assignment(job, owner, []), is_moved=True
-            )
+            assignment = replace(_make_assignment(job, owner), is_moved=True)
             if assignment.indexes:
                 writes[name] = msgspec.json.encode(assignment)
             else:
@@ -252,7 +246,7 @@
         if isinstance(closed, Err):
             return closed
         keys = [storekeys.name_head(job)]
-        for space in (storekeys.ITEMS, storekeys.RESULTS, storekeys.PROGRESS):
+        for space in JOB_SPACES:
             listed = self.store.list_prefix(storekeys.name_prefix(space, job))
             if isinstance(listed, Err):
                 return listed
@@ -266,19 +260,16 @@
         :param job: the job.
         :returns: the items by position.
         """
-        items: list[JobItem] = []
+        parts: list[bytes] = []
         for number in range(job.parts):
             key = storekeys.name_key(storekeys.ITEMS, job.name, number)
-            read = self._read_immutable(key)
+            read = read_immutable(self.store, key)
             if isinstance(read, Err):
                 return read
             if read.ok_value is None:
                 return Err(Failure.unavailable)
-            items += msgspec.json.decode(
-                read.ok_value.value,
-                type=list[JobItem],
-            )
-        return Ok(items)
+            parts.append(read.ok_value.value)
+        return Ok(join_items(parts))
 
     def list_items(self, job: str) -> Result[list[JobItem], Failure]:
         """Read all items of a job, possibly from a stale replica.
@@ -332,7 +323,8 @@
         """Write the progress of unfinished items.
 
         :param progress: by job and position of the item.
-        :returns: the revision.
+        :returns: the revision; what is longer than a value is left out, as its
+            item can also run from the start.
         """
         writes = {
             storekeys.name_key(storekeys.PROGRESS, *key): msgspec.json.encode(
@@ -340,7 +332,15 @@
             )
             for key, found in progress.items()
         }
-        return self.store.commit(Commit(writes=writes))
+        too_long = [
+            key
+            for key, value in writes.items()
+            if len(value) > self.store.limits.value_bytes
+        ]
+        for key in too_long:
+            log_event(Event.progress_unsaved, items=1, why=f'{key} is too long')
+            writes.pop(key)
+        return self.store.commit(Commit(writes=writes)) if writes else Ok(0)
 
     def read_progress(
         self,
@@ -373,12 +373,13 @@
         :param results: by job and position of the item.
         :returns: the revision; ``conflict`` if one of them exists.
         """
-        writes = {
-            storekeys.name_key(storekeys.RESULTS, *key): msgspec.json.encode(
-                found
-            )
-            for key, found in results.items()
-        }
+        writes: dict[str, bytes] = {}
+        for key, found in results.items():
+            encoded = self._records.encode(key, found)
+            if isinstance(encoded, Err):
+                return encoded
+            name = storekeys.name_key(storekeys.RESULTS, *key)
+            writes[name] = encoded.ok_value
         guards = dict.fromkeys(writes, 0)
         return self.store.commit(Commit(guards, writes))
 
@@ -408,7 +409,9 @@
             if entry.created <= snapshot.revision
         ]
         head = msgspec.json.decode(heads[0].value, type=JobHead)
-        return Ok(StoredJob(head, _decode_results(entries), snapshot.revision))
+        return self._records.decode(job, entries).map(
+            lambda results: StoredJob(head, results, snapshot.revision)
+        )
 
     def await_results(
         self,
@@ -431,23 +434,14 @@
         if isinstance(received, Err):
             return received
         changes, next_revision = received.ok_value
-        return Ok((_decode_results(changes), next_revision))
-
-    def _read_immutable(self, key: str) -> Result[Entry | None, Failure]:
-        """Read an immutable key, from a stale replica where that has it.
-
-        Bodies that callers fetch were 37 of the 1,137 calls of a day with
-        little load.
-        """
-        read = self.store.get(key, allow_stale=True)
-        if isinstance(read, Ok) and read.ok_value is not None:
-            return read
-        return self.store.get(key)
+        return self._records.decode(job, changes).map(
+            lambda results: (results, next_revision)
+        )
 
     def _delete(self, keys: list[str]) -> Result[int, Failure]:
         outcome: Result[int, Failure] = Ok(0)
-        for start in range(0, len(keys), MAX_KEYS_PER_COMMIT):
-            deletes = tuple(keys[start : start + MAX_KEYS_PER_COMMIT])
+        for start in range(0, len(keys), MAX_ENTRIES):
+            deletes = tuple(keys[start : start + MAX_ENTRIES])
             outcome = self.store.commit(Commit(deletes=deletes))
             if isinstance(outcome, Err):
                 return outcome
@@ -463,16 +457,22 @@
     return msgspec.json.decode(value, type=Assignment)
 
 
-def _make_assignment(
-    job: OpenJob, owner: str, items: list[JobItem]
-) -> Assignment:
+def _make_assignment(job: OpenJob, owner: str) -> Assignment:
     indexes = tuple(
         index for index, name in enumerate(job.owners) if name == owner
     )
-    owned = tuple(items[index] for index in indexes) if items else ()
-    if sum(len(item.body) for item in owned) > MAX_ASSIGNMENT_BYTES:
-        owned = ()
-    return Assignment(job, indexes, owned)
+    return Assignment(job, indexes, ())
+
+
+def _encode_assignment(job: OpenJob, owner: str, items: list[JobItem]) -> bytes:
+    """Encode a new assignment, with its items if they are small."""
+    assignment = _make_assignment(job, owner)
+    owned = tuple(items[index] for index in assignment.indexes)
+    if sum(len(item.body) for item in owned) <= MAX_ASSIGNMENT_BYTES:
+        value = msgspec.json.encode(replace(assignment, items=owned))
+        if len(value) <= 2 * MAX_ASSIGNMENT_BYTES:
+            return value
+    return msgspec.json.encode(assignment)
 
 
 def _decode_open_job(entry: Entry | None) -> tuple[OpenJob, int] | None:
@@ -486,35 +486,4 @@
         snapshot.entries,
         key=lambda entry: storekeys.parse_index(entry.key),
     )
-    return [
-        item
-        for part in parts
-        for item in msgspec.json.decode(part.value, type=list[JobItem])
-    ]
-
-
-def _decode_results(entries: Iterable[Entry | Change]) -> list[PlacedResult]:
-    placed = [
-        PlacedResult(
-            entry.created,
-            storekeys.parse_index(entry.key),
-            msgspec.json.decode(entry.value, type=ItemResult),
-        )
-        for entry in entries
-        if entry.value is not None and not storekeys.is_head(entry.key)
-    ]
-    return sorted(placed, key=lambda found: (found.created, found.index))
-
-
-def _split_items(items: list[JobItem]) -> Iterable[list[JobItem]]:
-    part: list[JobItem] = []
-    size = 0
-    for item in items:
-        if part and size + len(item.body) > MAX_PART_BYTES:
-            yield part
-            part = []
-            size = 0
-        part.append(item)
-        size += len(item.body)
-    if part:
-        yield part
+    return join_items(part.value for part in parts)
--- a/src/wigeonpier/hosted/quarantine/store.py
+++ b/src/wigeonpier/hosted/quarantine/store.py
@@ -24,7 +24,7 @@
     add_part_age,
 )
 from wigeonpier.platform import storekeys
-from wigeonpier.platform.port import Commit
+from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.policy.promptparts import digest_part
 from wigeonpier.policy.suspicion import (
     CRASHES_BEFORE_ISOLATION,
@@ -229,6 +229,8 @@
         if isinstance(result, Err):
             self._log_failure(fingerprint, result.err_value.value)
             self._replicate(fingerprint)
+            if result.err_value is Failure.rejected:
+                self._unwritten.discard(fingerprint)
         else:
             self._unwritten.discard(fingerprint)
             self._replicated.discard(fingerprint)
--- a/src/wigeonpier/hosted/results.py
+++ b/src/wigeonpier/hosted/results.py
@@ -27,6 +27,9 @@
 MAX_RESULTS_PER_WRITE = 16
 MAX_BYTES_PER_WRITE = 500_000
 
+# One result may be the reason, so that the others are written without it.
+SINGLE_FAILURES = (Failure.conflict, Failure.rejected)
+
 
 class ResultWriter:
     """Writes results, and keeps those that are not known to be stored yet."""
@@ -45,6 +48,8 @@
         self._ledger = ledger
         self._wait = wait
         self._pending: dict[Key, ItemResult] = {}
+        # Results that the store never accepts.
+        self.rejected: dict[Key, ItemResult] = {}
         self._has_pending = Signal()
 
     @property
@@ -70,10 +75,10 @@
         gevent.sleep(BATCH_DELAY_SECONDS)
         batch = self._make_batch()
         failure = self._write(batch)
-        if failure is Failure.conflict and len(batch) > 1:
+        if failure in SINGLE_FAILURES and len(batch) > 1:
             for key, result in batch.items():
                 self._write({key: result})
-        elif failure is not None and failure is not Failure.conflict:
+        elif failure is not None and failure not in SINGLE_FAILURES:
             self._wait(RETRY_PAUSE_SECONDS)
         if not self._pending:
             self._has_pending.clear()
@@ -95,6 +100,10 @@
         written = self._ledger.write_results(batch)
         failure = written.err_value if isinstance(written, Err) else None
         item_names = [result.name for result in batch.values()]
+        if failure is Failure.rejected and len(batch) == 1:
+            # Others are written behind it.
+            for key in batch:
+                self.rejected[key] = self._pending.pop(key)
         if failure is not None and failure is not Failure.conflict:
             log_event(
                 Event.results_waiting, items=item_names, why=failure.value
--- a/src/wigeonpier/hosted/storage.py
+++ b/src/wigeonpier/hosted/storage.py
@@ -39,6 +39,7 @@
         self._context = context
         view = partial(context.view, is_decisive=_is_never)
         self._intake = Intake(settings.data_folder, ledger, context.rng)
+        context.metrics.add_gauge('jobs_rejected', self._intake.count_rejected)
         self._quarantine = QuarantineReplica(
             settings.data_folder,
             context.store,
--- a/src/wigeonpier/hosted/views.py
+++ b/src/wigeonpier/hosted/views.py
@@ -23,9 +23,9 @@
     from wigeonpier.hosted.ledger import (
         JobHead,
         JobLedger,
-        PlacedResult,
         StoredJob,
     )
+    from wigeonpier.hosted.resultrecords import PlacedResult
     from wigeonpier.models import ItemResult, JobItem
 
 READ_TIMEOUT_SECONDS = 1.2
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -11,6 +11,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+# Longest value of the key-value service where the settings name none.
+DEFAULT_VALUE_BYTES = 1_048_576
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -49,6 +52,7 @@
     :param store: ``host:port`` of the key-value service.
     :param store_history: seconds for which the service stores old changes.
     :param bounds: guarantees of the site.
+    :param store_value_bytes: longest value that the service accepts.
     :param callers: ``host:port`` for callers, empty for none.
     :param readiness: ``host:port`` for the load balancer, empty for none.
     :param upstream: ``host:port`` of the upstream on its VM, empty for none.
@@ -70,6 +74,7 @@
     store: str
     store_history: float
     bounds: Bounds
+    store_value_bytes: int = DEFAULT_VALUE_BYTES
     callers: str = ''
     readiness: str = ''
     upstream: str = ''
--- a/src/wigeonpier/platform/port.py
+++ b/src/wigeonpier/platform/port.py
@@ -17,12 +17,19 @@
 
 
 class Failure(StrEnum):
-    """Why a platform call returned no value."""
+    """Why a platform call returned no value.
+
+    A caller repeats what was ``unavailable``, reads back what is ``unknown``,
+    reads and decides again after a ``conflict``, gets another lease if its own
+    has ``lapsed``, and gives up what was ``rejected``: it exceeds a limit of the
+    service, which never accepts it.
+    """
 
     conflict = 'conflict'
     unavailable = 'unavailable'
     unknown = 'unknown'
     lapsed = 'lapsed'
+    rejected = 'rejected'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpier/platform/process.py
+++ b/src/wigeonpier/platform/process.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from wigeonpier.models import Bounds, HostSettings
+from wigeonpier.models import DEFAULT_VALUE_BYTES, Bounds, HostSettings
 from wigeonpier.settings.document import DocumentError
 
 FILE_VARIABLE = 'WIGEONPIER_NODE_FILE'
@@ -45,6 +45,9 @@
 class _Platform(msgspec.Struct):
     address: str
     history_s: float = msgspec.field(name='historyS')
+    value_bytes: int = msgspec.field(
+        name='valueBytes', default=DEFAULT_VALUE_BYTES
+    )
 
 
 class _Tolerance(msgspec.Struct):
@@ -101,6 +104,7 @@
         store=found.platform.address,
         store_history=found.platform.history_s,
         bounds=_make_bounds(found.bounds),
+        store_value_bytes=found.platform.value_bytes,
         callers=found.listen.frontend,
         readiness=found.listen.readiness,
         upstream=found.app,
--- a/src/wigeonpier/platform/store.py
+++ b/src/wigeonpier/platform/store.py
@@ -30,6 +30,9 @@
     Failure,
     Snapshot,
 )
+from wigeonpier.platform.storelimits import StoreLimits
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.client import CallFailure
 
 if TYPE_CHECKING:
@@ -52,7 +55,11 @@
 PRECONDITION_FAILED = 412
 NOT_FOUND = 404
 MILLISECONDS = 1000
-NOT_APPLIED_STATUSES = frozenset((400, 403, 404, 410, 412, 429, 503))
+DEFAULT_LIMITS = StoreLimits()
+NOT_APPLIED_STATUSES = frozenset((404, 410, 412, 429, 503))
+REJECTED_STATUSES = frozenset((400, 403, 413))
+# A large job takes longer than the calls for which time-outs are chosen.
+MIN_BYTES_PER_SECOND = 4_000_000
 
 
 class KeyValueStore:
@@ -64,6 +71,7 @@
         address: str,
         metrics: Metrics,
         plan: WatchPlan,
+        limits: StoreLimits = DEFAULT_LIMITS,
     ) -> None:
         """Create a client of the service.
 
@@ -71,8 +79,10 @@
         :param address: ``host:port`` of the service.
         :param metrics: counts and measures calls.
         :param plan: how long watches wait.
+        :param limits: what the service accepts in one commit.
         """
         self.plan = plan
+        self.limits = limits
         self.calls = StoreCalls(pool, address, metrics)
 
     def get(
@@ -173,8 +183,14 @@
 
         :param change: conditions and changes.
         :param timeout: longest time without any data, seconds.
-        :returns: the new revision; ``unknown`` where the answer was lost.
+        :returns: the new revision; ``unknown`` where the answer was lost,
+            ``rejected`` where the change exceeds a limit of the service.
         """
+        excess = self.limits.find_excess(change)
+        if excess:
+            log_event(Event.platform_rejected, excess=excess)
+            return Err(Failure.rejected)
+        size = sum(map(len, change.writes.values()))
         body = CommitBody(
             [
                 KeyGuard(key, revision)
@@ -191,7 +207,7 @@
             wire.COMMIT_PATH,
             {},
             body,
-            timeout=timeout,
+            timeout=timeout + size / MIN_BYTES_PER_SECOND,
         )
         return _classify_reply(replied).map(
             lambda reply: reply.decode(Committed).revision,
@@ -361,9 +377,17 @@
         return Err(Failure.conflict)
     if reply.status == NOT_FOUND:
         return Err(Failure.lapsed)
-    if reply.status in NOT_APPLIED_STATUSES:
-        return Err(Failure.unavailable)
-    return Err(Failure.unknown)
+    return Err(_classify_status(reply.status))
+
+
+def _classify_status(status: int) -> Failure:
+    """Classify any other failure of a call by the status of its answer."""
+    if status in REJECTED_STATUSES:
+        log_event(Event.platform_rejected, excess=f'status {status}')
+        return Failure.rejected
+    if status in NOT_APPLIED_STATUSES:
+        return Failure.unavailable
+    return Failure.unknown
 
 
 def _make_entry(found: StoredItem) -> Entry:
--- a/src/wigeonpier/platform/storekeys.py
+++ b/src/wigeonpier/platform/storekeys.py
@@ -28,6 +28,9 @@
 # so that a process that has not read the job yet needs only one call.
 RESULTS = f'{HOSTED}results/'
 HEAD = 'head'
+# By job, position of the item, digest of the output and number of the part:
+# outputs that are longer than a value.
+OUTPUTS = f'{HOSTED}outputs/'
 # By job and number of the part.
 ITEMS = f'{HOSTED}items/'
 # By job.  Small keys with the time at which a job was sent, so that old jobs
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -219,6 +219,11 @@
         'Neither the store nor any upstream is reachable.',
     )
     reach_regained = (405, INFO_LEVEL, 'An upstream is reachable again.')
+    platform_rejected = (
+        406,
+        ERROR_LEVEL,
+        'A write exceeds a limit of the store, which never accepts it.',
+    )
     platform_unknown = (
         401,
         WARNING_LEVEL,
@@ -374,6 +379,11 @@
         ERROR_LEVEL,
         'The file of a job on this disk is incomplete.',
     )
+    job_rejected = (
+        629,
+        ERROR_LEVEL,
+        'A job on this disk can never be written to the store; it stays there.',
+    )
     job_removed = (
         628,
         INFO_LEVEL,
--- a/tests/hosted/test_handover.py
+++ b/tests/hosted/test_handover.py
@@ -37,6 +37,7 @@
 from wigeonpier.models import ItemProgress, JobItem, Member
 from wigeonpier.platform import storekeys
 from wigeonpier.platform.port import Change, Commit, Entry, Failure, Snapshot
+from wigeonpier.platform.storelimits import StoreLimits
 from wigeonpier.policy.breaker import CircuitBreaker
 from wigeonpier.policy.handover import MAX_MOVES
 from wigeonpier.policy.pacing import ItemView, UpstreamView
@@ -68,6 +69,8 @@
 class MemoryStore:
     """Key-value store in memory that counts calls and may fail a write."""
 
+    limits = StoreLimits()
+
     def __init__(self) -> None:
         """Start empty."""
         self.entries: dict[str, Entry] = {}
--- a/tests/hosted/test_views.py
+++ b/tests/hosted/test_views.py
@@ -8,7 +8,8 @@
 
 from tests.hosted.builders import make_open_job, wait_for
 from wigeonpier.errors import Refusal
-from wigeonpier.hosted.ledger import JobHead, PlacedResult, StoredJob
+from wigeonpier.hosted.ledger import JobHead, StoredJob
+from wigeonpier.hosted.resultrecords import PlacedResult
 from wigeonpier.hosted.views import JobViews
 from wigeonpier.models import ItemResult, ItemState
 from wigeonpier.platform.port import Failure
