Limit the owners of a job to what one write of the store takes

Callers had 202 for jobs of 200 items that were never kept once there were 30 workers: each owner is an entry of the transaction that creates the job, which has 32 at most, and nothing limited them. Nor were moves limited, after which a job could not be ended.

A new job has 16 owners at most, one whose items move 24. A job that an earlier build gave more is ended in several transactions, the last of which takes it off the board.

--- a/src/wigeonpier/hosted/handover.py
+++ b/src/wigeonpier/hosted/handover.py
@@ -24,6 +24,7 @@
 )
 from wigeonpier.platform.port import Failure
 from wigeonpier.policy import handover
+from wigeonpier.policy.placement import may_own
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 from wigeonpier.web.client import CallFailure
@@ -150,6 +151,9 @@
         if board is None:
             return False
         job, revision = board
+        if not may_own(job, idle.vm):
+            self._hold_back(name, 'too many owners')
+            return False
         claimed = self._offer(idle, job, [offer.item for offer in offers])
         moved = self._change_owners(job, claimed, idle.vm)
         names = [
@@ -161,6 +165,10 @@
             return False
         return self._write(moved, names, revision, idle.vm)
 
+    def _hold_back(self, job: str, why: str) -> None:
+        self.held[job] = time.monotonic() + REFUSED_INTERVAL_SECONDS
+        log_event(Event.items_not_handed_over, job=job, why=why)
+
     def _is_current(self, job: str) -> bool:
         """Check that no write has failed at the known revision of a job.
 
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -33,6 +33,7 @@
 from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.platform.store import CALL_TIMEOUT_SECONDS
 from wigeonpier.platform.storelimits import MAX_ENTRIES
+from wigeonpier.policy.placement import MAX_OPEN_OWNERS
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
@@ -168,7 +169,7 @@
         reassigned = replace(job, owners=owners)
         key = storekeys.name_key(storekeys.OPEN_JOBS, job.name)
         writes = {key: msgspec.json.encode(reassigned)}
-        for owner in set(owners) - {lost}:
+        for owner in _list_informed(job, lost, owners):
             name = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
             assignment = replace(
                 _make_assignment(reassigned, owner), is_moved=True
@@ -304,14 +305,9 @@
             found = msgspec.json.decode(entry.value, type=OpenJob)
             assignments = [
                 storekeys.name_key(storekeys.ASSIGNMENTS, owner, job)
-                for owner in set(found.owners)
+                for owner in sorted(set(found.owners))
             ]
-            closed = self.store.commit(
-                Commit(
-                    {key: entry.revision},
-                    deletes=(key, *assignments),
-                ),
-            )
+            closed = self._close_at(key, entry.revision, assignments)
             # A conflict means that items were reassigned meanwhile.
             if closed != Err(Failure.conflict):
                 return closed
@@ -438,6 +434,24 @@
             lambda results: (results, next_revision)
         )
 
+    def _close_at(
+        self, key: str, revision: int, assignments: list[str]
+    ) -> Result[int, Failure]:
+        """Delete assignments and then the key of the job, at its revision.
+
+        An earlier build may have given a job more owners than fit in one
+        commit.
+        """
+        guards = {key: revision}
+        # Two entries are the condition and the deletion of the key itself.
+        while len(assignments) > MAX_ENTRIES - 2:
+            first = tuple(assignments[: MAX_ENTRIES - 2])
+            assignments = assignments[MAX_ENTRIES - 2 :]
+            deleted = self.store.commit(Commit(guards, deletes=first))
+            if isinstance(deleted, Err):
+                return deleted
+        return self.store.commit(Commit(guards, deletes=(key, *assignments)))
+
     def _delete(self, keys: list[str]) -> Result[int, Failure]:
         outcome: Result[int, Failure] = Ok(0)
         for start in range(0, len(keys), MAX_ENTRIES):
@@ -457,6 +471,24 @@
     return msgspec.json.decode(value, type=Assignment)
 
 
+def _list_informed(
+    job: OpenJob, lost: str, owners: tuple[str, ...]
+) -> set[str]:
+    """List the processes whose assignments a change of owners writes.
+
+    All of them learn the new revision of the job; if they are too many for one
+    commit, only those that get items.
+    """
+    informed = set(owners) - {lost}
+    if len(informed) <= MAX_OPEN_OWNERS:
+        return informed
+    return {
+        owner
+        for former, owner in zip(job.owners, owners, strict=True)
+        if former == lost
+    }
+
+
 def _make_assignment(job: OpenJob, owner: str) -> Assignment:
     indexes = tuple(
         index for index, name in enumerate(job.owners) if name == owner
--- a/src/wigeonpier/policy/placement.py
+++ b/src/wigeonpier/policy/placement.py
@@ -50,6 +50,11 @@
 REPORT_DELAY_SECONDS = 0.5
 # Owner of items that no process runs yet.
 UNASSIGNED = '-'
+# Each owner is a key in the commit that creates a job, beside its items.
+MAX_OWNERS = 16
+# Likewise where items move: each change of owners is one commit, and so is the
+# end of the job.
+MAX_OPEN_OWNERS = 24
 
 
 def assign_items(
@@ -58,6 +63,7 @@
     members: list[Member],
     jobs: list[OpenJob],
     now: float,
+    max_owners: int = MAX_OWNERS,
 ) -> tuple[str, ...]:
     """Choose an owner for each item of a new job.
 
@@ -66,18 +72,15 @@
     :param members: processes that run items of its service.
     :param jobs: jobs with items left.
     :param now: seconds of the wall clock.
+    :param max_owners: most owners of its items.
     :returns: owners by position; ``UNASSIGNED`` where there are no members.
     """
     if not members:
         return (UNASSIGNED,) * count
     names = rank_by_key([member.name for member in members], job)
     load = _measure_load(names, jobs, now)
-    owners: list[str] = []
-    while len(owners) < count:
-        chosen = min(names, key=load.__getitem__)
-        load[chosen] += ITEMS_PER_ASSIGNMENT
-        owners.extend(repeat(chosen, ITEMS_PER_ASSIGNMENT))
-    return tuple(owners[:count])
+    steps = dict.fromkeys(names, float(ITEMS_PER_ASSIGNMENT))
+    return _fill_owners(count, load, steps, max_owners)
 
 
 def assign_by_completion(
@@ -106,12 +109,10 @@
         + unreported[name] * runs[name] / SHARED_SLOTS
         for name in names
     }
-    owners: list[str] = []
-    while len(owners) < count:
-        chosen = min(names, key=ends.__getitem__)
-        ends[chosen] += ITEMS_PER_ASSIGNMENT * runs[chosen] / SHARED_SLOTS
-        owners.extend(repeat(chosen, ITEMS_PER_ASSIGNMENT))
-    return tuple(owners[:count])
+    steps = {
+        name: ITEMS_PER_ASSIGNMENT * runs[name] / SHARED_SLOTS for name in names
+    }
+    return _fill_owners(count, ends, steps, MAX_OWNERS)
 
 
 @dataclass(slots=True)
@@ -222,12 +223,57 @@
     """
     lost_items = sum(owner == lost for owner in job.owners)
     others = [member for member in members if member.name != lost]
-    new_owners = iter(assign_items(job.name, lost_items, others, jobs, now))
+    kept = set(job.owners) - {lost}
+    room = MAX_OPEN_OWNERS - len(kept)
+    if room < 1:
+        owning = [member for member in others if member.name in kept]
+        others = owning or others
+    new_owners = iter(
+        assign_items(job.name, lost_items, others, jobs, now, max(room, 1))
+    )
     return tuple(
         next(new_owners) if owner == lost else owner for owner in job.owners
     )
 
 
+def may_own(job: OpenJob, name: str) -> bool:
+    """Decide whether a process may get items of a job.
+
+    :param job: the job.
+    :param name: name of the process.
+    :returns: false if the job would have too many owners.
+    """
+    owners = set(job.owners)
+    return name in owners or len(owners) < MAX_OPEN_OWNERS
+
+
+def _fill_owners(
+    count: int,
+    load: dict[str, float],
+    steps: Mapping[str, float],
+    max_owners: int,
+) -> tuple[str, ...]:
+    """Give items to the least loaded process, some at a time.
+
+    :param count: number of items.
+    :param load: load by process, the first of equal ones preferred; changed.
+    :param steps: load that each assignment adds, by process.
+    :param max_owners: processes that get items at most.
+    :returns: owners by position.
+    """
+    owners: list[str] = []
+    names = list(load)
+    used: set[str] = set()
+    while len(owners) < count:
+        chosen = min(names, key=load.__getitem__)
+        load[chosen] += steps[chosen]
+        owners.extend(repeat(chosen, ITEMS_PER_ASSIGNMENT))
+        used.add(chosen)
+        if len(used) == max_owners:
+            names = [name for name in names if name in used]
+    return tuple(owners[:count])
+
+
 def _compare_runs(backlogs: Mapping[str, ItemBacklog]) -> float:
     """Divide the longest by the shortest run time, 1 where none is known."""
     measured = [
