Ask all disks on record before a job is reported missing

Callers read 404 for jobs that had been accepted onto disks in an outage of the store, while the disks had no power; an end was answered 404 and the job ran later. A disk without an answer counted as one without a copy, and a disk whose lease had ended was not asked.

Each disk has a record that outlives its lease. While one on record is silent, reads, bodies and ends are answered 503, and a repeat over a limit 502; an end leaves a mark, with which the job is stored without running. Records and doubts end when a disk was away as long as jobs have to be readable.

--- a/src/wigeonpier/hosted/acceptance.py
+++ b/src/wigeonpier/hosted/acceptance.py
@@ -33,7 +33,7 @@
 
     from wigeonpier.hosted.backlogs import WorkerBacklogs
     from wigeonpier.hosted.board import Board
-    from wigeonpier.hosted.holder import DiskJobWriter
+    from wigeonpier.hosted.holder import DiskCopies, DiskJobWriter
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.hosted.reach import IsolationDetector
     from wigeonpier.hosted.views import JobViews
@@ -148,9 +148,8 @@
                 return self._settle(attempt, refusal)
             final = refusal
             # A caller that has ended its side of the connection still reads.
-            if attempt.is_abandoned or self._disk_job_writer.list_attempts(
-                attempt.job.name
-            ):
+            copies = self._disk_job_writer.find_copies(attempt.job.name)
+            if attempt.is_abandoned or _may_be_accepted(copies, refusal):
                 final = make_unsure_refusal()
             attempt.log_refusal(final)
             raise final from None
@@ -194,7 +193,7 @@
         pause = RETRY_PAUSE_SECONDS
         # Before the fence: a disk that has handed the job over by now makes it
         # conflict.
-        held = self._disk_job_writer.list_attempts(attempt.job.name)
+        copies = self._disk_job_writer.find_copies(attempt.job.name)
         while True:
             tried_at = time.monotonic()
             accepted = self._fence(attempt, timeout)
@@ -207,11 +206,14 @@
             next_at = min(tried_at + pause, deadline)
             gevent.sleep(max(0, next_at - time.monotonic()))
             pause = _choose_fence_pause(pause, accepted.err_value)
-        refused = {attempt.name, *attempt.fence.attempts}
-        is_fenced = isinstance(accepted, Ok) and held <= refused
-        final = refusal if is_fenced else make_unsure_refusal()
-        attempt.log_refusal(final, is_fenced=is_fenced)
-        raise final
+        is_fenced = isinstance(accepted, Ok) and copies.attempts <= {
+            attempt.name,
+            *attempt.fence.attempts,
+        }
+        if not is_fenced or _may_be_silent(copies, refusal):
+            refusal = make_unsure_refusal()
+        attempt.log_refusal(refusal, is_fenced=is_fenced)
+        raise refusal
 
     def _fence(
         self, attempt: AcceptAttempt, timeout: float
@@ -348,6 +350,19 @@
         return sum(items[placed.index].tokens for placed in view.results)
 
 
+def _may_be_accepted(copies: DiskCopies, refusal: Refusal) -> bool:
+    """Decide whether a refused job may have been accepted onto disks."""
+    return bool(copies.attempts) or _may_be_silent(copies, refusal)
+
+
+def _may_be_silent(copies: DiskCopies, refusal: Refusal) -> bool:
+    """Decide whether a silent disk may have a job that is over a limit.
+
+    It may have been accepted before, and then nothing of it is over the limit.
+    """
+    return not copies.is_certain and refusal.kind is ErrorKind.limit_reached
+
+
 def _choose_fence_pause(last: float, failure: Failure) -> float:
     """Choose the pause before the next fence, seconds."""
     if failure is Failure.conflict:
--- a/src/wigeonpier/hosted/board.py
+++ b/src/wigeonpier/hosted/board.py
@@ -9,7 +9,7 @@
 
 from wigeonpier.hosted.jobfences import NO_FENCE, decode_fence
 from wigeonpier.hosted.news import QuarantineEntry
-from wigeonpier.models import DiskMember, JobFence, Member, OpenJob
+from wigeonpier.models import DiskHome, DiskMember, JobFence, Member, OpenJob
 from wigeonpier.platform import storekeys
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
     :param revisions: revisions of the jobs' keys, by id.
     :param members: workers that run items, by name of their VM.
     :param disks: processes that store jobs on a disk, by name of their VM.
+    :param homes: disks that may hold jobs, likewise.
     :param refused: refused requests, by fingerprint.
     :param fences: fences of jobs that were refused, by id of the job.
     """
@@ -32,6 +33,7 @@
     revisions: dict[str, int] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
     disks: dict[str, DiskMember] = field(default_factory=dict)
+    homes: dict[str, DiskHome] = field(default_factory=dict)
     refused: dict[str, QuarantineEntry] = field(default_factory=dict)
     fences: dict[str, JobFence] = field(default_factory=dict)
 
@@ -78,6 +80,11 @@
     board.disks[name] = msgspec.json.decode(entry.value, type=DiskMember)
 
 
+def _put_home(board: Board, name: str, entry: Entry) -> None:
+    member = msgspec.json.decode(entry.value, type=DiskMember)
+    board.homes[name] = DiskHome(member, entry.revision)
+
+
 def _put_refused(board: Board, fingerprint: str, entry: Entry) -> None:
     board.refused[fingerprint] = msgspec.json.decode(
         entry.value, type=QuarantineEntry
@@ -92,6 +99,7 @@
     (storekeys.OPEN_JOBS, _put_job),
     (storekeys.MEMBERS, _put_member),
     (storekeys.DISKS, _put_disk),
+    (storekeys.HOMES, _put_home),
     (storekeys.REFUSED, _put_refused),
     (storekeys.FENCES, _put_fence),
 )
--- a/src/wigeonpier/hosted/dealer.py
+++ b/src/wigeonpier/hosted/dealer.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from wigeonpier.hosted.board import Board
     from wigeonpier.hosted.contact import StoreHealth
@@ -55,6 +56,8 @@
         self._store_health = store_health
         self._rng = rng
         self._pending: set[str] = set()
+        # Called with each board that a scan reads.
+        self.on_board: Callable[[Board], object] = _ignore_board
         self._view = make_watcher(storekeys.MEMBERS, self._apply)
 
     def start(self) -> None:
@@ -88,6 +91,7 @@
         read = self._ledger.read_board(allow_stale=True)
         if isinstance(read, Err):
             return
+        self.on_board(read.ok_value)
         owners = {
             owner for job in read.ok_value.jobs.values() for owner in job.owners
         }
@@ -142,3 +146,7 @@
             return True
         # The next scan tries again what the store has rejected.
         return reassigned.err_value is Failure.rejected
+
+
+def _ignore_board(_board: Board) -> None:
+    """Do nothing; the default callback of a scan."""
--- a/src/wigeonpier/hosted/holder.py
+++ b/src/wigeonpier/hosted/holder.py
@@ -21,7 +21,7 @@
 from wigeonpier.web.exchange import make_request
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from wigeonpier.hosted.ledger import JobLedger
     from wigeonpier.models import DiskMember, HostSettings, JobItem, OpenJob
@@ -57,6 +57,18 @@
     may_be_kept: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DiskCopies:
+    """What the disks say about their copies of a job.
+
+    :param attempts: ids of the attempts that have stored it.
+    :param is_certain: whether no disk that may hold jobs was silent.
+    """
+
+    attempts: frozenset[str]
+    is_certain: bool
+
+
 def _ignore_board(_board: Board) -> None:
     """Ignore a board; the default callback."""
 
@@ -74,6 +86,8 @@
     :param on_board: called with each board that was read.
     :param wait: waits the given seconds; while the store is unreachable, until
         it answers again.
+    :param silent_since: since when each disk has not answered, by name of its
+        VM, likewise.
     """
 
     settings: HostSettings
@@ -84,6 +98,7 @@
     stored_at: dict[str, float] = field(default_factory=dict)
     on_board: Callable[[Board], object] = _ignore_board
     wait: Callable[[float], object] = gevent.sleep
+    silent_since: dict[str, float] = field(default_factory=dict)
 
     @property
     def copies_needed(self) -> int:
@@ -107,10 +122,14 @@
         """Check whether disks may hold a job that the store lacks.
 
         :param name: id of the job.
-        :returns: true for a limited time after this process stored the job on
-            disks, and while a disk says that it has a copy.
+        :returns: false only if each disk says that it has no copy; a disk
+            that has been silent for as long as jobs have to be readable
+            does not count.
         """
-        return self._was_stored(name) or bool(self.list_attempts(name))
+        if self._was_stored(name) or not self._has_current_board():
+            return True
+        found = self.find_copies(name)
+        return bool(found.attempts) or not found.is_certain
 
     def was_accepted(self, name: str) -> bool:
         """Check whether this process knows that a job was accepted.
@@ -121,21 +140,25 @@
         """
         return name in self.board.jobs or self._was_stored(name)
 
-    def list_attempts(self, name: str) -> set[str]:
-        """List the attempts whose copies of a job the disks have.
-
-        A disk that does not answer counts as one that has no copy.
+    def find_copies(self, name: str) -> DiskCopies:
+        """Ask all disks that may hold jobs for their copies of one.
 
         :param name: id of the job.
-        :returns: ids of the attempts, none once the store has the job.
+        :returns: the copies, none once the store has the job.
         """
-        asked = [
-            gevent.spawn(self._ask, disk, name)
-            for disk in self.board.disks.values()
-        ]
-        gevent.joinall(asked, timeout=DISK_TIMEOUT_SECONDS)
-        gevent.killall(asked, block=False)
-        return set().union(*(ask.value or () for ask in asked))
+        asked = {
+            disk.name: gevent.spawn(self._ask, disk, name)
+            for disk in self._list_disks()
+        }
+        calls = list(asked.values())
+        gevent.joinall(calls, timeout=DISK_TIMEOUT_SECONDS)
+        gevent.killall(calls, block=False)
+        answers = {disk: ask.value for disk, ask in asked.items()}
+        self._record_answers(answers)
+        return DiskCopies(
+            frozenset().union(*(found or () for found in answers.values())),
+            is_certain=not self._has_recently_silent(),
+        )
 
     def store_on_disks(
         self, job: OpenJob, items: list[JobItem], attempt: str
@@ -165,6 +188,35 @@
             self._record_stored(job.name)
         return disk_write
 
+    def _list_disks(self) -> list[DiskMember]:
+        """List the disks that may hold jobs, also those that are away."""
+        homes = {name: home.member for name, home in self.board.homes.items()}
+        return list((homes | self.board.disks).values())
+
+    def _has_current_board(self) -> bool:
+        """Read which disks there are, unless it was read just before."""
+        if time.monotonic() - self.read_at < BOARD_CHECK_SECONDS:
+            return True
+        read = self.ledger.read_board()
+        if isinstance(read, Ok):
+            self.record_board(read.ok_value)
+        return isinstance(read, Ok)
+
+    def _record_answers(
+        self, answers: Mapping[str, tuple[str, ...] | None]
+    ) -> None:
+        """Record which disks do not answer, and since when."""
+        now = time.monotonic()
+        self.silent_since = {
+            disk: self.silent_since.get(disk, now)
+            for disk, found in answers.items()
+            if found is None
+        }
+
+    def _has_recently_silent(self) -> bool:
+        oldest = time.monotonic() - self.settings.bounds.job_readable
+        return any(since > oldest for since in self.silent_since.values())
+
     def _was_stored(self, name: str) -> bool:
         moment = self.stored_at.get(name)
         return (
@@ -181,13 +233,20 @@
         }
         self.stored_at[name] = now
 
-    def _ask(self, disk: DiskMember, name: str) -> tuple[str, ...]:
-        """Ask a disk for its copy; a disk of an earlier build knows none."""
+    def _ask(self, disk: DiskMember, name: str) -> tuple[str, ...] | None:
+        """Ask a disk for its copy.
+
+        :returns: the attempts that have stored it, none if it has no copy;
+            ``None`` if it does not say.
+        """
         raw = make_request('GET', INTAKE_PATH + name, [('Host', disk.address)])
         replied = self.pool.call(disk.address, raw, DISK_TIMEOUT_SECONDS)
-        if isinstance(replied, Err) or not replied.ok_value.is_good:
+        if isinstance(replied, Err):
+            return None
+        reply = replied.ok_value
+        if reply.status == HTTPStatus.NOT_FOUND:
             return ()
-        return replied.ok_value.decode(DiskCopy).attempts
+        return reply.decode(DiskCopy).attempts if reply.is_good else None
 
     def _send(self, disk: DiskMember, name: str, body: bytes) -> CopyState:
         headers = [('Host', disk.address)]
--- a/src/wigeonpier/hosted/jobfences.py
+++ b/src/wigeonpier/hosted/jobfences.py
@@ -33,6 +33,8 @@
 # Attempts of one job with an unknown outcome within that time.
 MAX_ATTEMPTS = 64
 NO_FENCE = JobFence()
+# Stands for the attempts of a job that was ended before the store had it.
+ENDED = 'ended'
 
 
 class JobFences:
@@ -70,6 +72,8 @@
         attempts = known.attempts
         if attempt:
             attempts = (*attempts, attempt)[-MAX_ATTEMPTS:]
+            if known.is_ended and ENDED not in attempts:
+                attempts = (ENDED, *attempts[1:])
         granted = self._find_lease(timeout, is_short=not attempts)
         if isinstance(granted, Err):
             return granted
@@ -105,6 +109,22 @@
             lambda known: self.write(job, known, '', timeout)
         )
 
+    def write_end(self, job: str) -> Result[int, Failure]:
+        """Record that a job is ended which only a disk may have.
+
+        Once the disk hands it over, it is stored without running.
+
+        :param job: id of the job.
+        :returns: the revision; ``conflict`` if the store has the job by now.
+        """
+        read = self.read(job)
+        if isinstance(read, Err):
+            return read
+        known = read.ok_value
+        if known.is_ended:
+            return Ok(known.revision)
+        return self.write(job, known, ENDED, CALL_TIMEOUT_SECONDS)
+
     def is_accepted(self, job: str) -> Result[bool, Failure]:
         """Check whether a job was accepted.
 
@@ -145,7 +165,7 @@
     :returns: the fence.
     """
     attempts = msgspec.json.decode(entry.value, type=tuple[str, ...])
-    return JobFence(entry.revision, attempts)
+    return JobFence(entry.revision, attempts, is_ended=ENDED in attempts)
 
 
 def _decode_found(entry: Entry | None) -> JobFence:
--- a/src/wigeonpier/hosted/jobs.py
+++ b/src/wigeonpier/hosted/jobs.py
@@ -16,7 +16,7 @@
     make_too_large_refusal,
 )
 from wigeonpier.hosted.jobparts import find_excess
-from wigeonpier.hosted.views import make_unreadable_refusal
+from wigeonpier.hosted.views import UnsureJobRefusal, make_unreadable_refusal
 from wigeonpier.platform import ingress, jobbodies
 from wigeonpier.policy.ownership import scope_job
 from wigeonpier.telemetry.events import Event
@@ -164,6 +164,10 @@
         """Find a job; return ``None`` if it is missing and not fenced."""
         try:
             return self._views.find(job)
+        except UnsureJobRefusal:
+            # Its disk must not start it once it is back.
+            self._ledger.fences.write_end(job)
+            raise
         except Refusal as refusal:
             if refusal.kind is not ErrorKind.not_found:
                 raise
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -125,7 +125,8 @@
         :param job: the job as shown on the board.
         :param items: all items.
         :param timeout: longest wait for the store, seconds.
-        :param fence: the fence of the job as last read.
+        :param fence: the fence of the job as last read; a job that it shows as
+            ended is stored without work.
         :returns: the revision; ``conflict`` if the job exists already, or if
             its fence was changed meanwhile; ``rejected`` if it exceeds a limit
             of the store.
@@ -135,9 +136,6 @@
         head = JobHead(job, [item.name for item in items])
         writes = {
             storekeys.name_head(job.name): msgspec.json.encode(head),
-            storekeys.name_key(
-                storekeys.OPEN_JOBS, job.name
-            ): msgspec.json.encode(job),
             storekeys.name_key(storekeys.AGES, job.name): msgspec.json.encode(
                 job.sent_at
             ),
@@ -145,9 +143,8 @@
         for number, part in enumerate(parts):
             key = storekeys.name_key(storekeys.ITEMS, job.name, number)
             writes[key] = part
-        for owner in set(job.owners):
-            key = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
-            writes[key] = _encode_assignment(job, owner, items)
+        if not fence.is_ended:
+            writes |= _encode_work(job, items)
         guards = guard_create(job.name, fence)
         return self.store.commit(Commit(guards, writes), timeout)
 
@@ -496,6 +493,16 @@
     return Assignment(job, indexes, ())
 
 
+def _encode_work(job: OpenJob, items: list[JobItem]) -> dict[str, bytes]:
+    """Encode the key of a new job on the board, and its assignments."""
+    board_key = storekeys.name_key(storekeys.OPEN_JOBS, job.name)
+    work = {board_key: msgspec.json.encode(job)}
+    for owner in set(job.owners):
+        key = storekeys.name_key(storekeys.ASSIGNMENTS, owner, job.name)
+        work[key] = _encode_assignment(job, owner, items)
+    return work
+
+
 def _encode_assignment(job: OpenJob, owner: str, items: list[JobItem]) -> bytes:
     """Encode a new assignment, with its items if they are small."""
     assignment = _make_assignment(job, owner)
--- a/src/wigeonpier/hosted/membership.py
+++ b/src/wigeonpier/hosted/membership.py
@@ -30,6 +30,11 @@
 MAX_RETRY_SECONDS = 1.6
 
 
+def _is_prepared() -> bool:
+    """Return true: nothing has to stand before a process joins."""
+    return True
+
+
 class Membership:
     """Keeps this process on the board as long as it is wanted there."""
 
@@ -39,6 +44,7 @@
         key: str,
         content: Member | DiskMember,
         wait: Callable[[float], object] = gevent.sleep,
+        prepare: Callable[[], bool] = _is_prepared,
     ) -> None:
         """Stay off the board until started and wanted.
 
@@ -46,7 +52,10 @@
         :param key: name of the key.
         :param content: its value.
         :param wait: waits some seconds, or less if the store answers again.
+        :param prepare: writes what has to stand before this process joins;
+            returns false where it could not.
         """
+        self._prepare = prepare
         self.is_wanted = False
         self._store = store
         self._key = key
@@ -91,6 +100,8 @@
             self._wait(self._backoff.record_refusal(time.monotonic()))
 
     def _try_join(self) -> bool:
+        if not self._prepare():
+            return False
         granted = self._store.grant_lease(LEASE_SECONDS)
         if isinstance(granted, Err):
             return False
--- a/src/wigeonpier/hosted/storage.py
+++ b/src/wigeonpier/hosted/storage.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wigeonpier.hosted.dealer import ItemReassigner
+from wigeonpier.hosted.diskhomes import DiskHomes
 from wigeonpier.hosted.following import FollowedJobs
 from wigeonpier.hosted.intake import Intake
 from wigeonpier.hosted.janitor import Janitor
@@ -56,11 +57,17 @@
             settings.bounds.job_readable,
             context.rng,
         )
+        member = DiskMember(settings.name, settings.peers)
+        self._homes = DiskHomes(
+            context.store, member, settings.bounds.job_readable
+        )
+        self._reassigner.on_board = self._homes.observe
         self._disk = Membership(
             context.store,
             storekeys.name_key(storekeys.DISKS, settings.name),
-            DiskMember(settings.name, settings.peers),
+            member,
             context.store_health.wait,
+            self._homes.register,
         )
         self._retire = RetireHandler(
             settings.name,
@@ -71,7 +78,7 @@
         )
         readings = ReadingHandler(
             FollowedJobs(
-                JobViews(ledger, _is_never_on_disk),
+                JobViews(ledger, None),
                 context.store_health,
                 context.store.plan.decisive,
             ),
@@ -113,11 +120,6 @@
         return self._server.drain(seconds)
 
 
-def _is_never_on_disk(_job: str) -> bool:
-    """Return false: the entry checks which jobs disks may hold."""
-    return False
-
-
 def _is_never() -> bool:
     """Return false: nothing is started by orders and members directly."""
     return False
--- a/src/wigeonpier/hosted/views.py
+++ b/src/wigeonpier/hosted/views.py
@@ -101,13 +101,13 @@
     def __init__(
         self,
         ledger: JobLedger,
-        may_be_on_disk: Callable[[str], bool],
+        may_be_on_disk: Callable[[str], bool] | None,
     ) -> None:
         """Read from the ledger.
 
         :param ledger: jobs in the store.
         :param may_be_on_disk: checks whether disks may hold a job that the store
-            lacks.
+            lacks; ``None`` where the caller checks it.
         """
         self._ledger = ledger
         self._may_be_on_disk = may_be_on_disk
@@ -215,8 +215,11 @@
 
     def _load(self, name: str) -> JobView:
         read = self._read_job(name)
-        if read is None and self._may_be_on_disk(name):
-            raise make_unreadable_refusal()
+        if read is None and self._may_be_on_disk is not None:
+            if self._may_be_on_disk(name):
+                raise UnsureJobRefusal()
+            # A disk may have handed it over before it was asked.
+            read = self._read_job(name)
         if read is None:
             raise Refusal(ErrorKind.not_found, f'there is no job {name}')
         while len(self._views) >= MAX_JOBS:
@@ -282,6 +285,18 @@
     return next(bodies, None)
 
 
+class UnsureJobRefusal(Refusal):
+    """The store lacks a job, but a disk may have it."""
+
+    def __init__(self) -> None:
+        """Refuse the call until the disks have answered."""
+        super().__init__(
+            ErrorKind.platform_down,
+            'a disk that does not answer may have the job',
+            retry_seconds=RETRY_AFTER_SECONDS,
+        )
+
+
 def make_unreadable_refusal() -> Refusal:
     """Make the refusal for reads while the store is unreachable.
 
--- a/src/wigeonpier/models.py
+++ b/src/wigeonpier/models.py
@@ -308,10 +308,12 @@
 
     :param revision: revision of the record, 0 if there is none.
     :param attempts: ids of the refused attempts.
+    :param is_ended: whether the job was ended before the store had it.
     """
 
     revision: int = 0
     attempts: tuple[str, ...] = ()
+    is_ended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,6 +328,18 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class DiskHome:
+    """Record of a disk that may hold jobs, also while its process is away.
+
+    :param member: the process with the disk.
+    :param revision: revision of the record.
+    """
+
+    member: DiskMember
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class ItemProgress:
     """Progress of an unfinished item.
--- a/src/wigeonpier/platform/storekeys.py
+++ b/src/wigeonpier/platform/storekeys.py
@@ -10,6 +10,8 @@
 # By name of the VM.
 MEMBERS = f'{BOARD}members/'
 DISKS = f'{BOARD}disks/'
+# By name of the VM: disks that may hold jobs, also while their process is away.
+HOMES = f'{BOARD}homes/'
 # By fingerprint: requests that crash the upstreams that run them.  Part of
 # the board, which each process reads at its start.
 REFUSED = f'{BOARD}refused/'
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -352,6 +352,11 @@
     )
     member_joined = (620, INFO_LEVEL, 'A process joined the job board.')
     member_left = (621, WARNING_LEVEL, 'A process left the job board.')
+    disk_given_up = (
+        622,
+        WARNING_LEVEL,
+        'A disk was away until none of its jobs has to be readable.',
+    )
     assignment_unreadable = (623, ERROR_LEVEL, 'An assignment is invalid.')
     progress_unsaved = (
         624,
--- a/tests/hosted/test_acceptance.py
+++ b/tests/hosted/test_acceptance.py
@@ -20,7 +20,7 @@
     SubmittedJob,
 )
 from wigeonpier.hosted.board import Board
-from wigeonpier.hosted.holder import DiskWrite
+from wigeonpier.hosted.holder import DiskCopies, DiskWrite
 from wigeonpier.hosted.views import make_unreadable_refusal
 from wigeonpier.models import JobFence, JobItem
 from wigeonpier.platform.port import Failure
@@ -115,7 +115,7 @@
         copies_needed=3,
         record_board=lambda _board: None,
         store_on_disks=store_on_disks,
-        list_attempts=lambda _job: set(),
+        find_copies=lambda _job: DiskCopies(frozenset(), is_certain=True),
         was_accepted=lambda _job: False,
     )
     return JobAcceptor(
--- a/tests/hosted/test_copies_elsewhere.py
+++ b/tests/hosted/test_copies_elsewhere.py
@@ -87,7 +87,7 @@
         'the disks have handed it over',
     )
     kept.wait_for_results(JOB, ITEMS)
-    held = kept.entries[1]._disk_job_writer.list_attempts(JOB)
+    held = kept.entries[1]._disk_job_writer.find_copies(JOB).attempts
     assert not held
 
 
