Join no versions when streams are taken up without a record

Callers whose streams had broken off when all entries were killed got 200 and a text of two software versions. A take-up that names no attempt could not be looked up, and its version was inferred wherever an entry knew one; an entry that has just started knows none that has left, and one out of step none that has come. Both keepers of a record could leave with its version.

A stream is recorded by the content of its request as well. Workers announce versions in the store under a lease that outlives them; without a record an entry goes on only if these, read after the request arrived, and its register name one version. Records move to new keepers once a replica leaves.

--- a/src/wigeonpier/hosted/entry.py
+++ b/src/wigeonpier/hosted/entry.py
@@ -11,6 +11,7 @@
 
 from wigeonpier.errors import ErrorKind, Refusal
 from wigeonpier.hosted.acceptance import JobAcceptor
+from wigeonpier.hosted.announcedversions import AnnouncedVersions
 from wigeonpier.hosted.arrival import authenticate_job_call, route_request
 from wigeonpier.hosted.backlogs import WorkerBacklogs
 from wigeonpier.hosted.binder import SlotBinder
@@ -126,6 +127,7 @@
             self._replicas,
             context.store_health,
             OriginKeepers(settings, self._replicas, context.pool),
+            AnnouncedVersions(context.store),
             context.metrics,
         )
         self._loads = LoadFollower(
@@ -204,6 +206,7 @@
             self._configuration,
             self._freshness,
             self._replicas,
+            self._origins,
             self._loads,
             self._limiter,
             self._isolation_detector,
--- a/src/wigeonpier/hosted/originkeepers.py
+++ b/src/wigeonpier/hosted/originkeepers.py
@@ -16,6 +16,7 @@
     OriginReport,
     OriginSearch,
 )
+from wigeonpier.hosted.origintable import PlacedOrigin
 from wigeonpier.policy.keeperring import KeeperRing, make_ring
 from wigeonpier.settings.process import split_address
 from wigeonpier.web.exchange import make_request
@@ -64,57 +65,93 @@
         self._port = split_address(settings.peers)[1]
         self._replicas = replicas
         self._pool = pool
-        self._pending: dict[str, StreamOrigin] = {}
+        self._pending: dict[str, PlacedOrigin] = {}
         self._ring = make_ring(())
+        # The ring, and its change of the register, when records were moved.
+        self._placed_ring = self._ring
+        self._placed_change = -1
         # Change of the register that the ring was made at.
         self._ring_change = -1
 
-    def publish(self, key: str, origin: StreamOrigin) -> None:
+    def publish(self, key: str, origin: StreamOrigin, place: str = '') -> None:
         """Send a record to its keepers, in the background.
 
-        :param key: key of the attempt.
+        :param key: key of the record.
         :param origin: what began the stream.
+        :param place: key by which its keepers are chosen, its own by default.
         """
         if not self._pending:
             gevent.spawn_later(BATCH_SECONDS, self._send_pending)
-        self._pending[key] = origin
+        self._pending[key] = PlacedOrigin(place or key, origin)
 
-    def search(self, key: str) -> StreamOrigin | None:
+    def search(self, key: str, place: str = '') -> StreamOrigin | None:
         """Ask the keepers of a record for it.
 
-        :param key: key of the attempt.
+        :param key: key of the record.
+        :param place: key by which its keepers are chosen, its own by default.
         :returns: what began the stream, ``None`` if no keeper has it or
             answers.
         """
-        hosts = self._update_ring().choose(key, MAX_KEEPERS)
+        hosts = self._update_ring().choose(place or key, MAX_KEEPERS)
         for start in range(0, len(hosts), COPIES):
             found = self._ask_all(hosts[start : start + COPIES], key)
             if found is not None:
                 return found
         return None
 
-    def resend(self, address: str, records: dict[str, StreamOrigin]) -> None:
+    def resend(self, address: str, records: dict[str, PlacedOrigin]) -> None:
         """Send records to a worker that may have just started.
 
         :param address: address of its upstream.
-        :param records: origins by key of the attempt; it gets those of which
+        :param records: origins by key of the record; it gets those of which
             it is a keeper.
         """
         host = split_address(address)[0]
         ring = self._update_ring()
         kept = {
-            key: origin
-            for key, origin in records.items()
-            if host in ring.choose(key, COPIES)
+            key: placed.origin
+            for key, placed in records.items()
+            if host in ring.choose(placed.place, COPIES)
         }
         if kept:
             gevent.spawn(self._send, host, kept)
 
+    def has_moved(self) -> bool:
+        """Check whether workers came or went since records were sent.
+
+        :returns: true if :meth:`move` has to be called.
+        """
+        return self._placed_change != self._replicas.changes
+
+    def move(self, records: dict[str, PlacedOrigin]) -> None:
+        """Send records to those that have become their keepers.
+
+        Else a record is lost once both of its keepers have left, as with the
+        replicas of a version that is replaced.
+
+        :param records: origins by key of the record.
+        """
+        former = self._placed_ring
+        ring = self._update_ring()
+        self._placed_ring = ring
+        self._placed_change = self._ring_change
+        by_host: defaultdict[str, dict[str, StreamOrigin]] = defaultdict(dict)
+        for key, placed in records.items():
+            known = former.choose(placed.place, COPIES)
+            for host in ring.choose(placed.place, COPIES):
+                if host not in known:
+                    by_host[host][key] = placed.origin
+        for batch in by_host.items():
+            gevent.spawn(self._send, *batch)
+
     def _send_pending(self) -> None:
         pending = self._pending
         self._pending = {}
         ring = self._update_ring()
-        chosen = {key: ring.choose(key, MAX_KEEPERS) for key in pending}
+        chosen = {
+            key: ring.choose(placed.place, MAX_KEEPERS)
+            for key, placed in pending.items()
+        }
         failed = self._send_all(
             pending, ((key, chosen[key][:COPIES]) for key in pending)
         )
@@ -122,7 +159,7 @@
 
     def _send_all(
         self,
-        pending: dict[str, StreamOrigin],
+        pending: dict[str, PlacedOrigin],
         keepers: Iterable[tuple[str, list[str]]],
     ) -> set[str]:
         """Send records to their keepers.
@@ -132,7 +169,7 @@
         by_host: defaultdict[str, dict[str, StreamOrigin]] = defaultdict(dict)
         for stream, hosts in keepers:
             for host in hosts:
-                by_host[host][stream] = pending[stream]
+                by_host[host][stream] = pending[stream].origin
         sends = [gevent.spawn(self._send, *batch) for batch in by_host.items()]
         gevent.joinall(sends)
         return {failed for send in sends for failed in send.value or ()}
--- a/src/wigeonpier/hosted/origins.py
+++ b/src/wigeonpier/hosted/origins.py
@@ -10,18 +10,24 @@
 import time
 from typing import TYPE_CHECKING
 
+import gevent
+
+from wigeonpier.hosted.announcedversions import ANNOUNCED_SECONDS
 from wigeonpier.hosted.failures import SendFailure
 from wigeonpier.hosted.origintable import OriginTable
+from wigeonpier.loops import spawn_loop
 from wigeonpier.policy.streamorigin import (
     UNKNOWN_VERSION,
     StreamOrigin,
     digest_attempt,
     infer_version,
+    name_content,
 )
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
+    from wigeonpier.hosted.announcedversions import AnnouncedVersions
     from wigeonpier.hosted.contact import StoreHealth
     from wigeonpier.hosted.originkeepers import OriginKeepers
     from wigeonpier.hosted.question import OnlineRequest
@@ -30,6 +36,8 @@
 
 # Older streams are over; a keeper that starts late does not need them.
 RESENT_SECONDS = 10.0
+# A worker that leaves goes on for two seconds and more.
+MOVE_CHECK_SECONDS = 0.1
 # A stream and the attempts that resume it last for one timeout; versions are
 # looked back at for one more.
 LIFETIME_TIMEOUTS = 2
@@ -43,6 +51,7 @@
         replicas: ReplicaRegister,
         store_health: StoreHealth,
         keepers: OriginKeepers,
+        announcements: AnnouncedVersions,
         metrics: Metrics,
     ) -> None:
         """Begin without records.
@@ -50,14 +59,20 @@
         :param replicas: upstreams in the register.
         :param store_health: state of the connection to the store.
         :param keepers: workers that keep records for all entries.
+        :param announcements: versions that workers announce in the store.
         :param metrics: metrics of this process.
         """
         self.table = OriginTable()
         self._replicas = replicas
         self._store_health = store_health
         self._keepers = keepers
+        self._announcements = announcements
         self._metrics = metrics
 
+    def start(self) -> None:
+        """Start to move records as workers come and go."""
+        spawn_loop('stream origins', self._step)
+
     def record(self, request: OnlineRequest) -> None:
         """Record what wrote the first event of a stream, before it is forwarded.
 
@@ -76,10 +91,12 @@
         if not request.route.is_resumable:
             return
         customer = request.http_request.customer
-        for identity in {request.head.identity, request.head.resumes} - {''}:
-            key = digest_attempt(identity, customer)
-            self.table.record(key, origin)
-            self._keepers.publish(key, origin)
+        content = name_content(request.fingerprint)
+        identities = {request.head.identity, request.head.resumes} - {''}
+        keys = [digest_attempt(identity, customer) for identity in identities]
+        for key in (content, *keys):
+            self.table.record(key, origin, content)
+            self._keepers.publish(key, origin, content)
 
     def bind(self, request: OnlineRequest) -> SendFailure | None:
         """Bind a request to what began the stream that its caller resumes.
@@ -87,10 +104,7 @@
         :param request: the request; its origin and service are set.
         :returns: why the stream cannot continue, ``None`` if it may.
         """
-        is_named = bool(request.head.resumes)
-        origin = self._find(request) if is_named else None
-        if origin is None:
-            origin = self._infer(request, names_attempt=is_named)
+        origin = self._find(request) or self._infer(request)
         failure = _check_origin(request, origin)
         if failure is None:
             request.origin = origin
@@ -126,9 +140,7 @@
         recent = self.table.list_recent(RESENT_SECONDS)
         self._keepers.resend(address, recent)
 
-    def _infer(
-        self, request: OnlineRequest, *, names_attempt: bool
-    ) -> StreamOrigin:
+    def _infer(self, request: OnlineRequest) -> StreamOrigin:
         replicas = self._replicas
         lifetime = request.route.timeout * LIFETIME_TIMEOUTS
         since = time.monotonic() - lifetime
@@ -139,22 +151,39 @@
             is_followed=replicas.view.completed_at < since
             and self._store_health.has_been_reachable_since(since),
         )
-        version = infer_version(history, names_attempt=names_attempt)
+        announced = None
+        # What was announced is known for some time only.
+        if history.is_settled or lifetime <= ANNOUNCED_SECONDS:
+            announced = self._announcements.read(
+                request.service, request.received_at
+            )
+        version = infer_version(history, announced)
         return StreamOrigin(request.service, version)
 
     def _find(self, request: OnlineRequest) -> StreamOrigin | None:
-        """Find a record at this entry, or else at its keepers."""
-        key = digest_attempt(
-            request.head.resumes, request.http_request.customer
-        )
-        found = self.table.find(key)
-        if found is not None:
-            return found
-        found = self._keepers.search(key)
+        """Find a record at this entry, or else at its keepers.
+
+        A caller that names no attempt is found by the content of its request.
+        """
+        content = name_content(request.fingerprint)
+        key = content
+        if request.head.resumes:
+            key = digest_attempt(
+                request.head.resumes, request.http_request.customer
+            )
+        found = self.table.find(key) or self._keepers.search(key, content)
+        if found is None and key != content:
+            # Where an entry of an earlier build has sent it.
+            found = self._keepers.search(key)
         if found is not None:
-            self.table.record(key, found)
+            self.table.record(key, found, content)
         return found
 
+    def _step(self) -> None:
+        gevent.sleep(MOVE_CHECK_SECONDS)
+        if self._keepers.has_moved():
+            self._keepers.move(self.table.list_recent(RESENT_SECONDS))
+
 
 def _check_origin(
     request: OnlineRequest, origin: StreamOrigin
--- a/src/wigeonpier/hosted/origintable.py
+++ b/src/wigeonpier/hosted/origintable.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from wigeonpier.policy.streamorigin import is_content_key, merge_origins
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -16,8 +19,27 @@
 MAX_STREAMS = 32_768
 
 
+@dataclass(frozen=True, slots=True)
+class PlacedOrigin:
+    """What began a stream, and by which key its keepers are chosen.
+
+    :param place: the key.
+    :param origin: what began the stream.
+    """
+
+    place: str
+    origin: StreamOrigin
+
+
+@dataclass(frozen=True, slots=True)
+class _Record:
+    recorded_at: float
+    origin: StreamOrigin
+    place: str
+
+
 class OriginTable:
-    """Origins of recent streams, by key of the attempt."""
+    """Origins of recent streams, by attempt and by content of the request."""
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         """Create an empty table.
@@ -26,21 +48,31 @@
         """
         self._clock = clock
         # Oldest first.
-        self._known: dict[str, tuple[float, StreamOrigin]] = {}
+        self._known: dict[str, _Record] = {}
 
     def __len__(self) -> int:
         """Return the number of streams."""
         return len(self._known)
 
-    def record(self, key: str, origin: StreamOrigin) -> None:
-        """Record what began a stream; the first record of a stream holds.
+    def record(self, key: str, origin: StreamOrigin, place: str = '') -> None:
+        """Record what began a stream.
 
-        :param key: key of the attempt.
-        :param origin: what began it.
+        The first record of an attempt holds; those of requests with the same
+        content are merged.
+
+        :param key: key of the record.
+        :param origin: what began the stream.
+        :param place: key by which its keepers are chosen, its own by default.
         """
         now = self._clock()
         self._expire(now)
-        self._known.setdefault(key, (now, origin))
+        known = self._known.get(key)
+        if known is None:
+            self._known[key] = _Record(now, origin, place or key)
+        elif is_content_key(key):
+            self._known.pop(key)
+            merged = merge_origins(known.origin, origin)
+            self._known[key] = _Record(now, merged, known.place)
 
     def find(self, key: str) -> StreamOrigin | None:
         """Look up what began a stream.
@@ -49,25 +81,25 @@
         :returns: its origin, ``None`` if it is not recorded.
         """
         known = self._known.get(key)
-        return known[1] if known else None
+        return known.origin if known else None
 
-    def list_recent(self, seconds: float) -> dict[str, StreamOrigin]:
+    def list_recent(self, seconds: float) -> dict[str, PlacedOrigin]:
         """List the streams that were recorded last.
 
         :param seconds: longest age.
-        :returns: origins by key.
+        :returns: origins and places by key.
         """
         oldest = self._clock() - seconds
         return {
-            key: origin
-            for key, (recorded_at, origin) in self._known.items()
-            if recorded_at > oldest
+            key: PlacedOrigin(record.place, record.origin)
+            for key, record in self._known.items()
+            if record.recorded_at > oldest
         }
 
     def _expire(self, now: float) -> None:
         oldest = now - KEEP_SECONDS
         while self._known:
-            key, (recorded_at, _origin) = next(iter(self._known.items()))
-            if recorded_at > oldest and len(self._known) < MAX_STREAMS:
+            key, record = next(iter(self._known.items()))
+            if record.recorded_at > oldest and len(self._known) < MAX_STREAMS:
                 return
             self._known.pop(key)
--- a/src/wigeonpier/hosted/worker.py
+++ b/src/wigeonpier/hosted/worker.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from wigeonpier.hosted.announcedversions import VersionAnnouncer
 from wigeonpier.hosted.assignments import AssignmentFollower
 from wigeonpier.hosted.handoverparts import HandoverParts
 from wigeonpier.hosted.healthkeeper import HealthKeeper
@@ -153,6 +154,12 @@
             context.store_health.wait,
         )
         reservations.on_idle = handover.connect(self._assignments).consider
+        self._versions = VersionAnnouncer(
+            context.store,
+            settings.name,
+            self._upstream,
+            context.store_health.wait,
+        )
         self._membership = Membership(
             context.store,
             storekeys.name_key(storekeys.MEMBERS, settings.name),
@@ -175,6 +182,7 @@
             self._runner,
             self._progress,
             self._membership,
+            self._versions,
         ):
             part.start()
         spawn_loop('membership wanted', self._update_membership)
--- a/src/wigeonpier/platform/storekeys.py
+++ b/src/wigeonpier/platform/storekeys.py
@@ -30,6 +30,9 @@
 # so that a process that has not read the job yet needs only one call.
 RESULTS = f'{HOSTED}results/'
 HEAD = 'head'
+# By name of the VM and digest of the version: software versions that serve, or
+# have served lately, under a lease that outlives their process.
+VERSIONS = f'{HOSTED}versions/'
 # By job, position of the item, digest of the output and number of the part:
 # outputs that are longer than a value.
 OUTPUTS = f'{HOSTED}outputs/'
--- a/src/wigeonpier/policy/streamorigin.py
+++ b/src/wigeonpier/policy/streamorigin.py
@@ -19,6 +19,8 @@
 UNKNOWN_VERSION = ''
 # 96 bits, whatever the length of the id.
 KEY_BYTES = 12
+# Precedes the digest of a request's content in the key of a record.
+CONTENT_PREFIX = 'c-'
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,23 +73,58 @@
     )
 
 
-def infer_version(history: VersionHistory, *, names_attempt: bool) -> str:
+def infer_version(
+    history: VersionHistory, announced: frozenset[str] | None
+) -> str:
     """Infer which version began a stream of which no record is found.
 
-    An entry that cannot rule out a second version must not guess.  A caller
-    that names no attempt leaves nothing to look up; its stream continues as
-    long as one version is known.
+    An entry that cannot rule out a second version must not guess.  Its own view
+    may be outdated, and one that has just started has not seen which versions
+    have left, so the announcements in the store have to name the same one.
 
-    :param history: versions of the service.
-    :param names_attempt: whether the caller named the attempt that received
-        the first event.
+    :param history: versions of the service that the entry knows.
+    :param announced: versions that were announced within the lifetime of a
+        stream, as read after the request arrived; ``None`` if that is not
+        known.
     :returns: the version, ``UNKNOWN_VERSION`` if it cannot be inferred.
     """
-    if len(history.versions) != 1:
+    if announced is None:
         return UNKNOWN_VERSION
-    if names_attempt and not history.is_settled:
-        return UNKNOWN_VERSION
-    return next(iter(history.versions))
+    versions = history.versions | announced
+    return next(iter(versions)) if len(versions) == 1 else UNKNOWN_VERSION
+
+
+def merge_origins(known: StreamOrigin, origin: StreamOrigin) -> StreamOrigin:
+    """Merge what began two streams whose requests have the same content.
+
+    :param known: what began the earlier one.
+    :param origin: what began the later one.
+    :returns: the same if both agree, else an unknown version.
+    """
+    if known == origin:
+        return known
+    return StreamOrigin(known.service, UNKNOWN_VERSION)
+
+
+def name_content(fingerprint: str) -> str:
+    """Name the record of a stream by the content of its request.
+
+    A caller that resumes a stream sends the same request again, and need not
+    name the attempt that began it.
+
+    :param fingerprint: digest of the request, with its customer.
+    :returns: the key.
+    """
+    return CONTENT_PREFIX + fingerprint[: 2 * KEY_BYTES]
+
+
+def is_content_key(key: str) -> bool:
+    """Tell whether streams with the same content share a record.
+
+    :param key: key of the record.
+    :returns: false if the key is that of an attempt.
+    """
+    return key.startswith(CONTENT_PREFIX)
 
 
 def digest_attempt(identity: str, customer: str) -> str:
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -224,6 +224,11 @@
         ERROR_LEVEL,
         'A write exceeds a limit of the store, which never accepts it.',
     )
+    key_unreadable = (
+        407,
+        ERROR_LEVEL,
+        'A key of the store cannot be used; the others are.',
+    )
     platform_unknown = (
         401,
         WARNING_LEVEL,
--- a/tests/hosted/streams.py
+++ b/tests/hosted/streams.py
@@ -46,6 +46,7 @@
         identity: str,
         entry: int = 0,
         most: int | None = None,
+        target: str = '/ask/1',
         **headers: str,
     ) -> list[str]:
         """Read the events of a stream, or the first ones, and disconnect.
@@ -60,7 +61,7 @@
         listed += [
             (name.replace('_', '-'), text) for name, text in headers.items()
         ]
-        raw = make_request('POST', '/ask/1', listed, b'{}')
+        raw = make_request('POST', target, listed, b'{}')
         exchange = self.site.pool.begin(
             self.site.addresses[entry], TIMEOUT_SECONDS
         ).unwrap()
--- a/tests/hosted/test_stream_versions.py
+++ b/tests/hosted/test_stream_versions.py
@@ -224,10 +224,30 @@
     assert len(texts) == EVENTS
 
 
-def test_callers_that_name_no_attempt_are_refused_where_two_versions_serve(
+def test_callers_that_name_no_attempt_resume_at_the_version_that_began(
     caller: StreamCaller,
 ) -> None:
-    texts = caller.read('q1', 0, EVENTS_BEFORE_LEAVING)
+    """The same request is sent again, so that its record is found."""
+    for number in range(STREAMS):
+        target = f'/ask/{number}'
+        texts = caller.read(
+            f'q{number}', 0, EVENTS_BEFORE_LEAVING, target=target
+        )
+        texts += caller.read(
+            f'r{number}', 1, target=target, Last_Event_Id=str(len(texts))
+        )
+        assert len(texts) == EVENTS
+        assert len(find_versions(texts)) == 1
+
+
+def test_equal_requests_at_two_versions_are_refused_without_an_attempt(
+    caller: StreamCaller,
+) -> None:
+    """Nothing tells which of both the caller resumes."""
+    versions: set[str] = set()
+    while len(versions) < 2:
+        texts = caller.read(f'q{len(versions)}', 0, EVENTS_BEFORE_LEAVING)
+        versions |= find_versions(texts)
     with pytest.raises(RefusedError) as refused:
-        caller.read('q2', 1, Last_Event_Id=str(len(texts)))
+        caller.read('r', 1, Last_Event_Id=str(len(texts)))
     assert refused.value.error['type'] == 'origin_unknown'
--- a/tests/policy/test_streamorigin.py
+++ b/tests/policy/test_streamorigin.py
@@ -32,21 +32,25 @@
 
 
 @pytest.mark.parametrize(
-    ('versions', 'is_settled', 'names_attempt', 'expected'),
+    ('versions', 'announced', 'expected'),
     [
-        (('v1',), True, True, 'v1'),
-        (('v1',), False, True, UNKNOWN_VERSION),
-        (('v1',), False, False, 'v1'),
-        (('v1', 'v2'), True, True, UNKNOWN_VERSION),
-        (('v1', 'v2'), True, False, UNKNOWN_VERSION),
-        ((), True, False, UNKNOWN_VERSION),
+        (('v1',), ('v1',), 'v1'),
+        (('v1',), (), 'v1'),
+        ((), ('v1',), 'v1'),
+        (('v1',), None, UNKNOWN_VERSION),
+        (('v1',), ('v2',), UNKNOWN_VERSION),
+        (('v1',), ('v1', 'v2'), UNKNOWN_VERSION),
+        (('v1', 'v2'), ('v1',), UNKNOWN_VERSION),
+        ((), (), UNKNOWN_VERSION),
     ],
 )
+@pytest.mark.parametrize('is_settled', [True, False])
 def test_a_version_is_inferred_only_without_a_second_one(
-    versions, is_settled, names_attempt, expected
+    versions, announced, expected, *, is_settled
 ) -> None:
     history = VersionHistory(frozenset(versions), is_settled=is_settled)
-    assert infer_version(history, names_attempt=names_attempt) == expected
+    known = None if announced is None else frozenset(announced)
+    assert infer_version(history, known) == expected
 
 
 def test_attempts_of_two_customers_do_not_share_a_record() -> None:
