Leave odd entries of other writers out, and follow the others

An entry whose host has a NUL, an empty label or one of 300 letters counted as a replica: a call to it raised an error that no caller expects, requests failed and loops of all processes ended each second. One undecodable key of the board failed all reads of it, and one that could not be applied ended its watch.

Addresses are IPv4 numbers with a port, ids can be sent in a header. What others may have written is decoded in one place with one error; the board leaves such keys out, views go on behind them, and each is logged once.

--- a/src/wigeonpier/cli/servedcheck.py
+++ b/src/wigeonpier/cli/servedcheck.py
@@ -5,9 +5,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from wigeonpier.cli.calls import CommandError, write_line
+from wigeonpier.platform.decoding import OddValueError
 from wigeonpier.platform.operator import decode_configuration
 
 if TYPE_CHECKING:
@@ -36,7 +35,7 @@
     path = Path(parsed.file)
     try:
         found = decode_configuration(path.read_bytes())
-    except (OSError, msgspec.DecodeError) as error:
+    except (OSError, OddValueError) as error:
         raise CommandError(f'{path}: {error}') from error
     names = {customer.name for customer in (found.customers or {}).values()}
     routes = len(found.routes)
--- a/src/wigeonpier/hosted/assignments.py
+++ b/src/wigeonpier/hosted/assignments.py
@@ -7,13 +7,13 @@
 from typing import TYPE_CHECKING
 
 import gevent
-import msgspec
 from result import Err, Ok, Result
 
 from wigeonpier.hosted.items import ItemWork, drop_work
 from wigeonpier.hosted.ledger import decode_assignment
 from wigeonpier.models import Assignment, ItemProgress
 from wigeonpier.platform import storekeys
+from wigeonpier.platform.decoding import OddValueError
 from wigeonpier.policy.jobage import JobClock
 from wigeonpier.telemetry.events import Event
 from wigeonpier.telemetry.logs import log_event
@@ -155,7 +155,7 @@
             return
         try:
             assignment = decode_assignment(change.value)
-        except msgspec.DecodeError as error:
+        except OddValueError as error:
             log_event(Event.assignment_unreadable, job=name, why=str(error))
             return
         self._drop_moved(name, assignment.indexes)
--- a/src/wigeonpier/hosted/board.py
+++ b/src/wigeonpier/hosted/board.py
@@ -5,12 +5,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from wigeonpier.hosted.jobfences import NO_FENCE, decode_fence
 from wigeonpier.hosted.news import QuarantineEntry
 from wigeonpier.models import DiskHome, DiskMember, JobFence, Member, OpenJob
 from wigeonpier.platform import storekeys
+from wigeonpier.platform.decoding import OddValueError, decode_value
 
 if TYPE_CHECKING:
     from wigeonpier.platform.port import Entry
@@ -27,6 +26,7 @@
     :param homes: disks that may hold jobs, likewise.
     :param refused: refused requests, by fingerprint.
     :param fences: fences of jobs that were refused, by id of the job.
+    :param odd_keys: why a key could not be decoded, by key.
     """
 
     jobs: dict[str, OpenJob] = field(default_factory=dict)
@@ -36,6 +36,7 @@
     homes: dict[str, DiskHome] = field(default_factory=dict)
     refused: dict[str, QuarantineEntry] = field(default_factory=dict)
     fences: dict[str, JobFence] = field(default_factory=dict)
+    odd_keys: dict[str, str] = field(default_factory=dict)
 
     def put(self, entry: Entry) -> None:
         """Add a key of the board.
@@ -43,8 +44,12 @@
         :param entry: the key.
         """
         for prefix, put in _PUT_BY_PREFIX:
-            if entry.key.startswith(prefix):
+            if not entry.key.startswith(prefix):
+                continue
+            try:
                 put(self, entry.key.removeprefix(prefix), entry)
+            except OddValueError as error:
+                self.odd_keys[entry.key] = str(error)
 
     def get_fence(self, job: str) -> JobFence:
         """Get the fence that a write of a job has to name.
@@ -68,27 +73,25 @@
 
 
 def _put_job(board: Board, name: str, entry: Entry) -> None:
-    board.jobs[name] = msgspec.json.decode(entry.value, type=OpenJob)
+    board.jobs[name] = decode_value(entry.value, OpenJob)
     board.revisions[name] = entry.revision
 
 
 def _put_member(board: Board, name: str, entry: Entry) -> None:
-    board.members[name] = msgspec.json.decode(entry.value, type=Member)
+    board.members[name] = decode_value(entry.value, Member)
 
 
 def _put_disk(board: Board, name: str, entry: Entry) -> None:
-    board.disks[name] = msgspec.json.decode(entry.value, type=DiskMember)
+    board.disks[name] = decode_value(entry.value, DiskMember)
 
 
 def _put_home(board: Board, name: str, entry: Entry) -> None:
-    member = msgspec.json.decode(entry.value, type=DiskMember)
+    member = decode_value(entry.value, DiskMember)
     board.homes[name] = DiskHome(member, entry.revision)
 
 
 def _put_refused(board: Board, fingerprint: str, entry: Entry) -> None:
-    board.refused[fingerprint] = msgspec.json.decode(
-        entry.value, type=QuarantineEntry
-    )
+    board.refused[fingerprint] = decode_value(entry.value, QuarantineEntry)
 
 
 def _put_fence(board: Board, job: str, entry: Entry) -> None:
--- a/src/wigeonpier/hosted/configuration.py
+++ b/src/wigeonpier/hosted/configuration.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from wigeonpier.platform.decoding import OddValueError
 from wigeonpier.platform.operator import (
     CONFIGURATION_KEY,
     decode_configuration,
@@ -65,7 +64,7 @@
             return
         try:
             found = decode_configuration(change.value)
-        except msgspec.DecodeError as error:
+        except OddValueError as error:
             log_event(
                 Event.configuration_refused,
                 revision=change.revision,
--- a/src/wigeonpier/hosted/jobfences.py
+++ b/src/wigeonpier/hosted/jobfences.py
@@ -16,6 +16,7 @@
 
 from wigeonpier.models import JobFence
 from wigeonpier.platform import storekeys
+from wigeonpier.platform.decoding import decode_value
 from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.platform.store import CALL_TIMEOUT_SECONDS
 
@@ -164,7 +165,7 @@
     :param entry: its key in the store.
     :returns: the fence.
     """
-    attempts = msgspec.json.decode(entry.value, type=tuple[str, ...])
+    attempts = decode_value(entry.value, tuple[str, ...])
     return JobFence(entry.revision, attempts, is_ended=ENDED in attempts)
 
 
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -30,6 +30,7 @@
     OpenJob,
 )
 from wigeonpier.platform import storekeys
+from wigeonpier.platform.decoding import decode_value
 from wigeonpier.platform.port import Commit, Failure
 from wigeonpier.platform.store import CALL_TIMEOUT_SECONDS
 from wigeonpier.platform.storelimits import MAX_ENTRIES
@@ -87,6 +88,8 @@
         self.store = store
         self.fences = JobFences(store)
         self._records = ResultRecords(store)
+        # Keys of the board that cannot be decoded.
+        self._odd_keys: set[str] = set()
 
     def read_board(
         self,
@@ -111,6 +114,7 @@
         board = Board()
         for entry in listed.ok_value.entries:
             board.put(entry)
+        self._log_odd(board.odd_keys)
         return Ok(board)
 
     def create(
@@ -431,6 +435,12 @@
             lambda results: (results, next_revision)
         )
 
+    def _log_odd(self, odd_keys: dict[str, str]) -> None:
+        """Log keys that cannot be decoded, each of them once."""
+        for key in odd_keys.keys() - self._odd_keys:
+            log_event(Event.key_unreadable, key=key, why=odd_keys[key])
+        self._odd_keys = set(odd_keys)
+
     def _close_at(
         self, key: str, revision: int, assignments: list[str]
     ) -> Result[int, Failure]:
@@ -464,8 +474,9 @@
 
     :param value: value of its key.
     :returns: the assignment.
+    :raises OddValueError: when it is none.
     """
-    return msgspec.json.decode(value, type=Assignment)
+    return decode_value(value, Assignment)
 
 
 def _list_informed(
--- a/src/wigeonpier/hosted/loadfollower.py
+++ b/src/wigeonpier/hosted/loadfollower.py
@@ -8,12 +8,12 @@
 from typing import TYPE_CHECKING
 
 import gevent
-import msgspec
 from result import Err
 
 from wigeonpier.hosted.loadfeed import LOAD_PATH
 from wigeonpier.hosted.news import FeedLine
 from wigeonpier.loops import spawn_loop
+from wigeonpier.platform.decoding import OddValueError, decode_value
 from wigeonpier.policy.route import record_health, record_load
 from wigeonpier.settings.process import split_address
 from wigeonpier.telemetry.events import Event
@@ -138,7 +138,7 @@
                     self._lost_feeds.discard(address)
                     self._listeners.on_followed(address)
                     log_event(Event.load_followed, address=address)
-        except (OSError, msgspec.DecodeError) as error:
+        except (OSError, OddValueError) as error:
             reason = f'{type(error).__name__}: {error}'
         finally:
             exchange.abort()
@@ -151,7 +151,7 @@
             log_event(Event.load_lost, address=address, why=reason)
 
     def _dispatch(self, address: str, line: bytes) -> None:
-        message = msgspec.json.decode(line, type=FeedLine)
+        message = decode_value(line, FeedLine)
         if message.news is not None:
             self._listeners.on_update(message.news)
         if message.usage is not None:
--- a/src/wigeonpier/hosted/quarantine/store.py
+++ b/src/wigeonpier/hosted/quarantine/store.py
@@ -17,6 +17,7 @@
 import msgspec
 from result import Err
 
+from wigeonpier.hosted.board import Board
 from wigeonpier.hosted.news import QuarantineEntry
 from wigeonpier.membership.updates import (
     SuspicionUpdate,
@@ -173,15 +174,10 @@
         )
         if isinstance(listed, Err):
             return False
-        self.load(
-            {
-                entry.key.removeprefix(storekeys.REFUSED): msgspec.json.decode(
-                    entry.value,
-                    type=QuarantineEntry,
-                )
-                for entry in listed.ok_value.entries
-            },
-        )
+        board = Board()
+        for entry in listed.ok_value.entries:
+            board.put(entry)
+        self.load(board.refused)
         return True
 
     def load(self, entries: Mapping[str, QuarantineEntry]) -> None:
--- a/src/wigeonpier/hosted/upstream.py
+++ b/src/wigeonpier/hosted/upstream.py
@@ -9,11 +9,11 @@
 from typing import TYPE_CHECKING
 
 import gevent
-import msgspec
 from result import Err
 
 from wigeonpier.hosted.foreignanswer import expect_report
 from wigeonpier.platform import ingress, register
+from wigeonpier.platform.decoding import OddValueError
 from wigeonpier.policy.backoff import Backoff
 from wigeonpier.policy.incarnation import is_earlier, name_start
 from wigeonpier.policy.streamorigin import UNKNOWN_VERSION
@@ -211,7 +211,7 @@
         self._failures = 0
         try:
             received = register.decode_report(called.ok_value.body)
-        except msgspec.DecodeError as error:
+        except OddValueError as error:
             log_event(
                 Event.upstream_unreadable,
                 upstream=self.address,
--- a/src/wigeonpier/platform/operator.py
+++ b/src/wigeonpier/platform/operator.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from wigeonpier.platform import wire
+from wigeonpier.platform.decoding import decode_value
 from wigeonpier.served import (
     ClientLimits,
     RouteKind,
@@ -86,9 +87,9 @@
 
     :param raw: value of its key.
     :returns: the configuration.
-    :raises msgspec.DecodeError: when it is no configuration.
+    :raises OddValueError: when it is no configuration.
     """
-    found = msgspec.json.decode(raw, type=_Configuration)
+    found = decode_value(raw, _Configuration)
     return ServedConfiguration(
         found.version,
         tuple(_make_route(route) for route in found.routes),
--- a/src/wigeonpier/platform/register.py
+++ b/src/wigeonpier/platform/register.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import re
 from enum import StrEnum
+from ipaddress import AddressValueError, IPv4Address
 
 import msgspec
 
 from wigeonpier.models import Replica, UpstreamReport
 from wigeonpier.platform import wire
+from wigeonpier.platform.decoding import OddValueError, decode_value
 
 REGISTER = wire.REGISTER
 MIN_LOAD_FIELDS = 2
@@ -16,6 +19,11 @@
 # A longer figure is no count of requests, and int() refuses thousands of digits.
 MAX_DIGITS = 9
 MAX_PORT = 65_535
+# Far more than a replica runs at the same time.
+MAX_SLOTS = 100_000
+MAX_NAME_LENGTH = 200
+# It is sent in a header.
+_ID_PATTERN = re.compile('[!-~]+')
 
 _NO_RUNS = msgspec.Raw(b'[]')
 
@@ -75,16 +83,19 @@
     :returns: the replica.
     :raises ForeignEntryError: when it does not describe a replica.
     """
+    name = key.removeprefix(REGISTER)
     try:
-        found = msgspec.json.decode(raw, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        found = decode_value(raw, _Entry)
+    except OddValueError as error:
         raise ForeignEntryError(str(error)) from error
-    if found.slots < 1 or not _is_address(found.address):
-        raise ForeignEntryError(
-            f'{found.slots} slots at {found.address!r}',
-        )
+    if not 0 < found.slots <= MAX_SLOTS or not _is_address(found.address):
+        address = found.address[:MAX_NAME_LENGTH]
+        raise ForeignEntryError(f'{found.slots} slots at {address!r}')
+    names = (found.service, found.zone, found.version)
+    if not _ID_PATTERN.fullmatch(name) or not all(map(_is_name, names)):
+        raise ForeignEntryError('a name that no header or log line can carry')
     return Replica(
-        name=key.removeprefix(REGISTER),
+        name=name,
         address=found.address,
         service=found.service,
         data_centre=found.zone,
@@ -154,9 +165,9 @@
 
     :param raw: body of its answer.
     :returns: the report.
-    :raises msgspec.DecodeError: when it is no report.
+    :raises OddValueError: when it is no report.
     """
-    found = msgspec.json.decode(raw, type=_Report)
+    found = decode_value(raw, _Report)
     return UpstreamReport(
         found.running,
         found.queued,
@@ -186,8 +197,8 @@
 
 def _decode_tokens(raw: msgspec.Raw) -> dict[str, int]:
     try:
-        runs = msgspec.json.decode(raw, type=list[_Run])
-    except msgspec.DecodeError:
+        runs = decode_value(bytes(raw), list[_Run])
+    except OddValueError:
         return {}
     return {run.name: run.made for run in runs}
 
@@ -197,5 +208,14 @@
 
 
 def _is_address(text: str) -> bool:
+    """Check for an IPv4 address and a port; names are not looked up."""
     host, _colon, port = text.rpartition(':')
-    return bool(host) and _is_number(port) and 0 < int(port) <= MAX_PORT
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return _is_number(port) and 0 < int(port) <= MAX_PORT
+
+
+def _is_name(text: str) -> bool:
+    return len(text) <= MAX_NAME_LENGTH and text.isprintable()
--- a/src/wigeonpier/platform/view.py
+++ b/src/wigeonpier/platform/view.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+import traceback
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -11,8 +12,11 @@
 from gevent.event import Event as Signal
 from result import Err
 
+from wigeonpier.invariants import InvariantError
 from wigeonpier.loops import spawn_loop
 from wigeonpier.platform.port import Change, Entry
+from wigeonpier.telemetry.events import Event
+from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
     import random
@@ -57,6 +61,8 @@
     pause: float = INITIAL_PAUSE_SECONDS
     wait: Callable[[float], object] = gevent.sleep
     _is_urgent: Signal = field(default_factory=Signal)
+    # Revisions of the keys that could not be applied; each is logged once.
+    _failed: dict[str, int] = field(default_factory=dict)
 
     def start(self) -> None:
         """Start the watch."""
@@ -116,6 +122,7 @@
     def _apply(self, change: Change) -> None:
         if change.value is None:
             self.entries.pop(change.key, None)
+            self._failed.pop(change.key, None)
         else:
             self.entries[change.key] = Entry(
                 change.key,
@@ -123,4 +130,21 @@
                 change.revision,
                 change.created,
             )
-        self.on_change(change)
+        try:
+            self.on_change(change)
+        except InvariantError:
+            raise
+        except Exception:
+            # The keys behind it are followed nevertheless.
+            self._log_failure(change)
+
+    def _log_failure(self, change: Change) -> None:
+        if self._failed.get(change.key) == change.revision:
+            return
+        self._failed[change.key] = change.revision
+        log_event(
+            Event.key_unreadable,
+            key=change.key,
+            revision=change.revision,
+            trace=traceback.format_exc(),
+        )
--- a/src/wigeonpier/web/messages.py
+++ b/src/wigeonpier/web/messages.py
@@ -182,7 +182,11 @@
     """
     try:
         return msgspec.json.decode(raw, type=model)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise Refusal(ErrorKind.invalid_request, str(error)) from error
 
 
--- a/src/wigeonpier/web/pool.py
+++ b/src/wigeonpier/web/pool.py
@@ -304,6 +304,9 @@
         _set_options(sock)
         sock.settimeout(timeout)
         sock.connect((host, int(port)))
+    except (ValueError, OverflowError) as error:
+        sock.close()
+        raise OSError(f'{address!r} is no address') from error
     except OSError:
         sock.close()
         raise
