Confirm a disk as empty only with its own word, or without a record of it

Machines that were to be emptied while the store was slow were confirmed as empty by others, with accepted jobs on their disks. The others asked only whether the machine was on the board, which it leaves at the order itself, when it stands still, and when its lease ends.

The disk removes its record in the transaction that confirms the order; others confirm only if there is none.

--- a/src/wigeonpier/hosted/diskhomes.py
+++ b/src/wigeonpier/hosted/diskhomes.py
@@ -19,11 +19,8 @@
 from wigeonpier.telemetry.logs import log_event
 
 if TYPE_CHECKING:
-    from result import Result
-
     from wigeonpier.hosted.board import Board
     from wigeonpier.models import DiskHome, DiskMember
-    from wigeonpier.platform.port import Failure
     from wigeonpier.platform.store import KeyValueStore
 
 
@@ -47,13 +44,17 @@
         # clock.
         self._absent_since: dict[str, float] = {}
 
+    @property
+    def key(self) -> str:
+        """Return the key of the record of this disk."""
+        return storekeys.name_key(storekeys.HOMES, self._member.name)
+
     def register(self) -> bool:
         """Write the record of this disk unless it stands.
 
         :returns: false if the store has not confirmed it.
         """
-        key = storekeys.name_key(storekeys.HOMES, self._member.name)
-        read = self._store.get(key)
+        read = self._store.get(self.key)
         if isinstance(read, Err):
             return False
         entry = read.ok_value
@@ -61,16 +62,18 @@
         if entry is not None and entry.value == content:
             return True
         revision = 0 if entry is None else entry.revision
-        written = self._store.commit(Commit({key: revision}, {key: content}))
+        written = self._store.commit(
+            Commit({self.key: revision}, {self.key: content})
+        )
         return isinstance(written, Ok)
 
-    def remove_own(self) -> Result[int, Failure]:
+    def remove(self) -> None:
         """Remove the record of this disk, which is empty.
 
-        :returns: the revision.
+        An order that was confirmed before leaves it if the process starts
+        again meanwhile.
         """
-        key = storekeys.name_key(storekeys.HOMES, self._member.name)
-        return self._store.commit(Commit(deletes=(key,)))
+        self._store.commit(Commit(deletes=(self.key,)))
 
     def observe(self, board: Board) -> None:
         """Remove the records of disks that have been off the board for long.
--- a/src/wigeonpier/hosted/intake.py
+++ b/src/wigeonpier/hosted/intake.py
@@ -9,6 +9,7 @@
 
 import time
 from collections import defaultdict
+from contextlib import ExitStack
 from dataclasses import replace
 from enum import Enum
 from http import HTTPStatus
@@ -87,13 +88,15 @@
         # Attempts that stored each job since the start; a write to the disk
         # may be in progress.
         self._attempts: defaultdict[str, set[str]] = defaultdict(set)
+        # Writes to the disk in progress.
+        self._writing = 0
         self._has_work = Signal()
         self._has_work.set()
 
     @property
     def is_empty(self) -> bool:
         """Check whether all jobs have been written to the store."""
-        return not self._job_names
+        return not self._job_names and not self._writing
 
     def count_rejected(self) -> int:
         """Count the jobs on this disk that the store never accepts.
@@ -122,15 +125,24 @@
             raise Refusal(ErrorKind.leaving, 'this disk is being emptied')
         request.body_limit = MAX_JOB_BYTES
         raw = self._add_attempts(name, request.read_body())
-        try:
-            call_in_thread(replace_file, self._root / name, raw)
-        except OSError as error:
-            self._raise_write_error(name, error)
-        self._job_names.add(name)
+        with ExitStack() as stack:
+            self._writing += 1
+            stack.callback(self._end_write)
+            if self.is_closed:
+                # It was ordered to be emptied while the body arrived.
+                raise Refusal(ErrorKind.leaving, 'this disk is being emptied')
+            try:
+                call_in_thread(replace_file, self._root / name, raw)
+            except OSError as error:
+                self._raise_write_error(name, error)
+            self._job_names.add(name)
         self._has_work.set()
         log_event(Event.job_held, job=name, size=len(raw))
         return Response(HTTPStatus.OK, b'{}')
 
+    def _end_write(self) -> None:
+        self._writing -= 1
+
     def _describe_copy(self, _request: Request, name: str) -> Response:
         """Answer whether this disk has a copy, or is writing one."""
         attempts = set(self._attempts.get(name, ()))
--- a/src/wigeonpier/hosted/storage.py
+++ b/src/wigeonpier/hosted/storage.py
@@ -74,6 +74,7 @@
             ledger,
             self._intake,
             self._disk,
+            self._homes,
             view,
         )
         readings = ReadingHandler(
