Play the limits of the store in the fault soak

The soak sent only small jobs, lost either all answers of a process or none, and its register had sound entries only.

--- a/src/wigeonpier/bench/experiments.py
+++ b/src/wigeonpier/bench/experiments.py
@@ -104,6 +104,7 @@
             bool(parsed.versions),
             bool(parsed.parts),
             bool(parsed.late),
+            bool(parsed.limits),
         ),
     )
 
@@ -156,6 +157,7 @@
             Option('versions', 0, '1 where two software versions serve'),
             Option('parts', 0, '1 where parts of prompts crash replicas'),
             Option('late', 0, '1 where answers and writes come late'),
+            Option('limits', 0, '1 where jobs are large and watches get lost'),
         ),
         _run_fault_soak,
     ),
--- a/src/wigeonpier/bench/faultsoak.py
+++ b/src/wigeonpier/bench/faultsoak.py
@@ -27,6 +27,7 @@
 from wigeonpier.bench.soakfaults import SoakFaults
 from wigeonpier.bench.soakkeys import SoakKeys
 from wigeonpier.bench.soaklate import SoakLateEffects
+from wigeonpier.bench.soaklimits import SoakLimits
 from wigeonpier.bench.soakprompts import SoakPrompts
 from wigeonpier.bench.soaksite import DISKS, EVENTS, SoakSite, SoakSize
 from wigeonpier.bench.soakstreams import SoakStreams
@@ -47,6 +48,7 @@
 PROMPTS_SEED = 5
 LATE_SEED = 6
 ENDLESS_SEED = 7
+LIMITS_SEED = 8
 # Of two jobs, so that some are refused while late writes of them are pending.
 MOST_TOKENS = 100
 # Share of entries among the processes that are not storage.
@@ -94,6 +96,8 @@
     :param has_parts: whether a part of prompts crashes every replica.
     :param has_late_effects: whether replicas repeat answers late, the store
         executes writes late, and few tokens of jobs may wait.
+    :param has_limits: whether jobs with large items, lost watches and odd
+        entries of the register come.
     """
 
     has_crashes: bool = False
@@ -101,6 +105,7 @@
     has_versions: bool = False
     has_parts: bool = False
     has_late_effects: bool = False
+    has_limits: bool = False
 
 
 NO_PARTS = SoakParts()
@@ -116,6 +121,7 @@
     :param parts: what is played.
     :param late: injects late effects, if these are played.
     :param endless: lets replicas send bytes without end.
+    :param limits: plays loads and faults at the limits of the store.
     """
 
     seed: int
@@ -124,11 +130,13 @@
     parts: SoakParts
     late: SoakLateEffects = field(init=False)
     endless: SoakEndless = field(init=False)
+    limits: SoakLimits = field(init=False)
 
     def __post_init__(self) -> None:
-        """Prepare the late effects and the endless bytes."""
+        """Prepare the parts that inject faults."""
         self.endless = SoakEndless(self.site, self._make_rng(ENDLESS_SEED))
         self.late = SoakLateEffects(self.site, self._make_rng(LATE_SEED))
+        self.limits = SoakLimits(self.site, self._make_rng(LIMITS_SEED))
 
     def run(self) -> FaultSoakReport:
         """Run the soak and check the invariants.
@@ -158,15 +166,18 @@
                     (prompts, self.parts.has_parts),
                     (self.late, self.parts.has_late_effects),
                     (self.endless, True),
+                    (self.limits, self.parts.has_limits),
                 )
                 if is_played
             ]
             faults = self._inject_faults(self._make_rng(0))
             gevent.joinall(loops, raise_error=True)
             callers.finish(FINISH_SECONDS)
+            self.limits.finish(FINISH_SECONDS)
             broken = callers.find_violations(self.site.replicas)
             broken += streams.find_violations()
             broken += self.endless.find_violations()
+            broken += self.limits.find_violations()
             if self.parts.has_keys:
                 broken += keys.find_violations(self.site.list_received())
         return self._make_report(
@@ -174,7 +185,8 @@
             | crashes.counts
             | keys.counts
             | self.late.counts
-            | self.endless.counts,
+            | self.endless.counts
+            | self.limits.counts,
             callers,
             dict(streams.counts),
             broken,
--- a/tests/bench/test_faultsoak.py
+++ b/tests/bench/test_faultsoak.py
@@ -55,6 +55,7 @@
 SHORT_SEED = 4
 # Requests ran twice, and were refused and had run.
 LATE_SEED = 2003
+LIMITS_SEED = 6301
 SHORT_SECONDS = 5.0
 # Duration of the runs that found the faults.
 REGRESSION_SECONDS = 8.0
@@ -122,6 +123,20 @@
     assert report.jobs['accepted']
 
 
+def test_invariants_hold_at_the_limits_of_the_store(tmp_path) -> None:
+    """Jobs are large, watches lose their answers, and entries are odd."""
+    report = run_fault_soak(
+        LIMITS_SEED,
+        REGRESSION_SECONDS,
+        tmp_path,
+        parts=SoakParts(has_limits=True),
+    )
+    assert not report.broken
+    assert report.faults['large jobs']
+    assert report.faults['watches lost']
+    assert report.faults['odd entries']
+
+
 def test_invariants_hold_with_customers(tmp_path) -> None:
     """Keys are rotated, and one customer exceeds its rate limit by far."""
     report = run_fault_soak(
