Try each job on a disk whatever fails, and infer no unannounced version

An error that nobody expects at one job still delayed all behind it on its disk: the step ended with it and began with the same job again. And a version was inferred from the register alone where no version was announced at all, as after an outage in which all announcements ended.

Each job is tried by itself, and its error logged; a version that is inferred has to be announced.

--- a/src/wigeonpier/hosted/intake.py
+++ b/src/wigeonpier/hosted/intake.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from collections import defaultdict
 from contextlib import ExitStack
 from dataclasses import replace
@@ -198,7 +199,7 @@
         gevent.sleep(self._rng.uniform(0, MAX_JITTER_SECONDS))
         outcomes = []
         for name in sorted(self._job_names - self._rejected):
-            outcomes.append(self._write_to_store(name))
+            outcomes.append(self._try_to_write(name))
             if outcomes[-1] is _HandOver.store_away:
                 break
         if _HandOver.store_away in outcomes or _HandOver.failed in outcomes:
@@ -206,6 +207,17 @@
         if not self._job_names - self._rejected:
             self._has_work.clear()
 
+    def _try_to_write(self, name: str) -> _HandOver:
+        try:
+            return self._write_to_store(name)
+        except Exception:
+            log_event(
+                Event.job_not_handed_over,
+                job=name,
+                trace=traceback.format_exc(),
+            )
+            return _HandOver.failed
+
     def _write_to_store(self, name: str) -> _HandOver:
         path = self._root / name
         try:
--- a/src/wigeonpier/policy/streamorigin.py
+++ b/src/wigeonpier/policy/streamorigin.py
@@ -88,7 +88,8 @@
         known.
     :returns: the version, ``UNKNOWN_VERSION`` if it cannot be inferred.
     """
-    if announced is None:
+    # Where none is announced, it is not known which versions have left.
+    if not announced:
         return UNKNOWN_VERSION
     versions = history.versions | announced
     return next(iter(versions)) if len(versions) == 1 else UNKNOWN_VERSION
--- a/src/wigeonpier/telemetry/events.py
+++ b/src/wigeonpier/telemetry/events.py
@@ -389,6 +389,11 @@
         ERROR_LEVEL,
         'The file of a job on this disk is incomplete.',
     )
+    job_not_handed_over = (
+        630,
+        ERROR_LEVEL,
+        'Handing over a job from this disk failed; it is tried again.',
+    )
     job_rejected = (
         629,
         ERROR_LEVEL,
