Read incomplete items again, and share failed reads of versions

The pages of a stale read may be of different states, so that a cut job ended before its last item: the read raised, and the caller got 500. While the store was away, callers that take up streams each waited for the attempts of all before them.

Incomplete items count as not read yet. One attempt to read the versions serves all callers that waited for it, also if it fails.

Evidence: test_an_incomplete_stale_read_is_read_again, test_callers_share_an_attempt_to_read_the_versions.

--- a/src/wigeonpier/hosted/announcedversions.py
+++ b/src/wigeonpier/hosted/announcedversions.py
@@ -147,6 +147,8 @@
         """Read from the given store."""
         self._store = store
         self._lock = BoundedSemaphore()
+        # When the last attempt began, and the last one that was answered.
+        self._tried_at = -math.inf
         self._read_at = -math.inf
         self._known: frozenset[VersionRecord] = frozenset()
 
@@ -159,7 +161,10 @@
         :returns: the versions, ``None`` if the store does not answer.
         """
         with self._lock:
-            if self._read_at < since and not self._refresh():
+            # Callers that wait for an attempt that fails do not try again.
+            if self._tried_at < since:
+                self._refresh()
+            if self._read_at < since:
                 return None
         return frozenset(
             record.version
@@ -167,13 +172,14 @@
             if record.service == service
         )
 
-    def _refresh(self) -> bool:
+    def _refresh(self) -> None:
         asked_at = time.monotonic()
+        self._tried_at = asked_at
         listed = self._store.list_prefix(
             storekeys.VERSIONS, READ_TIMEOUT_SECONDS
         )
         if not isinstance(listed, Ok):
-            return False
+            return
         try:
             self._known = frozenset(
                 decode_value(entry.value, VersionRecord)
@@ -184,9 +190,8 @@
             log_event(
                 Event.key_unreadable, key=storekeys.VERSIONS, why=str(error)
             )
-            return False
+            return
         self._read_at = asked_at
-        return True
 
 
 def _digest(record: VersionRecord) -> str:
--- a/src/wigeonpier/hosted/ledger.py
+++ b/src/wigeonpier/hosted/ledger.py
@@ -16,7 +16,11 @@
 
 from wigeonpier.hosted.board import Board
 from wigeonpier.hosted.jobfences import NO_FENCE, JobFences, guard_create
-from wigeonpier.hosted.jobparts import join_items, split_items
+from wigeonpier.hosted.jobparts import (
+    PartsIncompleteError,
+    join_items,
+    split_items,
+)
 from wigeonpier.hosted.resultrecords import (
     PlacedResult,
     ResultRecords,
@@ -271,7 +275,10 @@
             if read.ok_value is None:
                 return Err(Failure.unavailable)
             parts.append(read.ok_value.value)
-        return Ok(join_items(parts))
+        try:
+            return Ok(join_items(parts))
+        except PartsIncompleteError:
+            return Err(Failure.unavailable)
 
     def list_items(self, job: str) -> Result[list[JobItem], Failure]:
         """Read all items of a job, possibly from a stale replica.
@@ -536,4 +543,8 @@
         snapshot.entries,
         key=lambda entry: storekeys.parse_index(entry.key),
     )
-    return join_items(part.value for part in parts)
+    try:
+        return join_items(part.value for part in parts)
+    except PartsIncompleteError:
+        # The pages of a stale read are of different states.
+        return []
--- a/tests/hosted/test_rejoined_streams.py
+++ b/tests/hosted/test_rejoined_streams.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import time
+from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
 import gevent
@@ -13,6 +15,7 @@
 
 from tests.hosted.builders import wait_for
 from tests.hosted.streams import RefusedError, StreamCaller, find_versions
+from wigeonpier.hosted.announcedversions import AnnouncedVersions
 from wigeonpier.hosted.originkeepers import COPIES
 from wigeonpier.hosted.origintable import OriginTable
 from wigeonpier.platform import storekeys
@@ -196,6 +199,26 @@
     assert take_up(caller, begun, 1) == ['origin_unknown'] * STREAMS
 
 
+def test_callers_share_an_attempt_to_read_the_versions() -> None:
+    """While the store was away, each of them waited for all before it."""
+    calls: list[str] = []
+
+    def list_prefix(prefix: str, timeout: float) -> Err:
+        calls.append(prefix)
+        gevent.sleep(timeout)
+        return Err(Failure.unavailable)
+
+    announcements = AnnouncedVersions(SimpleNamespace(list_prefix=list_prefix))
+    now = time.monotonic()
+    reads = [
+        gevent.spawn(announcements.read, 'assistant', now)
+        for _caller in range(STREAMS)
+    ]
+    gevent.joinall(reads)
+    assert len(calls) == 1
+    assert [read.value for read in reads] == [None] * STREAMS
+
+
 def test_records_move_before_their_keepers_leave(site: HostedSite) -> None:
     """Both keepers of a record left with the version that had begun it."""
     site.start(replicas=OLD_REPLICAS, event_seconds=0.02)
--- a/tests/hosted/test_store_limits.py
+++ b/tests/hosted/test_store_limits.py
@@ -79,6 +79,29 @@
     assert {found['state'] for found in results} == {'completed'}
 
 
+def test_an_incomplete_stale_read_is_read_again(
+    site: HostedSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its pages may be of different states."""
+    site.start()
+    large = b'x' * 2 * LARGE_BYTES
+    assert site.submit_job('j', 2, bodies={0: large}).status == 202
+    store = site.entries[0]._context.store
+    list_prefix = store.list_prefix
+
+    def list_first(prefix: str, *given, **named) -> object:
+        listed = list_prefix(prefix, *given, **named)
+        return listed.map(
+            lambda found: replace(found, entries=found.entries[:1])
+        )
+
+    monkeypatch.setattr(store, 'list_prefix', list_first)
+    ledger = site.entries[0]._jobs._ledger
+    assert ledger.list_items('j') == Ok([])
+    monkeypatch.undo()
+    assert site.call('GET', '/-/items/j?id=j0').body == large
+
+
 def test_a_large_job_of_an_outage_does_not_block_others(
     site: HostedSite,
 ) -> None:
