Let a version that has left explain a stream that is not resumed

test_stream_that_is_not_resumed_says_why named an attempt that nobody knows at a site with one version, at an entry that had just started, which was refused. It now announces a second version that has left, and expects the same refusal and log line.

--- a/tests/hosted/test_explained.py
+++ b/tests/hosted/test_explained.py
@@ -8,8 +8,9 @@
 import gevent
 import pytest
 
-from tests.hosted.builders import HostedSite
+from tests.hosted.builders import SERVICE, HostedSite
 from wigeonpier.cli.main import main
+from wigeonpier.platform import storekeys
 from wigeonpier.telemetry.logs import configure_logs
 
 if TYPE_CHECKING:
@@ -144,6 +145,9 @@
 
 
 def test_stream_that_is_not_resumed_says_why(site, explain) -> None:
+    # A version that has left lately may have begun it.
+    left = {'service': SERVICE, 'version': 'v0'}
+    site.store.put(f'{storekeys.VERSIONS}gone/v0', left)
     reply = site.call(
         'POST', '/ask/1', 'q7', b'{}', Last_Event_Id='5', Resumes='nobody'
     )
